Prove jobs on the replicated log under seeded schedules

Change: commit and acknowledgement are apart; a quorum commits, two zones (and under 'reachable' all that answer) are needed before the proposer hears of it. Replacement also spreads voters over zones. Ruled out: lost quorum (the two remaining voters were up and elected a leader), leases (held at live holders). Conclusion: safety rules belong on what is told, not on what is agreed.

--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -67,7 +67,7 @@
 }
 
 /// The state of one store group.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct JobState {
     files: HashMap<String, FileRecord>,
     jobs: BTreeMap<String, Job>,
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -4,9 +4,12 @@
 //! and Practice", 2014), with pre-vote, check-quorum, learners, single-step
 //! membership changes and quorum reads. Differences from the thesis:
 //!
-//! - An entry counts as committed only when it is on stable storage of a
-//!   quorum that spans at least two zones (where the group spans two), and
-//!   under [`AckRule::Reachable`] on every replica that answers at all.
+//! - Commit and acknowledgement are apart. An entry is committed, and
+//!   applied, once it is on stable storage of a quorum. It may be acknowledged
+//!   to whoever proposed it only once that spans at least two zones (where the
+//!   voters span two), and under [`AckRule::Reachable`] every voter that
+//!   answers at all. So a group whose only voter of another zone is lost can
+//!   still commit the change of members that replaces it.
 //! - A replica's identity is drawn when its data folder is formatted, so a
 //!   machine with an emptied disk can't vote as the replica it was before.
 //!
@@ -118,6 +121,8 @@
     /// The proposal got this index and term; it is committed if an entry with
     /// both is applied.
     Proposed(u64, u64, u64),
+    /// Entries up to this index, once applied, may be acknowledged.
+    Acknowledged(u64),
     /// The proposal was not taken: this replica doesn't lead.
     Rejected(u64),
     /// The read may be served once this index is applied.
@@ -164,6 +169,7 @@
     leader: u64,
     log: Log,
     commit: u64,
+    acknowledged: u64,
     applied: u64,
     persisted: u64,
     peers: BTreeMap<u64, Progress>,
@@ -194,6 +200,7 @@
             leader: 0,
             log,
             commit: applied,
+            acknowledged: 0,
             applied,
             persisted,
             peers: BTreeMap::new(),
@@ -367,6 +374,7 @@
     fn become_leader(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.role = Role::Leader;
         self.leader = self.me;
+        self.acknowledged = 0;
         self.reads.clear();
         self.peers.clear();
         self.sync_peers(now);
@@ -606,8 +614,9 @@
         }
         if self.role == Role::Leader {
             self.advance_commit(now, actions);
+        } else {
+            self.apply_committed(actions);
         }
-        self.apply_committed(actions);
     }
 
     fn advance_commit(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -620,13 +629,22 @@
             now,
             window: self.settings.election_timeout,
         };
+        let committed = tally.committed();
         let acknowledged = tally.acknowledged();
         // Only entries of the own term are committed by counting (Raft 5.4.2).
-        if acknowledged > self.commit && self.log.term_at(acknowledged) == Some(self.hard.term) {
-            self.commit = acknowledged;
-            self.apply_committed(actions);
+        if committed > self.commit && self.log.term_at(committed) == Some(self.hard.term) {
+            self.commit = committed;
+        }
+        self.apply_committed(actions);
+        // Whoever waits hears of it after it was applied here.
+        let acknowledged = acknowledged.min(self.applied);
+        if acknowledged > self.acknowledged {
+            self.acknowledged = acknowledged;
+            actions.push(Action::Acknowledged(acknowledged));
+        }
+        if self.commit >= self.log.members_index() {
             let removed = !self.members().replicas.iter().any(|replica| replica.replica == self.me);
-            if removed && self.commit >= self.log.members_index() {
+            if removed {
                 self.become_follower(now, self.hard.term, 0, actions);
             }
         }
--- a/crates/core/src/replication/progress.rs
+++ b/crates/core/src/replication/progress.rs
@@ -70,7 +70,27 @@
     }
 }
 
-/// Counts which index is acknowledged.
+/// Where an entry is on stable storage.
+#[derive(Debug, Default)]
+struct Copies<'a> {
+    voters: usize,
+    copies: usize,
+    zones: BTreeSet<&'a String>,
+    zones_with_copy: BTreeSet<&'a String>,
+    missing_reachable: bool,
+}
+
+impl Copies<'_> {
+    fn on_quorum(&self) -> bool {
+        self.copies > self.voters / 2
+    }
+
+    fn spans_zones(&self) -> bool {
+        self.zones_with_copy.len() >= self.zones.len().min(ZONES_FOR_ACK)
+    }
+}
+
+/// Counts which index is committed and which acknowledged.
 pub(super) struct Tally<'a> {
     pub(super) members: &'a Members,
     pub(super) me: u64,
@@ -89,29 +109,40 @@
         self.peers.get(&replica).map_or(0, |peer| peer.matched)
     }
 
-    /// Highest index that is on stable storage as the rule wants it.
+    /// Highest index on stable storage of a quorum: it is committed.
+    pub(super) fn committed(&self) -> u64 {
+        self.highest(|index| self.copies(index).on_quorum())
+    }
+
+    /// Highest index on stable storage as the rule for acknowledgements
+    /// wants it.
     pub(super) fn acknowledged(&self) -> u64 {
+        self.highest(|index| {
+            let copies = self.copies(index);
+            copies.on_quorum() && copies.spans_zones() && (self.rule == AckRule::Quorum || !copies.missing_reachable)
+        })
+    }
+
+    fn highest(&self, holds: impl Fn(u64) -> bool) -> u64 {
         let voters = self.members.replicas.iter().filter(|replica| replica.voter);
         let mut indexes: Vec<u64> = voters.map(|replica| self.matched(replica.replica)).collect();
         indexes.sort_unstable();
-        indexes.into_iter().rev().find(|index| self.is_acknowledged(*index)).unwrap_or(0)
+        indexes.into_iter().rev().find(|index| holds(*index)).unwrap_or(0)
     }
 
-    fn is_acknowledged(&self, index: u64) -> bool {
-        let mut zones = BTreeSet::new();
-        let mut zones_with_copy = BTreeSet::new();
-        let (mut voters, mut copies) = (0, 0);
+    fn copies(&self, index: u64) -> Copies<'_> {
+        let mut copies = Copies::default();
         for replica in self.members.replicas.iter().filter(|replica| replica.voter) {
-            voters += 1;
-            zones.insert(&replica.zone);
+            copies.voters += 1;
+            copies.zones.insert(&replica.zone);
             if self.matched(replica.replica) >= index {
-                copies += 1;
-                zones_with_copy.insert(&replica.zone);
-            } else if self.rule == AckRule::Reachable && self.is_reachable(replica.replica) {
-                return false;
+                copies.copies += 1;
+                copies.zones_with_copy.insert(&replica.zone);
+            } else if self.is_reachable(replica.replica) {
+                copies.missing_reachable = true;
             }
         }
-        copies > voters / 2 && zones_with_copy.len() >= zones.len().min(ZONES_FOR_ACK)
+        copies
     }
 
     fn is_reachable(&self, replica: u64) -> bool {
--- a/crates/core/src/replication/replacement.rs
+++ b/crates/core/src/replication/replacement.rs
@@ -19,6 +19,8 @@
     pub caught_up: &'a [u64],
     /// Voters that the group should have.
     pub wanted: usize,
+    /// The leader, which is removed only if nothing else will do.
+    pub leader: u64,
 }
 
 /// The members after the next change, or `None` where nothing is to do.
@@ -31,10 +33,11 @@
         return Some(without(situation.members, learner.replica));
     }
     if voters > situation.wanted {
-        let removed = replicas.iter().filter(|replica| replica.voter).find(is_lost)?;
-        return Some(without(situation.members, removed.replica));
+        let lost = replicas.iter().filter(|replica| replica.voter).find(is_lost);
+        let removed = lost.map(|replica| replica.replica).or_else(|| most_crowded(&situation))?;
+        return Some(without(situation.members, removed));
     }
-    if voters < situation.wanted || lost_voters > 0 {
+    if voters < situation.wanted || lost_voters > 0 || can_spread(&situation) {
         if let Some(learner) = situation.caught_up.first() {
             return Some(with_voter(situation.members, *learner));
         }
@@ -46,6 +49,34 @@
     None
 }
 
+/// Whether a zone holds two voters while a replica of a zone without any
+/// member is present.
+fn can_spread(situation: &Situation<'_>) -> bool {
+    let zones = voters_by_zone(situation);
+    let empty_zone = |replica: &&Replica| situation.members.replicas.iter().all(|member| member.zone != replica.zone);
+    let learner_elsewhere =
+        situation.members.replicas.iter().any(|member| !member.voter && !zones.contains_key(member.zone.as_str()));
+    zones.values().any(|count| *count > 1) && (learner_elsewhere || situation.present.iter().any(|r| empty_zone(&r)))
+}
+
+fn voters_by_zone<'a>(situation: &Situation<'a>) -> BTreeMap<&'a str, usize> {
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for replica in situation.members.replicas.iter().filter(|replica| replica.voter) {
+        *zones.entry(&replica.zone).or_default() += 1;
+    }
+    zones
+}
+
+/// A voter of the zone that has the most, but not the leader.
+fn most_crowded(situation: &Situation<'_>) -> Option<u64> {
+    let zones = voters_by_zone(situation);
+    let others =
+        situation.members.replicas.iter().filter(|replica| replica.voter && replica.replica != situation.leader);
+    others
+        .max_by_key(|replica| (zones.get(replica.zone.as_str()).copied(), replica.replica))
+        .map(|replica| replica.replica)
+}
+
 /// A present replica that is no member, in the zone with the fewest members.
 fn successor<'a>(situation: &Situation<'a>) -> Option<&'a Replica> {
     let mut by_zone: BTreeMap<&str, usize> = BTreeMap::new();
@@ -67,7 +98,7 @@
     let mut members = Members::default();
     let lost = BTreeSet::new();
     while members.replicas.len() < wanted {
-        let situation = Situation { members: &members, present, lost: &lost, caught_up: &[], wanted };
+        let situation = Situation { members: &members, present, lost: &lost, caught_up: &[], wanted, leader: 0 };
         let Some(replica) = successor(&situation).cloned() else { break };
         members.replicas.push(Replica { voter: true, ..replica });
     }
--- /dev/null
+++ b/crates/core/tests/simulation/mod.rs
@@ -0,0 +1,16 @@
+//! A seeded simulation of store groups: replicas with disks, holders of
+//! leases with engines, clients that resend, and a network that loses,
+//! delays, reorders and doubles messages. The same seed gives the same run.
+
+#![allow(dead_code)]
+
+mod checks;
+mod client;
+mod holder;
+mod machine;
+mod schedule;
+mod seeds;
+mod world;
+
+pub use schedule::{run_schedule, FaultKind, ScheduleSettings};
+pub use seeds::for_each_seed;
--- /dev/null
+++ b/crates/core/tests/simulation/world.rs
@@ -0,0 +1,203 @@
+//! Time, events and the network of a simulation.
+
+use super::client::Client;
+use super::holder::Holder;
+use super::machine::Machine;
+use super::schedule::FaultKind;
+use latchwheel_core::code::ResultCode;
+use latchwheel_core::time::Instant;
+use latchwheel_protocol::v1::{Command, CompleteRequest, HeldChunk, LeasedItem, Outcome, ReplicationMessage};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Number of a machine.
+pub type MachineNumber = usize;
+
+/// What travels between machines and clients.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Replication(ReplicationMessage),
+    Propose {
+        client: usize,
+        request: u64,
+        command: Command,
+    },
+    Proposed {
+        client: usize,
+        request: u64,
+        result: Result<Outcome, ResultCode>,
+        leader: Option<MachineNumber>,
+    },
+    Lease {
+        holder: MachineNumber,
+        request: u64,
+        room: usize,
+        held: Vec<HeldChunk>,
+        term: u64,
+    },
+    Leased {
+        request: u64,
+        term: u64,
+        items: Vec<LeasedItem>,
+        ended: Vec<String>,
+        leader: Option<MachineNumber>,
+        taken: bool,
+    },
+    Complete {
+        holder: MachineNumber,
+        request: u64,
+        body: CompleteRequest,
+    },
+    Completed {
+        request: u64,
+        committed: bool,
+        leader: Option<MachineNumber>,
+    },
+}
+
+/// Where a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Destination {
+    Machine(MachineNumber),
+    Client(usize),
+}
+
+/// What happens at a point in time.
+#[derive(Clone, Debug)]
+pub enum Happening {
+    Deliver(Destination, Message),
+    MachineTick(MachineNumber, u64),
+    HolderTick(MachineNumber, u64),
+    ClientTick(usize),
+    /// The sync of a machine's disk ends; the rest of its actions follow.
+    Synced(MachineNumber, u64),
+    /// A pull of the whole state ends.
+    Pulled(MachineNumber, u64, Option<MachineNumber>),
+    EngineDone {
+        holder: MachineNumber,
+        boot: u64,
+        job: String,
+        position: u64,
+    },
+    Fault,
+    Resume(MachineNumber),
+    Restart(MachineNumber),
+    Heal,
+}
+
+/// A run of an item at an engine.
+#[derive(Clone, Debug)]
+pub struct EngineRun {
+    pub at: Instant,
+    pub holder: MachineNumber,
+}
+
+/// Everything in one simulation.
+pub struct World {
+    pub now: Instant,
+    pub random: SmallRng,
+    pub machines: Vec<Machine>,
+    pub holders: Vec<Holder>,
+    pub clients: Vec<Client>,
+    pub cut: BTreeSet<(String, String)>,
+    pub loss: f64,
+    pub runs: HashMap<(String, u64), Vec<EngineRun>>,
+    pub leaders: BTreeMap<u64, u64>,
+    pub fault_kinds: Vec<FaultKind>,
+    pub faults_end: Instant,
+    queue: BTreeMap<(Instant, u64), Happening>,
+    sequence: u64,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Instant::from_micros(1_000_000),
+            random: SmallRng::seed_from_u64(seed),
+            machines: Vec::new(),
+            holders: Vec::new(),
+            clients: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            runs: HashMap::new(),
+            leaders: BTreeMap::new(),
+            fault_kinds: Vec::new(),
+            faults_end: Instant::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    pub fn schedule(&mut self, after: Duration, happening: Happening) {
+        self.sequence += 1;
+        self.queue.insert((self.now + after, self.sequence), happening);
+    }
+
+    pub fn milliseconds(&mut self, least: u64, most: u64) -> Duration {
+        Duration::from_micros(self.random.random_range(least * 1000..=most * 1000))
+    }
+
+    /// Sends a message over the network of the sender's zone.
+    pub fn send(&mut self, from: Option<MachineNumber>, to: Destination, message: Message) {
+        if let (Some(from), Destination::Machine(to)) = (from, to) {
+            let way = (self.machines[from].zone.clone(), self.machines[to].zone.clone());
+            if from != to && self.cut.contains(&way) {
+                return;
+            }
+        }
+        if self.random.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.random.random_bool(self.loss / 4.0) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = if self.random.random_bool(0.05) { self.milliseconds(5, 120) } else { self.milliseconds(0, 4) };
+            self.schedule(delay, Happening::Deliver(to, message.clone()));
+        }
+    }
+
+    /// Runs until a point in time.
+    pub fn run_until(&mut self, end: Instant) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), happening) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Deliver(Destination::Machine(to), message) => self.deliver_to_machine(to, message),
+            Happening::Deliver(Destination::Client(to), message) => self.deliver_to_client(to, message),
+            Happening::MachineTick(machine, boot) => self.machine_tick(machine, boot),
+            Happening::HolderTick(machine, boot) => self.holder_tick(machine, boot),
+            Happening::ClientTick(client) => self.client_tick(client),
+            Happening::Synced(machine, boot) => self.synced(machine, boot),
+            Happening::Pulled(machine, boot, from) => self.pulled(machine, boot, from),
+            Happening::EngineDone { holder, boot, job, position } => self.engine_done(holder, boot, job, position),
+            Happening::Fault => self.random_fault(),
+            Happening::Resume(machine) => self.resume(machine),
+            Happening::Restart(machine) => self.restart(machine),
+            Happening::Heal => self.cut.clear(),
+        }
+    }
+
+    fn deliver_to_machine(&mut self, to: MachineNumber, message: Message) {
+        if self.machines[to].running.is_none() {
+            return;
+        }
+        if self.machines[to].paused {
+            self.machines[to].deferred.push_back(message);
+            return;
+        }
+        match message {
+            Message::Leased { .. } | Message::Completed { .. } => self.holder_receives(to, message),
+            other => self.machine_receives(to, other),
+        }
+    }
+}
--- a/crates/store/src/group.rs
+++ b/crates/store/src/group.rs
@@ -499,9 +499,12 @@
     fn perform_rest(&mut self, now: Instant, actions: Vec<Action>) -> Result<(), DiskFault> {
         let mut entries = Vec::new();
         let mut others = Vec::new();
+        let mut acknowledged = None;
         for action in actions {
             match action {
                 Action::Apply(committed) => entries.extend(committed),
+                // Entries are acknowledged once they are applied.
+                Action::Acknowledged(index) => acknowledged = acknowledged.max(Some(index)),
                 // An election begins with the state as applied so far.
                 other => others.push(other),
             }
@@ -509,7 +512,11 @@
         for action in others {
             self.perform_one(now, action)?;
         }
-        self.apply(entries)
+        self.apply(entries)?;
+        if let Some(index) = acknowledged {
+            self.acknowledge(index);
+        }
+        Ok(())
     }
 
     fn perform_one(&mut self, now: Instant, action: Action) -> Result<(), DiskFault> {
@@ -522,6 +529,7 @@
             Action::Apply(entries) => self.apply(entries)?,
             Action::Proposed(identity, index, term) => self.proposals.proposed(identity, index, term),
             Action::Rejected(identity) => self.proposals.rejected(identity),
+            Action::Acknowledged(index) => self.acknowledge(index),
             Action::ReadReady(identity, index) => {
                 if let Some(look) = self.looks.get_mut(&identity) {
                     look.index = Some(index);
@@ -552,7 +560,6 @@
             return Ok(());
         }
         let mut effects: Vec<Effect> = Vec::new();
-        let mut answers = Vec::new();
         for entry in entries {
             if entry.kind() != EntryKind::Command {
                 continue;
@@ -564,13 +571,16 @@
             if let Some(desk) = self.desk.as_mut() {
                 desk.note_applied(&command, &self.state);
             }
-            if let Some(waiter) = self.proposals.applied(entry.index, entry.term) {
-                answers.push((waiter, applied.outcome));
-            }
+            self.proposals.applied(entry.index, entry.term, applied.outcome);
         }
         let base = self.core.base_at_applied();
         self.disk.as_ref().ok_or_else(no_disk)?.apply(&base, &effects)?;
-        for (waiter, outcome) in answers {
+        self.compact(base)
+    }
+
+    /// Answers whoever waits for entries up to an index.
+    fn acknowledge(&mut self, index: u64) {
+        for (waiter, outcome) in self.proposals.acknowledged(index) {
             match waiter {
                 Waiter::Caller(reply) => drop(reply.send(Ok(outcome))),
                 Waiter::Grant(identity) => {
@@ -581,7 +591,6 @@
                 Waiter::Nobody => {}
             }
         }
-        self.compact(base)
     }
 
     fn compact(&mut self, mut base: LogBase) -> Result<(), DiskFault> {
@@ -656,6 +665,7 @@
             lost: &lost,
             caught_up: &caught_up,
             wanted: self.wanted,
+            leader: self.me,
         };
         if let Some(members) = next_members(situation) {
             log::info!(target: "E6102", "store group {}: members become {:?}", self.group, members.replicas);
--- a/crates/store/src/proposals.rs
+++ b/crates/store/src/proposals.rs
@@ -33,6 +33,8 @@
     next: u64,
     pending: HashMap<u64, Pending>,
     by_index: BTreeMap<u64, (u64, u64)>,
+    /// Applied proposals that may not be acknowledged yet, by index.
+    applied: BTreeMap<u64, (Pending, Outcome)>,
 }
 
 impl Proposals {
@@ -46,17 +48,24 @@
         self.by_index.insert(index, (term, identity));
     }
 
-    /// The waiter of the entry at an index, if it is the one that was
-    /// proposed there and not one that took its place.
-    pub(crate) fn applied(&mut self, index: u64, term: u64) -> Option<Waiter> {
-        let (proposed_term, identity) = self.by_index.remove(&index)?;
-        let pending = self.pending.remove(&identity)?;
+    /// The entry at an index was applied; if it is the one that was proposed
+    /// there, its waiter hears of it once it is acknowledged.
+    pub(crate) fn applied(&mut self, index: u64, term: u64, outcome: Outcome) {
+        let Some((proposed_term, identity)) = self.by_index.remove(&index) else { return };
+        let Some(pending) = self.pending.remove(&identity) else { return };
         if proposed_term == term {
-            return Some(pending.waiter);
+            self.applied.insert(index, (pending, outcome));
+        } else {
+            // Another leader's entry stands there: this one can't be committed.
+            refuse(pending.waiter, ResultCode::NotLeader);
         }
-        // Another leader's entry stands there: this one can't be committed.
-        refuse(pending.waiter, ResultCode::NotLeader);
-        None
+    }
+
+    /// Waiters of applied entries up to an acknowledged index.
+    pub(crate) fn acknowledged(&mut self, index: u64) -> Vec<(Waiter, Outcome)> {
+        let later = self.applied.split_off(&(index + 1));
+        let ready = std::mem::replace(&mut self.applied, later);
+        ready.into_values().map(|(pending, outcome)| (pending.waiter, outcome)).collect()
     }
 
     pub(crate) fn rejected(&mut self, identity: u64) {
@@ -80,11 +89,23 @@
         }
         let pending = &self.pending;
         self.by_index.retain(|_, (_, identity)| pending.contains_key(identity));
+        let late: Vec<u64> = self
+            .applied
+            .iter()
+            .filter(|(_, (pending, _))| pending.since.elapsed() > PROPOSAL_TIME)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in late {
+            if let Some((pending, _)) = self.applied.remove(&index) {
+                refuse(pending.waiter, ResultCode::NoQuorum);
+            }
+        }
     }
 
     /// Gives up everything: whether it is committed can't be told here.
     pub(crate) fn give_up(&mut self) {
-        for (_, pending) in self.pending.drain() {
+        let applied = std::mem::take(&mut self.applied).into_values().map(|(pending, _)| pending);
+        for pending in self.pending.drain().map(|(_, pending)| pending).chain(applied) {
             refuse(pending.waiter, ResultCode::NoQuorum);
         }
         self.by_index.clear();
