Tie a given-back item to its lease

Cause: a holder gives items back and sends that until it is answered; a late double took the item from its next holder, so that an item that must not run twice ran twice. Change: what is given back names its lease; the leader takes only items that are still under that lease of that node. The node also checks its leases at the moment of use, counted from before it asked. Ruled out: the committed starts (they were there), the lapse of leases (the doubled runs came without any lapse). Conclusion: soft state needs identities too wherever a message can come twice.

--- a/crates/core/src/leasing.rs
+++ b/crates/core/src/leasing.rs
@@ -176,15 +176,28 @@
         self.leases.retain(|_, lease| !lease.positions.is_empty());
     }
 
-    /// A holder gives items back that it has not started.
-    pub fn returned(&mut self, job: &Job, positions: &[u64]) {
-        let name = &job.record.job;
-        self.completed(name, positions);
-        if job.has_ended() {
+    /// A holder gives items back that it has not started. Only items that are
+    /// still under the very lease count: a message that comes late or twice
+    /// must not take an item from its next holder.
+    pub fn returned(&mut self, node: NodeId, chunk: &HeldChunk, job: &Job) {
+        let Some(lease) = self.leases.get_mut(&chunk.lease) else { return };
+        if lease.node != node || lease.job != chunk.job {
+            return;
+        }
+        let positions: Vec<u64> =
+            chunk.positions.iter().copied().filter(|position| lease.positions.remove(position)).collect();
+        if lease.positions.is_empty() {
+            self.leases.remove(&chunk.lease);
+        }
+        self.grant_again(job, &positions);
+    }
+
+    fn grant_again(&mut self, job: &Job, positions: &[u64]) {
+        if job.has_ended() || positions.is_empty() {
             return;
         }
         self.open_job(job);
-        if let Some(cursor) = self.cursors.get_mut(name) {
+        if let Some(cursor) = self.cursors.get_mut(&job.record.job) {
             cursor.returned.extend(positions);
         }
     }
@@ -203,7 +216,7 @@
             let Some(job) = state.job(&lease.job).filter(|job| !job.has_ended()) else { continue };
             let positions: Vec<u64> = lease.positions.into_iter().collect();
             if job.record.repeatable {
-                self.returned(job, &positions);
+                self.grant_again(job, &positions);
             } else {
                 lapsed.unknown.push((lease.job, positions));
             }
--- a/crates/core/tests/simulation/holder.rs
+++ b/crates/core/tests/simulation/holder.rs
@@ -144,16 +144,29 @@
     fn hand_in(&mut self, number: MachineNumber) {
         let now = self.now;
         let leader = self.guess_leader(number);
+        let give_back = self.random.random_bool(0.05);
         let holder = &mut self.holders[number];
         match &holder.complete_request {
             Some(handed_in) if now.since(handed_in.sent) < REQUEST_TIMEOUT => return,
             _ => {}
         }
-        let done: Vec<(String, u64)> =
-            holder.items.iter().filter(|(_, (_, held))| *held == Held::Done).map(|(item, _)| item.clone()).collect();
-        if done.is_empty() {
+        let of_state = |holder: &Holder, state: &Held| -> Vec<(String, u64)> {
+            holder.items.iter().filter(|(_, (_, held))| held == state).map(|(item, _)| item.clone()).collect()
+        };
+        let done = of_state(holder, &Held::Done);
+        let waiting = if give_back { of_state(holder, &Held::Waiting) } else { Vec::new() };
+        if done.is_empty() && waiting.is_empty() {
             return;
         }
+        // An item that is given back is forgotten before it is told.
+        let mut chunks: BTreeMap<(u64, String), Vec<u64>> = BTreeMap::new();
+        for item in waiting {
+            if let Some((lease, _)) = holder.items.remove(&item) {
+                chunks.entry((lease, item.0)).or_default().push(item.1);
+            }
+        }
+        let returned =
+            chunks.into_iter().map(|((lease, job), positions)| HeldChunk { lease, job, positions }).collect();
         let mut by_job: BTreeMap<String, Vec<ItemResult>> = BTreeMap::new();
         for (job, position) in &done {
             let result = ItemResult { position: *position, code: ResultCode::Done.number(), ..ItemResult::default() };
@@ -164,8 +177,15 @@
         holder.requests += 1;
         let request = holder.requests;
         holder.complete_request = Some(HandedIn { request, sent: now, items: done });
-        let body = CompleteRequest { completions, ..CompleteRequest::default() };
-        self.send(Some(number), Destination::Machine(leader), Message::Complete { holder: number, request, body });
+        let body = CompleteRequest { completions, returned, ..CompleteRequest::default() };
+        let message = Message::Complete { holder: number, request, body };
+        if give_back {
+            // The runtime sends until it is answered: a late double arrives.
+            let later = self.milliseconds(100, 900);
+            let doubled = Happening::Deliver(Destination::Machine(leader), message.clone());
+            self.schedule(later, doubled);
+        }
+        self.send(Some(number), Destination::Machine(leader), message);
     }
 
     pub fn holder_receives(&mut self, number: MachineNumber, message: Message) {
--- a/crates/core/tests/simulation/machine.rs
+++ b/crates/core/tests/simulation/machine.rs
@@ -283,9 +283,8 @@
             return self.send(Some(number), Destination::Machine(holder), answer);
         };
         for returned in &body.returned {
-            let positions: Vec<u64> = returned.results.iter().map(|result| result.position).collect();
             if let Some(job) = running.state.job(&returned.job) {
-                leasing.returned(job, &positions);
+                leasing.returned(node_of(holder), returned, job);
             }
         }
         if body.completions.is_empty() {
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -5,7 +5,7 @@
 use getopts::{Matches, Options};
 use latchwheel_emulator::engine::{Engine, EngineSettings};
 use latchwheel_emulator::platform::{KeyValue, KeyValueSettings, MachineList, WeightSettings, WeightStore};
-use latchwheel_emulator::relay::{LinkState, Relay};
+use latchwheel_emulator::relay::{LinkRule, LinkState, Relay};
 use latchwheel_emulator::site::{Site, SiteSettings};
 use serde::de::DeserializeOwned;
 use std::process::ExitCode;
@@ -94,7 +94,8 @@
 async fn run_relay(matches: &Matches, listener: TcpListener, stop: watch::Receiver<bool>) -> Result<()> {
     let target = matches.opt_str("target").ok_or_else(|| eyre!("relay needs --target ADDRESS"))?;
     let delay_microseconds = matches.opt_get_default("delay", 0).map_err(|fault| eyre!("--delay: {fault}"))?;
-    let state = LinkState { delay_microseconds, cut_from: Vec::new() };
+    let everyone = LinkRule { delay_microseconds, ..LinkRule::default() };
+    let state = LinkState { rules: vec![everyone] };
     let relay = Relay::new(target.parse().wrap_err("--target is no address")?, state);
     if let Some(admin) = matches.opt_str("admin") {
         let admin = TcpListener::bind(admin).await?;
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -19,20 +19,38 @@
 const BUFFER_BYTES: usize = 64 << 10;
 const PIECES_UNDER_WAY: usize = 256;
 
-/// State of a link.
+/// What happens to traffic from some senders.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct LinkState {
+pub struct LinkRule {
+    /// The rule is for senders whose address begins so.
+    pub from: String,
     /// One-way delay, in microseconds.
     pub delay_microseconds: u64,
-    /// Nothing passes from senders whose address begins with one of these.
-    pub cut_from: Vec<String>,
+    /// Nothing passes.
+    pub cut: bool,
+}
+
+/// State of a link: the first rule that fits a sender holds for it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkState {
+    /// The rules.
+    pub rules: Vec<LinkRule>,
 }
 
 impl LinkState {
-    fn is_cut(&self, sender: &SocketAddr) -> bool {
+    fn rule(&self, sender: &SocketAddr) -> Option<&LinkRule> {
         let address = sender.ip().to_string();
-        self.cut_from.iter().any(|prefix| address.starts_with(prefix))
+        self.rules.iter().find(|rule| address.starts_with(&rule.from))
+    }
+
+    fn is_cut(&self, sender: &SocketAddr) -> bool {
+        self.rule(sender).is_some_and(|rule| rule.cut)
+    }
+
+    fn delay(&self, sender: &SocketAddr) -> Duration {
+        Duration::from_micros(self.rule(sender).map_or(0, |rule| rule.delay_microseconds))
     }
 }
 
@@ -107,8 +125,8 @@
         let _ = (inbound.set_nodelay(true), outbound.set_nodelay(true));
         let (inbound_read, inbound_write) = inbound.into_split();
         let (outbound_read, outbound_write) = outbound.into_split();
-        let forth = self.clone().pump(inbound_read, outbound_write);
-        let back = self.clone().pump(outbound_read, inbound_write);
+        let forth = self.clone().pump(sender, inbound_read, outbound_write);
+        let back = self.clone().pump(sender, outbound_read, inbound_write);
         tokio::select! {
             _ = async { tokio::join!(forth, back) } => {}
             // A cut link breaks the connections that went over it.
@@ -118,6 +136,7 @@
 
     async fn pump(
         self: Arc<Self>,
+        sender: SocketAddr,
         mut from: impl tokio::io::AsyncRead + Unpin + Send + 'static,
         mut to: impl tokio::io::AsyncWrite + Unpin,
     ) {
@@ -126,7 +145,7 @@
         let reader = tokio::spawn(async move {
             let mut buffer = vec![0; BUFFER_BYTES];
             while let Ok(read) = from.read(&mut buffer).await {
-                let due = Instant::now() + relay.delay();
+                let due = Instant::now() + relay.delay(&sender);
                 if read == 0 || queue.send((due, buffer[..read].to_vec())).await.is_err() {
                     return;
                 }
@@ -142,8 +161,8 @@
         let _ = to.shutdown().await;
     }
 
-    fn delay(&self) -> Duration {
-        Duration::from_micros(self.state.borrow().delay_microseconds)
+    fn delay(&self, sender: &SocketAddr) -> Duration {
+        self.state.borrow().delay(sender)
     }
 
     /// Passes datagrams on. The sender's address is lost on the way, which
@@ -160,7 +179,7 @@
                 entry.insert(Arc::new(new));
             }
             let (way, piece, target, delay) =
-                (outbound[&sender].clone(), buffer[..length].to_vec(), self.target, self.delay());
+                (outbound[&sender].clone(), buffer[..length].to_vec(), self.target, self.delay(&sender));
             tokio::spawn(async move {
                 tokio::time::sleep(delay).await;
                 let _ = way.send_to(&piece, target).await;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::net::IpAddr;
 use std::time::Duration;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -48,17 +49,19 @@
 impl Client {
     /// A client that speaks HTTP/1.1.
     pub fn http1() -> Self {
-        Self::new(false)
+        Self::new(false, None)
     }
 
-    /// A client that speaks HTTP/2 with prior knowledge.
-    pub fn http2() -> Self {
-        Self::new(true)
+    /// A client that speaks HTTP/2 with prior knowledge, from a local
+    /// address if one is given.
+    pub fn http2(local: Option<IpAddr>) -> Self {
+        Self::new(true, local)
     }
 
-    fn new(http2: bool) -> Self {
+    fn new(http2: bool, local: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(local);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/node/src/batch.rs
+++ b/crates/node/src/batch.rs
@@ -8,6 +8,7 @@
 use crate::store_calls::StoreCalls;
 use bytes::Bytes;
 use latchwheel_core::code::ResultCode;
+use latchwheel_core::leasing::LEASE_LENGTH;
 use latchwheel_core::scheduler::Work;
 use latchwheel_core::table::{Class, Row, Table};
 use latchwheel_engine::{EngineAnswer, EngineClient, EngineFault, EngineRequest};
@@ -25,6 +26,8 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two lease requests while there is none.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+/// A lease ends this much earlier for its holder than for the leader.
+const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Leases are renewed at least this often.
 const RENEWAL: Duration = Duration::from_millis(750);
 /// A row that had no items to grant is asked about again after this time.
@@ -50,6 +53,8 @@
     completions: Arc<Completions>,
     metrics: Arc<Metrics>,
     held: Mutex<BTreeMap<HeldItem, HeldState>>,
+    /// Until when the leases hold, as far as this node can know.
+    valid_until: Mutex<Instant>,
     leaving: AtomicBool,
 }
 
@@ -74,6 +79,7 @@
             completions,
             metrics,
             held: Mutex::default(),
+            valid_until: Mutex::new(Instant::now()),
             leaving: AtomicBool::new(false),
         })
     }
@@ -87,6 +93,12 @@
         self.lock().len()
     }
 
+    /// Whether the leases hold: asked at the moment of use, before an item is
+    /// started.
+    fn leases_hold(&self) -> bool {
+        Instant::now() < *self.valid_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes no new items from now on.
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -111,6 +123,7 @@
                 tokio::time::sleep(BUSY_INTERVAL).await;
                 continue;
             }
+            let mut asked_at = Instant::now();
             let request = LeaseRequest { group: self.group, node: self.node, rooms, held: self.chunks(false), term };
             let Ok(mut answer) = self.store.lease(request.clone()).await else {
                 tokio::time::sleep(IDLE_INTERVAL).await;
@@ -118,6 +131,7 @@
             };
             if answer.term != term && !request.held.is_empty() {
                 // A new leader is told the positions of what is held.
+                asked_at = Instant::now();
                 let full = LeaseRequest { held: self.chunks(true), term: answer.term, ..request.clone() };
                 match self.store.lease(full).await {
                     Ok(second) => answer = second,
@@ -126,6 +140,8 @@
             }
             term = answer.term;
             renewed = Instant::now();
+            // A lease counts from before it was asked for.
+            *self.valid_until.lock().unwrap_or_else(PoisonError::into_inner) = asked_at + LEASE_LENGTH - LEASE_MARGIN;
             note_empty_rows(&request, &answer, &mut empty_rows);
             let granted = !answer.items.is_empty();
             self.take(answer);
@@ -234,7 +250,12 @@
         tokio::select! {
             end = run.run(work) => match end {
                 ItemEnd::Result(result) => self.completions.complete(&item.job, result),
-                ItemEnd::NotStarted => self.completions.give_back(&item),
+                // Forgotten before it is told, so that it can't be renewed.
+                ItemEnd::NotStarted => {
+                    if let Some(state) = self.lock().remove(&item) {
+                        self.completions.give_back(&item, state.lease);
+                    }
+                }
             },
             () = stop => {
                 // By the broken connection alone the engine would keep a
@@ -283,8 +304,8 @@
             let mut handle = self.runner.owner.submit(Work { id: self.runner.owner.new_work(), ..work.clone() });
             let assigned = loop {
                 match handle.next().await {
-                    Order::Start(assigned) => break assigned,
-                    Order::Refuse(..) => return ItemEnd::NotStarted,
+                    Order::Start(assigned) if self.runner.leases_hold() => break assigned,
+                    Order::Start(_) | Order::Refuse(..) => return ItemEnd::NotStarted,
                     Order::Preempt => {}
                 }
             };
--- a/crates/node/src/completions.rs
+++ b/crates/node/src/completions.rs
@@ -2,7 +2,7 @@
 
 use crate::metrics::Metrics;
 use crate::store_calls::StoreCalls;
-use latchwheel_protocol::v1::{CompleteItems, CompleteRequest, ItemResult};
+use latchwheel_protocol::v1::{CompleteItems, CompleteRequest, HeldChunk, ItemResult};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 struct Gathered {
     results: BTreeMap<String, Vec<ItemResult>>,
-    returned: BTreeMap<String, Vec<ItemResult>>,
+    returned: BTreeMap<(u64, String), Vec<u64>>,
 }
 
 /// Gathers results of one group and commits them together.
@@ -51,10 +51,9 @@
     }
 
     /// An item is given back: it did not run here.
-    pub(crate) fn give_back(&self, item: &HeldItem) {
-        let result = ItemResult { position: item.position, ..ItemResult::default() };
+    pub(crate) fn give_back(&self, item: &HeldItem, lease: u64) {
         let mut gathered = self.gathered.lock().unwrap_or_else(PoisonError::into_inner);
-        gathered.returned.entry(item.job.clone()).or_default().push(result);
+        gathered.returned.entry((lease, item.job.clone())).or_default().push(item.position);
         drop(gathered);
         self.filled.notify_one();
     }
@@ -75,23 +74,22 @@
             if gathered.results.is_empty() && gathered.returned.is_empty() {
                 continue;
             }
-            let list = |map: BTreeMap<String, Vec<ItemResult>>| -> Vec<CompleteItems> {
-                map.into_iter().map(|(job, results)| CompleteItems { job, results, at_seconds: 0 }).collect()
-            };
+            let completion = |(job, results)| CompleteItems { job, results, at_seconds: 0 };
+            let chunk = |((lease, job), positions)| HeldChunk { lease, job, positions };
             let request = CompleteRequest {
                 group: self.group,
                 node: self.node,
-                completions: list(gathered.results),
-                returned: list(gathered.returned),
+                completions: gathered.results.into_iter().map(completion).collect(),
+                returned: gathered.returned.into_iter().map(chunk).collect(),
             };
             // Results are kept and sent until they are committed: the first
             // committed one of an item wins, so sending twice is safe.
             while self.store.complete(request.clone()).await.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
-            for group in request.completions.iter().chain(&request.returned) {
-                for result in &group.results {
-                    committed(HeldItem { job: group.job.clone(), position: result.position });
+            for completion in request.completions {
+                for result in &completion.results {
+                    committed(HeldItem { job: completion.job.clone(), position: result.position });
                 }
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use latchwheel_protocol::Message;
 use latchwheel_store::folder::DataFolder;
 use serde::Serialize;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, UdpSocket};
@@ -212,7 +213,8 @@
 
 fn wire(settings: &Settings, clock: Clock, members: &Arc<Members>, folder: Option<DataFolder>) -> NodeBackend {
     let service = KeyValueClient::new(settings.key_value.clone());
-    let peers = PeerClient::new();
+    let local = settings.peers.parse::<SocketAddr>().ok().map(|address| address.ip());
+    let peers = PeerClient::new(local.filter(|address| !address.is_unspecified()));
     let metrics = Arc::new(Metrics::new());
     let engines = EngineClient::default();
     let owner = Owner::new(settings.batch_policy, settings.cache_aware, clock);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use hyper::{Method, Request, Response};
 use latchwheel_http::{full, Body, CallFault, Client};
 use latchwheel_protocol::Message;
+use std::net::IpAddr;
 use std::time::Duration;
 
 /// A call between nodes.
@@ -59,8 +60,9 @@
 }
 
 impl PeerClient {
-    pub(crate) fn new() -> Self {
-        Self { client: Client::http2() }
+    /// Calls from the address that the node listens on for its peers.
+    pub(crate) fn new(local: Option<IpAddr>) -> Self {
+        Self { client: Client::http2(local) }
     }
 
     /// Sends a message and reads a message.
--- a/crates/store/src/group.rs
+++ b/crates/store/src/group.rs
@@ -435,10 +435,9 @@
             let _ = reply.send(CompleteAnswer { code: ResultCode::NotLeader.number(), leader_node });
             return;
         };
-        for returned in request.returned {
-            let positions: Vec<u64> = returned.results.iter().map(|result| result.position).collect();
+        for returned in &request.returned {
             if let Some(job) = self.state.job(&returned.job) {
-                desk.leasing.returned(job, &positions);
+                desk.leasing.returned(NodeId(request.node), returned, job);
             }
         }
         let at_seconds = wall_seconds();
