--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -179,12 +179,21 @@
         let Some(file) = self.files.get_mut(&command.file) else {
             return applied(ResultCode::NotFound, &command.file);
         };
-        if file.sealed {
-            return applied(ResultCode::JobEnded, &command.file);
+        let first = command.items.first().map_or(file.items, |item| item.position);
+        if first < file.items {
+            // A part that was sent before; its content is checked by the
+            // next part or by the seal, which hash the whole content.
+            return applied(ResultCode::Done, &command.file);
+        }
+        if file.sealed || command.before != file.content {
+            return applied(ResultCode::KeyReused, &command.file);
         }
+        if first > file.items {
+            return applied(ResultCode::FileNotReady, &command.file);
+        }
+        file.content = command.after;
         let mut effects = Vec::new();
         for item in command.items {
-            // A part that was sent twice is taken once.
             if item.position == file.items && file.items < ITEM_LIMIT {
                 let key = StateKey::item(&command.file, item.position);
                 effects.push(Effect::Put(StateTable::Item, key, item.encode_to_vec().into()));
@@ -202,6 +211,9 @@
         let Some(file) = self.files.get_mut(&command.file) else {
             return applied(ResultCode::NotFound, &command.file);
         };
+        if file.content != command.content {
+            return applied(ResultCode::KeyReused, &command.file);
+        }
         if file.items != command.items {
             return applied(ResultCode::FileNotReady, &command.file);
         }
--- a/crates/core/tests/simulation/client.rs
+++ b/crates/core/tests/simulation/client.rs
@@ -51,9 +51,14 @@
             0 => Body::CreateFile(CreateFile { file: plan.file.clone(), tenant: "t".into(), ..Default::default() }),
             1 => {
                 let item = |position| Item { position, ..Item::default() };
-                Body::AddItems(AddItems { file: plan.file.clone(), items: (0..plan.items).map(item).collect() })
+                Body::AddItems(AddItems {
+                    file: plan.file.clone(),
+                    items: (0..plan.items).map(item).collect(),
+                    before: 0,
+                    after: 9,
+                })
             }
-            2 => Body::SealFile(SealFile { file: plan.file.clone(), items: plan.items, size: 0 }),
+            2 => Body::SealFile(SealFile { file: plan.file.clone(), items: plan.items, size: 0, content: 9 }),
             3 => Body::CreateJob(CreateJob {
                 job: plan.job.clone(),
                 tenant: "t".into(),
@@ -114,8 +119,7 @@
                 client.ended_before_cancel = true;
                 client.step = 5;
             }
-            // A resent creation of a file that was sealed meanwhile.
-            (_, ResultCode::Done) | (1, ResultCode::JobEnded) => client.step += 1,
+            (_, ResultCode::Done) => client.step += 1,
             (step, code) => panic!("step {step} came to {code:?}"),
         }
         let soon = Duration::from_millis(1);
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::Backend;
 use crate::error::refuse;
-use crate::files::{error_file, output_file, wall_seconds};
+use crate::files::{error_file, object_number, output_file, wall_seconds};
 use crate::online::{idempotency_key, refuse_json, repeatable_header, ROW_HEADER};
 use crate::router::Gateway;
 use crate::strict_json::read_object;
@@ -129,18 +129,9 @@
     })
 }
 
-/// The job's identity derives from tenant and idempotency key, so that a
-/// resend finds the first one.
 fn job_identity(tenant: &str, headers: &HeaderMap) -> Result<String, Refusal> {
-    let number = match idempotency_key(headers)? {
-        Some(key) => {
-            let high = stable_hash(format!("{tenant}\n{key}").as_bytes());
-            let low = stable_hash(format!("{key}\n{tenant}\n").as_bytes());
-            u128::from(high) << 64 | u128::from(low)
-        }
-        None => rand::random(),
-    };
-    Ok(format!("batch-{number:032x}"))
+    let key = idempotency_key(headers)?;
+    Ok(format!("batch-{:032x}", object_number(tenant, key.as_deref())))
 }
 
 fn batch_row<'a>(table: &'a Table, headers: &HeaderMap, object: &Map<String, Value>) -> Result<&'a Row, Refusal> {
--- a/crates/gateway/src/files.rs
+++ b/crates/gateway/src/files.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::error::refuse;
+use crate::online::idempotency_key;
 use crate::router::Gateway;
 use crate::strict_json::read_object;
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response};
 use latchwheel_core::code::ResultCode;
+use latchwheel_core::identity::{stable_hash, stable_pair_hash};
 use latchwheel_core::jobs::ITEM_LIMIT;
 use latchwheel_http::{channel, json, Body};
 use latchwheel_protocol::v1::command::Body as CommandBody;
@@ -43,18 +45,29 @@
         let Some(boundary) = content_type.and_then(|value| multer::parse_boundary(value).ok()) else {
             return refuse(ResultCode::BadHeader, "content-type is not multipart/form-data with a boundary");
         };
-        let form = multer::Multipart::new(request.into_body().into_data_stream(), boundary);
-        match self.take_form(form, tenant).await {
+        let (head, body) = request.into_parts();
+        let headers = head.headers;
+        let form = multer::Multipart::new(body.into_data_stream(), boundary);
+        let key = match idempotency_key(&headers) {
+            Ok(key) => key,
+            Err(refusal) => return *refusal,
+        };
+        match self.take_form(form, tenant, key).await {
             Ok(record) => json(200, &file_object(&record)),
             Err(refusal) => *refusal,
         }
     }
 
-    async fn take_form(&self, mut form: multer::Multipart<'_>, tenant: String) -> Result<FileRecord, Refusal> {
+    async fn take_form(
+        &self,
+        mut form: multer::Multipart<'_>,
+        tenant: String,
+        key: Option<String>,
+    ) -> Result<FileRecord, Refusal> {
         let mut taken = None;
         while let Some(field) = next_field(&mut form).await? {
             match field.name() {
-                Some("file") if taken.is_none() => taken = Some(self.take_file(field, &tenant).await?),
+                Some("file") if taken.is_none() => taken = Some(self.take_file(field, &tenant, key.as_deref()).await?),
                 Some("file") => return Err(Box::new(refuse(ResultCode::DuplicateField, "file"))),
                 Some("purpose") => {
                     let purpose = field.text().await.map_err(|fault| bad(&fault.to_string()))?;
@@ -67,14 +80,20 @@
         }
         let record = taken.ok_or_else(|| bad("the form has no file"))?;
         // Only now is the form known to be whole.
-        let seal = SealFile { file: record.file.clone(), items: record.items, size: record.size };
+        let seal =
+            SealFile { file: record.file.clone(), items: record.items, size: record.size, content: record.content };
         self.commit(&tenant, CommandBody::SealFile(seal)).await?;
         Ok(record)
     }
 
-    async fn take_file(&self, mut field: multer::Field<'_>, tenant: &str) -> Result<FileRecord, Refusal> {
+    async fn take_file(
+        &self,
+        mut field: multer::Field<'_>,
+        tenant: &str,
+        key: Option<&str>,
+    ) -> Result<FileRecord, Refusal> {
         let mut record = FileRecord {
-            file: format!("file-{:032x}", rand::random::<u128>()),
+            file: format!("file-{:032x}", object_number(tenant, key)),
             tenant: tenant.to_owned(),
             name: field.file_name().unwrap_or("items.jsonl").to_owned(),
             created_seconds: wall_seconds(),
@@ -120,7 +139,10 @@
         if record.items > ITEM_LIMIT {
             return Err(Box::new(refuse(ResultCode::TooLarge, "a file holds at most 1000000 items")));
         }
-        let add = AddItems { file: record.file.clone(), items: std::mem::take(part) };
+        let before = record.content;
+        // Parts are cut by content alone, so that a resend has the same ones.
+        record.content = part.iter().fold(before, |content, item| stable_pair_hash(stable_hash(&item.body), content));
+        let add = AddItems { file: record.file.clone(), items: std::mem::take(part), before, after: record.content };
         self.commit(tenant, CommandBody::AddItems(add)).await
     }
 
@@ -252,6 +274,15 @@
     format!("{ERROR_PREFIX}{job}")
 }
 
+/// Number of an object that a caller makes: it derives from tenant and
+/// idempotency key, so that a resend finds the first one.
+pub(crate) fn object_number(tenant: &str, key: Option<&str>) -> u128 {
+    let Some(key) = key else { return rand::random() };
+    let high = stable_hash(format!("{tenant}\n{key}").as_bytes());
+    let low = stable_hash(format!("{key}\n{tenant}\n").as_bytes());
+    u128::from(high) << 64 | u128::from(low)
+}
+
 /// Splits pieces of a body into lines.
 #[derive(Default)]
 struct LineSplitter {
