Tell a member's replica and start replication from its own thread

Cause: with three processes no store group found a leader. Two faults: replicas sent from a thread outside the runtime, which panicked; and a member that was first known from the machine list never showed its replica, since only status and address counted as a change. Change: the transport keeps the runtime's handle; any difference of a record but its incarnation is a change. Ruled out: the links (the member list was complete) and the group record (its reader never got that far).

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -31,6 +31,7 @@
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options.optopt("o", "output", "file for the report as JSON", "FILE");
+    options.optopt("s", "seconds", "length of the measured part instead of the scenario's", "NUMBER");
     options.optopt("v", "variants", "variants, by commas (default all)", "NAMES");
     options
 }
@@ -74,7 +75,10 @@
 
 async fn run_scenario(matches: &Matches) -> Result<()> {
     let path = matches.free.get(1).ok_or_else(|| eyre!("run needs a scenario file"))?;
-    let scenario = Scenario::read(Path::new(path))?;
+    let mut scenario = Scenario::read(Path::new(path))?;
+    if let Some(seconds) = matches.opt_get("seconds").map_err(|fault| eyre!("--seconds: {fault}"))? {
+        scenario.seconds = seconds;
+    }
     let mut report =
         Report { scenario: scenario.name.clone(), seed: scenario.seed, seconds: scenario.seconds, variants: vec![] };
     for variant in chosen_variants(matches)? {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -549,10 +549,11 @@
         if !supersedes {
             return;
         }
-        let changed = self
-            .members
-            .get(&node)
-            .is_none_or(|member| member.record.status != record.status || member.record.address != record.address);
+        // All but the incarnation: what a seed did not tell, a record does.
+        let changed = self.members.get(&node).is_none_or(|member| {
+            let old = MemberRecord { incarnation: record.incarnation, ..member.record.clone() };
+            old != record
+        });
         if record.status() == MemberStatus::Dead {
             self.summaries.remove(&node);
         }
--- a/crates/node/src/stores.rs
+++ b/crates/node/src/stores.rs
@@ -64,7 +64,9 @@
         configuration: Arc<Configuration>,
         peers: PeerClient,
     ) -> Arc<Self> {
-        let transport = Arc::new(PeerTransport { members: members.clone(), peers, queues: Mutex::default() });
+        let runtime = tokio::runtime::Handle::current();
+        let transport =
+            Arc::new(PeerTransport { members: members.clone(), peers, queues: Mutex::default(), runtime });
         Arc::new(Self { folder, settings, service, members, configuration, transport, groups: Mutex::default() })
     }
 
@@ -240,6 +242,8 @@
     members: Arc<Members>,
     peers: PeerClient,
     queues: Mutex<HashMap<u64, mpsc::Sender<ReplicationMessage>>>,
+    /// Replicas send from threads of their own, outside the runtime.
+    runtime: tokio::runtime::Handle,
 }
 
 impl std::fmt::Debug for PeerTransport {
@@ -261,8 +265,7 @@
         let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
         queues.insert(replica, sender.clone());
         let (members, peers) = (self.members.clone(), self.peers.clone());
-        // Replicas run on threads of their own that know the node's runtime.
-        tokio::runtime::Handle::current().spawn(send_queued(replica, receiver, members, peers));
+        self.runtime.spawn(send_queued(replica, receiver, members, peers));
         sender
     }
 }
