--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,30 +1,25 @@
 //! The `latchwheel-bench` program: runs scenarios against separate processes
 //! on loopback, with baselines in the same run, and measures slopes.
 
-mod batches;
-mod faults;
-mod load;
-mod processes;
-mod recorder;
-mod report;
-mod run;
-mod scenario;
-mod variant;
-
 use eyre::{bail, eyre, Result};
 use getopts::{Matches, Options};
-use report::Report;
-use scenario::Scenario;
+use latchwheel_bench::report::Report;
+use latchwheel_bench::run;
+use latchwheel_bench::scale::place::Plan;
+use latchwheel_bench::scale::{self, ScaleReport};
+use latchwheel_bench::scenario::Scenario;
+use latchwheel_bench::variant::Variant;
 use std::path::Path;
 use std::process::ExitCode;
-use variant::Variant;
 
 const EXIT_USAGE: u8 = 2;
 const EXIT_FAULT: u8 = 1;
 const USAGE: &str = "latchwheel-bench COMMAND [options]
 
 Commands:
-    run SCENARIO      run a scenario with its baselines";
+    run SCENARIO      run a scenario with its baselines
+    scale             measure control on hollow nodes up to the target's size,
+                      with real node processes beside them";
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -32,6 +27,13 @@
     options.optflag("V", "version", "print the version");
     options.optopt("o", "output", "file for the report as JSON", "FILE");
     options.optopt("s", "seconds", "length of the measured part instead of the scenario's", "NUMBER");
+    options.optopt("p", "plots", "folder for plots", "FOLDER");
+    options.optopt("n", "nodes", "scale: numbers of nodes, by commas (default 50,100,200,390)", "NUMBERS");
+    options.optopt("", "servers", "scale: servers at the largest size (default 12000)", "NUMBER");
+    options.optopt("", "regions", "scale: regions (default 7)", "NUMBER");
+    options.optopt("", "zones", "scale: zones (default 24)", "NUMBER");
+    options.optopt("", "tenants", "scale: tenants (default 7900)", "NUMBER");
+    options.optflag("", "no-real", "scale: without real processes");
     options.optopt("v", "variants", "variants, by commas (default all)", "NAMES");
     options
 }
@@ -68,6 +70,7 @@
     runtime.block_on(async {
         match matches.free[0].as_str() {
             "run" => run_scenario(matches).await,
+            "scale" => run_scale(matches).await,
             other => bail!("no command is called {other:?}"),
         }
     })
@@ -95,3 +98,40 @@
     let Some(names) = matches.opt_str("variants") else { return Ok(Variant::ALL.to_vec()) };
     names.split(',').map(|name| Variant::of_name(name).ok_or_else(|| eyre!("no variant is called {name:?}"))).collect()
 }
+
+async fn run_scale(matches: &Matches) -> Result<()> {
+    let number =
+        |name: &str, default: usize| matches.opt_get_default(name, default).map_err(|fault| eyre!("--{name}: {fault}"));
+    let list = matches.opt_str("nodes").unwrap_or_else(|| "50,100,200,390".into());
+    let sizes: Vec<usize> = list.split(',').map(str::parse).collect::<Result<_, _>>()?;
+    let largest = sizes.iter().copied().max().unwrap_or(1);
+    let servers = number("servers", 12_000)?;
+    let seconds = number("seconds", 240)? as u64;
+    let plan_of = |nodes: usize| -> Result<Plan> {
+        Ok(Plan {
+            nodes,
+            servers: servers * nodes / largest,
+            regions: number("regions", 7)?,
+            zones: number("zones", 24)?,
+            tenants: number("tenants", 7_900)?,
+            seed: 1,
+        })
+    };
+    let command = std::env::args().skip(1).collect::<Vec<_>>().join(" ");
+    let mut report = ScaleReport { command: format!("latchwheel-bench {command}"), sizes: vec![], real: None };
+    for nodes in &sizes {
+        let plan = plan_of(*nodes)?;
+        report.sizes.push(tokio::task::block_in_place(|| scale::run_size(&plan, seconds)));
+    }
+    if !matches.opt_present("no-real") {
+        report.real = Some(scale::real::run(&plan_of(largest)?, seconds.min(60)).await?);
+    }
+    print!("{}", report.text());
+    if let Some(folder) = matches.opt_str("plots") {
+        report.draw(Path::new(&folder))?;
+    }
+    if let Some(file) = matches.opt_str("output") {
+        std::fs::write(file, serde_json::to_string_pretty(&report)?)?;
+    }
+    Ok(())
+}
--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -246,8 +246,18 @@
     Err(eyre!("no port is free on {address}"))
 }
 
+/// Starts a node by its settings file and reads where it listens.
+///
+/// # Errors
+/// If it doesn't start.
+pub async fn spawn_node(settings: &std::path::Path) -> Result<(Child, Addresses)> {
+    let mut child = spawn("latchwheel", &["node", "--settings"], settings, None)?;
+    let line = first_line(&mut child).await?;
+    Ok((child, serde_json::from_str(&line)?))
+}
+
 fn spawn(program: &str, arguments: &[&str], settings: &std::path::Path, log: Option<&PathBuf>) -> Result<Child> {
-    let path = std::env::current_exe()?.parent().ok_or_else(|| eyre!("no folder of programs"))?.join(program);
+    let path = program_folder()?.join(program);
     let mut command = Command::new(&path);
     command.args(arguments).arg(settings).stdout(std::process::Stdio::piped()).kill_on_drop(true);
     if let Some(log) = log {
@@ -256,6 +266,15 @@
     command.spawn().wrap_err_with(|| format!("cannot start {}: build it first", path.display()))
 }
 
+/// Folder of the programs: this one's, or above it for a test.
+fn program_folder() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().ok_or_else(|| eyre!("no folder of programs"))?;
+    let is_test = folder.file_name().is_some_and(|name| name == "deps");
+    let folder = if is_test { folder.parent() } else { Some(folder) };
+    folder.map(PathBuf::from).ok_or_else(|| eyre!("no folder of programs"))
+}
+
 async fn first_line(child: &mut Child) -> Result<String> {
     let output = child.stdout.take().ok_or_else(|| eyre!("no output"))?;
     let mut lines = BufReader::new(output).lines();
--- a/crates/bench/src/recorder.rs
+++ b/crates/bench/src/recorder.rs
@@ -3,8 +3,10 @@
 use crate::load::PlannedRequest;
 use crate::scenario::OnlineLoad;
 use hdrhistogram::Histogram;
+use latchwheel_core::code::{Ran, ResultCode};
+use latchwheel_core::identity::stable_hash;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -114,8 +116,10 @@
     gaps: Histogram<u64>,
     answered_weight: f64,
     all_weight: f64,
-    /// Identities of requests that said they were not run.
-    not_run: Vec<String>,
+    /// Prompts of requests that were told they were not run.
+    not_run: Vec<u64>,
+    /// Prompts of requests that must not run twice.
+    once: Vec<u64>,
 }
 
 /// Gathers answers.
@@ -134,6 +138,7 @@
             answered_weight: 0.0,
             all_weight: 0.0,
             not_run: Vec::new(),
+            once: Vec::new(),
         };
         Self { state: Mutex::new(state) }
     }
@@ -166,9 +171,25 @@
                 state.report.refused_without_time += u64::from(!answer.retry_after);
                 let slowest = state.report.slowest_refusal.max(answer.total.as_secs_f64() * 1000.0);
                 state.report.slowest_refusal = slowest;
-                state.not_run.push(request.identity.clone());
+                let code = ResultCode::from_number(code);
+                if code.is_some_and(|code| code.ran() == Ran::NotRun) {
+                    state.not_run.push(stable_hash(request.prompt.as_bytes()));
+                }
             }
         }
+        if !load.repeatable {
+            state.once.push(stable_hash(request.prompt.as_bytes()));
+        }
+    }
+
+    /// Requests that were told they were not run and had run, and runs above
+    /// the first of requests that must not run twice, by the engines' counts.
+    pub fn broken_promises(&self, prompt_runs: &HashMap<u64, u32>) -> (u64, u64) {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let runs = |prompt: &u64| prompt_runs.get(prompt).copied().unwrap_or(0);
+        let wrong_not_run = state.not_run.iter().filter(|prompt| runs(prompt) > 0).count() as u64;
+        let double_runs = state.once.iter().map(|prompt| u64::from(runs(prompt).saturating_sub(1))).sum();
+        (wrong_not_run, double_runs)
     }
 
     /// The report so far.
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -79,7 +79,7 @@
     );
     let _ = writeln!(
         text,
-        "  batch jobs {} items {} in time {} completed {} failed {} lost {} doubled {} wrong {} drain {:.1} s, acknowledged in {:.1} ms; double runs {}; revisions {:?}",
+        "  batch jobs {} items {} in time {} completed {} failed {} lost {} doubled {} wrong {} drain {:.1} s, acknowledged in {:.1} ms; double runs {} wrong not-run {}; revisions {:?}",
         batch.jobs,
         batch.items,
         batch.completed_in_time,
@@ -91,6 +91,7 @@
         batch.drain_seconds,
         batch.acknowledge_milliseconds,
         variant.double_runs,
+        variant.wrong_not_run,
         variant.revisions,
     );
     for fault in &variant.faults {
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -12,8 +12,10 @@
 use hyper::Method;
 use latchwheel_emulator::engine::SlotTime;
 use latchwheel_http::Client;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -91,15 +93,17 @@
     let batch = batches.finish(completed_in_time, DRAIN_LIMIT).await;
     let slot_time = difference(&before, &after);
     let left = slot_time.total.saturating_sub(slot_time.online).max(1);
-    let runs = engine_runs(processes).await;
+    let runs: HashMap<String, u32> = engine_counts(processes, "/admin/runs").await;
+    let prompt_runs: HashMap<u64, u32> = engine_counts(processes, "/admin/prompt-runs").await;
+    let (wrong_not_run, online_doubles) = recorder.broken_promises(&prompt_runs);
     Ok(VariantReport {
         variant,
         online: recorder.report(),
         batch,
         slot_time,
         idle_filled: slot_time.batch as f64 / left as f64,
-        double_runs: double_runs(scenario, &batches, &runs),
-        wrong_not_run: 0,
+        double_runs: online_doubles + double_runs(scenario, &batches, &runs),
+        wrong_not_run,
         revisions: revisions(processes).await,
         node_megabytes: largest_node(processes),
         faults,
@@ -145,24 +149,20 @@
     }
 }
 
-/// Runs by request identity over all engines: counted there, not in the
-/// system.
-async fn engine_runs(processes: &Processes) -> HashMap<String, u32> {
+/// Counts of runs over all engines: made there, not in the system.
+async fn engine_counts<K: DeserializeOwned + Eq + Hash>(processes: &Processes, path: &str) -> HashMap<K, u32> {
     let client = Client::http1();
-    let mut sums: HashMap<String, u32> = HashMap::new();
+    let mut sums: HashMap<K, u32> = HashMap::new();
     for engine in &processes.site.engines {
-        let runs: Result<HashMap<String, u32>, _> =
-            client.json(Method::GET, &engine.address, "/admin/runs", &(), CALL_TIME).await;
-        for (identity, count) in runs.unwrap_or_default() {
-            *sums.entry(identity).or_default() += count;
+        let runs: Result<HashMap<K, u32>, _> = client.json(Method::GET, &engine.address, path, &(), CALL_TIME).await;
+        for (key, count) in runs.unwrap_or_default() {
+            *sums.entry(key).or_default() += count;
         }
     }
     sums
 }
 
-/// Runs above the first of items that must not run twice. Online requests
-/// have a new identity at each dispatch; they are counted by their prompts'
-/// identity only where the engine reports it, which it doesn't.
+/// Runs above the first of items that must not run twice.
 fn double_runs(scenario: &Scenario, batches: &BatchDriver, runs: &HashMap<String, u32>) -> u64 {
     let mut doubles = 0;
     for job in batches.accepted() {
--- /dev/null
+++ b/crates/bench/src/scale/world.rs
@@ -0,0 +1,643 @@
+//! A whole system of hollow nodes: the state machines of real nodes, with
+//! the network, the key-value service and the machine list inside the
+//! process, in virtual time.
+//!
+//! What is measured is control alone: membership, configuration, limits,
+//! ownership. Processor time is the time that the state machines and the
+//! coding of their messages took; bytes are those of the coded messages with
+//! the headers that UDP, TCP and HTTP/2 put before them.
+
+use super::place::{Place, Plan};
+use latchwheel_core::configuration::{self, ConfigurationLog};
+use latchwheel_core::identity::{NodeId, ServerId};
+use latchwheel_core::limits::{LimitHolder, LimitHome};
+use latchwheel_core::membership::{self, Membership};
+use latchwheel_core::ownership::{assign, is_among_first, OwnedServer, OwnerCandidate};
+use latchwheel_core::scheduler::{BatchPolicy, Event as SchedulerEvent, RowShare, Scheduler, ServerProfile};
+use latchwheel_core::table::{Edit, Table};
+use latchwheel_core::time::Instant;
+use latchwheel_protocol::v1::{Datagram, MemberRecord, MemberStatus, Summary};
+use latchwheel_protocol::Message;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The runtime's tick of the membership.
+const TICK: Duration = Duration::from_millis(25);
+/// IP and UDP headers of a datagram.
+const DATAGRAM_HEADER: u64 = 28;
+/// Headers of a call between nodes: IP, TCP, HTTP/2 frames, both ways.
+const CALL_HEADER: u64 = 260;
+/// Headers of a call of the platform over HTTP/1.1, both ways.
+const PLATFORM_CALL: u64 = 480;
+/// The key-value service and the machine list answer after this time.
+const PLATFORM_TIME: Duration = Duration::from_millis(20);
+/// The machine list shows a change after this time.
+const LIST_LAG: Duration = Duration::from_secs(1);
+/// A watch or a waiting call of the platform is renewed after this time.
+const WATCH_RENEWAL: Duration = Duration::from_secs(5);
+/// Nodes of a region that watch the key-value service, as in the runtime.
+const WATCHERS: usize = configuration::WATCHERS;
+
+/// What a node has spent on control.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeCost {
+    /// Processor time.
+    pub busy: Duration,
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Messages sent and received.
+    pub messages: u64,
+}
+
+/// One hollow node.
+pub struct HollowNode {
+    /// Its record.
+    pub record: MemberRecord,
+    /// Where it is.
+    pub place: Place,
+    /// Whether it runs.
+    pub alive: bool,
+    /// What it has spent.
+    pub cost: NodeCost,
+    membership: Membership,
+    configuration: ConfigurationLog,
+    holder: LimitHolder,
+    home: LimitHome,
+    scheduler: Scheduler,
+    owned: BTreeSet<ServerId>,
+    stale_ownership: bool,
+    boot: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Happening {
+    Tick(usize, u64),
+    Datagram(usize, Vec<u8>),
+    PullRequest { from: usize, to: usize, after: u64 },
+    PullAnswer { to: usize, records: Vec<configuration::Record>, table: Option<Arc<Table>>, bytes: u64 },
+    WatchFires(usize),
+    WatchRenews(usize, u64),
+    ListShown(usize),
+    Ownership(usize),
+    LimitAsk { from: usize, to: usize, row: String, demand: f64 },
+    LimitGrant { to: usize, row: String, rate: f64, asked_at: Instant },
+}
+
+/// When an edit was made and when each node had it.
+#[derive(Clone, Debug)]
+pub struct EditTrace {
+    /// When the key was created.
+    pub at: Instant,
+    /// The revision.
+    pub revision: u64,
+    /// When each node, by number, had it in force.
+    pub in_force: BTreeMap<usize, Instant>,
+}
+
+/// When a node died and when others knew.
+#[derive(Clone, Debug)]
+pub struct DeathTrace {
+    /// The node.
+    pub node: usize,
+    /// When it died.
+    pub at: Instant,
+    /// When each node of its region held it for dead.
+    pub known: BTreeMap<usize, Instant>,
+}
+
+/// The whole system.
+pub struct World {
+    /// The present time.
+    pub now: Instant,
+    /// All nodes, also dead ones.
+    pub nodes: Vec<HollowNode>,
+    /// Edits so far.
+    pub edits: Vec<EditTrace>,
+    /// Deaths so far.
+    pub deaths: Vec<DeathTrace>,
+    /// Pairs of regions that are cut off from each other.
+    pub cut_regions: BTreeSet<(usize, usize)>,
+    /// Regions that can't reach the platform.
+    pub cut_platform: BTreeSet<usize>,
+    plan: Plan,
+    servers: BTreeMap<usize, Vec<OwnedServer>>,
+    by_identity: BTreeMap<u64, usize>,
+    service: Table,
+    log: Vec<Edit>,
+    queue: BTreeMap<(Instant, u64), Happening>,
+    sequence: u64,
+    random: SmallRng,
+    machine_bytes: u64,
+}
+
+impl World {
+    /// Builds the system; nodes know a few others from the machine list.
+    pub fn new(plan: &Plan, table: Table) -> Self {
+        let mut world = Self {
+            now: Instant::from_micros(1_000_000),
+            nodes: Vec::new(),
+            edits: Vec::new(),
+            deaths: Vec::new(),
+            cut_regions: BTreeSet::new(),
+            cut_platform: BTreeSet::new(),
+            servers: plan.servers(),
+            plan: plan.clone(),
+            by_identity: BTreeMap::new(),
+            service: table,
+            log: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            random: SmallRng::seed_from_u64(plan.seed),
+            machine_bytes: plan.machine_bytes(),
+        };
+        for number in 0..plan.nodes {
+            world.add_node(number);
+        }
+        for number in 0..plan.nodes {
+            world.start_node(number);
+        }
+        world
+    }
+
+    fn add_node(&mut self, number: usize) {
+        let place = self.plan.place(number);
+        let record = MemberRecord {
+            node: NodeId::of_name(&format!("node-{number}")).0,
+            incarnation: 1,
+            address: number.to_string(),
+            zone: place.zone_name(),
+            region: place.region_name(),
+            name: format!("node-{number}"),
+            ..MemberRecord::default()
+        };
+        self.by_identity.insert(record.node, number);
+        let mut configuration = ConfigurationLog::new();
+        configuration.handle(configuration::Event::Snapshot(self.service.clone()));
+        self.nodes.push(HollowNode {
+            membership: Membership::new(membership::Settings::default(), record.clone(), self.now, number as u64),
+            record,
+            place,
+            alive: false,
+            cost: NodeCost::default(),
+            configuration,
+            holder: LimitHolder::default(),
+            home: LimitHome::default(),
+            scheduler: Scheduler::new(BatchPolicy::Yield, true),
+            owned: BTreeSet::new(),
+            stale_ownership: true,
+            boot: 0,
+        });
+    }
+
+    /// Starts a node that does not run, as a new incarnation.
+    pub fn start_node(&mut self, number: usize) {
+        let seed = self.random.random();
+        let node = &mut self.nodes[number];
+        node.boot += 1;
+        node.alive = true;
+        node.record.incarnation += 1;
+        node.membership = Membership::new(membership::Settings::default(), node.record.clone(), self.now, seed);
+        node.scheduler = Scheduler::new(BatchPolicy::Yield, true);
+        node.owned.clear();
+        node.stale_ownership = true;
+        let boot = node.boot;
+        let offset = Duration::from_micros(self.random.random_range(0..25_000));
+        self.schedule(offset, Happening::Tick(number, boot));
+        self.schedule(offset, Happening::ListShown(number));
+        self.schedule(offset, Happening::WatchRenews(number, boot));
+    }
+
+    /// Kills a node.
+    pub fn kill_node(&mut self, number: usize) {
+        self.nodes[number].alive = false;
+        self.deaths.push(DeathTrace { node: number, at: self.now, known: BTreeMap::new() });
+    }
+
+    /// Makes an edit: the key of the next revision is created now.
+    pub fn edit(&mut self, edit: Edit) {
+        self.service.apply(&edit);
+        self.log.push(edit);
+        let revision = self.service.revision;
+        self.edits.push(EditTrace { at: self.now, revision, in_force: BTreeMap::new() });
+        for number in 0..self.nodes.len() {
+            if self.nodes[number].alive && self.is_watcher(number) {
+                let delay = PLATFORM_TIME * 2 + self.jitter(10_000);
+                self.schedule(delay, Happening::WatchFires(number));
+            }
+        }
+    }
+
+    /// A server of a zone was replaced: the list shows it to the zone's nodes.
+    pub fn replace_server(&mut self, zone: usize) {
+        for number in 0..self.nodes.len() {
+            if self.nodes[number].alive && self.nodes[number].place.zone == zone {
+                let delay = LIST_LAG + self.jitter(100_000);
+                self.schedule(delay, Happening::ListShown(number));
+            }
+        }
+    }
+
+    /// Some requests of a row arrive at a node.
+    pub fn demand(&mut self, number: usize, row: &str, rate: f64) {
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[number];
+        let _ = node.holder.admit(now, row, rate, 56);
+        node.cost.busy += begun.elapsed();
+    }
+
+    fn is_watcher(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        let live = node.membership.live().filter(|record| record.region == node.record.region);
+        let nodes = live.map(|record| NodeId(record.node));
+        !self.cut_platform.contains(&node.place.region)
+            && is_among_first(NodeId(node.record.node), configuration::watch_name(), nodes, WATCHERS)
+    }
+
+    fn jitter(&mut self, micros: u64) -> Duration {
+        Duration::from_micros(self.random.random_range(0..micros))
+    }
+
+    fn schedule(&mut self, after: Duration, happening: Happening) {
+        self.sequence += 1;
+        self.queue.insert((self.now + after, self.sequence), happening);
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> Duration {
+        let jitter = self.jitter(200);
+        let (from, to) = (self.nodes[from].place, self.nodes[to].place);
+        let base = match (from.region == to.region, from.zone == to.zone) {
+            (_, true) => 200,
+            (true, false) => 1_000,
+            (false, false) => 20_000,
+        };
+        Duration::from_micros(base) + jitter
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (self.nodes[from].place.region, self.nodes[to].place.region);
+        self.cut_regions.contains(&(from.min(to), from.max(to)))
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), happening) = entry.remove_entry();
+            self.now = at;
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick(number, boot) => self.tick(number, boot),
+            Happening::Datagram(to, bytes) => self.receive(to, &bytes),
+            Happening::PullRequest { from, to, after } => self.answer_pull(from, to, after),
+            Happening::PullAnswer { to, records, table, bytes } => {
+                self.nodes[to].cost.received += bytes;
+                if let Some(table) = table {
+                    self.configure(to, configuration::Event::Snapshot(table.as_ref().clone()));
+                }
+                self.configure(to, configuration::Event::Records(records));
+            }
+            Happening::WatchFires(number) => self.watch_fires(number),
+            Happening::WatchRenews(number, boot) => self.watch_renews(number, boot),
+            Happening::ListShown(number) => self.show_list(number),
+            Happening::Ownership(number) => self.take_share(number),
+            Happening::LimitAsk { from, to, row, demand } => self.grant_limit(from, to, row, demand),
+            Happening::LimitGrant { to, row, rate, asked_at } => {
+                let now = self.now;
+                if self.nodes[to].alive {
+                    let begun = std::time::Instant::now();
+                    self.nodes[to].holder.granted(now, asked_at, &row, rate);
+                    self.nodes[to].cost.busy += begun.elapsed();
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, number: usize, boot: u64) {
+        if !self.nodes[number].alive || self.nodes[number].boot != boot {
+            return;
+        }
+        self.schedule(TICK, Happening::Tick(number, boot));
+        self.handle_membership(number, membership::Event::Tick);
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let demands = self.nodes[number].holder.demands(now);
+        self.nodes[number].cost.busy += begun.elapsed();
+        for demand in demands {
+            self.ask_limit(number, demand.row, demand.per_second);
+        }
+    }
+
+    fn receive(&mut self, to: usize, bytes: &[u8]) {
+        if !self.nodes[to].alive {
+            return;
+        }
+        let begun = std::time::Instant::now();
+        let Ok(datagram) = Datagram::decode(bytes) else { return };
+        let cost = &mut self.nodes[to].cost;
+        cost.received += bytes.len() as u64 + DATAGRAM_HEADER;
+        cost.messages += 1;
+        cost.busy += begun.elapsed();
+        self.handle_membership(to, membership::Event::Received(datagram));
+    }
+
+    fn handle_membership(&mut self, number: usize, event: membership::Event) {
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[number];
+        let actions = node.membership.handle(now, event);
+        let mut datagrams = Vec::new();
+        let mut others = Vec::new();
+        for action in actions {
+            match action {
+                membership::Action::Send(address, datagram) => datagrams.push((address, datagram.encode_to_vec())),
+                other => others.push(other),
+            }
+        }
+        node.cost.busy += begun.elapsed();
+        for (address, bytes) in datagrams {
+            let Ok(to) = address.parse::<usize>() else { continue };
+            let cost = &mut self.nodes[number].cost;
+            cost.sent += bytes.len() as u64 + DATAGRAM_HEADER;
+            cost.messages += 1;
+            if !self.is_cut(number, to) {
+                let delay = self.delay(number, to);
+                self.schedule(delay, Happening::Datagram(to, bytes));
+            }
+        }
+        for action in others {
+            match action {
+                membership::Action::Changed(record) => self.note_change(number, &record),
+                membership::Action::PeerAt(peer, revision) => {
+                    if revision > self.nodes[number].configuration.table().revision {
+                        self.configure(number, configuration::Event::PeerAt(peer, revision));
+                    }
+                }
+                membership::Action::Send(..) => {}
+            }
+        }
+    }
+
+    fn note_change(&mut self, number: usize, record: &MemberRecord) {
+        if record.region == self.nodes[number].record.region && !self.nodes[number].stale_ownership {
+            // Changes that come together lead to one assignment.
+            self.nodes[number].stale_ownership = true;
+            self.schedule(Duration::from_millis(50), Happening::Ownership(number));
+        }
+        if record.status() != MemberStatus::Dead {
+            return;
+        }
+        let Some(dead) = self.by_identity.get(&record.node).copied() else { return };
+        let now = self.now;
+        let trace = self.deaths.iter_mut().rev().find(|trace| trace.node == dead);
+        if let Some(trace) = trace.filter(|_| !self.nodes[dead].alive) {
+            trace.known.entry(number).or_insert(now);
+        }
+    }
+
+    // ---- Configuration ----
+
+    fn configure(&mut self, number: usize, event: configuration::Event) {
+        let begun = std::time::Instant::now();
+        let before = self.nodes[number].configuration.table().clone();
+        let actions = self.nodes[number].configuration.handle(event);
+        self.nodes[number].cost.busy += begun.elapsed();
+        for action in actions {
+            match action {
+                configuration::Action::Publish(table) => self.publish(number, &before, &table),
+                configuration::Action::Pull(peer, after) => {
+                    if let Some(to) = self.by_identity.get(&peer.0).copied() {
+                        let cost = &mut self.nodes[number].cost;
+                        cost.sent += CALL_HEADER;
+                        cost.messages += 1;
+                        if !self.is_cut(number, to) {
+                            let delay = self.delay(number, to);
+                            self.schedule(delay, Happening::PullRequest { from: number, to, after });
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn publish(&mut self, number: usize, before: &Table, table: &Arc<Table>) {
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[number];
+        for (name, row) in &table.rows {
+            if before.rows.get(name) == Some(row) {
+                continue;
+            }
+            let share = RowShare { weight: row.weight, concurrency: row.limits.concurrency, queue: row.limits.queue };
+            node.scheduler.handle(now, SchedulerEvent::RowShare(name.as_str().into(), share));
+        }
+        let summary = Summary { node: node.record.node, revision: table.revision, ..Summary::default() };
+        node.cost.busy += begun.elapsed();
+        for trace in self.edits.iter_mut().rev().take_while(|trace| trace.revision > before.revision) {
+            if trace.revision <= table.revision {
+                trace.in_force.entry(number).or_insert(now);
+            }
+        }
+        self.handle_membership(number, membership::Event::OwnSummary(summary));
+    }
+
+    fn answer_pull(&mut self, from: usize, to: usize, after: u64) {
+        if !self.nodes[to].alive {
+            return;
+        }
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[to];
+        let records = node.configuration.records_after(after);
+        let table = records.is_none().then(|| node.configuration.table().clone());
+        let records = records.unwrap_or_default();
+        let coded: usize = records.iter().map(|record| serde_json::to_vec(&record.edit).map_or(0, |b| b.len())).sum();
+        let snapshot = table.as_ref().map_or(0, |table| serde_json::to_vec(table.as_ref()).map_or(0, |b| b.len()));
+        let bytes = (coded + snapshot) as u64 + CALL_HEADER;
+        node.cost.busy += begun.elapsed();
+        node.cost.sent += bytes;
+        node.cost.messages += 1;
+        let delay = self.delay(to, from);
+        self.schedule(delay, Happening::PullAnswer { to: from, records, table, bytes });
+    }
+
+    fn watch_fires(&mut self, number: usize) {
+        if !self.nodes[number].alive || self.cut_platform.contains(&self.nodes[number].place.region) {
+            return;
+        }
+        let present = self.nodes[number].configuration.table().revision;
+        let records: Vec<configuration::Record> = (present..self.service.revision)
+            .filter_map(|revision| {
+                let offset = self.log.len().checked_sub((self.service.revision - revision) as usize)?;
+                Some(configuration::Record { revision: revision + 1, edit: self.log[offset].clone() })
+            })
+            .collect();
+        let coded: usize = records.iter().map(|record| serde_json::to_vec(&record.edit).map_or(0, |b| b.len())).sum();
+        let cost = &mut self.nodes[number].cost;
+        // The watch's answer, the read of the new keys, and the next watch.
+        cost.received += coded as u64 + 2 * PLATFORM_CALL / 2;
+        cost.sent += 2 * PLATFORM_CALL / 2;
+        cost.messages += 4;
+        self.configure(number, configuration::Event::Records(records));
+    }
+
+    /// Waiting calls of the platform end and are made again.
+    fn watch_renews(&mut self, number: usize, boot: u64) {
+        if !self.nodes[number].alive || self.nodes[number].boot != boot {
+            return;
+        }
+        let watches = 1 + u64::from(self.is_watcher(number));
+        let cost = &mut self.nodes[number].cost;
+        cost.sent += watches * PLATFORM_CALL / 2;
+        cost.received += watches * PLATFORM_CALL / 2;
+        cost.messages += 2 * watches;
+        if self.is_watcher(number) && self.service.revision > self.nodes[number].configuration.table().revision {
+            self.watch_fires(number);
+        }
+        self.schedule(WATCH_RENEWAL, Happening::WatchRenews(number, boot));
+    }
+
+    // ---- Machines and ownership ----
+
+    fn show_list(&mut self, number: usize) {
+        if !self.nodes[number].alive || self.cut_platform.contains(&self.nodes[number].place.region) {
+            return;
+        }
+        let place = self.nodes[number].place;
+        let nodes: Vec<MemberRecord> = self
+            .nodes
+            .iter()
+            .filter(|node| node.alive && node.place.region == place.region)
+            .map(|node| node.record.clone())
+            .collect();
+        let servers = self.servers.get(&place.zone).map_or(0, Vec::len);
+        let cost = &mut self.nodes[number].cost;
+        cost.received += (nodes.len() + servers) as u64 * self.machine_bytes + PLATFORM_CALL / 2;
+        cost.sent += PLATFORM_CALL / 2;
+        cost.messages += 2;
+        // Relays need somebody of each other region to begin with.
+        let far = self.nodes.iter().filter(|node| node.alive && node.place.region != place.region);
+        let far: Vec<MemberRecord> = far.step_by(17).map(|node| node.record.clone()).collect();
+        self.handle_membership(number, membership::Event::Seeds(nodes));
+        self.handle_membership(number, membership::Event::Seeds(far));
+        self.take_share(number);
+    }
+
+    fn take_share(&mut self, number: usize) {
+        if !self.nodes[number].alive {
+            return;
+        }
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[number];
+        node.stale_ownership = false;
+        let region = &node.record.region;
+        let live = node.membership.live().filter(|record| record.region == *region);
+        let candidates: Vec<OwnerCandidate> = live
+            .chain([node.membership.me()])
+            .map(|record| OwnerCandidate {
+                node: NodeId(record.node),
+                zone: record.zone.clone(),
+                region: record.region.clone(),
+            })
+            .collect();
+        let own_zone = node.place.zone;
+        let covered: BTreeSet<&str> = candidates.iter().map(|candidate| candidate.zone.as_str()).collect();
+        let wanted = self.plan.zones_of_region(node.place.region).into_iter().filter(|zone| {
+            *zone == own_zone || !covered.contains(Place { zone: *zone, ..node.place }.zone_name().as_str())
+        });
+        let servers: Vec<OwnedServer> = wanted.filter_map(|zone| self.servers.get(&zone)).flatten().cloned().collect();
+        let owners = assign(&candidates, &servers);
+        let me = NodeId(node.record.node);
+        let mine: BTreeSet<ServerId> =
+            owners.into_iter().filter(|(_, owner)| *owner == me).map(|(server, _)| server).collect();
+        for server in node.owned.difference(&mine) {
+            node.scheduler.handle(now, SchedulerEvent::ServerGone(*server));
+        }
+        for server in mine.difference(&node.owned) {
+            let profile = ServerProfile {
+                name: format!("{:x}", server.0).into(),
+                service: "service".into(),
+                models: vec!["model".into()],
+                slots: 32,
+                token_capacity: 200_000,
+            };
+            node.scheduler.handle(now, SchedulerEvent::ServerUp(*server, profile));
+        }
+        node.owned = mine;
+        node.cost.busy += begun.elapsed();
+    }
+
+    // ---- Limits ----
+
+    fn ask_limit(&mut self, number: usize, row: String, demand: f64) {
+        let node = &self.nodes[number];
+        let region = &node.record.region;
+        let live = node.membership.live().filter(|record| record.region == *region);
+        let nodes = live.map(|record| NodeId(record.node)).chain([NodeId(node.record.node)]);
+        let name = latchwheel_core::identity::stable_hash(row.as_bytes());
+        let Some(home) = latchwheel_core::ownership::home_of(name, nodes) else { return };
+        let Some(to) = self.by_identity.get(&home.0).copied() else { return };
+        if to != number {
+            let bytes = row.len() as u64 + 20 + CALL_HEADER;
+            self.nodes[number].cost.sent += bytes;
+            self.nodes[number].cost.messages += 1;
+        }
+        let delay = self.delay(number, to);
+        self.schedule(delay, Happening::LimitAsk { from: number, to, row, demand });
+    }
+
+    fn grant_limit(&mut self, from: usize, to: usize, row: String, demand: f64) {
+        if !self.nodes[to].alive {
+            return;
+        }
+        let now = self.now;
+        let begun = std::time::Instant::now();
+        let node = &mut self.nodes[to];
+        let rate = node.home.grant(now, &row, 100.0, NodeId(from as u64), demand);
+        node.cost.busy += begun.elapsed();
+        if to != from {
+            let bytes = row.len() as u64 + 20 + CALL_HEADER;
+            node.cost.received += bytes;
+            node.cost.sent += bytes;
+            node.cost.messages += 2;
+            self.nodes[from].cost.received += bytes;
+        }
+        let asked_at = now;
+        let delay = self.delay(to, from);
+        self.schedule(delay, Happening::LimitGrant { to: from, row, rate, asked_at });
+    }
+
+    /// Largest and mean number of servers that a live node owns.
+    pub fn shares(&self) -> (usize, f64) {
+        let shares: Vec<usize> = self.nodes.iter().filter(|node| node.alive).map(|node| node.owned.len()).collect();
+        let sum: usize = shares.iter().sum();
+        (shares.iter().copied().max().unwrap_or(0), sum as f64 / shares.len().max(1) as f64)
+    }
+
+    /// Servers that no live node owns.
+    pub fn without_owner(&self) -> usize {
+        let owned: BTreeSet<ServerId> =
+            self.nodes.iter().filter(|node| node.alive).flat_map(|node| node.owned.iter().copied()).collect();
+        let all: usize = self.servers.values().map(Vec::len).sum();
+        all - owned.len()
+    }
+
+    /// Clears what was spent, to measure from here.
+    pub fn clear_costs(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.cost = NodeCost::default());
+    }
+}
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -34,6 +34,24 @@
     /// Faults.
     #[serde(default)]
     pub faults: Vec<Fault>,
+    /// What may go wrong, for scenarios that are tests.
+    #[serde(default)]
+    pub allowed: Allowed,
+}
+
+/// What may go wrong in a scenario. What no fault excuses is not here: lost,
+/// doubled or wrong results, double runs, a wrong `not-run`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Allowed {
+    /// Online answers that break off, and are seen to.
+    pub cut: u64,
+    /// Online requests that find no node.
+    pub unreachable: u64,
+    /// Online requests that are refused.
+    pub refused: u64,
+    /// Batch items that end with a code instead of a result.
+    pub failed_items: u64,
 }
 
 /// The nodes of a scenario.
--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration.rs
@@ -7,7 +7,7 @@
 //! moves up: it applies revision n + 1 to n and nothing else, or takes a
 //! snapshot of a higher revision.
 
-use crate::identity::NodeId;
+use crate::identity::{stable_hash, NodeId};
 use crate::table::{Edit, Table};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -17,6 +17,14 @@
 /// Every so many revisions, the node whose edit made one writes a snapshot.
 pub const SNAPSHOT_INTERVAL: u64 = 1000;
 
+/// Nodes of a region that watch the service; the others hear from them.
+pub const WATCHERS: usize = 3;
+
+/// Name by which rendezvous hashing picks the watchers of a region.
+pub fn watch_name() -> u64 {
+    stable_hash(b"table/log/")
+}
+
 /// One revision of the log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
@@ -31,8 +39,8 @@
 pub enum Event {
     /// An operator's edit, with the revision that it was based on, if named.
     Propose(Edit, Option<u64>),
-    /// The key of the revision was created with the present edit.
-    Created(u64),
+    /// The key of the revision was created with this edit.
+    Created(u64, Edit),
     /// The key of the revision existed, or was read: with this edit.
     Found(u64, Edit),
     /// The key of the revision exists but its edit was folded into a snapshot.
@@ -142,7 +150,7 @@
                 self.waiting.push_back(PendingEdit { edit, based_on });
                 self.create_next(&mut actions);
             }
-            Event::Created(revision) => self.created(revision, &mut actions),
+            Event::Created(revision, edit) => self.created(revision, edit, &mut actions),
             Event::Found(revision, edit) => self.found(revision, edit, &mut actions),
             Event::Folded(_) => {
                 self.creating = None;
@@ -181,14 +189,10 @@
         }
     }
 
-    fn created(&mut self, revision: u64, actions: &mut Vec<Action>) {
-        if self.creating == Some(revision) {
-            if let Some(edit) = self.waiting.front().map(|pending| pending.edit.clone()) {
-                self.found(revision, edit, actions);
-                if revision.is_multiple_of(SNAPSHOT_INTERVAL) && self.table.revision >= revision {
-                    actions.push(Action::WriteSnapshot(self.table.clone()));
-                }
-            }
+    fn created(&mut self, revision: u64, edit: Edit, actions: &mut Vec<Action>) {
+        self.found(revision, edit, actions);
+        if revision.is_multiple_of(SNAPSHOT_INTERVAL) && self.table.revision >= revision {
+            actions.push(Action::WriteSnapshot(self.table.clone()));
         }
     }
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -7,7 +7,8 @@
 //! the sender's table revision and a few recent load summaries. Members that
 //! are held for dead are probed now and then, so that a healed cut is found.
 
-use crate::identity::{stable_hash, stable_pair_hash, NodeId};
+use crate::identity::{stable_hash, NodeId};
+use crate::ownership::is_among_first;
 use crate::time::Instant;
 use latchwheel_protocol::v1::{Datagram, MemberRecord, MemberStatus, Summary};
 use rand::rngs::SmallRng;
@@ -25,13 +26,14 @@
 /// A record is told this many times the logarithm of the members.
 const TELL_FACTOR: f64 = 3.0;
 /// Suspicion lasts this many periods times the logarithm of the members.
-const SUSPICION_FACTOR: f64 = 1.0;
+const SUSPICION_FACTOR: f64 = 1.5;
 /// Least suspicion in periods.
 const SUSPICION_MINIMUM: f64 = 3.0;
 /// Relays between two regions, on each side.
 const RELAYS: usize = 2;
-/// Members that are told of a new table revision at once.
-const TOLD_OF_REVISION: usize = 3;
+/// Members that are told at once of a new table revision, or that a
+/// suspicion is wrong.
+const TOLD_AT_ONCE: usize = 3;
 /// Every so many periods a member that is held for dead is probed.
 const RECONNECT_PERIODS: u64 = 5;
 /// Dead members are forgotten after this time, so that late gossip can't
@@ -194,20 +196,24 @@
     fn take_own_summary(&mut self, summary: Summary, actions: &mut Vec<Action>) {
         let newer = summary.revision > self.own_summary.revision;
         self.own_summary = summary;
-        if !newer {
-            return;
+        if newer {
+            self.tell_some(actions);
+            self.probe_regions(actions);
         }
+    }
+
+    /// Sends to a few members of the region at once.
+    fn tell_some(&mut self, actions: &mut Vec<Action>) {
         let region = &self.me.region;
         let told: Vec<NodeId> = self
             .members
             .iter()
             .filter(|(_, member)| member.record.region == *region && is_live(member.record.status()))
             .map(|(id, _)| *id)
-            .choose_multiple(&mut self.random, TOLD_OF_REVISION);
+            .choose_multiple(&mut self.random, TOLD_AT_ONCE);
         for node in told {
             self.send(node, 0, 0, true, actions);
         }
-        self.probe_regions(actions);
     }
 
     /// Takes a summary that came with an answer over another way.
@@ -338,13 +344,8 @@
 
     fn is_relay_for(&self, region: &str) -> bool {
         let name = stable_hash(region.as_bytes());
-        let own = stable_pair_hash(self.me.node, name);
-        let higher = self
-            .live()
-            .filter(|record| self.same_region(record) && stable_pair_hash(record.node, name) > own)
-            .take(RELAYS)
-            .count();
-        higher < RELAYS
+        let near = self.live().filter(|record| self.same_region(record)).map(|record| NodeId(record.node));
+        is_among_first(NodeId(self.me.node), name, near, RELAYS)
     }
 
     fn reconnect(&mut self, actions: &mut Vec<Action>) {
@@ -538,7 +539,7 @@
 
     fn take_record(&mut self, now: Instant, record: MemberRecord, actions: &mut Vec<Action>) {
         if record.node == self.me.node {
-            self.refute(&record);
+            self.refute(&record, actions);
             return;
         }
         let node = NodeId(record.node);
@@ -565,11 +566,12 @@
 
     /// Another holds this node for suspect or dead, or knows an older start
     /// of it: a higher incarnation corrects that.
-    fn refute(&mut self, record: &MemberRecord) {
+    fn refute(&mut self, record: &MemberRecord, actions: &mut Vec<Action>) {
         let wrong_status = record.status != self.me.status;
         if record.incarnation >= self.me.incarnation && (wrong_status || record.incarnation > self.me.incarnation) {
             self.me.incarnation = record.incarnation + 1;
             self.own_tells = 0;
+            self.tell_some(actions);
         }
     }
 }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -199,6 +199,16 @@
         (free, self.online.get(service).map_or(0, RowQueues::waiting))
     }
 
+    /// What a row may take here, if that was told.
+    pub fn row_share(&self, row: &str) -> Option<RowShare> {
+        self.shares.get(row).copied()
+    }
+
+    /// Work that was started on a server so far.
+    pub fn starts_of(&self, server: ServerId) -> u64 {
+        self.servers.get(&server).map_or(0, |server| server.starts)
+    }
+
     /// Services that the owned servers offer.
     pub fn services(&self) -> Vec<Arc<str>> {
         let mut services: Vec<Arc<str>> = self.servers.values().map(|server| server.profile.service.clone()).collect();
@@ -349,7 +359,7 @@
                     self.start(now, work, server, actions);
                 }
                 None => {
-                    self.online.entry(service.clone()).or_default().push_front(work);
+                    self.online.entry(service.clone()).or_default().put_back(work, &self.shares);
                     return;
                 }
             }
@@ -382,7 +392,7 @@
                 .map(|(id, _)| *id);
             let Some(victim) = latest.and_then(|id| self.release(id)) else { return };
             actions.push(Action::Preempt(victim.work.id));
-            self.batch.entry(victim.work.service.clone()).or_default().push_front(victim.work);
+            self.batch.entry(victim.work.service.clone()).or_default().put_back(victim.work, &self.shares);
         }
     }
 
@@ -397,7 +407,7 @@
             match chosen {
                 Some(server) => self.start(now, work, server, actions),
                 None => {
-                    self.batch.entry(service.clone()).or_default().push_front(work);
+                    self.batch.entry(service.clone()).or_default().put_back(work, &self.shares);
                     return;
                 }
             }
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -64,8 +64,13 @@
         self.waiting += 1;
     }
 
-    pub(super) fn push_front(&mut self, work: Work) {
-        self.queue_for(&work).waiting.push_front(work);
+    /// Puts work back that was taken and did not run to its end; its row is
+    /// charged anew when it is taken again.
+    pub(super) fn put_back(&mut self, work: Work, shares: &HashMap<Arc<str>, RowShare>) {
+        let charge = charge(&work, shares);
+        let queue = self.queue_for(&work);
+        queue.start -= charge;
+        queue.waiting.push_front(work);
         self.waiting += 1;
     }
 
@@ -91,15 +96,14 @@
             let limit = shares.get(row).map_or(0, |share| share.concurrency);
             limit == 0 || running.get(row).copied().unwrap_or(0) < limit
         };
-        let (row, queue) = self
+        let (_, queue) = self
             .rows
             .iter_mut()
             .filter(|(row, queue)| !queue.waiting.is_empty() && below_limit(row))
             .min_by(|(_, first), (_, second)| first.start.total_cmp(&second.start))?;
         let work = queue.waiting.pop_front()?;
-        let weight = shares.get(row).map_or(1.0, |share| share.weight);
-        self.virtual_time = queue.start;
-        queue.start += f64::from(work.cost) / weight;
+        self.virtual_time = self.virtual_time.max(queue.start);
+        queue.start += charge(&work, shares);
         self.waiting -= 1;
         Some(work)
     }
@@ -135,3 +139,9 @@
         self.rows.values_mut().flat_map(|queue| queue.waiting.drain(..)).map(|work| work.id).collect()
     }
 }
+
+/// Virtual time that a piece of work costs its row.
+fn charge(work: &Work, shares: &HashMap<Arc<str>, RowShare>) -> f64 {
+    let weight = shares.get(&work.row).map_or(1.0, |share| share.weight);
+    f64::from(work.cost) / weight
+}
--- a/crates/core/src/scheduler/server.rs
+++ b/crates/core/src/scheduler/server.rs
@@ -110,6 +110,7 @@
     pub(super) online: u32,
     pub(super) batch: u32,
     tokens: u64,
+    pub(super) starts: u64,
     pub(super) leaving: bool,
     pub(super) closed_until: Instant,
     pub(super) fill: BatchFill,
@@ -118,7 +119,16 @@
 impl Server {
     pub(super) fn new(profile: ServerProfile) -> Self {
         let fill = BatchFill::new(profile.slots);
-        Self { profile, online: 0, batch: 0, tokens: 0, leaving: false, closed_until: Instant::default(), fill }
+        Self {
+            profile,
+            online: 0,
+            batch: 0,
+            tokens: 0,
+            starts: 0,
+            leaving: false,
+            closed_until: Instant::default(),
+            fill,
+        }
     }
 
     pub(super) fn is_open(&self, now: Instant) -> bool {
@@ -168,6 +178,7 @@
             Class::Batch => self.batch += 1,
         }
         self.tokens += u64::from(cost);
+        self.starts += 1;
     }
 
     pub(super) fn note_end(&mut self, class: Class, cost: u32) {
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -155,6 +155,17 @@
     Put(Row),
     /// Removes the row of this name.
     Delete(String),
+    /// Gives a tenant a key, of which only the hash is kept.
+    AddKey(TenantKeyHash),
+}
+
+/// A tenant's key, as kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantKeyHash {
+    /// Tenant.
+    pub tenant: String,
+    /// Hash of the key.
+    pub hash: String,
 }
 
 /// An edit, as stored under its revision.
@@ -175,6 +186,9 @@
     pub revision: u64,
     /// The rows by name.
     pub rows: BTreeMap<String, Row>,
+    /// Tenants by the hashes of their keys.
+    #[serde(default)]
+    pub keys: BTreeMap<String, String>,
 }
 
 impl Table {
@@ -187,6 +201,9 @@
             Change::Delete(name) => {
                 self.rows.remove(name);
             }
+            Change::AddKey(key) => {
+                self.keys.insert(key.hash.clone(), key.tenant.clone());
+            }
         }
         self.revision += 1;
     }
--- a/crates/emulator/src/engine/handler.rs
+++ b/crates/emulator/src/engine/handler.rs
@@ -6,6 +6,7 @@
 use crate::request::{query, read_json, refuse, Response};
 use hyper::body::Incoming;
 use hyper::{Method, Request};
+use latchwheel_core::identity::stable_hash;
 use latchwheel_core::prefix::block_hashes;
 use latchwheel_http::{channel, json, serve, Version};
 use serde::{Deserialize, Serialize};
@@ -146,6 +147,7 @@
                 Err(refusal) => refusal,
             },
             (Method::GET, ["admin", "runs"]) => json(200, self.lock().runs()),
+            (Method::GET, ["admin", "prompt-runs"]) => json(200, self.lock().prompt_runs()),
             (Method::GET, ["admin", "slot-time"]) => json(200, &self.slot_time()),
             _ => refuse(404, "no such path"),
         }
@@ -189,7 +191,7 @@
         let pause = body.on_disconnect.as_deref() == Some("pause");
         let wanted = body.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
         let connection = self.connections.fetch_add(1, Ordering::Relaxed);
-        self.lock().submit(Sequence {
+        let sequence = Sequence {
             id: id.clone(),
             priority: body.priority,
             arrival: 0,
@@ -202,7 +204,8 @@
             on_disconnect: if pause { OnDisconnect::Pause } else { OnDisconnect::Cancel },
             connection,
             sink,
-        });
+        };
+        self.lock().submit(sequence, stable_hash(prompt.as_bytes()));
         self.wake.notify_one();
         self.deliver(id, connection, head, body.stream, wanted, progress).await
     }
--- a/crates/emulator/src/engine/model.rs
+++ b/crates/emulator/src/engine/model.rs
@@ -117,6 +117,7 @@
     running: Vec<Sequence>,
     paused: HashMap<Arc<str>, Sequence>,
     runs: HashMap<String, u32>,
+    prompt_runs: HashMap<u64, u32>,
     arrivals: u64,
     slot_time: SlotTime,
     accounted: Instant,
@@ -138,6 +139,7 @@
             running: Vec::new(),
             paused: HashMap::new(),
             runs: HashMap::new(),
+            prompt_runs: HashMap::new(),
             arrivals: 0,
             slot_time: SlotTime::default(),
             accounted: now,
@@ -145,9 +147,11 @@
         }
     }
 
-    /// Takes a new sequence; each counts as one run of its identity.
-    pub(super) fn submit(&mut self, mut sequence: Sequence) {
+    /// Takes a new sequence; each counts as one run of its identity and of
+    /// its prompt.
+    pub(super) fn submit(&mut self, mut sequence: Sequence, prompt: u64) {
         *self.runs.entry(sequence.id.to_string()).or_default() += 1;
+        *self.prompt_runs.entry(prompt).or_default() += 1;
         self.arrivals += 1;
         sequence.arrival = self.arrivals;
         self.waiting.push(sequence);
@@ -158,6 +162,11 @@
         &self.runs
     }
 
+    /// Runs by hash of the prompt.
+    pub(super) fn prompt_runs(&self) -> &HashMap<u64, u32> {
+        &self.prompt_runs
+    }
+
     pub(super) fn slot_time(&mut self) -> SlotTime {
         self.account();
         self.slot_time
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::configuration::EditOutcome;
-use latchwheel_core::table::{Change, Edit, Row, Table, ROW_LIMIT};
+use latchwheel_core::table::{Change, Edit, Row, Table, TenantKeyHash, ROW_LIMIT};
 use latchwheel_http::{json, Body};
 use latchwheel_protocol::v1::ReadRequest;
 
@@ -33,7 +33,9 @@
             (&Method::GET, ["admin", "v1", "nodes"]) => json(200, &self.backend.nodes()),
             (&Method::GET, ["admin", "v1", "servers"]) => json(200, &self.backend.servers()),
             (&Method::GET, ["admin", "v1", "tenants", tenant, "jobs"]) => self.jobs_of(tenant).await,
-            (&Method::POST, ["admin", "v1", "tenants", tenant, "keys"]) => self.make_key(tenant).await,
+            (&Method::POST, ["admin", "v1", "tenants", tenant, "keys"]) => {
+                self.make_key(request.headers(), tenant).await
+            }
             (_, ["admin", "v1", "table" | "nodes" | "servers" | "tenants", ..]) => {
                 refuse(ResultCode::BadMethod, method.as_str())
             }
@@ -141,12 +143,14 @@
         }
     }
 
-    async fn make_key(&self, tenant: &str) -> Response<Body> {
+    async fn make_key(&self, headers: &HeaderMap, tenant: &str) -> Response<Body> {
         let key = new_key();
-        match self.backend.add_key(tenant, &hash_key(&key)).await {
-            Ok(()) => json(200, &TenantKey { tenant: tenant.to_owned(), key }),
-            Err(code) => refuse(code, tenant),
+        let added = TenantKeyHash { tenant: tenant.to_owned(), hash: hash_key(&key) };
+        let answer = self.edit(headers, Change::AddKey(added)).await;
+        if !answer.status().is_success() {
+            return answer;
         }
+        json(200, &TenantKey { tenant: tenant.to_owned(), key })
     }
 }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -76,12 +76,6 @@
     /// Makes an edit.
     fn edit(&self, edit: Edit, based_on: Option<u64>) -> impl Future<Output = EditResult> + Send;
 
-    /// The tenant of a key's hash.
-    fn tenant_of(&self, key_hash: &str) -> Option<String>;
-
-    /// Keeps a key's hash.
-    fn add_key(&self, tenant: &str, key_hash: &str) -> impl Future<Output = Result<(), ResultCode>> + Send;
-
     /// Serves an online request.
     fn online(&self, request: OnlineRequest) -> impl Future<Output = Response<Body>> + Send;
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -91,7 +91,7 @@
     fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
         match self.settings.keys {
             KeyPolicy::Open => Some(OPEN_TENANT.to_owned()),
-            KeyPolicy::Required => self.backend.tenant_of(&hash_key(&bearer(request)?)),
+            KeyPolicy::Required => self.backend.table().keys.get(&hash_key(&bearer(request)?)).cloned(),
         }
     }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -3,7 +3,6 @@
 use crate::batch::BatchRunner;
 use crate::configuration::Configuration;
 use crate::forward::Router;
-use crate::keys::Keys;
 use crate::limits::Limits;
 use crate::members::Members;
 use crate::metrics::{Metrics, Readings};
@@ -26,7 +25,6 @@
 pub(crate) struct NodeBackend {
     pub(crate) members: Arc<Members>,
     pub(crate) configuration: Arc<Configuration>,
-    pub(crate) keys: Arc<Keys>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) router: Router,
     pub(crate) registrar: Registrar,
@@ -77,14 +75,6 @@
         self.configuration.edit(edit, based_on).await
     }
 
-    fn tenant_of(&self, key_hash: &str) -> Option<String> {
-        self.keys.tenant_of(key_hash)
-    }
-
-    async fn add_key(&self, tenant: &str, key_hash: &str) -> Result<(), ResultCode> {
-        self.keys.add(tenant, key_hash).await
-    }
-
     async fn online(&self, request: OnlineRequest) -> Response<Body> {
         let row = request.row.clone();
         if let Err(after) = self.limits.admit(&row) {
--- a/crates/node/src/batch.rs
+++ b/crates/node/src/batch.rs
@@ -30,11 +30,20 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Leases are renewed at least this often.
 const RENEWAL: Duration = Duration::from_millis(750);
-/// A row that had no items to grant is asked about again after this time.
-const EMPTY_ROW_PAUSE: Duration = Duration::from_millis(300);
+/// A row that had no items to grant is asked about again after this time,
+/// which doubles up to a bound while it has none.
+const EMPTY_ROW_PAUSE: Duration = Duration::from_millis(250);
+const EMPTY_ROW_PAUSE_MAXIMUM: Duration = Duration::from_secs(2);
 const ITEM_TIME: Duration = Duration::from_secs(900);
 const ITEM_ATTEMPTS: u32 = 5;
 
+/// A row that had no items to grant.
+#[derive(Clone, Copy, Debug)]
+struct EmptyRow {
+    ask_again: Instant,
+    pause: Duration,
+}
+
 #[derive(Debug)]
 struct HeldState {
     lease: u64,
@@ -115,7 +124,7 @@
         tokio::spawn(self.completions.clone().run(move |item| drop(this.lock().remove(&item))));
         let mut term = 0;
         let mut renewed = Instant::now();
-        let mut empty_rows: HashMap<String, Instant> = HashMap::new();
+        let mut empty_rows: HashMap<String, EmptyRow> = HashMap::new();
         loop {
             let rooms = self.rooms(&empty_rows);
             let due = renewed.elapsed() >= RENEWAL && self.held() > 0;
@@ -151,7 +160,7 @@
 
     /// Room per row: each service's room is shared by weight among the rows
     /// that have had items lately.
-    fn rooms(&self, empty_rows: &HashMap<String, Instant>) -> Vec<RowRoom> {
+    fn rooms(&self, empty_rows: &HashMap<String, EmptyRow>) -> Vec<RowRoom> {
         if self.leaving.load(Ordering::Relaxed) {
             return Vec::new();
         }
@@ -419,8 +428,8 @@
     ItemResult { position, code: code.number(), status: u32::from(code.http_status()), body }
 }
 
-fn share_room(table: &Table, service: &str, room: u32, empty_rows: &HashMap<String, Instant>) -> Vec<RowRoom> {
-    let is_empty = |row: &Row| empty_rows.get(&row.name).is_some_and(|since| since.elapsed() < EMPTY_ROW_PAUSE);
+fn share_room(table: &Table, service: &str, room: u32, empty_rows: &HashMap<String, EmptyRow>) -> Vec<RowRoom> {
+    let is_empty = |row: &Row| empty_rows.get(&row.name).is_some_and(|empty| Instant::now() < empty.ask_again);
     let rows: Vec<&Row> = table
         .rows
         .values()
@@ -433,12 +442,14 @@
         .collect()
 }
 
-fn note_empty_rows(request: &LeaseRequest, answer: &LeaseAnswer, empty_rows: &mut HashMap<String, Instant>) {
+fn note_empty_rows(request: &LeaseRequest, answer: &LeaseAnswer, empty_rows: &mut HashMap<String, EmptyRow>) {
     for room in &request.rooms {
         if answer.items.iter().any(|item| item.row == room.row) {
             empty_rows.remove(&room.row);
         } else {
-            empty_rows.insert(room.row.clone(), Instant::now());
+            let earlier = empty_rows.get(&room.row).map(|empty| empty.pause * 2);
+            let pause = earlier.unwrap_or(EMPTY_ROW_PAUSE).min(EMPTY_ROW_PAUSE_MAXIMUM);
+            empty_rows.insert(room.row.clone(), EmptyRow { ask_again: Instant::now() + pause, pause });
         }
     }
 }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -2,8 +2,9 @@
 
 use crate::members::{Members, PeerRevision};
 use crate::peers::{PeerCall, PeerClient};
-use latchwheel_core::configuration::{Action, ConfigurationLog, EditOutcome, Event, Record};
-use latchwheel_core::identity::{stable_hash, stable_pair_hash, NodeId};
+use latchwheel_core::configuration::{watch_name, Action, ConfigurationLog, EditOutcome, Event, Record, WATCHERS};
+use latchwheel_core::identity::NodeId;
+use latchwheel_core::ownership::is_among_first;
 use latchwheel_core::table::{Edit, Table};
 use latchwheel_platform::{KeyValueClient, KeyValueFault, Written};
 use latchwheel_protocol::v1::{RevisionAnswer, RevisionPull, RevisionRecord};
@@ -20,8 +21,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const RELOAD_PAUSE: Duration = Duration::from_secs(1);
 const PULL_TIME: Duration = Duration::from_secs(2);
-/// Nodes of a region that watch the service; the others hear from them.
-const WATCHERS: usize = 3;
 
 /// The running configuration log.
 #[derive(Debug)]
@@ -142,7 +141,7 @@
         let value = serde_json::to_string(&edit).unwrap_or_default();
         loop {
             match self.service.write(&log_key(revision), &value, 0).await {
-                Ok(Written::Done(_)) => return self.handle(Event::Created(revision)),
+                Ok(Written::Done(_)) => return self.handle(Event::Created(revision, edit)),
                 Ok(Written::Differs(stored)) => return self.found(revision, &stored.value),
                 Err(KeyValueFault::AnswerLost) => return self.handle(Event::AnswerLost(revision)),
                 Err(KeyValueFault::Away) if self.is_edit_over() => return self.handle(Event::GiveUp),
@@ -275,9 +274,8 @@
 
     fn is_watcher(&self) -> bool {
         let view = self.members.view();
-        let name = stable_hash(LOG_PREFIX.as_bytes());
-        let own = stable_pair_hash(view.me.node, name);
-        view.live_in_region().filter(|record| stable_pair_hash(record.node, name) > own).count() < WATCHERS
+        let nodes = view.live_in_region().map(|record| NodeId(record.node));
+        is_among_first(NodeId(view.me.node), watch_name(), nodes, WATCHERS)
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,6 @@
 mod completions;
 mod configuration;
 mod forward;
-mod keys;
 mod limits;
 mod members;
 mod metrics;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,6 @@
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::forward::Router;
-use crate::keys::Keys;
 use crate::limits::Limits;
 use crate::members::{Members, PeerRevision};
 use crate::metrics::Metrics;
@@ -258,7 +257,6 @@
         members: members.clone(),
         limits: Limits::new(clock, members.clone(), configuration.clone(), peers),
         configuration,
-        keys: Keys::new(service),
         router,
         registrar,
         store,
@@ -282,7 +280,6 @@
         tokio::spawn(owner.run()),
         tokio::spawn(backend.configuration.clone().run_service()),
         tokio::spawn(backend.configuration.clone().run_peers(heard)),
-        tokio::spawn(backend.keys.clone().run()),
         tokio::spawn(backend.limits.clone().run()),
         tokio::spawn(backend.stores.clone().run()),
         tokio::spawn(follow_table(backend.clone())),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -103,10 +103,18 @@
         for row in table.rows.values() {
             let concurrency = row.limits.concurrency.div_ceil(sharers.max(1));
             let share = RowShare { weight: row.weight, concurrency, queue: row.limits.queue };
-            state.handle(now, Event::RowShare(row.name.as_str().into(), share));
+            // A table has thousands of rows, and an edit changes one.
+            if state.scheduler.row_share(&row.name) != Some(share) {
+                state.handle(now, Event::RowShare(row.name.as_str().into(), share));
+            }
         }
     }
 
+    /// Work that was started on a server so far.
+    pub(crate) fn starts_of(&self, server: ServerId) -> u64 {
+        self.lock().scheduler.starts_of(server)
+    }
+
     pub(crate) fn online_room(&self, service: &str) -> (u32, u32) {
         self.lock().scheduler.online_room(self.clock.now(), service)
     }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,7 @@
 //! Follows the machine list and the membership, and takes this node's share
 //! of the servers.
 
-use crate::members::Members;
+use crate::members::{MemberView, Members};
 use crate::owner::Owner;
 use latchwheel_core::identity::{NodeId, ServerId};
 use latchwheel_core::membership::Event as MembershipEvent;
@@ -9,14 +9,22 @@
 use latchwheel_core::prefix::CacheEvent;
 use latchwheel_core::scheduler::{Event, ServerProfile};
 use latchwheel_engine::EngineClient;
-use latchwheel_platform::{Machine, MachineKind, MachineListClient, MachineState};
+use latchwheel_platform::{Machine, MachineKind, MachineListClient, MachineState, RegionMachines};
 use latchwheel_protocol::v1::MemberRecord;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
-const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
-const CACHE_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed call of the machine list.
+const LIST_PAUSE: Duration = Duration::from_secs(1);
+/// A server's profile changes rarely and is read again after this time.
+const PROFILE_INTERVAL: Duration = Duration::from_secs(30);
+/// A server that did not answer is asked again after this time.
+const PROFILE_RETRY: Duration = Duration::from_millis(500);
+/// Cache events are read this often while requests are sent to the server.
+const CACHE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Follows machines and servers.
 #[derive(Debug)]
@@ -32,6 +40,8 @@
 #[derive(Debug)]
 struct OwnedState {
     machine: Machine,
+    next_profile: Instant,
+    is_up: bool,
     cache_task: Option<tokio::task::JoinHandle<()>>,
 }
 
@@ -56,17 +66,22 @@
 
     /// Follows for ever. While the list is away, the last one stands.
     pub(crate) async fn run(mut self) {
-        let mut changes = self.members.subscribe();
-        let mut machines = Vec::new();
+        let shown = watch::Sender::new(Arc::new(RegionMachines::default()));
+        let mut changes = shown.subscribe();
+        let list = tokio::spawn(follow_list(self.list.clone(), self.members.clone(), shown));
+        let mut members = self.members.subscribe();
         loop {
-            match self.list.machines().await {
-                Ok(present) => machines = present,
-                Err(fault) => log::warn!(target: "E4001", "the machine list does not answer: {fault}"),
+            let machines = changes.borrow_and_update().clone();
+            let view = members.borrow_and_update().clone();
+            self.seed(&machines.machines);
+            self.take_share(&machines.machines, &view).await;
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { break },
+                changed = members.changed() => if changed.is_err() { break },
+                () = tokio::time::sleep(PROFILE_RETRY) => {}
             }
-            self.seed(&machines);
-            self.take_share(&machines).await;
-            let _ = tokio::time::timeout(FOLLOW_INTERVAL, changes.changed()).await;
         }
+        list.abort();
     }
 
     fn seed(&self, machines: &[Machine]) {
@@ -85,8 +100,7 @@
         self.members.handle(MembershipEvent::Seeds(seeds));
     }
 
-    async fn take_share(&mut self, machines: &[Machine]) {
-        let view = self.members.view();
+    async fn take_share(&mut self, machines: &[Machine], view: &MemberView) {
         let candidates: Vec<OwnerCandidate> = view
             .live_in_region()
             .map(|record| OwnerCandidate {
@@ -97,7 +111,7 @@
             .collect();
         let engines: BTreeMap<ServerId, &Machine> = machines
             .iter()
-            .filter(|machine| machine.kind == MachineKind::Engine && machine.region == view.me.region)
+            .filter(|machine| machine.kind == MachineKind::Engine)
             .map(|machine| (ServerId::of_name(&machine.name), machine))
             .collect();
         let servers: Vec<OwnedServer> = engines
@@ -115,56 +129,136 @@
             self.owned.remove(&server);
             self.owner.handle(Event::ServerGone(server));
         }
-        for (server, machine) in engines.into_iter().filter(|(server, _)| mine(server)) {
-            self.follow_server(server, machine).await;
+        let due: Vec<(ServerId, Machine)> = engines
+            .into_iter()
+            .filter(|(server, machine)| mine(server) && self.is_due(*server, machine))
+            .map(|(server, machine)| (server, machine.clone()))
+            .collect();
+        let reads = due.iter().map(|(_, machine)| self.engines.load(&machine.address));
+        let loads = futures::future::join_all(reads).await;
+        for ((server, machine), load) in due.into_iter().zip(loads) {
+            let profile = load.map(|load| (!load.draining).then(|| profile_of(&machine, &load)));
+            match profile {
+                Ok(profile) => self.take_profile(server, machine, profile),
+                Err(fault) => {
+                    let known = self.owned.get(&server).is_some_and(|owned| owned.is_up);
+                    if !known {
+                        log::warn!(target: "E4002", "server {} does not answer: {fault}", machine.name);
+                    }
+                }
+            }
         }
     }
 
-    async fn follow_server(&mut self, server: ServerId, machine: &Machine) {
+    /// Whether the server's profile has to be read now. A server that the
+    /// list shows as leaving is closed at once, without asking it.
+    fn is_due(&mut self, server: ServerId, machine: &Machine) -> bool {
         if machine.state == MachineState::Leaving {
             self.owner.handle(Event::ServerLeaving(server));
-            return;
+            if let Some(owned) = self.owned.get_mut(&server) {
+                owned.machine = machine.clone();
+                owned.is_up = false;
+            }
+            return false;
         }
-        let moved = self.owned.get(&server).is_none_or(|owned| owned.machine.address != machine.address);
-        let Ok(load) = self.engines.load(&machine.address).await else { return };
-        if load.draining {
-            self.owner.handle(Event::ServerLeaving(server));
-            return;
+        match self.owned.get(&server) {
+            Some(owned) => !owned.is_up || owned.machine != *machine || Instant::now() >= owned.next_profile,
+            None => true,
         }
-        let profile = ServerProfile {
-            name: machine.name.as_str().into(),
-            service: machine.service.as_str().into(),
-            models: load.models.iter().map(|model| model.as_str().into()).collect(),
-            slots: load.slots,
-            token_capacity: load.token_capacity,
-        };
-        self.owner.server_up(server, &machine.address, profile);
+    }
+
+    fn take_profile(&mut self, server: ServerId, machine: Machine, profile: Option<ServerProfile>) {
+        let is_up = profile.is_some();
+        match profile {
+            Some(profile) => self.owner.server_up(server, &machine.address, profile),
+            None => self.owner.handle(Event::ServerLeaving(server)),
+        }
+        let moved = self.owned.get(&server).is_none_or(|owned| owned.machine.address != machine.address);
+        let next_profile = Instant::now() + PROFILE_INTERVAL;
         if moved {
             let follow = follow_cache(self.engines.clone(), self.owner.clone(), server, machine.address.clone());
             let cache_task = self.cache_aware.then(|| tokio::spawn(follow));
-            self.owned.insert(server, OwnedState { machine: machine.clone(), cache_task });
+            self.owned.insert(server, OwnedState { machine, next_profile, is_up, cache_task });
+        } else if let Some(owned) = self.owned.get_mut(&server) {
+            owned.machine = machine;
+            owned.next_profile = next_profile;
+            owned.is_up = is_up;
         }
     }
 }
 
+fn profile_of(machine: &Machine, load: &latchwheel_engine::LoadReport) -> ServerProfile {
+    ServerProfile {
+        name: machine.name.as_str().into(),
+        service: machine.service.as_str().into(),
+        models: load.models.iter().map(|model| model.as_str().into()).collect(),
+        slots: load.slots,
+        token_capacity: load.token_capacity,
+    }
+}
+
+/// Follows the list: the region's nodes, the engines of the own zone, and
+/// those of zones without a live node.
+async fn follow_list(list: MachineListClient, members: Arc<Members>, shown: watch::Sender<Arc<RegionMachines>>) {
+    let mut changes = members.subscribe();
+    let mut known = None;
+    let mut asked = Vec::new();
+    loop {
+        let view = changes.borrow_and_update().clone();
+        let zones = wanted_zones(&view, &shown.borrow().zones);
+        if zones != asked {
+            known = None;
+            asked = zones;
+        }
+        let answer = tokio::select! {
+            answer = list.machines(&view.me.region, &asked, known) => answer,
+            _ = changes.changed() => continue,
+        };
+        match answer {
+            Ok(Some(machines)) => {
+                known = Some(machines.version);
+                shown.send_replace(Arc::new(machines));
+            }
+            Ok(None) => {}
+            Err(fault) => {
+                log::warn!(target: "E4001", "the machine list does not answer: {fault}");
+                tokio::time::sleep(LIST_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn wanted_zones(view: &MemberView, region_zones: &[String]) -> Vec<String> {
+    let with_node: BTreeSet<&str> = view.live_in_region().map(|record| record.zone.as_str()).collect();
+    let without = region_zones.iter().filter(|zone| !with_node.contains(zone.as_str()));
+    let mut zones: BTreeSet<String> = without.cloned().collect();
+    zones.insert(view.me.zone.clone());
+    zones.into_iter().collect()
+}
+
 /// Corrects the prefix index of a server by its events; a gap leads to a
-/// whole resync.
+/// whole resync. Nothing is asked while no request is sent to the server.
 async fn follow_cache(engines: EngineClient, owner: Owner, server: ServerId, address: String) {
     let mut next = 0;
     let mut stale = true;
+    let mut seen = u64::MAX;
     loop {
-        if stale {
-            if let Ok(whole) = engines.cached_blocks(&address).await {
-                owner.resync_cache(server, whole.next, &whole.blocks);
-                next = whole.next;
-                stale = false;
+        let starts = owner.starts_of(server);
+        if starts != seen {
+            seen = starts;
+            if stale {
+                if let Ok(whole) = engines.cached_blocks(&address).await {
+                    owner.resync_cache(server, whole.next, &whole.blocks);
+                    next = whole.next;
+                    stale = false;
+                }
             }
-        }
-        if let Ok(answer) = engines.cache_events(&address, next).await {
-            for line in answer.events {
-                next = line.sequence + 1;
-                let event = CacheEvent { sequence: line.sequence, stored: line.stored, evicted: line.evicted };
-                stale |= owner.note_cache_event(server, &event);
+            if let Ok(answer) = engines.cache_events(&address, next).await {
+                for line in answer.events {
+                    next = line.sequence + 1;
+                    let event = CacheEvent { sequence: line.sequence, stored: line.stored, evicted: line.evicted };
+                    stale |= owner.note_cache_event(server, &event);
+                }
             }
         }
         tokio::time::sleep(CACHE_INTERVAL).await;
--- a/crates/node/src/stores.rs
+++ b/crates/node/src/stores.rs
@@ -65,8 +65,7 @@
         peers: PeerClient,
     ) -> Arc<Self> {
         let runtime = tokio::runtime::Handle::current();
-        let transport =
-            Arc::new(PeerTransport { members: members.clone(), peers, queues: Mutex::default(), runtime });
+        let transport = Arc::new(PeerTransport { members: members.clone(), peers, queues: Mutex::default(), runtime });
         Arc::new(Self { folder, settings, service, members, configuration, transport, groups: Mutex::default() })
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,5 +5,5 @@
 mod weights;
 
 pub use key_value::{KeyValueClient, KeyValueFault, Stored, Written};
-pub use machine::{Machine, MachineKind, MachineListClient, MachineState};
+pub use machine::{Machine, MachineKind, MachineListClient, MachineState, RegionMachines};
 pub use weights::WeightClient;
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 const CALL_TIME: Duration = Duration::from_secs(2);
+/// The list itself bounds a wait to five seconds.
+const WAIT_TIME: Duration = Duration::from_secs(8);
 
 /// What a machine is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,9 +51,15 @@
     pub state: MachineState,
 }
 
-#[derive(Debug, Deserialize)]
-struct MachinesAnswer {
-    machines: Vec<Machine>,
+/// What the list shows of a region.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionMachines {
+    /// Version of what is shown; changes with it.
+    pub version: u64,
+    /// Zones of the region with any machine.
+    pub zones: Vec<String>,
+    /// All nodes of the region, and the engines of the zones asked for.
+    pub machines: Vec<Machine>,
 }
 
 /// Client of the machine list.
@@ -67,14 +75,26 @@
         Self { client: Client::http1(), address }
     }
 
-    /// The machines, as the list shows them.
+    /// The nodes of a region and the engines of some of its zones, once their
+    /// version is another than `known`; `None` if it stays the same for as
+    /// long as the list waits.
     ///
     /// # Errors
     /// [`CallFault`] where the list does not answer.
-    pub async fn machines(&self) -> Result<Vec<Machine>, CallFault> {
-        let answer: MachinesAnswer =
-            self.client.json(Method::GET, &self.address, "/v1/machines", &(), CALL_TIME).await?;
-        Ok(answer.machines)
+    pub async fn machines(
+        &self,
+        region: &str,
+        zones: &[String],
+        known: Option<u64>,
+    ) -> Result<Option<RegionMachines>, CallFault> {
+        let zones = zones.join(",");
+        let known = known.map(|version| format!("&known={version}")).unwrap_or_default();
+        let path = format!("/v1/machines?region={region}&zones={zones}{known}");
+        match self.client.json(Method::GET, &self.address, &path, &(), WAIT_TIME).await {
+            Ok(machines) => Ok(Some(machines)),
+            Err(CallFault::BadAnswer(304, _)) => Ok(None),
+            Err(fault) => Err(fault),
+        }
     }
 
     /// Enters a machine into a stand-in's list; real platforms do so
