Keep an item's run when it is granted anew; answer given-up grants

(2) A grant whose commit was given up was never answered, so that the leader's own batch runner waited for ever. (3) Errors that are not the caller's did not all say when to come back (kill-each-node: code 4000). Change: the run goes on under the new lease; given-up grants are dropped, which answers; server-side errors always carry Retry-After.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -25,8 +25,20 @@
     })
 }
 
-/// An error answer.
+/// When to come back after an error that is not the caller's, where nothing
+/// better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+const FIRST_SERVER_STATUS: u16 = 500;
+
+/// An error answer. Errors that are not the caller's say when to come back.
 pub fn refuse(code: ResultCode, detail: &str) -> Response<Body> {
+    if code.http_status() >= FIRST_SERVER_STATUS {
+        return refuse_after(code, detail, DEFAULT_RETRY_AFTER);
+    }
+    refuse_for_good(code, detail)
+}
+
+fn refuse_for_good(code: ResultCode, detail: &str) -> Response<Body> {
     let mut response = json(code.http_status(), &error_body(code, detail));
     let headers = response.headers_mut();
     headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
@@ -36,7 +48,7 @@
 
 /// An error answer that says when to come back, in whole seconds and exactly.
 pub fn refuse_after(code: ResultCode, detail: &str, after: Duration) -> Response<Body> {
-    let mut response = refuse(code, detail);
+    let mut response = refuse_for_good(code, detail);
     let seconds = after.as_millis().div_ceil(1000).max(1) as u64;
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     response.headers_mut().insert("retry-after-ms", HeaderValue::from(after.as_millis() as u64));
--- a/crates/node/src/batch.rs
+++ b/crates/node/src/batch.rs
@@ -195,13 +195,16 @@
         let table = self.configuration.table();
         for leased in answer.items {
             let item = HeldItem { job: leased.job.clone(), position: leased.position };
-            let (stop, stopped) = watch::channel(false);
-            let known = self.lock().insert(item.clone(), HeldState { lease: leased.lease, stop });
-            if known.is_some() {
-                // The item is granted anew while it still runs here: the
-                // first committed result wins.
+            let mut held = self.lock();
+            if let Some(state) = held.get_mut(&item) {
+                // Granted anew while it still runs here, after its lease had
+                // lapsed at the leader: the same run goes on under the new one.
+                state.lease = leased.lease;
                 continue;
             }
+            let (stop, stopped) = watch::channel(false);
+            held.insert(item.clone(), HeldState { lease: leased.lease, stop });
+            drop(held);
             let row = table.rows.get(&leased.row).cloned();
             let this = self.clone();
             tokio::spawn(async move { this.run_item(leased, item, row, stopped).await });
@@ -273,6 +276,7 @@
                 if let Some(address) = address {
                     self.engines.cancel(&address, &run_identity(&leased)).await;
                 }
+                self.lock().remove(&item);
             }
         }
     }
--- a/crates/store/src/group.rs
+++ b/crates/store/src/group.rs
@@ -619,7 +619,11 @@
     }
 
     fn upkeep(&mut self, now: Instant, actions: &mut Vec<Action>) -> Result<(), DiskFault> {
-        self.proposals.expire();
+        for grant in self.proposals.expire() {
+            if let Some(desk) = self.desk.as_mut() {
+                desk.drop_held(grant);
+            }
+        }
         if self.core.role() != Role::Leader {
             return Ok(());
         }
--- a/crates/store/src/lease_desk.rs
+++ b/crates/store/src/lease_desk.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// The starts of a held answer are given up: the holder hears nothing of
+    /// the items, and their lease lapses.
+    pub(crate) fn drop_held(&mut self, identity: u64) {
+        self.held.remove(&identity);
+    }
+
     /// Follows an applied command.
     pub(crate) fn note_applied(&mut self, command: &Command, state: &JobState) {
         match &command.body {
--- a/crates/store/src/proposals.rs
+++ b/crates/store/src/proposals.rs
@@ -74,8 +74,10 @@
         }
     }
 
-    /// Gives up what has waited for too long.
-    pub(crate) fn expire(&mut self) {
+    /// Gives up what has waited for too long. Returns the grants among it,
+    /// whose holders wait as well.
+    pub(crate) fn expire(&mut self) -> Vec<u64> {
+        let mut grants = Vec::new();
         let over: Vec<u64> = self
             .pending
             .iter()
@@ -84,7 +86,7 @@
             .collect();
         for identity in over {
             if let Some(pending) = self.pending.remove(&identity) {
-                refuse(pending.waiter, ResultCode::NoQuorum);
+                grants.extend(refuse(pending.waiter, ResultCode::NoQuorum));
             }
         }
         let pending = &self.pending;
@@ -97,9 +99,10 @@
             .collect();
         for index in late {
             if let Some((pending, _)) = self.applied.remove(&index) {
-                refuse(pending.waiter, ResultCode::NoQuorum);
+                grants.extend(refuse(pending.waiter, ResultCode::NoQuorum));
             }
         }
+        grants
     }
 
     /// Gives up everything: whether it is committed can't be told here.
@@ -112,8 +115,14 @@
     }
 }
 
-fn refuse(waiter: Waiter, code: ResultCode) {
-    if let Waiter::Caller(reply) = waiter {
-        let _ = reply.send(Err(code));
+/// Tells a caller; a grant is given back to be told by whoever keeps it.
+fn refuse(waiter: Waiter, code: ResultCode) -> Option<u64> {
+    match waiter {
+        Waiter::Caller(reply) => {
+            let _ = reply.send(Err(code));
+            None
+        }
+        Waiter::Grant(identity) => Some(identity),
+        Waiter::Nobody => None,
     }
 }
