Carry the target's control: cheap tables, membership and limits

Change: the table shares what an edit leaves alone and is compared by what differs; membership keeps what is still to be told, suspected and recent apart; half of a row's rate is divided evenly, a node asks the home only under pressure, and once before it refuses. Ruled out: ownership (assigned once per change) and the prefix index (not in control).

--- a/crates/bench/src/scale/place.rs
+++ b/crates/bench/src/scale/place.rs
@@ -5,6 +5,7 @@
 use latchwheel_core::table::{Class, Limits, RetryPolicy, Row, Table};
 use latchwheel_platform::{Machine, MachineKind, MachineState};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Size of a system.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -87,7 +88,7 @@
         let mut table = Table { revision: 1, ..Table::default() };
         for tenant in 0..self.tenants {
             let row = tenant_row(tenant, 1.0);
-            table.rows.insert(row.name.clone(), row);
+            table.rows.insert(row.name.clone(), Arc::new(row));
             table.keys.insert(format!("{tenant:064x}"), format!("tenant-{tenant}"));
         }
         table
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -1,8 +1,9 @@
-//! Limits of rows across nodes: a home node leases out shares of the rate.
+//! Limits of rows across nodes: half of a row's rate is divided evenly among
+//! the nodes, and a home node leases out the other half by demand.
 //!
-//! A node asks the row's home only while it has demand, so nothing is sent
-//! for idle rows. A node whose home is away keeps its last share for its
-//! validity, then falls back to a safe floor.
+//! A node whose demand stays within its even part asks nobody, so that
+//! nothing is sent for idle rows and for most others. A node whose home is
+//! away keeps its lease for its validity, then has its even part alone.
 
 use crate::identity::NodeId;
 use crate::time::Instant;
@@ -13,13 +14,25 @@
 pub const SHARE_VALIDITY: Duration = Duration::from_secs(5);
 /// A node asks again this long before its share lapses.
 pub const SHARE_RENEWAL: Duration = Duration::from_secs(1);
+/// Demand is measured over at least this many seconds, or over the shorter
+/// time where a request was refused.
+const DEMAND_SECONDS: f64 = 4.0;
+const PRESSED_SECONDS: f64 = 0.2;
+/// A few requests are no demand that a home has to know of.
+const DEMAND_LEAST: u64 = 4;
+/// Part of a row's rate that is divided evenly.
+pub const EVEN_PART: f64 = 0.5;
 /// Requests may come in bursts of this many seconds of the rate.
 const BURST_SECONDS: f64 = 1.0;
+/// A node takes bursts of up to this many requests, though not more than a
+/// second of the row's whole rate, however small its own part is.
+const NODE_BURST: f64 = 4.0;
 
 /// A token bucket.
 #[derive(Clone, Debug)]
 pub struct Bucket {
     rate: f64,
+    burst: f64,
     tokens: f64,
     at: Instant,
 }
@@ -27,23 +40,30 @@
 impl Bucket {
     /// A full bucket with a rate a second.
     pub fn new(now: Instant, rate: f64) -> Self {
-        Self { rate, tokens: Self::capacity(rate), at: now }
+        Self::with_burst(now, rate, 1.0)
     }
 
-    fn capacity(rate: f64) -> f64 {
-        (rate * BURST_SECONDS).max(1.0)
+    /// A full bucket that takes at least `burst` requests at once.
+    pub fn with_burst(now: Instant, rate: f64, burst: f64) -> Self {
+        let mut bucket = Self { rate, burst, tokens: 0.0, at: now };
+        bucket.tokens = bucket.capacity();
+        bucket
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.rate * BURST_SECONDS).max(self.burst).max(1.0)
     }
 
     /// Changes the rate; what is saved up stays, up to the new capacity.
     pub fn set_rate(&mut self, now: Instant, rate: f64) {
         self.refill(now);
         self.rate = rate;
-        self.tokens = self.tokens.min(Self::capacity(rate));
+        self.tokens = self.tokens.min(self.capacity());
     }
 
     fn refill(&mut self, now: Instant) {
         let passed = now.since(self.at).as_secs_f64();
-        self.tokens = (self.tokens + passed * self.rate).min(Self::capacity(self.rate));
+        self.tokens = (self.tokens + passed * self.rate).min(self.capacity());
         self.at = self.at.max(now);
     }
 
@@ -68,8 +88,22 @@
     bucket: Bucket,
     demand: u64,
     demand_since: Instant,
+    refused: bool,
+    /// When the home was last asked before a refusal.
+    pressed_at: Option<Instant>,
     valid_until: Instant,
-    asked: bool,
+    even: f64,
+    leased: f64,
+}
+
+impl HeldShare {
+    fn rate(&self, now: Instant) -> f64 {
+        if now <= self.valid_until {
+            self.even + self.leased
+        } else {
+            self.even
+        }
+    }
 }
 
 /// The limits as a node that serves requests sees them.
@@ -88,9 +122,8 @@
 }
 
 impl LimitHolder {
-    /// Takes one request of the row from the node's share of `row_rate`.
-    /// Until the first share comes, and after a lapse, the share is the
-    /// floor: the row's rate over the number of nodes.
+    /// Takes one request of the row from the node's share of `row_rate`: its
+    /// even part among `nodes`, and what it has leased.
     ///
     /// # Errors
     /// The time after which the row has room again.
@@ -98,48 +131,75 @@
         if row_rate <= 0.0 {
             return Ok(());
         }
-        let floor = row_rate / nodes.max(1) as f64;
+        let even = row_rate * EVEN_PART / nodes.max(1) as f64;
         if !self.shares.contains_key(row) {
             let share = HeldShare {
-                bucket: Bucket::new(now, floor),
+                bucket: Bucket::with_burst(now, even, (row_rate * BURST_SECONDS).min(NODE_BURST)),
                 demand: 0,
                 demand_since: now,
+                refused: false,
+                pressed_at: None,
                 valid_until: now,
-                asked: false,
+                even,
+                leased: 0.0,
             };
             self.shares.insert(row.to_owned(), share);
         }
         let Some(share) = self.shares.get_mut(row) else { return Ok(()) };
         share.demand += 1;
-        if now > share.valid_until && share.bucket.rate != floor {
-            share.bucket.set_rate(now, floor);
+        share.even = even;
+        let rate = share.rate(now);
+        if share.bucket.rate != rate {
+            share.bucket.set_rate(now, rate);
         }
-        share.bucket.take(now)
+        let taken = share.bucket.take(now);
+        share.refused |= taken.is_err();
+        taken
     }
 
-    /// Shares that should be asked for now; idle rows are dropped.
+    /// Shares that should be asked for now: those that refused a request, and
+    /// those with lasting demand above the even part. Idle rows are dropped.
     pub fn demands(&mut self, now: Instant) -> Vec<ShareDemand> {
         self.shares.retain(|_, share| share.demand > 0 || now < share.valid_until);
         let mut demands = Vec::new();
         for (row, share) in &mut self.shares {
-            let due = now + SHARE_RENEWAL >= share.valid_until;
-            if due && share.demand > 0 {
-                let seconds = now.since(share.demand_since).as_secs_f64().max(0.1);
-                demands.push(ShareDemand { row: row.clone(), per_second: share.demand as f64 / seconds });
-                share.demand = 0;
-                share.demand_since = now;
-                share.asked = true;
+            let seconds = now.since(share.demand_since).as_secs_f64();
+            let least = if share.refused { PRESSED_SECONDS } else { DEMAND_SECONDS };
+            if now + SHARE_RENEWAL < share.valid_until || seconds < least {
+                continue;
             }
+            let per_second = share.demand as f64 / seconds;
+            if share.refused || (share.demand >= DEMAND_LEAST && per_second > share.even) {
+                demands.push(ShareDemand { row: row.clone(), per_second });
+            }
+            share.demand = 0;
+            share.demand_since = now;
+            share.refused = false;
         }
         demands
     }
 
+    /// The share of a row that has just refused a request, unless its home
+    /// was asked a moment ago.
+    pub fn pressing(&mut self, now: Instant, row: &str) -> Vec<ShareDemand> {
+        let Some(share) = self.shares.get_mut(row) else { return Vec::new() };
+        let asked_lately = share.pressed_at.is_some_and(|at| now.since(at).as_secs_f64() < PRESSED_SECONDS);
+        if asked_lately || now + SHARE_RENEWAL < share.valid_until {
+            return Vec::new();
+        }
+        share.pressed_at = Some(now);
+        let seconds = now.since(share.demand_since).as_secs_f64().max(PRESSED_SECONDS);
+        vec![ShareDemand { row: row.to_owned(), per_second: share.demand as f64 / seconds }]
+    }
+
     /// Takes the home's answer; `asked_at` is when the request was sent, since
     /// a lease counts from before it was asked for.
     pub fn granted(&mut self, now: Instant, asked_at: Instant, row: &str, rate: f64) {
         if let Some(share) = self.shares.get_mut(row) {
-            share.bucket.set_rate(now, rate);
+            share.leased = rate;
             share.valid_until = asked_at + SHARE_VALIDITY;
+            let rate = share.rate(now);
+            share.bucket.set_rate(now, rate);
         }
     }
 }
@@ -158,9 +218,11 @@
 }
 
 impl LimitHome {
-    /// Grants a node's share of the row's rate, in proportion to demand. The
-    /// sum of grants that are still valid never exceeds the rate.
-    pub fn grant(&mut self, now: Instant, row: &str, rate: f64, node: NodeId, demand: f64) -> f64 {
+    /// Grants a node's share of the part of the row's rate that is leased
+    /// out, in proportion to demand. The sum of grants that are still valid
+    /// never exceeds that part.
+    pub fn grant(&mut self, now: Instant, row: &str, row_rate: f64, node: NodeId, demand: f64) -> f64 {
+        let rate = row_rate * (1.0 - EVEN_PART);
         let claims = self.claims.entry(row.to_owned()).or_default();
         claims.retain(|_, claim| now < claim.until);
         let others: f64 = claims.iter().filter(|(id, _)| **id != node).map(|(_, claim)| claim.granted).sum();
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -14,15 +14,15 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand::SeedableRng;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Members asked to probe on one's behalf.
 const INDIRECT_PROBES: usize = 3;
 /// Records carried by one message.
 const UPDATES_PER_MESSAGE: usize = 6;
-/// Summaries of other nodes carried by one message.
-const SUMMARIES_PER_MESSAGE: usize = 6;
+/// Summaries of other nodes carried by one probe; answers carry none.
+const SUMMARIES_PER_PROBE: usize = 4;
 /// A record is told this many times the logarithm of the members.
 const TELL_FACTOR: f64 = 3.0;
 /// Suspicion lasts this many periods times the logarithm of the members.
@@ -87,7 +87,6 @@
 struct Member {
     record: MemberRecord,
     since: Instant,
-    tells: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -107,18 +106,15 @@
     sequence: u64,
 }
 
-#[derive(Clone, Debug)]
-struct KnownSummary {
-    summary: Summary,
-    at: Instant,
-}
-
 /// The members as one node sees them.
 #[derive(Debug)]
 pub struct Membership {
     settings: Settings,
     me: MemberRecord,
     members: BTreeMap<NodeId, Member>,
+    /// Members whose records are still being told, by how often they were.
+    untold: BTreeSet<(u32, NodeId)>,
+    suspects: BTreeSet<NodeId>,
     round: Vec<NodeId>,
     probe: Option<Probe>,
     relayed: Vec<RelayedProbe>,
@@ -127,7 +123,9 @@
     sequence: u64,
     own_tells: u32,
     own_summary: Summary,
-    summaries: BTreeMap<NodeId, KnownSummary>,
+    summaries: BTreeMap<NodeId, Summary>,
+    /// Nodes of the own zone whose summaries came last, the latest first.
+    recent: VecDeque<NodeId>,
     random: SmallRng,
 }
 
@@ -139,6 +137,8 @@
             settings,
             me,
             members: BTreeMap::new(),
+            untold: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             round: Vec::new(),
             probe: None,
             relayed: Vec::new(),
@@ -148,6 +148,7 @@
             own_tells: 0,
             own_summary,
             summaries: BTreeMap::new(),
+            recent: VecDeque::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -175,7 +176,7 @@
 
     /// The last known summaries of other nodes.
     pub fn summaries(&self) -> impl Iterator<Item = &Summary> {
-        self.summaries.values().map(|known| &known.summary)
+        self.summaries.values()
     }
 
     /// Takes an event and says what to do.
@@ -217,10 +218,16 @@
     }
 
     /// Takes a summary that came with an answer over another way.
-    pub fn note_summary(&mut self, now: Instant, summary: Summary) {
+    pub fn note_summary(&mut self, summary: Summary) {
         let node = NodeId(summary.node);
-        if node.0 != self.me.node {
-            self.summaries.insert(node, KnownSummary { summary, at: now });
+        if node.0 == self.me.node {
+            return;
+        }
+        self.summaries.insert(node, summary);
+        if self.members.get(&node).is_some_and(|member| member.record.zone == self.me.zone) {
+            self.recent.retain(|recent| *recent != node);
+            self.recent.push_front(node);
+            self.recent.truncate(SUMMARIES_PER_PROBE);
         }
     }
 
@@ -238,6 +245,7 @@
         self.probe_regions(actions);
         if self.periods.is_multiple_of(RECONNECT_PERIODS) {
             self.reconnect(actions);
+            self.forget_dead(now);
         }
     }
 
@@ -273,16 +281,23 @@
     }
 
     fn expire_suspects(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.suspects.is_empty() {
+            return;
+        }
         let limit = self.suspicion();
         let expired: Vec<MemberRecord> = self
-            .members
-            .values()
-            .filter(|member| member.record.status() == MemberStatus::Suspect && now.since(member.since) >= limit)
+            .suspects
+            .iter()
+            .filter_map(|node| self.members.get(node))
+            .filter(|member| now.since(member.since) >= limit)
             .map(|member| MemberRecord { status: MemberStatus::Dead.into(), ..member.record.clone() })
             .collect();
         for record in expired {
             self.take_record(now, record, actions);
         }
+    }
+
+    fn forget_dead(&mut self, now: Instant) {
         self.members.retain(|_, member| {
             member.record.status() != MemberStatus::Dead || now.since(member.since) < DEAD_RETENTION
         });
@@ -401,7 +416,7 @@
             answer,
             revision: self.own_summary.revision,
             updates,
-            summaries: self.pick_summaries(),
+            summaries: self.pick_summaries(if answer { 0 } else { SUMMARIES_PER_PROBE }),
             join,
         };
         actions.push(Action::Send(address, message));
@@ -415,26 +430,20 @@
             self.own_tells += 1;
             updates.push(self.me.clone());
         }
-        let mut fresh: Vec<&mut Member> = self.members.values_mut().filter(|member| member.tells < limit).collect();
-        fresh.sort_by_key(|member| member.tells);
-        for member in fresh.into_iter().take(UPDATES_PER_MESSAGE) {
-            member.tells += 1;
-            updates.push(member.record.clone());
+        let told: Vec<(u32, NodeId)> = self.untold.iter().take(UPDATES_PER_MESSAGE).copied().collect();
+        for (tells, node) in told {
+            self.untold.remove(&(tells, node));
+            if tells + 1 < limit {
+                self.untold.insert((tells + 1, node));
+            }
+            updates.extend(self.members.get(&node).map(|member| member.record.clone()));
         }
         updates
     }
 
-    fn pick_summaries(&mut self) -> Vec<Summary> {
-        let zone = &self.me.zone;
-        let mut known: Vec<(&NodeId, &KnownSummary)> = self
-            .summaries
-            .iter()
-            .filter(|(id, _)| self.members.get(id).is_some_and(|member| member.record.zone == *zone))
-            .collect();
-        known.sort_by_key(|(_, known)| std::cmp::Reverse(known.at));
-        let mut summaries = vec![self.own_summary.clone()];
-        summaries.extend(known.into_iter().take(SUMMARIES_PER_MESSAGE).map(|(_, known)| known.summary.clone()));
-        summaries
+    fn pick_summaries(&self, most: usize) -> Vec<Summary> {
+        let recent = self.recent.iter().take(most).filter_map(|node| self.summaries.get(node));
+        [&self.own_summary].into_iter().chain(recent).cloned().collect()
     }
 
     fn receive(&mut self, now: Instant, message: Datagram, actions: &mut Vec<Action>) {
@@ -448,7 +457,7 @@
         }
         for summary in message.summaries {
             if summary.node == message.from || !self.summaries.contains_key(&NodeId(summary.node)) {
-                self.note_summary(now, summary);
+                self.note_summary(summary);
             }
         }
         actions.push(Action::PeerAt(from, message.revision));
@@ -512,7 +521,7 @@
             // incarnation zero and confirmed or suspected like any other.
             let record = MemberRecord { incarnation: 0, status: MemberStatus::Alive.into(), ..record };
             let near = record.region == self.me.region;
-            self.members.insert(node, Member { record: record.clone(), since: now, tells: u32::MAX });
+            self.members.insert(node, Member { record: record.clone(), since: now });
             actions.push(Action::Changed(record));
             if near {
                 let sequence = self.next_sequence();
@@ -558,7 +567,13 @@
         if record.status() == MemberStatus::Dead {
             self.summaries.remove(&node);
         }
-        self.members.insert(node, Member { record: record.clone(), since: now, tells: 0 });
+        match record.status() {
+            MemberStatus::Suspect => self.suspects.insert(node),
+            _ => self.suspects.remove(&node),
+        };
+        self.members.insert(node, Member { record: record.clone(), since: now });
+        self.untold.retain(|(_, told)| *told != node);
+        self.untold.insert((0, node));
         if changed {
             actions.push(Action::Changed(record));
         }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -1,8 +1,9 @@
 //! The operators' table: one row of weights and limits per kind of work.
 
 use crate::code::ResultCode;
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest name of a row, service, model or adapter, in bytes.
@@ -179,16 +180,18 @@
     pub change: Change,
 }
 
-/// The table at one revision.
+/// The table at one revision. Its maps share what an edit leaves alone, so
+/// that a copy of thousands of rows costs nothing and two revisions are
+/// compared by what differs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Table {
     /// Number of edits so far.
     pub revision: u64,
     /// The rows by name.
-    pub rows: BTreeMap<String, Row>,
+    pub rows: OrdMap<String, Arc<Row>>,
     /// Tenants by the hashes of their keys.
     #[serde(default)]
-    pub keys: BTreeMap<String, String>,
+    pub keys: OrdMap<String, String>,
 }
 
 impl Table {
@@ -196,7 +199,7 @@
     pub fn apply(&mut self, edit: &Edit) {
         match &edit.change {
             Change::Put(row) => {
-                self.rows.insert(row.name.clone(), row.clone());
+                self.rows.insert(row.name.clone(), Arc::new(row.clone()));
             }
             Change::Delete(name) => {
                 self.rows.remove(name);
@@ -208,9 +211,23 @@
         self.revision += 1;
     }
 
+    /// Rows that another revision lacks or has otherwise.
+    pub fn rows_changed_since(&self, other: &Table) -> Vec<Arc<Row>> {
+        use imbl::ordmap::DiffItem;
+        other
+            .rows
+            .diff(&self.rows)
+            .filter_map(|item| match item {
+                DiffItem::Add(_, row) => Some(row.clone()),
+                DiffItem::Update { new: (_, row), .. } => Some(row.clone()),
+                DiffItem::Remove(..) => None,
+            })
+            .collect()
+    }
+
     /// The row that a request without a row header belongs to: the first
     /// row of the class whose model, or else service, has this name.
-    pub fn row_for(&self, class: Class, model: &str) -> Option<&Row> {
+    pub fn row_for(&self, class: Class, model: &str) -> Option<&Arc<Row>> {
         let of_class = || self.rows.values().filter(move |row| row.class == class);
         of_class().find(|row| row.model == model).or_else(|| of_class().find(|row| row.service == model))
     }
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -155,7 +155,7 @@
 }
 
 fn table_response(table: &Table) -> Response<Body> {
-    let rows: Vec<&Row> = table.rows.values().collect();
+    let rows: Vec<&Row> = table.rows.values().map(AsRef::as_ref).collect();
     let body = serde_json::json!({ "revision": table.revision, "rows": rows });
     with_revision(json(200, &body), table.revision)
 }
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -141,7 +141,7 @@
         Some(name) => table.rows.get(name).filter(|row| row.class == Class::Batch),
         None => table.rows.values().find(|row| row.class == Class::Batch),
     };
-    row.ok_or_else(|| Box::new(refuse(ResultCode::NoRow, "no row of class batch has this name")))
+    row.map(AsRef::as_ref).ok_or_else(|| Box::new(refuse(ResultCode::NoRow, "no row of class batch has this name")))
 }
 
 fn window_seconds(window: &str) -> Option<u64> {
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -81,7 +81,7 @@
     Ok(OnlineRequest {
         identity: format!("{:032x}", rand::random::<u128>()),
         tenant,
-        row: Arc::new(row),
+        row,
         path: path.to_owned(),
         body: serde_json::to_vec(&object).unwrap_or_default().into(),
         streamed,
@@ -121,7 +121,7 @@
     }
 }
 
-fn find_row(table: &Table, headers: &HeaderMap, object: &Map<String, Value>) -> Result<Row, Box<Response<Body>>> {
+fn find_row(table: &Table, headers: &HeaderMap, object: &Map<String, Value>) -> Result<Arc<Row>, Box<Response<Body>>> {
     let model = object.get("model").and_then(Value::as_str).unwrap_or_default();
     let row = match headers.get(ROW_HEADER) {
         None => table.row_for(Class::Online, model),
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -77,7 +77,7 @@
 
     async fn online(&self, request: OnlineRequest) -> Response<Body> {
         let row = request.row.clone();
-        if let Err(after) = self.limits.admit(&row) {
+        if let Err(after) = self.limits.admit(&row).await {
             self.metrics.note_answer(&row.name, ResultCode::RateLimited.number());
             return refuse_after(ResultCode::RateLimited, "", after);
         }
--- a/crates/node/src/batch.rs
+++ b/crates/node/src/batch.rs
@@ -227,7 +227,7 @@
         self: Arc<Self>,
         leased: LeasedItem,
         item: HeldItem,
-        row: Option<Row>,
+        row: Option<Arc<Row>>,
         mut stopped: watch::Receiver<bool>,
     ) {
         let Some(row) = row else {
@@ -434,7 +434,7 @@
 
 fn share_room(table: &Table, service: &str, room: u32, empty_rows: &HashMap<String, EmptyRow>) -> Vec<RowRoom> {
     let is_empty = |row: &Row| empty_rows.get(&row.name).is_some_and(|empty| Instant::now() < empty.ask_again);
-    let rows: Vec<&Row> = table
+    let rows: Vec<&Arc<Row>> = table
         .rows
         .values()
         .filter(|row| row.class == Class::Batch && row.service == service && !is_empty(row))
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -158,7 +158,7 @@
         let request = OnlineRequest {
             identity: message.identity,
             tenant: message.tenant,
-            row: Arc::new(row.clone()),
+            row: row.clone(),
             path: message.path,
             body: message.body,
             streamed: message.streamed,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -9,8 +9,8 @@
 use latchwheel_core::limits::{LimitHolder, LimitHome, ShareDemand};
 use latchwheel_core::ownership::home_of;
 use latchwheel_core::table::Row;
-use latchwheel_protocol::v1::{LimitRequest, LimitShare};
-use std::collections::BTreeSet;
+use latchwheel_protocol::v1::{LimitDemand, LimitRequest, LimitShare, LimitShares};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -38,16 +38,32 @@
         Arc::new(Self { holder: Mutex::default(), home: Mutex::default(), clock, members, configuration, peers })
     }
 
-    /// Takes one request of the row.
+    /// Takes one request of the row. Before a request is refused, the row's
+    /// home is asked once.
     ///
     /// # Errors
     /// The time after which the row has room again.
-    pub(crate) fn admit(&self, row: &Row) -> Result<(), Duration> {
+    pub(crate) async fn admit(self: &Arc<Self>, row: &Row) -> Result<(), Duration> {
         let rate = self.region_rate(row);
         if rate <= 0.0 {
             return Ok(());
         }
         let nodes = self.members.view().live_in_region().count();
+        let after = match self.take(row, rate, nodes) {
+            Ok(()) => return Ok(()),
+            Err(after) => after,
+        };
+        let demands = self.holder.lock().unwrap_or_else(PoisonError::into_inner).pressing(self.clock.now(), &row.name);
+        if demands.is_empty() {
+            return Err(after);
+        }
+        for (home, demands) in self.by_home(demands) {
+            self.clone().ask(home, demands).await;
+        }
+        self.take(row, rate, nodes)
+    }
+
+    fn take(&self, row: &Row, rate: f64, nodes: usize) -> Result<(), Duration> {
         let mut holder = self.holder.lock().unwrap_or_else(PoisonError::into_inner);
         holder.admit(self.clock.now(), &row.name, rate, nodes)
     }
@@ -63,14 +79,18 @@
         row.limits.requests_per_second / regions.len() as f64
     }
 
-    /// Grants a share of a row whose home this node is.
-    pub(crate) fn grant(&self, request: &LimitRequest) -> LimitShare {
+    /// Grants shares of rows whose home this node is.
+    pub(crate) fn grant(&self, request: &LimitRequest) -> LimitShares {
         let table = self.configuration.table();
-        let rate = table.rows.get(&request.row).map_or(0.0, |row| self.region_rate(row));
-        let mut home = self.home.lock().unwrap_or_else(PoisonError::into_inner);
         let node = NodeId(request.node);
-        let granted = home.grant(self.clock.now(), &request.row, rate, node, request.demand_per_second);
-        LimitShare { row: request.row.clone(), rate_per_second: granted, ..LimitShare::default() }
+        let now = self.clock.now();
+        let mut home = self.home.lock().unwrap_or_else(PoisonError::into_inner);
+        let grant = |demand: &LimitDemand| {
+            let rate = table.rows.get(&demand.row).map_or(0.0, |row| self.region_rate(row));
+            let per_second = home.grant(now, &demand.row, rate, node, demand.per_second);
+            LimitShare { row: demand.row.clone(), per_second }
+        };
+        LimitShares { shares: request.demands.iter().map(grant).collect() }
     }
 
     /// Asks for shares for ever.
@@ -78,30 +98,43 @@
         loop {
             tokio::time::sleep(INTERVAL).await;
             let demands = self.holder.lock().unwrap_or_else(PoisonError::into_inner).demands(self.clock.now());
-            for demand in demands {
-                tokio::spawn(self.clone().ask(demand));
+            for (home, demands) in self.by_home(demands) {
+                tokio::spawn(self.clone().ask(home, demands));
             }
         }
     }
 
-    async fn ask(self: Arc<Self>, demand: ShareDemand) {
+    /// One call a home serves all its rows.
+    fn by_home(&self, demands: Vec<ShareDemand>) -> BTreeMap<NodeId, Vec<LimitDemand>> {
         let view = self.members.view();
-        let nodes = view.live_in_region().map(|record| NodeId(record.node));
-        let Some(home) = home_of(stable_hash(demand.row.as_bytes()), nodes) else { return };
-        let request =
-            LimitRequest { node: view.me.node, row: demand.row.clone(), demand_per_second: demand.per_second };
+        let mut by_home: BTreeMap<NodeId, Vec<LimitDemand>> = BTreeMap::new();
+        for demand in demands {
+            let nodes = view.live_in_region().map(|record| NodeId(record.node));
+            if let Some(home) = home_of(stable_hash(demand.row.as_bytes()), nodes) {
+                let asked = LimitDemand { row: demand.row, per_second: demand.per_second };
+                by_home.entry(home).or_default().push(asked);
+            }
+        }
+        by_home
+    }
+
+    async fn ask(self: Arc<Self>, home: NodeId, demands: Vec<LimitDemand>) {
+        let view = self.members.view();
+        let request = LimitRequest { node: view.me.node, demands };
         let asked_at = self.clock.now();
-        let share = if home.0 == view.me.node {
+        let answer = if home.0 == view.me.node {
             self.grant(&request)
         } else {
             let Some(address) = view.address_of(home) else { return };
             // Without an answer the last share stands until it lapses.
             match self.peers.call(&address, PeerCall::Limit, &request, CALL_TIME).await {
-                Ok(share) => share,
+                Ok(answer) => answer,
                 Err(_) => return,
             }
         };
         let mut holder = self.holder.lock().unwrap_or_else(PoisonError::into_inner);
-        holder.granted(self.clock.now(), asked_at, &demand.row, share.rate_per_second);
+        for share in answer.shares {
+            holder.granted(self.clock.now(), asked_at, &share.row, share.per_second);
+        }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::membership::Event as MembershipEvent;
+use latchwheel_core::table::Table;
 use latchwheel_engine::EngineClient;
 use latchwheel_gateway::{refuse, Backend, Gateway};
 use latchwheel_http::{full, read_bounded, serve, Body, Version};
@@ -295,10 +296,17 @@
 async fn follow_table(backend: NodeBackend) {
     let mut tables = backend.configuration.subscribe();
     let mut members = backend.members.subscribe();
+    let owner = backend.router.online.owner.clone();
+    let (mut told, mut told_sharers) = (Arc::<Table>::default(), 0);
     loop {
         let table = tables.borrow_and_update().clone();
         let sharers = members.borrow_and_update().live_in_region().count() as u32;
-        backend.router.online.owner.set_table(&table, sharers);
+        if sharers == told_sharers {
+            owner.set_rows(table.rows_changed_since(&told).iter(), sharers);
+        } else {
+            owner.set_rows(table.rows.values(), sharers);
+        }
+        (told, told_sharers) = (table, sharers);
         tell(&backend);
         tokio::select! {
             changed = tables.changed() => if changed.is_err() { return },
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -6,7 +6,7 @@
 use latchwheel_core::identity::{ServerId, WorkId};
 use latchwheel_core::prefix::CacheEvent;
 use latchwheel_core::scheduler::{Action, BatchPolicy, Event, RowShare, Scheduler, ServerProfile, ServerView, Work};
-use latchwheel_core::table::Table;
+use latchwheel_core::table::Row;
 use latchwheel_core::time::Instant;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -97,13 +97,12 @@
 
     /// Takes rows' weights and limits; `sharers` owners share a row's
     /// concurrency.
-    pub(crate) fn set_table(&self, table: &Table, sharers: u32) {
+    pub(crate) fn set_rows<'a>(&self, rows: impl Iterator<Item = &'a Arc<Row>>, sharers: u32) {
         let mut state = self.lock();
         let now = self.clock.now();
-        for row in table.rows.values() {
+        for row in rows {
             let concurrency = row.limits.concurrency.div_ceil(sharers.max(1));
             let share = RowShare { weight: row.weight, concurrency, queue: row.limits.queue };
-            // A table has thousands of rows, and an edit changes one.
             if state.scheduler.row_share(&row.name) != Some(share) {
                 state.handle(now, Event::RowShare(row.name.as_str().into(), share));
             }
