Measure slopes; tell members inside their region only

Cause: at 390 nodes every record was told to every region, 26 times by each node: the queue of records to tell needed 7 minutes to drain after a start, and each message was full meanwhile (2.4 KB a second). A start decision took 5.1 us at 31 servers, of which hashing of names and cached blocks was most. Change: records are told inside their region; block hashes are used as hashes; one pass over the servers. latchwheel-bench slopes measures decisions, store groups and what a node adds.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 use latchwheel_bench::scale::place::Plan;
 use latchwheel_bench::scale::{self, ScaleReport};
 use latchwheel_bench::scenario::Scenario;
+use latchwheel_bench::slopes;
 use latchwheel_bench::variant::Variant;
 use std::path::Path;
 use std::process::ExitCode;
@@ -19,7 +20,8 @@
 Commands:
     run SCENARIO      run a scenario with its baselines
     scale             measure control on hollow nodes up to the target's size,
-                      with real node processes beside them";
+                      with real node processes beside them
+    slopes            measure decisions, store groups, and what a node adds";
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -33,6 +35,7 @@
     options.optopt("", "regions", "scale: regions (default 7)", "NUMBER");
     options.optopt("", "zones", "scale: zones (default 24)", "NUMBER");
     options.optopt("", "tenants", "scale: tenants (default 7900)", "NUMBER");
+    options.optopt("", "items", "slopes: items of a store group (default 100000)", "NUMBER");
     options.optflag("", "no-real", "scale: without real processes");
     options.optopt("v", "variants", "variants, by commas (default all)", "NAMES");
     options
@@ -71,6 +74,7 @@
         match matches.free[0].as_str() {
             "run" => run_scenario(matches).await,
             "scale" => run_scale(matches).await,
+            "slopes" => run_slopes(matches).await,
             other => bail!("no command is called {other:?}"),
         }
     })
@@ -135,3 +139,18 @@
     }
     Ok(())
 }
+
+async fn run_slopes(matches: &Matches) -> Result<()> {
+    let items = matches.opt_get_default("items", 100_000).map_err(|fault| eyre!("--items: {fault}"))?;
+    let seconds = matches.opt_get_default("seconds", 8).map_err(|fault| eyre!("--seconds: {fault}"))?;
+    let command = std::env::args().skip(1).collect::<Vec<_>>().join(" ");
+    let report = slopes::run(format!("latchwheel-bench {command}"), items, seconds).await?;
+    print!("{}", report.text());
+    if let Some(folder) = matches.opt_str("plots") {
+        report.draw(Path::new(&folder))?;
+    }
+    if let Some(file) = matches.opt_str("output") {
+        std::fs::write(file, serde_json::to_string_pretty(&report)?)?;
+    }
+    Ok(())
+}
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -3,6 +3,7 @@
 use crate::batches::{BatchDriver, BatchReport};
 use crate::faults::{self, FaultOutcome};
 use crate::load;
+use crate::process_figures::peak_megabytes;
 use crate::processes::Processes;
 use crate::recorder::{OnlineReport, Recorder};
 use crate::scenario::Scenario;
@@ -190,11 +191,6 @@
 }
 
 fn largest_node(processes: &Processes) -> f64 {
-    let memory = |id: u32| -> Option<f64> {
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM"))?;
-        let kilobytes: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kilobytes / 1024.0)
-    };
-    (0..processes.nodes.len()).filter_map(|number| memory(processes.node_id(number)?)).fold(0.0, f64::max)
+    let ids = (0..processes.nodes.len()).filter_map(|number| processes.node_id(number));
+    ids.map(|id| peak_megabytes(Some(id))).fold(0.0, f64::max)
 }
--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -6,6 +6,7 @@
 pub mod world;
 
 use crate::plot::{plot, Line};
+use crate::process_figures::resident_megabytes;
 use crate::recorder::Percentiles;
 use eyre::Result;
 use hdrhistogram::Histogram;
@@ -95,10 +96,10 @@
 
 /// Runs one size through all phases.
 pub fn run_size(plan: &Plan, seconds: u64) -> SizeReport {
-    let before = resident_megabytes();
+    let before = resident_megabytes(None);
     let mut world = World::new(plan, plan.table());
     world.run(WARM_UP);
-    let megabytes_per_node = (resident_megabytes() - before) / plan.nodes as f64;
+    let megabytes_per_node = (resident_megabytes(None) - before) / plan.nodes as f64;
     let mut phases = vec![run_steady(&mut world, plan, seconds)];
     phases.push(run_loss(&mut world, plan, "one node dies", vec![plan.nodes / 2]));
     let rack = (0..RACK_NODES).map(|number| 2 + number * plan.zones).filter(|number| *number < plan.nodes).collect();
@@ -270,14 +271,6 @@
     Histogram::new(3).expect("three digits are allowed")
 }
 
-/// Resident memory of this process.
-pub fn resident_megabytes() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)).and_then(|text| text.parse::<f64>().ok());
-    kilobytes.unwrap_or(0.0) / 1024.0
-}
-
 impl ScaleReport {
     /// The report as tables.
     pub fn text(&self) -> String {
--- a/crates/bench/src/scale/real.rs
+++ b/crates/bench/src/scale/real.rs
@@ -3,6 +3,7 @@
 //! loopback.
 
 use super::place::Plan;
+use crate::process_figures::{processor_seconds, resident_megabytes};
 use crate::processes::spawn_node;
 use eyre::{Result, WrapErr};
 use hyper::{Method, Request, Response};
@@ -31,8 +32,6 @@
 const TICK: Duration = Duration::from_millis(25);
 const CALL_TIME: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(10);
-/// Clock ticks a second of the processor times in /proc.
-const CLOCK_TICKS: f64 = 100.0;
 
 /// What the real processes were measured to spend.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -306,7 +305,7 @@
         report.core_percent.push((after.processor_seconds - before.processor_seconds) / report.seconds * 100.0);
         report.sent_bytes.push((after.sent - before.sent) / report.seconds);
         report.received_bytes.push((after.received - before.received) / report.seconds);
-        report.resident_megabytes.push(resident(node).unwrap_or(0.0));
+        report.resident_megabytes.push(resident_megabytes(node.0.id()));
         report.members.push(metric(&metrics(node).await, "latchwheel_members"));
         let servers: Result<Vec<serde_json::Value>, _> =
             Client::http1().json(Method::GET, &node.1.admin, "/admin/v1/servers", &(), CALL_TIME).await;
@@ -347,21 +346,8 @@
 async fn read(node: &RealNode) -> Reading {
     let text = metrics(node).await;
     Reading {
-        processor_seconds: processor_seconds(node).unwrap_or(0.0),
+        processor_seconds: processor_seconds(node.0.id()),
         sent: metric(&text, "latchwheel_membership_sent_bytes"),
         received: metric(&text, "latchwheel_membership_received_bytes"),
     }
 }
-
-fn processor_seconds(node: &RealNode) -> Option<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.0.id()?)).ok()?;
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    Some(ticks / CLOCK_TICKS)
-}
-
-fn resident(node: &RealNode) -> Option<f64> {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.0.id()?)).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS"))?;
-    Some(line.split_whitespace().nth(1)?.parse::<f64>().ok()? / 1024.0)
-}
--- a/crates/bench/src/scale/world.rs
+++ b/crates/bench/src/scale/world.rs
@@ -28,6 +28,8 @@
 const TICK: Duration = Duration::from_millis(25);
 /// The runtime's interval of looking for limits to ask for.
 const LIMIT_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time of a pull, after which another peer is asked.
+const PULL_TIME: Duration = Duration::from_millis(100);
 /// IP and UDP headers of a datagram.
 const DATAGRAM_HEADER: u64 = 28;
 /// Headers of a call between nodes: IP, TCP, HTTP/2 frames, both ways.
@@ -74,6 +76,7 @@
     owned: BTreeSet<ServerId>,
     stale_ownership: bool,
     next_limits: Instant,
+    next_pull: Instant,
     boot: u64,
 }
 
@@ -194,6 +197,7 @@
             owned: BTreeSet::new(),
             stale_ownership: true,
             next_limits: self.now,
+            next_pull: self.now,
             boot: 0,
         });
     }
@@ -392,7 +396,10 @@
             match action {
                 membership::Action::Changed(record) => self.note_change(number, &record),
                 membership::Action::PeerAt(peer, revision) => {
-                    if revision > self.nodes[number].configuration.table().revision {
+                    // The runtime has one pull under way at a time.
+                    let behind = revision > self.nodes[number].configuration.table().revision;
+                    if behind && self.now >= self.nodes[number].next_pull {
+                        self.nodes[number].next_pull = self.now + PULL_TIME;
                         self.configure(number, configuration::Event::PeerAt(peer, revision));
                     }
                 }
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -37,3 +37,24 @@
 pub fn stable_pair_hash(first: u64, second: u64) -> u64 {
     xxh3_64_with_seed(&first.to_le_bytes(), second)
 }
+
+/// Hasher for keys that are hashes already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KeyIsHash(u64);
+
+impl std::hash::Hasher for KeyIsHash {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = stable_pair_hash(stable_hash(bytes), self.0);
+    }
+
+    fn write_u64(&mut self, key: u64) {
+        self.0 ^= key;
+    }
+}
+
+/// Map whose keys are hashes already.
+pub type HashKeyMap<K, V> = std::collections::HashMap<K, V, std::hash::BuildHasherDefault<KeyIsHash>>;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -491,7 +491,7 @@
         }
     }
 
-    /// Tells a newcomer the members of its region and some of the others.
+    /// Tells a newcomer the members of this node's region.
     fn introduce(&mut self, to: NodeId, actions: &mut Vec<Action>) {
         let Some(address) = self.members.get(&to).map(|member| member.record.address.clone()) else { return };
         let mut records: Vec<MemberRecord> = self.live().filter(|record| record.node != to.0).cloned().collect();
@@ -573,7 +573,9 @@
         };
         self.members.insert(node, Member { record: record.clone(), since: now });
         self.untold.retain(|(_, told)| *told != node);
-        self.untold.insert((0, node));
+        if record.region == self.me.region {
+            self.untold.insert((0, node));
+        }
         if changed {
             actions.push(Action::Changed(record));
         }
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -4,8 +4,8 @@
 //! prefixes. An owner fills the index from what it sent and corrects it by
 //! the engines' events, which come late and with gaps.
 
-use crate::identity::{stable_hash, stable_pair_hash, ServerId};
-use std::collections::{HashMap, VecDeque};
+use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap, ServerId};
+use std::collections::VecDeque;
 
 /// Bytes of prompt text per block: 16 tokens at about 4 bytes each.
 pub const BLOCK_BYTES: usize = 64;
@@ -29,7 +29,7 @@
 
 #[derive(Debug, Default)]
 struct ServerBlocks {
-    known: HashMap<u64, u32>,
+    known: HashKeyMap<u64, u32>,
     order: VecDeque<u64>,
     next_event: u64,
     stale: bool,
@@ -38,7 +38,7 @@
 /// What is known of the caches of an owner's servers.
 #[derive(Debug, Default)]
 pub struct PrefixIndex {
-    servers: HashMap<ServerId, ServerBlocks>,
+    servers: HashKeyMap<ServerId, ServerBlocks>,
 }
 
 /// A cache event of an engine.
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -190,12 +190,7 @@
 
     /// Online requests of a service that could start now, and those that wait.
     pub fn online_room(&self, now: Instant, service: &str) -> (u32, u32) {
-        let free = self
-            .servers
-            .values()
-            .filter(|server| server.is_open(now) && *server.profile.service == *service)
-            .map(|server| server.profile.slots.saturating_sub(server.online))
-            .sum();
+        let (_, free) = self.open_slots(now, service);
         (free, self.online.get(service).map_or(0, RowQueues::waiting))
     }
 
@@ -244,13 +239,12 @@
     }
 
     fn refusal(&self, now: Instant, work: &Work) -> Option<(ResultCode, Duration)> {
-        let slots = self.open_slots(now, &work.service);
+        let (slots, free) = self.open_slots(now, &work.service);
         if slots == 0 {
             return Some((ResultCode::NoServer, Duration::from_secs(1)));
         }
         let queues = self.online.get(&work.service);
         let ahead = queues.map_or(0, RowQueues::waiting);
-        let (free, _) = self.online_room(now, &work.service);
         let wait = match self.waits.get(&work.service) {
             Some(estimate) if ahead >= free => estimate.predict(ahead + 1 - free, slots),
             _ => Duration::ZERO,
@@ -266,12 +260,13 @@
         }
     }
 
-    fn open_slots(&self, now: Instant, service: &str) -> u32 {
-        self.servers
-            .values()
-            .filter(|server| server.is_open(now) && *server.profile.service == *service)
-            .map(|server| server.profile.slots)
-            .sum()
+    /// Slots of the open servers of a service, and those without online work.
+    fn open_slots(&self, now: Instant, service: &str) -> (u32, u32) {
+        let open = self.servers.values().filter(|server| server.is_open(now) && *server.profile.service == *service);
+        open.fold((0, 0), |(slots, free), server| {
+            let own = server.profile.slots;
+            (slots + own, free + own.saturating_sub(server.online))
+        })
     }
 
     fn note_token_gap(&mut self, now: Instant, work: WorkId, gap: Duration) {
@@ -372,7 +367,9 @@
         let yields = self.policy == BatchPolicy::Yield;
         self.servers
             .iter()
-            .filter(|(_, server)| server.serves(now, work) && server.has_online_slot(yields, work.cost))
+            .filter(|(id, server)| {
+                work.avoid != Some(**id) && server.serves(now, work) && server.has_online_slot(yields, work.cost)
+            })
             .min_by_key(|(id, server)| {
                 let matched = if self.cache_aware { self.prefixes.matched(**id, &work.blocks) } else { 0 };
                 (server.online_cost(matched), server.batch, **id)
@@ -401,7 +398,9 @@
             let chosen = self
                 .servers
                 .iter()
-                .filter(|(_, server)| server.serves(now, &work) && server.has_batch_slot(work.cost))
+                .filter(|(id, server)| {
+                    work.avoid != Some(**id) && server.serves(now, &work) && server.has_batch_slot(work.cost)
+                })
                 .min_by_key(|(id, server)| (server.online + server.batch, **id))
                 .map(|(id, _)| *id);
             match chosen {
--- a/crates/core/src/scheduler/server.rs
+++ b/crates/core/src/scheduler/server.rs
@@ -140,7 +140,6 @@
         self.is_open(now)
             && self.profile.service == work.service
             && (work.model.is_empty() || self.profile.models.is_empty() || self.profile.models.iter().any(named))
-            && work.avoid != Some(crate::identity::ServerId::of_name(&self.profile.name))
     }
 
     pub(super) fn fits(&self, cost: u32) -> bool {
