--- a/crates/bench/src/added_latency.rs
+++ b/crates/bench/src/added_latency.rs
@@ -19,6 +19,7 @@
 const CALL_TIME: Duration = Duration::from_secs(10);
 const ANSWER_LIMIT: usize = 1 << 20;
 const WARM_UP: usize = 200;
+const FEW_TOKENS: u32 = 4;
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// What a node adds.
@@ -34,7 +35,11 @@
     pub requests_per_second: f64,
     /// Cores that the node used meanwhile.
     pub node_cores: f64,
-    /// Resident megabytes of the node, idle and in the end.
+    /// Streamed tokens a second through one node, from concurrent callers.
+    pub tokens_per_second: f64,
+    /// Cores that the node used meanwhile.
+    pub token_cores: f64,
+    /// Resident megabytes of the node, idle.
     pub idle_megabytes: f64,
     /// Resident megabytes in the end.
     pub loaded_megabytes: f64,
@@ -80,12 +85,19 @@
     let done = throughput(&owner.1.callers, seconds).await;
     let passed = begun.elapsed().as_secs_f64();
     let node_cores = (processor_seconds(owner.0.id()) - before) / passed;
+    let before = processor_seconds(owner.0.id());
+    let begun = Instant::now();
+    let tokens = token_throughput(&owner.1.callers, seconds).await;
+    let token_seconds = begun.elapsed().as_secs_f64();
+    let token_cores = (processor_seconds(owner.0.id()) - before) / token_seconds;
     Ok(LatencyReport {
         direct,
         owned,
         forwarded,
         requests_per_second: done as f64 / passed,
         node_cores,
+        tokens_per_second: tokens as f64 / token_seconds,
+        token_cores,
         idle_megabytes,
         loaded_megabytes: resident_megabytes(owner.0.id()),
     })
@@ -106,6 +118,30 @@
     crate::processes::spawn_node(&path).await
 }
 
+/// Streamed tokens from concurrent callers for some seconds.
+async fn token_throughput(address: &str, seconds: u64) -> u64 {
+    const CALLERS: usize = 32;
+    const TOKENS: u32 = 256;
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let callers = (0..CALLERS).map(|_| {
+        let address = address.to_owned();
+        tokio::spawn(async move {
+            let client = Client::http1();
+            let mut tokens = 0;
+            while Instant::now() < end {
+                let Ok(request) = request(&address, true, TOKENS) else { break };
+                let Ok(response) = client.send(request).await else { continue };
+                let mut stream = AnswerStream::new(response.into_body());
+                while matches!(stream.next().await, StreamEvent::Data(_)) {
+                    tokens += 1;
+                }
+            }
+            tokens
+        })
+    });
+    futures::future::join_all(callers).await.into_iter().filter_map(Result::ok).sum()
+}
+
 async fn put_row(admin: &str) -> Result<()> {
     let row = serde_json::json!({ "class": "online", "service": "pool", "model": "m" });
     let _: serde_json::Value =
@@ -113,8 +149,8 @@
     Ok(())
 }
 
-fn request(address: &str, stream: bool) -> Result<Request<latchwheel_http::Body>> {
-    let body = format!("{{\"model\":\"m\",\"prompt\":\"Hello there\",\"max_tokens\":4,\"stream\":{stream}}}");
+fn request(address: &str, stream: bool, tokens: u32) -> Result<Request<latchwheel_http::Body>> {
+    let body = format!("{{\"model\":\"m\",\"prompt\":\"Hello there\",\"max_tokens\":{tokens},\"stream\":{stream}}}");
     Ok(Request::builder().method(Method::POST).uri(format!("http://{address}/v1/completions")).body(full(body))?)
 }
 
@@ -124,7 +160,7 @@
     let mut histogram = Histogram::<u64>::new(3)?;
     for number in 0..count + WARM_UP {
         let begun = Instant::now();
-        let response = client.send(request(address, true)?).await?;
+        let response = client.send(request(address, true, FEW_TOKENS)?).await?;
         if response.status() != 200 {
             return Err(eyre!("{address} answered {}", response.status()));
         }
@@ -148,7 +184,7 @@
             let client = Client::http1();
             let mut done = 0;
             while Instant::now() < end {
-                let Ok(request) = request(&address, false) else { break };
+                let Ok(request) = request(&address, false, FEW_TOKENS) else { break };
                 let Ok(response) = client.send(request).await else { continue };
                 let status = response.status();
                 let body: Result<Bytes, _> = read_bounded(response.into_body(), ANSWER_LIMIT, CALL_TIME).await;
--- a/crates/bench/src/scale/real.rs
+++ b/crates/bench/src/scale/real.rs
@@ -6,21 +6,22 @@
 use crate::process_figures::{processor_seconds, resident_megabytes};
 use crate::processes::spawn_node;
 use eyre::{Result, WrapErr};
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
-use latchwheel_core::configuration::{ConfigurationLog, Event as ConfigurationEvent};
+use latchwheel_core::configuration::{ConfigurationLog, Event as ConfigurationEvent, Record};
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::membership::{Action, Event, Membership, Settings};
 use latchwheel_core::table::Table;
 use latchwheel_core::time::Instant;
 use latchwheel_emulator::engine::{Engine, EngineSettings};
 use latchwheel_emulator::platform::{KeyValue, KeyValueSettings, MachineList};
-use latchwheel_http::{full, serve, Body, Client, Version};
+use latchwheel_http::{full, read_bounded, serve, Body, Client, Version};
 use latchwheel_platform::{KeyValueClient, Machine, MachineKind, MachineState};
-use latchwheel_protocol::v1::{Datagram, MemberRecord, RevisionAnswer, Summary};
+use latchwheel_protocol::v1::{Datagram, MemberRecord, RevisionAnswer, RevisionPull, RevisionRecord, Summary};
 use latchwheel_protocol::Message;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::process::Child;
@@ -31,6 +32,7 @@
 const EDIT_INTERVAL: Duration = Duration::from_secs(8);
 const TICK: Duration = Duration::from_millis(25);
 const CALL_TIME: Duration = Duration::from_secs(10);
+const PULL_BYTES: usize = 1024;
 const POLL: Duration = Duration::from_millis(10);
 
 /// What the real processes were measured to spend.
@@ -87,6 +89,8 @@
     state: Mutex<HollowState>,
     socket: UdpSocket,
     origin: std::time::Instant,
+    client: Client,
+    pulling: tokio::sync::Semaphore,
 }
 
 impl Hollow {
@@ -94,17 +98,59 @@
         Instant::from_micros(1_000_000 + self.origin.elapsed().as_micros() as u64)
     }
 
-    fn handle(&self, event: Event) {
-        let actions = self.state.lock().unwrap_or_else(PoisonError::into_inner).membership.handle(self.now(), event);
+    fn lock(&self) -> MutexGuard<'_, HollowState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(self: &Arc<Self>, event: Event) {
+        let actions = self.lock().membership.handle(self.now(), event);
         for action in actions {
-            if let Action::Send(address, datagram) = action {
-                if let Ok(address) = address.parse::<SocketAddr>() {
-                    let _ = self.socket.try_send_to(&datagram.encode_to_vec(), address);
+            match action {
+                Action::Send(address, datagram) => {
+                    if let Ok(address) = address.parse::<SocketAddr>() {
+                        let _ = self.socket.try_send_to(&datagram.encode_to_vec(), address);
+                    }
+                }
+                Action::PeerAt(node, revision) => {
+                    if revision > self.lock().configuration.table().revision {
+                        tokio::spawn(self.clone().pull(node));
+                    }
                 }
+                Action::Changed(_) => {}
             }
         }
     }
 
+    /// Pulls what a peer has and tells it on, as a node does.
+    async fn pull(self: Arc<Self>, node: NodeId) {
+        let Ok(_permit) = self.pulling.try_acquire() else { return };
+        let (address, after) = {
+            let state = self.lock();
+            let record = state.membership.records().find(|record| record.node == node.0);
+            (record.map(|record| record.address.clone()), state.configuration.table().revision)
+        };
+        let Some(address) = address else { return };
+        let pull = RevisionPull { after }.encode_to_vec().into();
+        let answer = self.client.call(Method::POST, &address, "/peer/revisions", pull, CALL_TIME).await;
+        let Some(answer) = answer.ok().and_then(|bytes| RevisionAnswer::decode(bytes).ok()) else { return };
+        let summary = self.take(&answer);
+        self.handle(Event::OwnSummary(summary));
+    }
+
+    fn take(&self, answer: &RevisionAnswer) -> Summary {
+        let mut state = self.lock();
+        if let Ok(table) = serde_json::from_slice::<Table>(&answer.snapshot) {
+            state.configuration.handle(ConfigurationEvent::Snapshot(table));
+        }
+        let record = |record: &RevisionRecord| {
+            Some(Record { revision: record.revision, edit: serde_json::from_slice(&record.edit).ok()? })
+        };
+        let records = answer.records.iter().filter_map(record).collect();
+        state.configuration.handle(ConfigurationEvent::Records(records));
+        let revision = state.configuration.table().revision;
+        Summary { node: state.membership.me().node, revision, ..Summary::default() }
+    }
+
     async fn run(self: Arc<Self>) {
         let mut buffer = vec![0; 64 << 10];
         let mut tick = tokio::time::interval(TICK);
@@ -121,14 +167,30 @@
         }
     }
 
-    /// Answers pulls with the whole table, as a node does that lacks records.
-    fn answer(&self) -> Response<Body> {
-        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let table = state.configuration.table();
-        let answer = RevisionAnswer {
-            snapshot_revision: table.revision,
-            snapshot: serde_json::to_vec(table.as_ref()).unwrap_or_default().into(),
-            ..RevisionAnswer::default()
+    /// Answers pulls as a node does.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = read_bounded(request.into_body(), PULL_BYTES, CALL_TIME).await.unwrap_or_default();
+        let after = RevisionPull::decode(body).map_or(0, |pull| pull.after);
+        let state = self.lock();
+        let answer = match state.configuration.records_after(after) {
+            Some(records) => RevisionAnswer {
+                records: records
+                    .iter()
+                    .map(|record| RevisionRecord {
+                        revision: record.revision,
+                        edit: serde_json::to_vec(&record.edit).unwrap_or_default().into(),
+                    })
+                    .collect(),
+                ..RevisionAnswer::default()
+            },
+            None => {
+                let table = state.configuration.table();
+                RevisionAnswer {
+                    snapshot_revision: table.revision,
+                    snapshot: serde_json::to_vec(table.as_ref()).unwrap_or_default().into(),
+                    ..RevisionAnswer::default()
+                }
+            }
         };
         Response::new(full(answer.encode_to_vec()))
     }
@@ -210,7 +272,6 @@
 ) -> Result<Vec<tokio::task::JoinHandle<()>>> {
     let mut nodes = Vec::new();
     let mut records = Vec::new();
-    let shared = Arc::new(table.clone());
     for number in 0..plan.nodes {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
@@ -227,31 +288,35 @@
         };
         let now = Instant::from_micros(1_000_000);
         let mut configuration = ConfigurationLog::new();
-        if number == 0 {
-            // One log for all: hollow nodes answer pulls with the same table.
-            configuration.handle(ConfigurationEvent::Snapshot(shared.as_ref().clone()));
-        }
+        configuration.handle(ConfigurationEvent::Snapshot(table.clone()));
         let membership = Membership::new(Settings::default(), record.clone(), now, number as u64);
         let state = Mutex::new(HollowState { membership, configuration });
-        nodes.push((Arc::new(Hollow { state, socket, origin: std::time::Instant::now() }), listener));
+        let hollow = Hollow {
+            state,
+            socket,
+            origin: std::time::Instant::now(),
+            client: Client::http2(None),
+            pulling: tokio::sync::Semaphore::new(1),
+        };
+        nodes.push((Arc::new(hollow), listener));
         records.push(record);
     }
     list.put_all(records.iter().map(machine_of).collect());
     let mut tasks = Vec::new();
     for (node, listener) in nodes {
         let summary = {
-            let state = node.state.lock().unwrap_or_else(PoisonError::into_inner);
+            let state = node.lock();
             Summary { node: state.membership.me().node, revision: table.revision, ..Summary::default() }
         };
-        let region = node.state.lock().unwrap_or_else(PoisonError::into_inner).membership.me().region.clone();
+        let region = node.lock().membership.me().region.clone();
         let seeds = records.iter().enumerate().filter(|(number, record)| record.region == region || number % 17 == 0);
         node.handle(Event::Seeds(seeds.map(|(_, record)| record.clone()).collect()));
         node.handle(Event::OwnSummary(summary));
         tasks.push(tokio::spawn(node.clone().run()));
         let answering = node.clone();
-        let answer = move |_: Request<hyper::body::Incoming>| {
+        let answer = move |request: Request<Incoming>| {
             let node = answering.clone();
-            async move { node.answer() }
+            async move { node.answer(request).await }
         };
         tasks.push(tokio::spawn(serve(listener, Version::Http2, stopped.clone(), answer)));
     }
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -70,7 +70,7 @@
         }
         let latency = &self.latency;
         text.push_str(&format!(
-            "first token ms p50/p99: direct {:.3}/{:.3}, own server {:.3}/{:.3}, forwarded {:.3}/{:.3}; {:.0} requests/s on {:.2} cores; {:.1} MB idle, {:.1} MB loaded\n",
+            "first token ms p50/p99: direct {:.3}/{:.3}, own server {:.3}/{:.3}, forwarded {:.3}/{:.3}; {:.0} requests/s on {:.2} cores, {:.0} streamed tokens/s on {:.2} cores; {:.1} MB idle, {:.1} MB loaded\n",
             latency.direct.p50,
             latency.direct.p99,
             latency.owned.p50,
@@ -79,6 +79,8 @@
             latency.forwarded.p99,
             latency.requests_per_second,
             latency.node_cores,
+            latency.tokens_per_second,
+            latency.token_cores,
             latency.idle_megabytes,
             latency.loaded_megabytes,
         ));
--- a/crates/core/src/leasing.rs
+++ b/crates/core/src/leasing.rs
@@ -13,7 +13,7 @@
 use crate::jobs::{Job, JobState};
 use crate::time::Instant;
 use latchwheel_protocol::v1::HeldChunk;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 /// Time without renewal after which a lease lapses.
@@ -32,6 +32,15 @@
     pub positions: Vec<u64>,
 }
 
+/// A row with its weight among the rows of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RowWeight<'a> {
+    /// The row.
+    pub row: &'a str,
+    /// Its weight.
+    pub weight: f64,
+}
+
 /// Items whose holder is gone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Lapsed {
@@ -59,6 +68,7 @@
     granting_from: Instant,
     next_lease: u64,
     leases: HashMap<u64, Lease>,
+    held: HeldPositions,
     cursors: HashMap<String, JobCursor>,
     /// Jobs with items to grant, per row, by deadline.
     open: BTreeMap<String, BTreeSet<(u64, String)>>,
@@ -72,6 +82,7 @@
             granting_from: if may_be_held { now + LEASE_LENGTH } else { now },
             next_lease: term << 32,
             leases: HashMap::new(),
+            held: HeldPositions::default(),
             cursors: HashMap::new(),
             open: BTreeMap::new(),
         };
@@ -96,6 +107,7 @@
             jobs.remove(&(record.deadline_seconds, record.job.clone()));
         }
         self.leases.retain(|_, lease| lease.job != record.job);
+        self.held.forget(&record.job);
     }
 
     /// Renews what a node holds, and takes up leases of an earlier leader.
@@ -122,19 +134,51 @@
         let positions: BTreeSet<u64> =
             chunk.positions.iter().copied().filter(|position| !job.done.get(*position)).collect();
         if now < self.granting_from && !positions.is_empty() {
+            self.held.hold(&chunk.job, positions.iter().copied());
             self.leases.insert(chunk.lease, Lease { node, job: chunk.job.clone(), positions, until });
         }
     }
 
+    /// Grants items of several rows to a node that has room for so many: each
+    /// row its share by weight, and what a row has no items for to the others.
+    pub fn grant_shared(
+        &mut self,
+        now: Instant,
+        node: NodeId,
+        rows: &[RowWeight<'_>],
+        room: usize,
+        state: &JobState,
+    ) -> Vec<Grant> {
+        let weights: f64 = rows.iter().map(|row| row.weight).sum();
+        let mut left = room;
+        let mut grants = Vec::new();
+        for row in rows {
+            let share = (room as f64 * row.weight / weights).ceil() as usize;
+            let granted = self.grant(now, node, row.row, share.min(left), state);
+            left -= granted.iter().map(|grant| grant.positions.len()).sum::<usize>();
+            grants.extend(granted);
+        }
+        for row in rows {
+            let granted = self.grant(now, node, row.row, left, state);
+            left -= granted.iter().map(|grant| grant.positions.len()).sum::<usize>();
+            grants.extend(granted);
+        }
+        grants
+    }
+
+    /// Rows with items to grant.
+    pub fn open_rows(&self) -> Vec<String> {
+        self.open.iter().filter(|(_, jobs)| !jobs.is_empty()).map(|(row, _)| row.clone()).collect()
+    }
+
     /// Grants items of a row to a node, the job with the nearest deadline
     /// first. Nothing is granted while an earlier leader's leases may hold.
     pub fn grant(&mut self, now: Instant, node: NodeId, row: &str, room: usize, state: &JobState) -> Vec<Grant> {
         let mut grants = Vec::new();
-        if now < self.granting_from {
+        if now < self.granting_from || room == 0 {
             return grants;
         }
         let Some(open) = self.open.get_mut(row) else { return grants };
-        let held = held_positions(&self.leases);
         let mut left = room;
         let mut exhausted = Vec::new();
         for (deadline, name) in open.iter() {
@@ -145,7 +189,7 @@
                 exhausted.push((*deadline, name.clone()));
                 continue;
             };
-            let positions = cursor.take(job, left, held.get(name.as_str()));
+            let positions = cursor.take(job, left, &self.held);
             if positions.len() < left {
                 exhausted.push((*deadline, name.clone()));
             }
@@ -159,6 +203,7 @@
             open.remove(&job);
         }
         for grant in &grants {
+            self.held.hold(&grant.job, grant.positions.iter().copied());
             let positions = grant.positions.iter().copied().collect();
             let lease = Lease { node, job: grant.job.clone(), positions, until: now + LEASE_LENGTH };
             self.leases.insert(grant.lease, lease);
@@ -168,6 +213,7 @@
 
     /// Items with a committed result are no longer held.
     pub fn completed(&mut self, job: &str, positions: &[u64]) {
+        self.held.release(job, positions);
         for lease in self.leases.values_mut().filter(|lease| lease.job == job) {
             for position in positions {
                 lease.positions.remove(position);
@@ -189,6 +235,7 @@
         if lease.positions.is_empty() {
             self.leases.remove(&chunk.lease);
         }
+        self.held.release(&chunk.job, &positions);
         self.grant_again(job, &positions);
     }
 
@@ -213,8 +260,9 @@
         let mut lapsed = Lapsed::default();
         for id in over {
             let Some(lease) = self.leases.remove(&id) else { continue };
-            let Some(job) = state.job(&lease.job).filter(|job| !job.has_ended()) else { continue };
             let positions: Vec<u64> = lease.positions.into_iter().collect();
+            self.held.release(&lease.job, &positions);
+            let Some(job) = state.job(&lease.job).filter(|job| !job.has_ended()) else { continue };
             if job.record.repeatable {
                 self.grant_again(job, &positions);
             } else {
@@ -230,7 +278,6 @@
     /// Started items of jobs that must not run twice, held by nobody: left by
     /// an earlier leader whose holder did not tell this one of them.
     fn orphans(&self, state: &JobState) -> Vec<(String, Vec<u64>)> {
-        let held = held_positions(&self.leases);
         let mut orphans = Vec::new();
         for (name, cursor) in &self.cursors {
             let Some(job) = state.job(name).filter(|job| !job.record.repeatable) else { continue };
@@ -238,7 +285,7 @@
                 job.started.get(*position)
                     && !job.done.get(*position)
                     && !cursor.returned.contains(position)
-                    && !held.get(name.as_str()).is_some_and(|held| held.contains(position))
+                    && !self.held.contains(name, *position)
             };
             let positions: Vec<u64> = (0..job.record.items).filter(nobody).collect();
             if !positions.is_empty() {
@@ -254,20 +301,46 @@
     }
 }
 
-fn held_positions(leases: &HashMap<u64, Lease>) -> HashMap<&str, BTreeSet<u64>> {
-    let mut held: HashMap<&str, BTreeSet<u64>> = HashMap::new();
-    for lease in leases.values() {
-        held.entry(lease.job.as_str()).or_default().extend(&lease.positions);
+/// Positions under any lease, by job, so that a grant need not look through
+/// all leases.
+#[derive(Debug, Default)]
+struct HeldPositions {
+    by_job: HashMap<String, HashSet<u64>>,
+}
+
+impl HeldPositions {
+    fn hold(&mut self, job: &str, positions: impl Iterator<Item = u64>) {
+        match self.by_job.get_mut(job) {
+            Some(held) => held.extend(positions),
+            None => drop(self.by_job.insert(job.to_owned(), positions.collect())),
+        }
+    }
+
+    fn release(&mut self, job: &str, positions: &[u64]) {
+        let Some(held) = self.by_job.get_mut(job) else { return };
+        for position in positions {
+            held.remove(position);
+        }
+        if held.is_empty() {
+            self.by_job.remove(job);
+        }
+    }
+
+    fn forget(&mut self, job: &str) {
+        self.by_job.remove(job);
+    }
+
+    fn contains(&self, job: &str, position: u64) -> bool {
+        self.by_job.get(job).is_some_and(|held| held.contains(&position))
     }
-    held
 }
 
 impl JobCursor {
     /// Takes up to so many items that are neither done, started nor held. An
     /// item that its holder gave back did not run, so its committed start
     /// stands for the next holder.
-    fn take(&mut self, job: &Job, most: usize, held: Option<&BTreeSet<u64>>) -> Vec<u64> {
-        let free = |position: u64| !job.done.get(position) && !held.is_some_and(|held| held.contains(&position));
+    fn take(&mut self, job: &Job, most: usize, held: &HeldPositions) -> Vec<u64> {
+        let free = |position: u64| !job.done.get(position) && !held.contains(&job.record.job, position);
         let mut positions = Vec::new();
         while positions.len() < most {
             let (position, may_be_started) = match self.returned.pop_front() {
--- /dev/null
+++ b/crates/core/src/membership/records.rs
@@ -0,0 +1,90 @@
+//! Records of members: which goes before which, and how a node corrects
+//! what is told of it.
+
+use super::{is_live, supersedes, Action, Member, Membership};
+use crate::identity::NodeId;
+use crate::time::Instant;
+use latchwheel_protocol::v1::{MemberRecord, MemberStatus};
+
+impl Membership {
+    pub(super) fn seed(&mut self, now: Instant, records: Vec<MemberRecord>, actions: &mut Vec<Action>) {
+        for record in records {
+            let node = NodeId(record.node);
+            if record.node == self.me.node || self.members.contains_key(&node) {
+                continue;
+            }
+            // A seed is only a hint of whom to ask: it is known as alive at
+            // incarnation zero and confirmed or suspected like any other.
+            let record = MemberRecord { incarnation: 0, status: MemberStatus::Alive.into(), ..record };
+            let near = record.region == self.me.region;
+            self.members.insert(node, Member { record: record.clone(), since: now });
+            actions.push(Action::Changed(record));
+            if near {
+                let sequence = self.next_sequence();
+                self.send_with(node, sequence, 0, false, true, actions);
+            }
+        }
+    }
+
+    pub(super) fn leave(&mut self, actions: &mut Vec<Action>) {
+        self.me.status = MemberStatus::Leaving.into();
+        self.me.incarnation += 1;
+        self.own_tells = 0;
+        let near: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| self.same_region(&member.record) && is_live(member.record.status()))
+            .map(|(id, _)| *id)
+            .collect();
+        for node in near {
+            self.own_tells = 0;
+            self.send(node, 0, 0, true, actions);
+        }
+    }
+
+    pub(super) fn take_record(&mut self, now: Instant, record: MemberRecord, actions: &mut Vec<Action>) {
+        if record.node == self.me.node {
+            self.refute(&record, actions);
+            return;
+        }
+        let node = NodeId(record.node);
+        let supersedes = match self.members.get(&node) {
+            None => record.status() != MemberStatus::Dead,
+            Some(member) => supersedes(&record, &member.record),
+        };
+        if !supersedes {
+            return;
+        }
+        // All but the incarnation: what a seed did not tell, a record does.
+        let changed = self.members.get(&node).is_none_or(|member| {
+            let old = MemberRecord { incarnation: record.incarnation, ..member.record.clone() };
+            old != record
+        });
+        if record.status() == MemberStatus::Dead {
+            self.summaries.remove(&node);
+        }
+        match record.status() {
+            MemberStatus::Suspect => self.suspects.insert(node),
+            _ => self.suspects.remove(&node),
+        };
+        self.members.insert(node, Member { record: record.clone(), since: now });
+        self.untold.retain(|(_, told)| *told != node);
+        if record.region == self.me.region {
+            self.untold.insert((0, node));
+        }
+        if changed {
+            actions.push(Action::Changed(record));
+        }
+    }
+
+    /// Another holds this node for suspect or dead, or knows an older start
+    /// of it: a higher incarnation corrects that.
+    pub(super) fn refute(&mut self, record: &MemberRecord, actions: &mut Vec<Action>) {
+        let wrong_status = record.status != self.me.status;
+        if record.incarnation >= self.me.incarnation && (wrong_status || record.incarnation > self.me.incarnation) {
+            self.me.incarnation = record.incarnation + 1;
+            self.own_tells = 0;
+            self.tell_some(actions);
+        }
+    }
+}
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -29,7 +29,7 @@
 
 #[derive(Debug, Default)]
 struct ServerBlocks {
-    known: HashKeyMap<u64, u32>,
+    known: HashKeyMap<u64, ()>,
     order: VecDeque<u64>,
     next_event: u64,
     stale: bool,
@@ -99,32 +99,30 @@
 }
 
 impl ServerBlocks {
+    /// Remembers blocks, the oldest ones of the server giving way. The order
+    /// is that of the first sight: what the engine still holds of older ones
+    /// its events tell.
     fn insert(&mut self, blocks: &[u64]) {
         for block in blocks {
-            *self.known.entry(*block).or_default() += 1;
-            self.order.push_back(*block);
+            if self.known.insert(*block, ()).is_none() {
+                self.order.push_back(*block);
+            }
         }
         while self.order.len() > BLOCKS_PER_SERVER {
             if let Some(oldest) = self.order.pop_front() {
-                self.release(oldest);
-            }
-        }
-    }
-
-    fn release(&mut self, block: u64) {
-        if let Some(uses) = self.known.get_mut(&block) {
-            *uses -= 1;
-            if *uses == 0 {
-                self.known.remove(&block);
+                self.known.remove(&oldest);
             }
         }
     }
 
     fn remove(&mut self, blocks: &[u64]) {
+        let mut removed = false;
         for block in blocks {
-            if self.known.remove(block).is_some() {
-                self.order.retain(|known| known != block);
-            }
+            removed |= self.known.remove(block).is_some();
+        }
+        if removed {
+            let known = &self.known;
+            self.order.retain(|block| known.contains_key(block));
         }
     }
 
--- a/crates/node/src/batch.rs
+++ b/crates/node/src/batch/mod.rs
@@ -1,20 +1,22 @@
 //! Runs batch items: leases them from the store groups' leaders as the own
 //! servers have room, runs them, and hands the results in.
 
+mod item_run;
+
 use crate::completions::{Completions, HeldItem};
 use crate::configuration::Configuration;
 use crate::metrics::Metrics;
-use crate::owner::{Assigned, Order, Owner};
+use crate::owner::Owner;
 use crate::store_calls::StoreCalls;
-use bytes::Bytes;
+use item_run::{failed, run_identity, ItemEnd, ItemRun};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::leasing::LEASE_LENGTH;
 use latchwheel_core::scheduler::Work;
 use latchwheel_core::table::{Class, Row, Table};
-use latchwheel_engine::{EngineAnswer, EngineClient, EngineFault, EngineRequest};
+use latchwheel_engine::EngineClient;
 use latchwheel_gateway::prepare_item;
-use latchwheel_protocol::v1::{HeldChunk, ItemResult, LeaseAnswer, LeaseRequest, LeasedItem, RowRoom};
-use std::collections::{BTreeMap, HashMap};
+use latchwheel_protocol::v1::{HeldChunk, LeaseAnswer, LeaseRequest, LeasedItem, ServiceRoom};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -30,16 +32,16 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Leases are renewed at least this often.
 const RENEWAL: Duration = Duration::from_millis(750);
-/// A row that had no items to grant is asked about again after this time,
-/// which doubles up to a bound while it has none.
-const EMPTY_ROW_PAUSE: Duration = Duration::from_millis(250);
-const EMPTY_ROW_PAUSE_MAXIMUM: Duration = Duration::from_secs(2);
+/// A service that was granted nothing is asked for again after this time,
+/// which doubles up to a bound while that goes on.
+const EMPTY_PAUSE: Duration = Duration::from_millis(250);
+const EMPTY_PAUSE_MAXIMUM: Duration = Duration::from_secs(2);
 const ITEM_TIME: Duration = Duration::from_secs(900);
 const ITEM_ATTEMPTS: u32 = 5;
 
-/// A row that had no items to grant.
+/// A service whose rows had no items to grant.
 #[derive(Clone, Copy, Debug)]
-struct EmptyRow {
+struct EmptyService {
     ask_again: Instant,
     pause: Duration,
 }
@@ -124,9 +126,9 @@
         tokio::spawn(self.completions.clone().run(move |item| drop(this.lock().remove(&item))));
         let mut term = 0;
         let mut renewed = Instant::now();
-        let mut empty_rows: HashMap<String, EmptyRow> = HashMap::new();
+        let mut empty: HashMap<String, EmptyService> = HashMap::new();
         loop {
-            let rooms = self.rooms(&empty_rows);
+            let rooms = self.rooms(&empty);
             let due = renewed.elapsed() >= RENEWAL && self.held() > 0;
             if rooms.is_empty() && !due {
                 tokio::time::sleep(BUSY_INTERVAL).await;
@@ -151,26 +153,27 @@
             renewed = Instant::now();
             // A lease counts from before it was asked for.
             *self.valid_until.lock().unwrap_or_else(PoisonError::into_inner) = asked_at + LEASE_LENGTH - LEASE_MARGIN;
-            note_empty_rows(&request, &answer, &mut empty_rows);
+            note_empty(&request, &answer, &self.configuration.table(), &mut empty);
             let granted = !answer.items.is_empty();
             self.take(answer);
             tokio::time::sleep(if granted { BUSY_INTERVAL } else { IDLE_INTERVAL }).await;
         }
     }
 
-    /// Room per row: each service's room is shared by weight among the rows
-    /// that have had items lately.
-    fn rooms(&self, empty_rows: &HashMap<String, EmptyRow>) -> Vec<RowRoom> {
+    /// Room per service, of those whose rows have had items lately; the
+    /// leader shares it among the rows.
+    fn rooms(&self, empty: &HashMap<String, EmptyService>) -> Vec<ServiceRoom> {
         if self.leaving.load(Ordering::Relaxed) {
             return Vec::new();
         }
-        let table = self.configuration.table();
-        let mut rooms = Vec::new();
-        for service in self.owner.services() {
-            let room = self.owner.batch_room(&service);
-            rooms.extend(share_room(&table, &service, room, empty_rows));
-        }
-        rooms
+        let services = self.owner.services();
+        let asked = services
+            .iter()
+            .filter(|service| empty.get(service.as_ref()).is_none_or(|empty| Instant::now() >= empty.ask_again));
+        asked
+            .map(|service| ServiceRoom { service: service.to_string(), room: self.owner.batch_room(service) })
+            .filter(|room| room.room > 0)
+            .collect()
     }
 
     fn chunks(&self, with_positions: bool) -> Vec<HeldChunk> {
@@ -282,178 +285,17 @@
     }
 }
 
-/// Identity of an item's run at the engines.
-fn run_identity(leased: &LeasedItem) -> String {
-    format!("{}-{}", leased.job, leased.position)
-}
-
-enum ItemEnd {
-    Result(ItemResult),
-    /// The item was not started here and may go elsewhere.
-    NotStarted,
-}
-
-struct ItemRun<'a> {
-    runner: &'a Arc<BatchRunner>,
-    leased: &'a LeasedItem,
-    body: Bytes,
-    /// Where a broken-off run is kept.
-    resume_at: Option<Assigned>,
-    /// Server that runs the item, for whoever has to stop it.
-    place: Arc<Mutex<Option<Arc<str>>>>,
-}
-
-/// Why a run ended without a result.
-enum RunFault {
-    Engine(EngineFault),
-    /// The node takes the item back from its servers.
-    Withdrawn,
-}
-
-impl ItemRun<'_> {
-    async fn run(mut self, work: Work) -> ItemEnd {
-        let mut attempts = 0;
-        loop {
-            let mut handle = self.runner.owner.submit(Work { id: self.runner.owner.new_work(), ..work.clone() });
-            let assigned = loop {
-                match handle.next().await {
-                    Order::Start(assigned) if self.runner.leases_hold() => break assigned,
-                    Order::Start(_) | Order::Refuse(..) => return ItemEnd::NotStarted,
-                    Order::Preempt => {}
-                }
-            };
-            match self.run_until_end(handle, assigned).await {
-                Ok(result) => return ItemEnd::Result(result),
-                Err(RunFault::Withdrawn) => return ItemEnd::NotStarted,
-                Err(RunFault::Engine(fault)) => {
-                    attempts += 1;
-                    if let Some(result) = self.judge(fault, attempts) {
-                        return ItemEnd::Result(result);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Runs on the assigned server; where the item gives way, waits for the
-    /// next start and goes on from the resume point.
-    async fn run_until_end(
-        &mut self,
-        mut handle: crate::owner::WorkHandle,
-        mut assigned: Assigned,
-    ) -> Result<ItemResult, RunFault> {
-        loop {
-            let sending = self.send(&assigned);
-            let answer = tokio::select! {
-                answer = sending => Some(answer),
-                order = handle.next() => match order {
-                    Order::Preempt => None,
-                    Order::Start(_) | Order::Refuse(..) => Some(Err(EngineFault::Broken)),
-                },
-            };
-            match answer {
-                Some(Ok(result)) => {
-                    handle.finish();
-                    return Ok(result);
-                }
-                Some(Err(EngineFault::NotKept)) => self.resume_at = None,
-                Some(Err(fault)) => {
-                    if !matches!(fault, EngineFault::Rejected(..)) {
-                        self.runner.owner.server_failed(assigned.server);
-                    }
-                    return Err(RunFault::Engine(fault));
-                }
-                None => {
-                    self.runner.metrics.note_preemption();
-                    self.resume_at = Some(assigned.clone());
-                    assigned = loop {
-                        match handle.next().await {
-                            Order::Start(next) => break next,
-                            Order::Refuse(..) => return Err(RunFault::Withdrawn),
-                            Order::Preempt => {}
-                        }
-                    };
-                    self.leave_resume_point(&assigned).await;
-                }
-            }
-        }
-    }
-
-    /// A run that goes on at another server is dropped at the first one.
-    async fn leave_resume_point(&mut self, next: &Assigned) {
-        let elsewhere = self.resume_at.take_if(|kept| kept.server != next.server);
-        if let Some(kept) = elsewhere {
-            let identity = run_identity(self.leased);
-            let engines = self.runner.engines.clone();
-            tokio::spawn(async move { engines.cancel(&kept.address, &identity).await });
-        }
-    }
-
-    async fn send(&self, assigned: &Assigned) -> Result<ItemResult, EngineFault> {
-        *self.place.lock().unwrap_or_else(PoisonError::into_inner) = Some(assigned.address.clone());
-        let request = EngineRequest {
-            identity: run_identity(self.leased),
-            path: self.leased.endpoint.clone(),
-            body: self.body.clone(),
-            streamed: false,
-            resume: self.resume_at.is_some(),
-            time: ITEM_TIME,
-        };
-        match self.runner.engines.send(&assigned.address, request).await? {
-            EngineAnswer::Whole(body) => {
-                Ok(ItemResult { position: self.leased.position, code: ResultCode::Done.number(), status: 200, body })
-            }
-            EngineAnswer::Stream(_) => Err(EngineFault::Broken),
-        }
-    }
-
-    /// What a failed attempt comes to; `None` means another attempt.
-    fn judge(&self, fault: EngineFault, attempts: u32) -> Option<ItemResult> {
-        let position = self.leased.position;
-        match fault {
-            EngineFault::Rejected(_, bytes) => {
-                let text = String::from_utf8_lossy(&bytes).into_owned();
-                Some(failed(position, ResultCode::EngineRejected, &text))
-            }
-            EngineFault::Unreachable | EngineFault::Refused => None,
-            EngineFault::Broken | EngineFault::NotKept if !self.leased.repeatable => {
-                Some(failed(position, ResultCode::OutcomeUnknown, ResultCode::OutcomeUnknown.text()))
-            }
-            EngineFault::Broken | EngineFault::NotKept if attempts < ITEM_ATTEMPTS => None,
-            EngineFault::Broken | EngineFault::NotKept => {
-                Some(failed(position, ResultCode::StreamCut, ResultCode::StreamCut.text()))
-            }
-        }
-    }
-}
-
-fn failed(position: u64, code: ResultCode, text: &str) -> ItemResult {
-    let body = Bytes::copy_from_slice(text.as_bytes());
-    ItemResult { position, code: code.number(), status: u32::from(code.http_status()), body }
-}
-
-fn share_room(table: &Table, service: &str, room: u32, empty_rows: &HashMap<String, EmptyRow>) -> Vec<RowRoom> {
-    let is_empty = |row: &Row| empty_rows.get(&row.name).is_some_and(|empty| Instant::now() < empty.ask_again);
-    let rows: Vec<&Arc<Row>> = table
-        .rows
-        .values()
-        .filter(|row| row.class == Class::Batch && row.service == service && !is_empty(row))
-        .collect();
-    let weights: f64 = rows.iter().map(|row| row.weight).sum();
-    rows.iter()
-        .map(|row| RowRoom { row: row.name.clone(), room: (f64::from(room) * row.weight / weights).ceil() as u32 })
-        .filter(|share| share.room > 0)
-        .collect()
-}
-
-fn note_empty_rows(request: &LeaseRequest, answer: &LeaseAnswer, empty_rows: &mut HashMap<String, EmptyRow>) {
+/// Services that were granted nothing are asked for later and later.
+fn note_empty(request: &LeaseRequest, answer: &LeaseAnswer, table: &Table, empty: &mut HashMap<String, EmptyService>) {
+    let granted: BTreeSet<&str> =
+        answer.items.iter().filter_map(|item| table.rows.get(&item.row)).map(|row| row.service.as_str()).collect();
     for room in &request.rooms {
-        if answer.items.iter().any(|item| item.row == room.row) {
-            empty_rows.remove(&room.row);
-        } else {
-            let earlier = empty_rows.get(&room.row).map(|empty| empty.pause * 2);
-            let pause = earlier.unwrap_or(EMPTY_ROW_PAUSE).min(EMPTY_ROW_PAUSE_MAXIMUM);
-            empty_rows.insert(room.row.clone(), EmptyRow { ask_again: Instant::now() + pause, pause });
+        if granted.contains(room.service.as_str()) {
+            empty.remove(&room.service);
+            continue;
         }
+        let earlier = empty.get(&room.service).map(|empty| empty.pause * 2);
+        let pause = earlier.unwrap_or(EMPTY_PAUSE).min(EMPTY_PAUSE_MAXIMUM);
+        empty.insert(room.service.clone(), EmptyService { ask_again: Instant::now() + pause, pause });
     }
 }
--- a/crates/node/src/stores.rs
+++ b/crates/node/src/stores.rs
@@ -5,12 +5,13 @@
 use crate::peers::{PeerCall, PeerClient};
 use latchwheel_core::replication::replacement::first_members;
 use latchwheel_core::replication::Settings as ReplicationSettings;
+use latchwheel_core::table::{Class, Table};
 use latchwheel_platform::{KeyValueClient, KeyValueFault, Written};
 use latchwheel_protocol::v1::{
     MemberRecord, Members as GroupMembers, Replica, ReplicationMessage, ReplicationMessages, StatePage, StatePull,
 };
 use latchwheel_store::folder::DataFolder;
-use latchwheel_store::group::{Group, GroupSettings, PresentNodes, Transport};
+use latchwheel_store::group::{Group, GroupSettings, PresentNodes, RowFact, RowFacts, Transport};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
@@ -147,6 +148,7 @@
             self.start_group(group, GroupMembers::default());
         }
         let mut changes = self.members.subscribe();
+        let mut told = BTreeMap::new();
         loop {
             for group in 0..self.settings.groups {
                 if self.group(group).is_none() {
@@ -154,17 +156,23 @@
                 }
             }
             let present = present_nodes(&self.members.view(), &folder);
-            let table = self.configuration.table();
-            let retention: HashMap<String, u64> =
-                table.rows.values().map(|row| (row.name.clone(), row.retention_seconds)).collect();
-            for group in self.lock().values() {
-                group.note_present(present.clone());
-                group.note_retention(retention.clone());
-            }
+            self.tell_groups(&present, &mut told);
             let _ = tokio::time::timeout(FOLLOW_INTERVAL, changes.changed()).await;
         }
     }
 
+    /// Tells the groups who is alive, and the batch rows where they do not
+    /// know the present revision.
+    fn tell_groups(&self, present: &PresentNodes, told: &mut BTreeMap<u64, u64>) {
+        let table = self.configuration.table();
+        for (number, group) in self.lock().iter() {
+            group.note_present(present.clone());
+            if told.insert(*number, table.revision) != Some(table.revision) {
+                group.note_rows(batch_rows(&table));
+            }
+        }
+    }
+
     /// Starts the group if its record names this node's replica; makes the
     /// record if there is none and enough replicas are alive.
     async fn found_group(&self, folder: &DataFolder, group: u64) {
@@ -212,6 +220,16 @@
     }
 }
 
+fn batch_rows(table: &Table) -> RowFacts {
+    let rows = table.rows.values().filter(|row| row.class == Class::Batch);
+    rows.map(|row| {
+        let fact =
+            RowFact { service: row.service.clone(), weight: row.weight, retention_seconds: row.retention_seconds };
+        (row.name.clone(), fact)
+    })
+    .collect()
+}
+
 fn replica_of(record: &MemberRecord) -> Replica {
     Replica { replica: record.replica, node: record.node, zone: record.zone.clone(), voter: false }
 }
--- a/crates/store/src/lease_desk.rs
+++ b/crates/store/src/lease_desk.rs
@@ -5,7 +5,7 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::jobs::{Job, JobState, StateKey, StateTable};
-use latchwheel_core::leasing::{Grant, Leasing};
+use latchwheel_core::leasing::{Grant, Leasing, RowWeight};
 use latchwheel_core::time::Instant;
 use latchwheel_protocol::v1::command::Body;
 use latchwheel_protocol::v1::{
@@ -15,6 +15,21 @@
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
+/// What a leader has to know of a row.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RowFact {
+    /// Service whose servers do the work.
+    pub service: String,
+    /// Weight among the rows of the service.
+    pub weight: f64,
+    /// Time for which results are kept after the end, in seconds; zero means
+    /// for ever.
+    pub retention_seconds: u64,
+}
+
+/// The batch rows by name.
+pub type RowFacts = HashMap<String, RowFact>;
+
 /// Reply to a lease request.
 pub(crate) type LeaseReply = oneshot::Sender<LeaseAnswer>;
 
@@ -43,6 +58,7 @@
         now: Instant,
         request: &LeaseRequest,
         reply: LeaseReply,
+        rows: &RowFacts,
         state: &JobState,
         view: &StateView,
     ) -> Result<Option<Held>, DiskFault> {
@@ -59,8 +75,15 @@
         }
         answer.cancelled_jobs = self.leasing.renew(now, node, &request.held, state);
         let mut starts = Vec::new();
+        let open_rows = self.leasing.open_rows();
         for room in &request.rooms {
-            for grant in self.leasing.grant(now, node, &room.row, room.room as usize, state) {
+            let weights: Vec<RowWeight<'_>> = open_rows
+                .iter()
+                .filter_map(|row| Some((row, rows.get(row)?)))
+                .filter(|(_, facts)| facts.service == room.service)
+                .map(|(row, facts)| RowWeight { row, weight: facts.weight })
+                .collect();
+            for grant in self.leasing.grant_shared(now, node, &weights, room.room as usize, state) {
                 let Some(job) = state.job(&grant.job) else { continue };
                 if !job.record.repeatable {
                     starts.push(start_command(&grant, request.node));
