--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -4,12 +4,15 @@
 use crate::recorder::{Answer, AnswerKind, Recorder};
 use crate::scenario::{OnlineLoad, Scenario};
 use bytes::Bytes;
+use eyre::{bail, Result, WrapErr};
 use hyper::{Method, Request};
 use latchwheel_core::identity::stable_hash;
 use latchwheel_engine::{AnswerStream, StreamEvent};
 use latchwheel_http::{full, read_bounded, CallFault, Client};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -17,8 +20,8 @@
 const REQUEST_TIME: Duration = Duration::from_secs(60);
 const ANSWER_LIMIT: usize = 16 << 20;
 
-/// A request of the plan.
-#[derive(Clone, Debug)]
+/// A request of the plan; a recorded trace has one as JSON a line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PlannedRequest {
     /// When it is due, from the start.
     pub at: Duration,
@@ -30,6 +33,39 @@
     pub prompt: String,
 }
 
+/// Writes a plan as a trace.
+///
+/// # Errors
+/// If the file can't be written.
+pub fn record(requests: &[PlannedRequest], path: &Path) -> Result<()> {
+    let mut text = String::new();
+    for request in requests {
+        text.push_str(&serde_json::to_string(request)?);
+        text.push('\n');
+    }
+    std::fs::write(path, text).wrap_err_with(|| format!("cannot write {}", path.display()))
+}
+
+/// Reads a trace.
+///
+/// # Errors
+/// With the line that is wrong, also where it names a load that the scenario
+/// does not have.
+pub fn read_trace(path: &Path, loads: usize) -> Result<Vec<PlannedRequest>> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    let mut requests = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        let at = || format!("{} line {}", path.display(), number + 1);
+        let request: PlannedRequest = serde_json::from_str(line).wrap_err_with(at)?;
+        if request.load >= loads {
+            bail!("{}: load {} is not in the scenario; allowed: 0 to {}", at(), request.load, loads.saturating_sub(1));
+        }
+        requests.push(request);
+    }
+    requests.sort_by_key(|request| request.at);
+    Ok(requests)
+}
+
 /// Plans all requests of a scenario; the same seed gives the same plan.
 pub fn plan(scenario: &Scenario) -> Vec<PlannedRequest> {
     let mut requests = Vec::new();
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,8 +1,9 @@
 //! The `latchwheel-bench` program: runs scenarios against separate processes
 //! on loopback, with baselines in the same run, and measures slopes.
 
-use eyre::{bail, eyre, Result};
+use eyre::{bail, eyre, Result, WrapErr};
 use getopts::{Matches, Options};
+use latchwheel_bench::load;
 use latchwheel_bench::report::Report;
 use latchwheel_bench::run;
 use latchwheel_bench::scale::place::Plan;
@@ -19,6 +20,9 @@
 
 Commands:
     run SCENARIO      run a scenario with its baselines
+    replay SCENARIO TRACE
+                      run a scenario with the online requests of a trace
+    compare A B       put two reports (JSON) side by side
     scale             measure control on hollow nodes up to the target's size,
                       with real node processes beside them
     slopes            measure decisions, store groups, and what a node adds";
@@ -29,6 +33,7 @@
     options.optflag("V", "version", "print the version");
     options.optopt("o", "output", "file for the report as JSON", "FILE");
     options.optopt("s", "seconds", "length of the measured part instead of the scenario's", "NUMBER");
+    options.optopt("r", "record", "run: file for the online requests as a trace", "FILE");
     options.optopt("p", "plots", "folder for plots", "FOLDER");
     options.optopt("n", "nodes", "scale: numbers of nodes, by commas (default 50,100,200,390)", "NUMBERS");
     options.optopt("", "servers", "scale: servers at the largest size (default 12000)", "NUMBER");
@@ -72,7 +77,8 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         match matches.free[0].as_str() {
-            "run" => run_scenario(matches).await,
+            "run" | "replay" => run_scenario(matches).await,
+            "compare" => compare(matches),
             "scale" => run_scale(matches).await,
             "slopes" => run_slopes(matches).await,
             other => bail!("no command is called {other:?}"),
@@ -88,8 +94,18 @@
     }
     let mut report =
         Report { scenario: scenario.name.clone(), seed: scenario.seed, seconds: scenario.seconds, variants: vec![] };
+    let requests = match matches.free[0].as_str() {
+        "replay" => {
+            let trace = matches.free.get(2).ok_or_else(|| eyre!("replay needs a trace"))?;
+            load::read_trace(Path::new(trace), scenario.online.len())?
+        }
+        _ => load::plan(&scenario),
+    };
+    if let Some(file) = matches.opt_str("record") {
+        load::record(&requests, Path::new(&file))?;
+    }
     for variant in chosen_variants(matches)? {
-        report.variants.push(run::run_variant(&scenario, variant).await?);
+        report.variants.push(run::run_requests(&scenario, variant, requests.clone()).await?);
     }
     print!("{}", report.text());
     if let Some(file) = matches.opt_str("output") {
@@ -98,6 +114,16 @@
     Ok(())
 }
 
+fn compare(matches: &Matches) -> Result<()> {
+    let read = |position: usize| -> Result<Report> {
+        let path = matches.free.get(position).ok_or_else(|| eyre!("compare needs two reports"))?;
+        let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))?;
+        serde_json::from_str(&text).wrap_err_with(|| format!("{path} is no report"))
+    };
+    print!("{}", latchwheel_bench::report::compare(&read(1)?, &read(2)?));
+    Ok(())
+}
+
 fn chosen_variants(matches: &Matches) -> Result<Vec<Variant>> {
     let Some(names) = matches.opt_str("variants") else { return Ok(Variant::ALL.to_vec()) };
     names.split(',').map(|name| Variant::of_name(name).ok_or_else(|| eyre!("no variant is called {name:?}"))).collect()
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -62,6 +62,29 @@
     }
 }
 
+/// Two reports side by side, variant by variant, with the ratio of the
+/// second to the first.
+pub fn compare(first: &Report, second: &Report) -> String {
+    let mut text = format!("{} against {}\n", first.scenario, second.scenario);
+    for before in &first.variants {
+        let Some(after) = second.variants.iter().find(|other| other.variant == before.variant) else { continue };
+        let rows = [
+            ("first token p50 ms", before.online.first_token.p50, after.online.first_token.p50),
+            ("first token p99 ms", before.online.first_token.p99, after.online.first_token.p99),
+            ("token gap p95 ms", before.online.token_gap.p95, after.online.token_gap.p95),
+            ("service", before.online.service, after.online.service),
+            ("items a second", before.batch.items_per_second, after.batch.items_per_second),
+            ("idle slots filled", before.idle_filled, after.idle_filled),
+        ];
+        for (name, before_value, after_value) in rows {
+            let ratio = after_value / before_value;
+            let variant = before.variant.name();
+            let _ = writeln!(text, "{variant:<12}{name:<20}{before_value:>12.3}{after_value:>12.3}{ratio:>9.3}");
+        }
+    }
+    text
+}
+
 fn details(variant: &VariantReport) -> String {
     let (online, batch) = (&variant.online, &variant.batch);
     let mut text = format!(
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::batches::{BatchDriver, BatchReport};
 use crate::faults::{self, FaultOutcome};
-use crate::load;
+use crate::load::{self, PlannedRequest};
 use crate::process_figures::peak_megabytes;
 use crate::processes::Processes;
 use crate::recorder::{OnlineReport, Recorder};
@@ -57,9 +57,21 @@
 /// # Errors
 /// If processes can't be started.
 pub async fn run_variant(scenario: &Scenario, variant: Variant) -> Result<VariantReport> {
+    run_requests(scenario, variant, load::plan(scenario)).await
+}
+
+/// Runs one variant with given online requests, such as those of a trace.
+///
+/// # Errors
+/// If processes can't be started.
+pub async fn run_requests(
+    scenario: &Scenario,
+    variant: Variant,
+    requests: Vec<PlannedRequest>,
+) -> Result<VariantReport> {
     let scenario = Arc::new(scenario.clone());
     let mut processes = Processes::start(&scenario, variant).await?;
-    let report = measure(&scenario, variant, &mut processes).await;
+    let report = measure(&scenario, variant, requests, &mut processes).await;
     if report.is_err() || std::env::var_os("LATCHWHEEL_KEEP_LOGS").is_some() {
         for node in &processes.nodes {
             let log = processes.folder.path().join(format!("{}.log", node.name));
@@ -70,7 +82,12 @@
     report
 }
 
-async fn measure(scenario: &Arc<Scenario>, variant: Variant, processes: &mut Processes) -> Result<VariantReport> {
+async fn measure(
+    scenario: &Arc<Scenario>,
+    variant: Variant,
+    requests: Vec<PlannedRequest>,
+    processes: &mut Processes,
+) -> Result<VariantReport> {
     write_rows(scenario, processes).await?;
     tokio::time::sleep(SETTLE).await;
     let before = slot_time(processes).await;
@@ -81,7 +98,7 @@
     if variant.has_batch() {
         heaps.extend((0..scenario.batch.len()).map(|number| tokio::spawn(batches.clone().run(number))));
     }
-    let online = tokio::spawn(load::run(scenario.clone(), load::plan(scenario), nodes, recorder.clone()));
+    let online = tokio::spawn(load::run(scenario.clone(), requests, nodes, recorder.clone()));
     let length = tokio::time::sleep(Duration::from_secs(scenario.seconds));
     let faults = faults::run(scenario, processes, &nodes_sender).await;
     length.await;
--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -77,7 +77,8 @@
 pub struct SizeReport {
     /// The size.
     pub plan: Plan,
-    /// Megabytes of this process per hollow node.
+    /// Megabytes of this process per hollow node; the nodes share what their
+    /// tables have in common, so that a real node has more.
     pub megabytes_per_node: f64,
     /// The phases.
     pub phases: Vec<Phase>,
@@ -336,8 +337,6 @@
             Line { name: "received".into(), points: points(&|size| size.phases[0].received_bytes.mean) },
         ];
         plot(&folder.join("scale-bytes.svg"), "Control: bytes a second per node", "nodes", &bytes)?;
-        let memory = [Line { name: "memory".into(), points: points(&|size| size.megabytes_per_node) }];
-        plot(&folder.join("scale-memory.svg"), "Control: megabytes per node", "nodes", &memory)?;
         let force = [
             Line { name: "p50".into(), points: points(&|size| size.phases[0].in_force.p50) },
             Line { name: "p99".into(), points: points(&|size| size.phases[0].in_force.p99) },
--- a/crates/bench/src/scale/world.rs
+++ b/crates/bench/src/scale/world/mod.rs
@@ -7,16 +7,20 @@
 //! coding of their messages took; bytes are those of the coded messages with
 //! the headers that UDP, TCP and HTTP/2 put before them.
 
+mod configuring;
+mod limiting;
+mod owning;
+
 use super::place::{Place, Plan};
 use latchwheel_core::configuration::{self, ConfigurationLog};
-use latchwheel_core::identity::{stable_hash, NodeId, ServerId};
+use latchwheel_core::identity::{NodeId, ServerId};
 use latchwheel_core::limits::{LimitHolder, LimitHome, ShareDemand};
 use latchwheel_core::membership::{self, Membership};
-use latchwheel_core::ownership::{assign, home_of, is_among_first, OwnedServer, OwnerCandidate};
-use latchwheel_core::scheduler::{BatchPolicy, Event as SchedulerEvent, RowShare, Scheduler, ServerProfile};
+use latchwheel_core::ownership::{is_among_first, OwnedServer};
+use latchwheel_core::scheduler::{BatchPolicy, Scheduler};
 use latchwheel_core::table::{Edit, Table};
 use latchwheel_core::time::Instant;
-use latchwheel_protocol::v1::{Datagram, MemberRecord, MemberStatus, Summary};
+use latchwheel_protocol::v1::{Datagram, MemberRecord, MemberStatus};
 use latchwheel_protocol::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -425,232 +429,6 @@
         }
     }
 
-    // ---- Configuration ----
-
-    fn configure(&mut self, number: usize, event: configuration::Event) {
-        let begun = std::time::Instant::now();
-        let before = self.nodes[number].configuration.table().clone();
-        let actions = self.nodes[number].configuration.handle(event);
-        self.nodes[number].cost.busy += begun.elapsed();
-        for action in actions {
-            match action {
-                configuration::Action::Publish(table) => self.publish(number, &before, &table),
-                configuration::Action::Pull(peer, after) => {
-                    if let Some(to) = self.by_identity.get(&peer.0).copied() {
-                        let cost = &mut self.nodes[number].cost;
-                        cost.sent += CALL_HEADER;
-                        cost.messages += 1;
-                        if !self.is_cut(number, to) {
-                            let delay = self.delay(number, to);
-                            self.schedule(delay, Happening::PullRequest { from: number, to, after });
-                        }
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn publish(&mut self, number: usize, before: &Table, table: &Arc<Table>) {
-        let now = self.now;
-        let begun = std::time::Instant::now();
-        let node = &mut self.nodes[number];
-        for row in table.rows_changed_since(before) {
-            let share = RowShare { weight: row.weight, concurrency: row.limits.concurrency, queue: row.limits.queue };
-            node.scheduler.handle(now, SchedulerEvent::RowShare(row.name.as_str().into(), share));
-        }
-        let summary = Summary { node: node.record.node, revision: table.revision, ..Summary::default() };
-        node.cost.busy += begun.elapsed();
-        for trace in self.edits.iter_mut().rev().take_while(|trace| trace.revision > before.revision) {
-            if trace.revision <= table.revision {
-                trace.in_force.entry(number).or_insert(now);
-            }
-        }
-        self.handle_membership(number, membership::Event::OwnSummary(summary));
-    }
-
-    fn answer_pull(&mut self, from: usize, to: usize, after: u64) {
-        if !self.nodes[to].alive {
-            return;
-        }
-        let begun = std::time::Instant::now();
-        let node = &mut self.nodes[to];
-        let records = node.configuration.records_after(after);
-        let table = records.is_none().then(|| node.configuration.table().clone());
-        let records = records.unwrap_or_default();
-        let coded: usize = records.iter().map(|record| serde_json::to_vec(&record.edit).map_or(0, |b| b.len())).sum();
-        let snapshot = table.as_ref().map_or(0, |table| serde_json::to_vec(table.as_ref()).map_or(0, |b| b.len()));
-        let bytes = (coded + snapshot) as u64 + CALL_HEADER;
-        node.cost.busy += begun.elapsed();
-        node.cost.sent += bytes;
-        node.cost.messages += 1;
-        let delay = self.delay(to, from);
-        self.schedule(delay, Happening::PullAnswer { to: from, records, table, bytes });
-    }
-
-    fn watch_fires(&mut self, number: usize) {
-        if !self.nodes[number].alive || self.cut_platform.contains(&self.nodes[number].place.region) {
-            return;
-        }
-        let present = self.nodes[number].configuration.table().revision;
-        let records: Vec<configuration::Record> = (present..self.service.revision)
-            .filter_map(|revision| {
-                let offset = self.log.len().checked_sub((self.service.revision - revision) as usize)?;
-                Some(configuration::Record { revision: revision + 1, edit: self.log[offset].clone() })
-            })
-            .collect();
-        let coded: usize = records.iter().map(|record| serde_json::to_vec(&record.edit).map_or(0, |b| b.len())).sum();
-        let cost = &mut self.nodes[number].cost;
-        // The watch's answer, the read of the new keys, and the next watch.
-        cost.received += coded as u64 + 2 * PLATFORM_CALL / 2;
-        cost.sent += 2 * PLATFORM_CALL / 2;
-        cost.messages += 4;
-        self.configure(number, configuration::Event::Records(records));
-    }
-
-    /// Waiting calls of the platform end and are made again.
-    fn watch_renews(&mut self, number: usize, boot: u64) {
-        if !self.nodes[number].alive || self.nodes[number].boot != boot {
-            return;
-        }
-        let watches = 1 + u64::from(self.is_watcher(number));
-        let cost = &mut self.nodes[number].cost;
-        cost.sent += watches * PLATFORM_CALL / 2;
-        cost.received += watches * PLATFORM_CALL / 2;
-        cost.messages += 2 * watches;
-        if self.is_watcher(number) && self.service.revision > self.nodes[number].configuration.table().revision {
-            self.watch_fires(number);
-        }
-        self.schedule(WATCH_RENEWAL, Happening::WatchRenews(number, boot));
-    }
-
-    // ---- Machines and ownership ----
-
-    fn show_list(&mut self, number: usize) {
-        if !self.nodes[number].alive || self.cut_platform.contains(&self.nodes[number].place.region) {
-            return;
-        }
-        let place = self.nodes[number].place;
-        let nodes: Vec<MemberRecord> = self
-            .nodes
-            .iter()
-            .filter(|node| node.alive && node.place.region == place.region)
-            .map(|node| node.record.clone())
-            .collect();
-        let servers = self.servers.get(&place.zone).map_or(0, Vec::len);
-        let cost = &mut self.nodes[number].cost;
-        cost.received += (nodes.len() + servers) as u64 * self.machine_bytes + PLATFORM_CALL / 2;
-        cost.sent += PLATFORM_CALL / 2;
-        cost.messages += 2;
-        // Relays need somebody of each other region to begin with.
-        let far = self.nodes.iter().filter(|node| node.alive && node.place.region != place.region);
-        let far: Vec<MemberRecord> = far.step_by(17).map(|node| node.record.clone()).collect();
-        self.handle_membership(number, membership::Event::Seeds(nodes));
-        self.handle_membership(number, membership::Event::Seeds(far));
-        self.take_share(number);
-    }
-
-    fn take_share(&mut self, number: usize) {
-        if !self.nodes[number].alive {
-            return;
-        }
-        let now = self.now;
-        let begun = std::time::Instant::now();
-        let node = &mut self.nodes[number];
-        node.stale_ownership = false;
-        let region = &node.record.region;
-        let live = node.membership.live().filter(|record| record.region == *region);
-        let candidates: Vec<OwnerCandidate> = live
-            .chain([node.membership.me()])
-            .map(|record| OwnerCandidate {
-                node: NodeId(record.node),
-                zone: record.zone.clone(),
-                region: record.region.clone(),
-            })
-            .collect();
-        let own_zone = node.place.zone;
-        let covered: BTreeSet<&str> = candidates.iter().map(|candidate| candidate.zone.as_str()).collect();
-        let wanted = self.plan.zones_of_region(node.place.region).into_iter().filter(|zone| {
-            *zone == own_zone || !covered.contains(Place { zone: *zone, ..node.place }.zone_name().as_str())
-        });
-        let servers: Vec<OwnedServer> = wanted.filter_map(|zone| self.servers.get(&zone)).flatten().cloned().collect();
-        let owners = assign(&candidates, &servers);
-        let me = NodeId(node.record.node);
-        let mine: BTreeSet<ServerId> =
-            owners.into_iter().filter(|(_, owner)| *owner == me).map(|(server, _)| server).collect();
-        for server in node.owned.difference(&mine) {
-            node.scheduler.handle(now, SchedulerEvent::ServerGone(*server));
-        }
-        for server in mine.difference(&node.owned) {
-            let profile = ServerProfile {
-                name: format!("{:x}", server.0).into(),
-                service: "service".into(),
-                models: vec!["model".into()],
-                slots: 32,
-                token_capacity: 200_000,
-            };
-            node.scheduler.handle(now, SchedulerEvent::ServerUp(*server, profile));
-        }
-        node.owned = mine;
-        node.cost.busy += begun.elapsed();
-    }
-
-    // ---- Limits ----
-
-    fn ask_limits(&mut self, number: usize, demands: Vec<ShareDemand>) {
-        let begun = std::time::Instant::now();
-        let node = &self.nodes[number];
-        let region = &node.record.region;
-        let live: Vec<NodeId> = node
-            .membership
-            .live()
-            .filter(|record| record.region == *region)
-            .map(|record| NodeId(record.node))
-            .chain([NodeId(node.record.node)])
-            .collect();
-        let mut by_home: BTreeMap<NodeId, Vec<ShareDemand>> = BTreeMap::new();
-        for demand in demands {
-            let name = stable_hash(demand.row.as_bytes());
-            if let Some(home) = home_of(name, live.iter().copied()) {
-                by_home.entry(home).or_default().push(demand);
-            }
-        }
-        self.nodes[number].cost.busy += begun.elapsed();
-        for (home, demands) in by_home {
-            let Some(to) = self.by_identity.get(&home.0).copied() else { continue };
-            if to != number {
-                self.nodes[number].cost.sent += demand_bytes(&demands) + CALL_HEADER;
-                self.nodes[number].cost.messages += 1;
-            }
-            let delay = self.delay(number, to);
-            self.schedule(delay, Happening::LimitAsk { from: number, to, demands });
-        }
-    }
-
-    fn grant_limits(&mut self, from: usize, to: usize, demands: Vec<ShareDemand>) {
-        if !self.nodes[to].alive {
-            return;
-        }
-        let now = self.now;
-        let begun = std::time::Instant::now();
-        let node = &mut self.nodes[to];
-        let grant = |demand: &ShareDemand| {
-            let rate = node.home.grant(now, &demand.row, 100.0, NodeId(from as u64), demand.per_second);
-            (demand.row.clone(), rate)
-        };
-        let shares: Vec<(String, f64)> = demands.iter().map(grant).collect();
-        node.cost.busy += begun.elapsed();
-        if to != from {
-            let bytes = demand_bytes(&demands) + CALL_HEADER;
-            node.cost.received += bytes;
-            node.cost.sent += bytes;
-            node.cost.messages += 2;
-            self.nodes[from].cost.received += bytes;
-        }
-        let delay = self.delay(to, from);
-        self.schedule(delay, Happening::LimitGrant { to: from, shares, asked_at: now });
-    }
-
     /// Largest and mean number of servers that a live node owns.
     pub fn shares(&self) -> (usize, f64) {
         let shares: Vec<usize> = self.nodes.iter().filter(|node| node.alive).map(|node| node.owned.len()).collect();
@@ -671,9 +449,3 @@
         self.nodes.iter_mut().for_each(|node| node.cost = NodeCost::default());
     }
 }
-
-/// Bytes of the rows and rates of a call about limits.
-fn demand_bytes(demands: &[ShareDemand]) -> u64 {
-    const RATE_AND_TAGS: u64 = 13;
-    demands.iter().map(|demand| demand.row.len() as u64 + RATE_AND_TAGS).sum()
-}
--- a/crates/bench/tests/fault_scenarios.rs
+++ b/crates/bench/tests/fault_scenarios.rs
@@ -1,15 +1,21 @@
 //! Runs each scenario under `tests/faults` with separate processes and checks
-//! that nothing which was promised was broken.
+//! that nothing which was promised was broken. Where a recorded trace stands
+//! beside a scenario, its online requests are replayed.
 
-use latchwheel_bench::run::{run_variant, VariantReport};
+use latchwheel_bench::load::{plan, read_trace};
+use latchwheel_bench::run::{run_requests, VariantReport};
 use latchwheel_bench::scenario::{Allowed, Scenario};
 use latchwheel_bench::variant::Variant;
 use std::path::Path;
 
 fn run(path: &Path) -> datatest_stable::Result<()> {
     let scenario = Scenario::read(path)?;
+    let trace = path.with_extension("jsonl");
+    let requests = if trace.exists() { read_trace(&trace, scenario.online.len())? } else { plan(&scenario) };
+    let sent = requests.len() as u64;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    let report = runtime.block_on(run_variant(&scenario, Variant::Latchwheel))?;
+    let report = runtime.block_on(run_requests(&scenario, Variant::Latchwheel, requests))?;
+    assert_eq!(report.online.sent, sent, "every request was sent");
     check(&report, &scenario.allowed);
     Ok(())
 }
--- a/crates/core/src/prefix.rs
+++ b/crates/core/src/prefix.rs
@@ -89,10 +89,11 @@
     }
 
     /// Number of leading blocks that the server holds; a stale index counts
-    /// for nothing.
+    /// for nothing. A block's hash covers those before it, so that the end of
+    /// the known prefix is found by halving.
     pub fn matched(&self, server: ServerId, blocks: &[u64]) -> usize {
         match self.servers.get(&server) {
-            Some(entry) if !entry.stale => blocks.iter().take_while(|block| entry.known.contains_key(block)).count(),
+            Some(entry) if !entry.stale => blocks.partition_point(|block| entry.known.contains_key(block)),
             _ => 0,
         }
     }
--- a/crates/core/tests/simulation/mod.rs
+++ b/crates/core/tests/simulation/mod.rs
@@ -4,12 +4,14 @@
 
 #![allow(dead_code)]
 
+mod actions;
 mod checks;
 mod client;
 mod holder;
 mod machine;
 mod schedule;
 mod seeds;
+mod upkeep;
 mod world;
 
 pub use schedule::{run_schedule, FaultKind, ScheduleSettings};
