--- a/crates/core/src/jobs/bitmap.rs
+++ b/crates/core/src/jobs/bitmap.rs
@@ -26,9 +26,4 @@
             *word |= 1 << (position % WORD_BITS);
         }
     }
-
-    /// Bytes held.
-    pub fn size(&self) -> usize {
-        self.words.len() * 8
-    }
 }
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -233,9 +233,4 @@
         claims.insert(node, Claim { demand, granted, until: now + SHARE_VALIDITY });
         granted
     }
-
-    /// Number of rows with claims.
-    pub fn rows(&self) -> usize {
-        self.claims.len()
-    }
 }
