Ask a member for its own record until it has come

A member that is known from the machine list alone has no replica in the view, and it tells its own record a bounded number of times: where those datagrams are lost, it stays so for good, and no replication message reaches it. Change: a probe to a member known from the list alone asks for its record each time. Ruled out: a group without a leader (all items completed meanwhile). Figures: a_member_known_from_the_machine_list_alone_is_asked_until_its_record_came fails before and passes after; the ten membership tests pass. Conclusion: a bounded number of tells needs a way to ask.

--- a/crates/core/src/membership/messages.rs
+++ b/crates/core/src/membership/messages.rs
@@ -22,7 +22,11 @@
         join: bool,
         actions: &mut Vec<Action>,
     ) {
-        let Some(address) = self.members.get(&to).map(|member| member.record.address.clone()) else { return };
+        let Some(member) = self.members.get(&to) else { return };
+        let address = member.record.address.clone();
+        // Known from the machine list alone: it is asked for its own record
+        // with every probe until that has come.
+        let join = join || (!answer && member.record.incarnation == 0);
         let mut updates = self.pick_updates();
         // Whoever is held for suspect or dead must hear of it, so that it
         // can refute.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -61,7 +61,8 @@
     }
 
     fn start(&mut self, number: usize, incarnation: u64) {
-        let me = MemberRecord { incarnation, ..self.records[number].clone() };
+        // The machine list does not tell replicas; only the node itself does.
+        let me = MemberRecord { incarnation, replica: number as u64 + 1, ..self.records[number].clone() };
         let seed = self.random.random();
         self.nodes[number] = Some(Membership::new(Settings::default(), me, self.now, seed));
         // The machine list names a few others.
@@ -258,3 +259,38 @@
         assert_eq!(behind, 0, "seed {seed}: after four seconds");
     }
 }
+
+#[test]
+fn a_member_known_from_the_machine_list_alone_is_asked_until_its_record_came() {
+    let mut now = Instant::from_micros(1_000_000);
+    let mut node = Membership::new(Settings::default(), record(0, "region"), now, 1);
+    let other = record(1, "region");
+    node.handle(now, Event::Seeds(vec![other.clone()]));
+    let mut probes = Vec::new();
+    for _ in 0..200 {
+        now = now + TICK;
+        for action in node.handle(now, Event::Tick) {
+            let Action::Send(_, probe) = action else { continue };
+            // The other's record was lost, and it has told it often enough.
+            let answer = Datagram {
+                from: other.node,
+                to: probe.from,
+                sequence: probe.sequence,
+                answer: true,
+                ..Datagram::default()
+            };
+            probes.push(probe.join);
+            node.handle(now, Event::Received(answer));
+        }
+    }
+    assert!(probes.len() > 10 && probes.iter().all(|join| *join), "{probes:?}");
+    let told = Datagram {
+        from: other.node,
+        to: record(0, "region").node,
+        answer: true,
+        updates: vec![MemberRecord { replica: 7, ..other }],
+        ..Datagram::default()
+    };
+    node.handle(now, Event::Received(told));
+    assert!(node.records().all(|record| record.replica == 7));
+}
