--- /dev/null
+++ b/crates/core/src/directory.rs
@@ -0,0 +1,159 @@
+//! The directory of model servers: what a node believes of each.
+//!
+//! Servers register themselves in a shared record store and write their
+//! registration anew at each heartbeat. Two facts bind the directory:
+//!
+//! - A server that is told to be draining never becomes ready again: every
+//!   start of a server has an identity of its own.
+//! - A registration that vanishes means a server that is leaving, but only
+//!   while the record store is sound: an outage can make registrations lapse
+//!   although their servers serve on. Such a server is kept until the store
+//!   has been sound for a while ([`LAPSE_GRACE`]), in which a live one writes
+//!   its registration again.
+
+use crate::time::Instant;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Heartbeats after which a live server has registered itself again.
+const LAPSE_HEARTBEATS: u32 = 2;
+/// Identities of ended servers that are remembered, so that a late heartbeat
+/// doesn't bring them back.
+const ENDED_LIMIT: usize = 4096;
+
+/// A server as it registered itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Identity of this start of the server.
+    pub id: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Address, IP and port.
+    pub address: Arc<str>,
+    /// Zone.
+    pub zone: Arc<str>,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Number of the registration, rising.
+    pub sequence: u64,
+}
+
+/// A change of what is believed of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// It takes work.
+    Ready(ServerRecord),
+    /// It takes no new work, but serves what it has.
+    Draining(Arc<str>),
+    /// Its registration is gone.
+    Gone(Arc<str>),
+    /// Its registration vanished in an outage; it is kept for now.
+    Unconfirmed(Arc<str>),
+}
+
+#[derive(Debug)]
+struct Entry {
+    record: ServerRecord,
+    vanished: bool,
+}
+
+/// What is believed of all servers.
+#[derive(Debug)]
+pub struct Directory {
+    entries: HashMap<Arc<str>, Entry>,
+    ended: HashMap<Arc<str>, u64>,
+    lapse_grace: Duration,
+    unsound_until: Option<Instant>,
+}
+
+impl Directory {
+    /// An empty directory; servers register anew every `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            entries: HashMap::new(),
+            ended: HashMap::new(),
+            lapse_grace: heartbeat * LAPSE_HEARTBEATS,
+            unsound_until: None,
+        }
+    }
+
+    /// The record store did not answer just now.
+    pub fn note_outage(&mut self, now: Instant) {
+        self.unsound_until = Some(now + self.lapse_grace);
+    }
+
+    /// A server's registration was seen.
+    pub fn note_record(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
+        if self.ended.get(&record.id).is_some_and(|sequence| record.sequence <= *sequence) {
+            return None;
+        }
+        let Some(entry) = self.entries.get_mut(&record.id) else {
+            let change = match record.draining {
+                true => DirectoryChange::Draining(record.id.clone()),
+                false => DirectoryChange::Ready(record.clone()),
+            };
+            self.entries.insert(record.id.clone(), Entry { record, vanished: false });
+            return Some(change);
+        };
+        if record.sequence < entry.record.sequence {
+            return None;
+        }
+        entry.vanished = false;
+        let was_draining = entry.record.draining;
+        let changed = ServerRecord { sequence: entry.record.sequence, ..record.clone() } != entry.record;
+        entry.record = ServerRecord { draining: record.draining || was_draining, ..record };
+        match (was_draining, entry.record.draining) {
+            (false, true) => Some(DirectoryChange::Draining(entry.record.id.clone())),
+            (false, false) if changed => Some(DirectoryChange::Ready(entry.record.clone())),
+            _ => None,
+        }
+    }
+
+    /// A server's registration has vanished.
+    pub fn note_vanished(&mut self, now: Instant, id: &str) -> Option<DirectoryChange> {
+        let entry = self.entries.get_mut(id)?;
+        if self.unsound_until.is_some_and(|until| now < until) && !entry.record.draining {
+            entry.vanished = true;
+            return Some(DirectoryChange::Unconfirmed(entry.record.id.clone()));
+        }
+        self.end(id)
+    }
+
+    /// All registrations at one moment.
+    pub fn replace_all(&mut self, now: Instant, records: Vec<ServerRecord>) -> Vec<DirectoryChange> {
+        let present: std::collections::HashSet<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
+        let missing: Vec<Arc<str>> = self.entries.keys().filter(|id| !present.contains(*id)).cloned().collect();
+        let mut changes: Vec<DirectoryChange> =
+            records.into_iter().filter_map(|record| self.note_record(record)).collect();
+        changes.extend(missing.iter().filter_map(|id| self.note_vanished(now, id)));
+        changes
+    }
+
+    /// Time passes: ends servers whose vanished registration did not return.
+    pub fn tick(&mut self, now: Instant) -> Vec<DirectoryChange> {
+        match self.unsound_until {
+            Some(until) if now >= until => self.unsound_until = None,
+            _ => return Vec::new(),
+        }
+        let vanished: Vec<Arc<str>> =
+            self.entries.values().filter(|entry| entry.vanished).map(|entry| entry.record.id.clone()).collect();
+        vanished.iter().filter_map(|id| self.end(id)).collect()
+    }
+
+    /// Servers that take new work.
+    pub fn ready(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.entries.values().map(|entry| &entry.record).filter(|record| !record.draining)
+    }
+
+    fn end(&mut self, id: &str) -> Option<DirectoryChange> {
+        let entry = self.entries.remove(id)?;
+        if self.ended.len() >= ENDED_LIMIT {
+            self.ended.clear();
+        }
+        self.ended.insert(entry.record.id.clone(), entry.record.sequence);
+        Some(DirectoryChange::Gone(entry.record.id))
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/mod.rs
@@ -0,0 +1,228 @@
+//! Choice of a server by any node that sends to all servers of a service.
+//!
+//! No node owns a server: each places its requests by what it knows itself.
+//! That is its own requests in progress, the load that servers tell in their
+//! answers, and the order of servers for a prompt prefix, which rendezvous
+//! hashing makes the same on all nodes. A request goes where its first token
+//! is expected soonest; one whose wait would be too long is refused at once.
+
+mod cost;
+mod server;
+
+pub use cost::{Prompt, PromptPart};
+pub use server::{ServerLoad, ServerReport};
+
+use crate::directory::ServerRecord;
+use crate::time::Instant;
+use cost::ServiceCost;
+use server::ServerState;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bounds on the time that a refused caller is told to wait.
+const COME_BACK_MINIMUM: Duration = Duration::from_millis(50);
+const COME_BACK_MAXIMUM: Duration = Duration::from_secs(5);
+/// Expected times to the first token that differ less than this are equal.
+const TIE: f64 = 0.000_5;
+
+/// A request that wants a server.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// Its prompt.
+    pub prompt: &'a Prompt,
+    /// Servers that were asked before.
+    pub avoid: &'a [Arc<str>],
+    /// Longest wait for a free slot that is worth taking.
+    pub wait_limit: Duration,
+    /// Share of every server's slots that must stay free, 0 to 1: batch work
+    /// leaves room for online work.
+    pub reserve: f64,
+    /// Any number; spreads requests among equal servers.
+    pub spread: u64,
+}
+
+/// What the request is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// Send it to this server.
+    Send(Placement),
+    /// All servers are too busy; come back after this time.
+    Full(Duration),
+    /// There is no server of the service.
+    NoServer,
+}
+
+/// A server for a request, with the figures that decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Identity of the server.
+    pub server: Arc<str>,
+    /// Its address.
+    pub address: Arc<str>,
+    /// Expected wait for a slot.
+    pub expected_wait: Duration,
+    /// Prompt tokens that are expected to be read anew.
+    pub uncached: u32,
+    /// Requests that are believed to run or wait there.
+    pub load: f64,
+}
+
+/// How an attempt at a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With an answer.
+    Answered,
+    /// It was withdrawn by this side.
+    Withdrawn,
+    /// The server said that it is full or didn't run the request.
+    Rejected,
+    /// Another server has the address.
+    Misdirected,
+    /// No connection, or the connection broke.
+    Broken,
+    /// Nothing was heard for too long.
+    Silent,
+}
+
+/// What is known of all servers, for the choice among them.
+#[derive(Debug, Default)]
+pub struct Dispatcher {
+    servers: HashMap<Arc<str>, ServerState>,
+    services: HashMap<Arc<str>, ServiceCost>,
+}
+
+impl Dispatcher {
+    /// Takes the servers that may get new work; others are kept only as long
+    /// as requests run there.
+    pub fn set_ready<'a>(&mut self, ready: impl Iterator<Item = &'a ServerRecord>) {
+        for server in self.servers.values_mut() {
+            server.ready = false;
+        }
+        for record in ready {
+            match self.servers.get_mut(&record.id) {
+                Some(server) => server.renew(record),
+                None => {
+                    self.servers.insert(record.id.clone(), ServerState::new(record));
+                }
+            }
+        }
+        self.servers.retain(|_, server| server.ready || server.own() > 0);
+    }
+
+    /// Servers of a service that may get new work.
+    pub fn ready_count(&self, service: &str) -> usize {
+        self.of_service(service).count()
+    }
+
+    /// Addresses and identities of the servers of a service.
+    pub fn ready_of(&self, service: &str) -> Vec<(Arc<str>, Arc<str>)> {
+        self.of_service(service).map(|(id, server)| (id.clone(), server.address.clone())).collect()
+    }
+
+    /// Chooses the server with the soonest first token.
+    pub fn choose(&self, now: Instant, ask: &Ask<'_>) -> Choice {
+        let cost = self.services.get(ask.service).copied().unwrap_or_default();
+        let key = ask.prompt.affinity_key();
+        let home = key.and_then(|key| self.home_of(ask.service, key));
+        let mut best: Option<(f64, u64, Placement)> = None;
+        let mut soonest = f64::INFINITY;
+        for (id, server) in self.of_service(ask.service) {
+            if ask.avoid.contains(id) && self.ready_count(ask.service) > ask.avoid.len() {
+                continue;
+            }
+            let uncached = server.uncached(now, ask.prompt, home.as_ref() == Some(id));
+            let wait = server.expected_wait(now, &cost, ask.reserve);
+            let total = wait + server.penalty(now) + server.expected_prefill(now, &cost, uncached);
+            soonest = soonest.min(wait);
+            if wait > ask.wait_limit.as_secs_f64() {
+                continue;
+            }
+            let order = server.spread_order(ask.spread);
+            let better = best.as_ref().is_none_or(|(least, least_order, _)| {
+                total < least - TIE || (total < least + TIE && order < *least_order)
+            });
+            if better {
+                let placement = Placement {
+                    server: id.clone(),
+                    address: server.address.clone(),
+                    expected_wait: Duration::from_secs_f64(wait.min(3600.0)),
+                    uncached,
+                    load: server.expected_load(now),
+                };
+                best = Some((total, order, placement));
+            }
+        }
+        match best {
+            Some((_, _, placement)) => Choice::Send(placement),
+            None if soonest.is_finite() => Choice::Full(come_back(soonest - ask.wait_limit.as_secs_f64())),
+            None => Choice::NoServer,
+        }
+    }
+
+    /// A request was sent to a server.
+    pub fn note_sent(&mut self, now: Instant, placement: &Placement, prompt: &Prompt) {
+        if let Some(server) = self.servers.get_mut(&placement.server) {
+            server.note_sent(now, prompt, placement.uncached);
+        }
+    }
+
+    /// The first piece of the answer came after `time`.
+    pub fn note_first_piece(&mut self, now: Instant, placement: &Placement, time: Duration) {
+        let Some(server) = self.servers.get_mut(&placement.server) else { return };
+        server.note_first_piece(now, placement.uncached);
+        let cost = self.services.entry(server.service.clone()).or_default();
+        cost.note_first_piece(time, placement.uncached);
+    }
+
+    /// Something was heard from a server.
+    pub fn note_heard(&mut self, now: Instant, server: &str) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.note_heard(now);
+        }
+    }
+
+    /// A server told its load.
+    pub fn note_load(&mut self, now: Instant, server: &str, load: ServerLoad) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.note_load(now, load);
+        }
+    }
+
+    /// An attempt ended `time` after it was sent; `started` tells whether its
+    /// first piece had come.
+    pub fn note_end(&mut self, now: Instant, placement: &Placement, ending: Ending, started: bool, time: Duration) {
+        let Some(server) = self.servers.get_mut(&placement.server) else { return };
+        server.note_end(now, ending, if started { 0 } else { placement.uncached });
+        if ending == Ending::Answered {
+            let service = server.service.clone();
+            self.services.entry(service).or_default().note_service_time(time);
+        }
+        if !server.ready && server.own() == 0 {
+            self.servers.remove(&placement.server);
+        }
+    }
+
+    /// What is believed of each server, for reports.
+    pub fn reports(&self, now: Instant) -> Vec<ServerReport> {
+        self.servers.iter().map(|(id, server)| server.report(now, id)).collect()
+    }
+
+    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
+        self.servers.iter().filter(move |(_, server)| server.ready && *server.service == *service)
+    }
+
+    /// The server where prompts with this prefix are kept.
+    fn home_of(&self, service: &str, key: u64) -> Option<Arc<str>> {
+        let weight =
+            |id: &Arc<str>| crate::identity::stable_pair_hash(crate::identity::stable_hash(id.as_bytes()), key);
+        self.of_service(service).map(|(id, _)| id).max_by_key(|id| weight(id)).cloned()
+    }
+}
+
+fn come_back(seconds: f64) -> Duration {
+    let time = Duration::from_secs_f64(seconds.clamp(0.0, 3600.0));
+    time.clamp(COME_BACK_MINIMUM, COME_BACK_MAXIMUM)
+}
--- /dev/null
+++ b/crates/core/src/dispatch/server.rs
@@ -0,0 +1,230 @@
+//! What one node knows of one server.
+
+use super::cost::{Prompt, ServiceCost};
+use super::Ending;
+use crate::directory::ServerRecord;
+use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
+use crate::time::Instant;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A told load counts in full at once and for nothing after this time.
+const TOLD_LOAD_LIFE: Duration = Duration::from_secs(2);
+/// Time for which a server that failed is avoided, doubled at each failure in
+/// a row.
+const AVOID_MINIMUM: Duration = Duration::from_millis(250);
+const AVOID_MAXIMUM: Duration = Duration::from_secs(4);
+/// Time for which a server that rejected a request is avoided.
+const REJECTED_PAUSE: Duration = Duration::from_millis(100);
+/// Silence of a server with requests in progress after which it is avoided.
+const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// Seconds by which a server to be avoided is worse than any other.
+const AVOID_PENALTY: f64 = 100.0;
+/// Prefixes remembered as cached at one server.
+const PREFIX_LIMIT: usize = 512;
+/// Time after which a sent prefix isn't taken to be cached any more.
+const PREFIX_LIFE: Duration = Duration::from_secs(60);
+
+/// Load that a server tells in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// What is believed of a server, for reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerReport {
+    /// Identity.
+    pub id: Arc<str>,
+    /// Requests of this node in progress.
+    pub own: u32,
+    /// Requests of all nodes, as estimated.
+    pub load: f64,
+    /// Whether it is avoided.
+    pub avoided: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct ServerState {
+    pub(super) service: Arc<str>,
+    pub(super) address: Arc<str>,
+    pub(super) ready: bool,
+    slots: u32,
+    name_hash: u64,
+    own: u32,
+    own_prefill_tokens: u32,
+    told: Option<(Instant, ServerLoad)>,
+    /// Own requests sent and ended since the load was told.
+    own_change: i64,
+    last_heard: Instant,
+    avoid_until: Instant,
+    failures_in_row: u32,
+    prefixes: HashKeyMap<u64, Instant>,
+    prefix_order: VecDeque<u64>,
+}
+
+impl ServerState {
+    pub(super) fn new(record: &ServerRecord) -> Self {
+        Self {
+            service: record.service.clone(),
+            address: record.address.clone(),
+            ready: true,
+            slots: record.slots.max(1),
+            name_hash: stable_hash(record.id.as_bytes()),
+            own: 0,
+            own_prefill_tokens: 0,
+            told: None,
+            own_change: 0,
+            last_heard: Instant::default(),
+            avoid_until: Instant::default(),
+            failures_in_row: 0,
+            prefixes: HashKeyMap::default(),
+            prefix_order: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn renew(&mut self, record: &ServerRecord) {
+        self.ready = true;
+        self.address = record.address.clone();
+        self.slots = record.slots.max(1);
+    }
+
+    pub(super) fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Requests of all nodes there: the told load, as far as it is young, with
+    /// what this node has changed since; never less than its own.
+    pub(super) fn expected_load(&self, now: Instant) -> f64 {
+        let own = f64::from(self.own);
+        let Some((at, load)) = self.told else { return own };
+        let age = now.since(at).as_secs_f64();
+        let trust = (1.0 - age / TOLD_LOAD_LIFE.as_secs_f64()).max(0.0);
+        let told = f64::from(load.running + load.waiting) + self.own_change as f64;
+        (told * trust + own * (1.0 - trust)).max(own)
+    }
+
+    /// Seconds until a slot is free, if a share of the slots stays free.
+    pub(super) fn expected_wait(&self, now: Instant, cost: &ServiceCost, reserve: f64) -> f64 {
+        let slots = (f64::from(self.slots) * (1.0 - reserve)).max(1.0);
+        let over = self.expected_load(now) + 1.0 - slots;
+        if over <= 0.0 {
+            return 0.0;
+        }
+        over * cost.service_seconds() / slots
+    }
+
+    /// Seconds to read the prompt behind those that this node sent before.
+    pub(super) fn expected_prefill(&self, now: Instant, cost: &ServiceCost, uncached: u32) -> f64 {
+        let ahead = f64::from(self.own_prefill_tokens);
+        let share = self.expected_load(now) / f64::from(self.slots);
+        // Of two servers that would answer as soon, the emptier is better.
+        cost.prefill(ahead + f64::from(uncached)) + share * cost.service_seconds() * LOAD_COST
+    }
+
+    /// Seconds by which the server is worse for having failed.
+    pub(super) fn penalty(&self, now: Instant) -> f64 {
+        if now < self.avoid_until || self.is_silent(now) {
+            AVOID_PENALTY
+        } else {
+            0.0
+        }
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.own > 0 && now.since(self.last_heard) > SILENCE_LIMIT
+    }
+
+    /// Prompt tokens that it must read anew.
+    pub(super) fn uncached(&self, now: Instant, prompt: &Prompt, is_home: bool) -> u32 {
+        let known = prompt
+            .prefixes()
+            .filter(|(key, _)| self.prefixes.get(key).is_some_and(|at| now.since(*at) < PREFIX_LIFE))
+            .map(|(_, tokens)| tokens)
+            .last()
+            .unwrap_or(0);
+        let cached = if is_home { known.max(prompt.shared_tokens()) } else { known };
+        prompt.tokens() - cached.min(prompt.tokens())
+    }
+
+    pub(super) fn spread_order(&self, spread: u64) -> u64 {
+        stable_pair_hash(self.name_hash, spread)
+    }
+
+    pub(super) fn note_sent(&mut self, now: Instant, prompt: &Prompt, uncached: u32) {
+        if self.own == 0 {
+            self.last_heard = now;
+        }
+        self.own += 1;
+        self.own_change += 1;
+        self.own_prefill_tokens += uncached;
+        for (key, _) in prompt.prefixes().take(prompt.parts.len().saturating_sub(1)) {
+            if self.prefixes.insert(key, now).is_none() {
+                self.prefix_order.push_back(key);
+            }
+        }
+        while self.prefix_order.len() > PREFIX_LIMIT {
+            if let Some(oldest) = self.prefix_order.pop_front() {
+                self.prefixes.remove(&oldest);
+            }
+        }
+    }
+
+    pub(super) fn note_first_piece(&mut self, now: Instant, uncached: u32) {
+        self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(uncached);
+        self.failures_in_row = 0;
+        self.note_heard(now);
+    }
+
+    pub(super) fn note_heard(&mut self, now: Instant) {
+        self.last_heard = now;
+    }
+
+    pub(super) fn note_load(&mut self, now: Instant, load: ServerLoad) {
+        if load.slots > 0 {
+            self.slots = load.slots;
+        }
+        self.told = Some((now, load));
+        self.own_change = 0;
+        self.note_heard(now);
+    }
+
+    pub(super) fn note_end(&mut self, now: Instant, ending: Ending, unread: u32) {
+        self.own = self.own.saturating_sub(1);
+        self.own_change -= 1;
+        self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(unread);
+        match ending {
+            Ending::Answered => {
+                self.failures_in_row = 0;
+                self.note_heard(now);
+            }
+            Ending::Withdrawn => {}
+            Ending::Rejected => {
+                self.note_heard(now);
+                self.avoid_until = self.avoid_until.max(now + REJECTED_PAUSE);
+            }
+            Ending::Misdirected | Ending::Broken | Ending::Silent => self.note_failure(now),
+        }
+    }
+
+    fn note_failure(&mut self, now: Instant) {
+        let pause = AVOID_MINIMUM * 2_u32.saturating_pow(self.failures_in_row.min(8));
+        self.failures_in_row += 1;
+        self.avoid_until = now + pause.min(AVOID_MAXIMUM);
+        self.prefixes.clear();
+        self.prefix_order.clear();
+    }
+
+    pub(super) fn report(&self, now: Instant, id: &Arc<str>) -> ServerReport {
+        ServerReport { id: id.clone(), own: self.own, load: self.expected_load(now), avoided: self.penalty(now) > 0.0 }
+    }
+}
+
+/// Share of a service time that a fully loaded server adds to a first token.
+const LOAD_COST: f64 = 0.25;
--- /dev/null
+++ b/crates/core/src/item_progress.rs
@@ -0,0 +1,165 @@
+//! Progress of a batch job's items at the worker that runs them.
+//!
+//! An item may run several times; what it yields is listed once. It is given
+//! up only for a reason that its client can check: the server said that it
+//! can never be done, it failed as often as its route allows, or its time is
+//! over. A broken connection is no failure of the item: the next run goes on
+//! after the last whole event.
+
+use crate::time::Instant;
+use std::time::Duration;
+
+/// Pause after the first failed run of an item; doubled at each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
+/// How a run of an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Its output is whole.
+    Whole,
+    /// The server failed at it.
+    Failed,
+    /// The server says that it can never be done.
+    Impossible,
+    /// It was broken off, or did not start.
+    Interrupted,
+}
+
+/// Where an item stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemState {
+    /// It may start from this time on.
+    Waiting(Instant),
+    /// It runs.
+    Running,
+    /// Its output is whole.
+    Completed,
+    /// It was given up.
+    GivenUp,
+}
+
+/// The rules for giving up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GiveUpRules {
+    /// Failures after which an item is given up.
+    pub max_failures: u32,
+    /// Time from which on any item may be given up.
+    pub expires: Instant,
+}
+
+/// One item.
+#[derive(Clone, Debug)]
+pub struct ItemProgress {
+    state: ItemState,
+    failures: u32,
+    interruptions: u32,
+    events: u64,
+    last_event: Option<u64>,
+    text: Vec<u8>,
+}
+
+impl Default for ItemProgress {
+    fn default() -> Self {
+        Self {
+            state: ItemState::Waiting(Instant::default()),
+            failures: 0,
+            interruptions: 0,
+            events: 0,
+            last_event: None,
+            text: Vec::new(),
+        }
+    }
+}
+
+impl ItemProgress {
+    /// Where it stands.
+    pub fn state(&self) -> ItemState {
+        self.state
+    }
+
+    /// Failures so far.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Events that are kept.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Number of the last event that is kept; the next run goes on after it.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// The data of all events, joined by line feeds.
+    pub fn text(&self) -> &[u8] {
+        &self.text
+    }
+
+    /// Whether it may start now.
+    pub fn may_start(&self, now: Instant) -> bool {
+        matches!(self.state, ItemState::Waiting(from) if from <= now)
+    }
+
+    /// A run starts.
+    pub fn start(&mut self) {
+        self.state = ItemState::Running;
+    }
+
+    /// The item stands in the list of results already.
+    pub fn note_listed(&mut self, completed: bool) {
+        self.state = if completed { ItemState::Completed } else { ItemState::GivenUp };
+    }
+
+    /// An event came; `false` if it does not follow the last one and must not
+    /// be kept.
+    pub fn push_event(&mut self, id: Option<u64>, data: &[u8]) -> bool {
+        if let (Some(id), Some(last)) = (id, self.last_event) {
+            if id <= last {
+                return false;
+            }
+        }
+        if self.events > 0 {
+            self.text.push(b'\n');
+        }
+        self.text.extend_from_slice(data);
+        self.events += 1;
+        self.last_event = id.or(self.last_event);
+        true
+    }
+
+    /// A run ended.
+    pub fn end_run(&mut self, now: Instant, end: RunEnd, rules: &GiveUpRules) {
+        match end {
+            RunEnd::Whole => self.state = ItemState::Completed,
+            RunEnd::Impossible => self.state = ItemState::GivenUp,
+            RunEnd::Failed => {
+                self.failures += 1;
+                self.wait_or_give_up(now, self.failures >= rules.max_failures, rules);
+            }
+            RunEnd::Interrupted => {
+                self.interruptions += 1;
+                self.wait_or_give_up(now, false, rules);
+            }
+        }
+    }
+
+    /// Time passes: an item that waits beyond its time is given up.
+    pub fn tick(&mut self, now: Instant, rules: &GiveUpRules) {
+        if matches!(self.state, ItemState::Waiting(_)) && now >= rules.expires {
+            self.state = ItemState::GivenUp;
+        }
+    }
+
+    fn wait_or_give_up(&mut self, now: Instant, failed_for_good: bool, rules: &GiveUpRules) {
+        if failed_for_good || now >= rules.expires {
+            self.state = ItemState::GivenUp;
+            return;
+        }
+        let tries = (self.failures + self.interruptions).saturating_sub(1).min(8);
+        let pause = FIRST_PAUSE * 2_u32.pow(tries);
+        self.state = ItemState::Waiting(now + pause.min(LONGEST_PAUSE));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,9 +7,14 @@
 //! seeded simulations. Time enters as [`time::Instant`], randomness as a
 //! seeded generator.
 
+pub mod attempts;
 pub mod code;
 pub mod configuration;
+pub mod directory;
+pub mod dispatch;
+pub mod event_stream;
 pub mod identity;
+pub mod item_progress;
 pub mod jobs;
 pub mod leasing;
 pub mod limits;
@@ -19,6 +24,7 @@
 pub mod prefix;
 pub mod replication;
 pub mod retry;
+pub mod routes;
 pub mod routing;
 pub mod scheduler;
 pub mod table;
--- /dev/null
+++ b/crates/core/src/routes.rs
@@ -0,0 +1,194 @@
+//! The routing table: which route a request takes, and to which service.
+//!
+//! An operator writes the table as one document with a version. Versions only
+//! rise: a table is never replaced by one that is not newer, so that no
+//! request is handled by a configuration older than one already in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Attempts of a route that names no limit.
+pub const DEFAULT_MAX_ATTEMPTS: u32 = 2;
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// May run more than once.
+    Idempotent,
+    /// May run at most once.
+    AtMostOnce,
+    /// Answered by events; `resumable` ones may go on at another server.
+    Stream {
+        /// Whether another server can go on after the last event.
+        resumable: bool,
+    },
+    /// Hands in batch jobs.
+    Batch,
+}
+
+impl RequestKind {
+    /// Whether a request that may have run can be sent again from its start.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, RequestKind::Idempotent | RequestKind::Stream { resumable: true })
+    }
+}
+
+/// A service with its share of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WeightedService {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Share relative to the other services of the route.
+    pub weight: f64,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, unique in the table.
+    pub name: Arc<str>,
+    /// Host that the request names.
+    pub host: String,
+    /// Beginning of the path; starts and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RequestKind,
+    /// Longest time that a request may be held.
+    pub timeout: Duration,
+    /// Time within which an answer is in time.
+    pub latency_target: Duration,
+    /// Rank; zero goes first.
+    pub priority: u32,
+    /// Services that take the requests; at least one.
+    pub targets: Vec<WeightedService>,
+    /// Most servers to which one request may be sent.
+    pub max_attempts: u32,
+    /// Longest pause between events that is in time.
+    pub gap_target: Option<Duration>,
+    /// Time after a job's arrival at which its results are due.
+    pub due: Duration,
+    /// Time after a job's arrival at which its items may be given up.
+    pub retention: Duration,
+}
+
+/// What the operator tells of a service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceDefinition {
+    /// Path of the health check.
+    pub health_path: String,
+    /// Connections that one of its servers takes from all callers together.
+    pub max_connections: u32,
+}
+
+/// Bounds on what a client may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time in which a request's head must arrive.
+    pub header_timeout: Duration,
+    /// Time that a connection may rest.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// All routes and services of one version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RoutingTable {
+    /// Version; a newer table has a higher one.
+    pub version: u64,
+    /// Bounds on clients.
+    pub limits: ClientLimits,
+    /// Services by name.
+    pub services: HashMap<Arc<str>, ServiceDefinition>,
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl RoutingTable {
+    /// A table of these routes.
+    pub fn new(
+        version: u64,
+        limits: ClientLimits,
+        services: HashMap<Arc<str>, ServiceDefinition>,
+        routes: impl IntoIterator<Item = Route>,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { version, limits, services, by_host }
+    }
+
+    /// The route of a request: of those of its host, the one with the longest
+    /// prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
+    }
+
+    /// The route of that name.
+    pub fn named(&self, name: &str) -> Option<Arc<Route>> {
+        self.by_host.values().flatten().find(|route| &*route.name == name).cloned()
+    }
+
+    /// Whether any route knows the host.
+    pub fn knows_host(&self, host: &str) -> bool {
+        self.by_host.contains_key(host)
+    }
+
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.by_host.values().map(Vec::len).sum()
+    }
+}
+
+/// Divides a route's requests among its services by their weights, evenly at
+/// any moment (smooth weighted round robin).
+#[derive(Debug, Default)]
+pub struct WeightedTurns {
+    routes: HashMap<Arc<str>, Vec<Turn>>,
+}
+
+#[derive(Debug)]
+struct Turn {
+    target: WeightedService,
+    credit: f64,
+}
+
+impl WeightedTurns {
+    /// The service that takes the next request of the route.
+    pub fn next(&mut self, route: &Route) -> Option<Arc<str>> {
+        if let [only] = route.targets.as_slice() {
+            return Some(only.service.clone());
+        }
+        let turns = self.routes.entry(route.name.clone()).or_default();
+        let unchanged = turns.len() == route.targets.len()
+            && turns.iter().zip(&route.targets).all(|(turn, target)| turn.target == *target);
+        if !unchanged {
+            *turns = route.targets.iter().map(|target| Turn { target: target.clone(), credit: 0.0 }).collect();
+        }
+        let total: f64 = turns.iter().map(|turn| turn.target.weight).sum();
+        for turn in turns.iter_mut() {
+            turn.credit += turn.target.weight;
+        }
+        let chosen = turns.iter_mut().max_by(|first, second| first.credit.total_cmp(&second.credit))?;
+        chosen.credit -= total;
+        Some(chosen.target.service.clone())
+    }
+}
--- /dev/null
+++ b/crates/events/src/event.rs
@@ -0,0 +1,351 @@
+//! The events.
+
+use serde::Serialize;
+
+/// Whether an event may be left out when there are too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    /// One of many of a request that went well; sampled by request.
+    Routine,
+    /// A failure or a change of what the process believes.
+    Essential,
+}
+
+/// How an item of a batch job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ItemEnd {
+    /// With its whole output.
+    Completed,
+    /// Given up.
+    GivenUp,
+}
+
+macro_rules! events {
+    ($($(#[doc = $text:literal])+ $name:ident = $number:literal, $weight:ident { $($(#[doc = $field_text:literal])+ $field:ident : $type:ty),* $(,)? };)+) => {
+        /// An event; fields of time are in milliseconds.
+        #[derive(Clone, Debug, Serialize)]
+        #[serde(untagged)]
+        pub enum Event<'a> {
+            $($(#[doc = $text])+ $name { $($(#[doc = $field_text])+ $field: $type),* }),+
+        }
+
+        impl Event<'_> {
+            /// Number, name, whether it may be left out, and meaning of every event.
+            pub const CATALOGUE: &'static [(u32, &'static str, Weight, &'static str)] =
+                &[$(($number, stringify!($name), Weight::$weight, concat!($($text),+))),+];
+
+            /// Number, name and weight.
+            pub fn kind(&self) -> (u32, &'static str, Weight) {
+                match self { $(Event::$name { .. } => ($number, stringify!($name), Weight::$weight)),+ }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process starts.
+    Started = 8000, Essential {
+        /// Role of the process.
+        role: &'a str,
+        /// Version of the program.
+        version: &'a str,
+        /// Addresses that it serves on.
+        listens: &'a str
+    };
+    /// A planned stop begins.
+    Stopping = 8001, Essential {
+        /// Time that is left for requests in progress.
+        grace_ms: u64
+    };
+    /// The process ends.
+    Stopped = 8002, Essential {
+        /// Requests that were still in progress.
+        unfinished: usize
+    };
+    /// The settings were read again.
+    Reloaded = 8003, Essential {
+        /// Whether anything differs.
+        changed: bool
+    };
+    /// Lines of the log were dropped.
+    LinesDropped = 8004, Essential {
+        /// Lines beyond the budget.
+        over_budget: u64,
+        /// Lines that the reader did not take.
+        not_taken: u64
+    };
+    /// A dependency does not answer.
+    DependencyLost = 8010, Essential {
+        /// What it is.
+        dependency: &'a str,
+        /// Why.
+        reason: &'a str
+    };
+    /// A dependency answers again.
+    DependencyRegained = 8011, Essential {
+        /// What it is.
+        dependency: &'a str,
+        /// Time that it was away.
+        away_ms: u64
+    };
+    /// A routing table is in force from now on.
+    TableInForce = 8020, Essential {
+        /// Its version.
+        version: u64,
+        /// The version before it.
+        previous: u64,
+        /// Number of routes.
+        routes: usize
+    };
+    /// A routing table was not taken.
+    TableRefused = 8021, Essential {
+        /// The version in force.
+        in_force: u64,
+        /// Why.
+        reason: &'a str
+    };
+    /// A server takes work.
+    ServerReady = 8030, Essential {
+        /// Identity of the server.
+        server: &'a str,
+        /// Its service.
+        service: &'a str,
+        /// Its address.
+        address: &'a str,
+        /// Number of its registration.
+        sequence: u64
+    };
+    /// A server takes no new work.
+    ServerDraining = 8031, Essential {
+        /// Identity of the server.
+        server: &'a str
+    };
+    /// A server's registration is gone.
+    ServerGone = 8032, Essential {
+        /// Identity of the server.
+        server: &'a str
+    };
+    /// A server's registration vanished in an outage; it is kept for now.
+    ServerUnconfirmed = 8033, Essential {
+        /// Identity of the server.
+        server: &'a str
+    };
+    /// Readiness changed.
+    Readiness = 8034, Essential {
+        /// Whether the node is ready.
+        ready: bool,
+        /// Version of the routing table.
+        table_version: u64,
+        /// Known servers that take work.
+        servers: usize
+    };
+    /// A request was sent to a server.
+    RequestSent = 8100, Routine {
+        /// Request.
+        id: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Server.
+        server: &'a str,
+        /// Attempt, from 1.
+        attempt: u32,
+        /// Expected wait for a slot.
+        expected_wait_ms: u64,
+        /// Prompt tokens that are expected to be read anew.
+        uncached_tokens: u32,
+        /// Load that is believed of the server.
+        load: f64,
+        /// Version of the routing table.
+        table_version: u64,
+        /// Time that the request has left.
+        left_ms: u64
+    };
+    /// A request was answered.
+    RequestAnswered = 8101, Routine {
+        /// Request.
+        id: &'a str,
+        /// Status.
+        status: u16,
+        /// Time since it was read.
+        total_ms: u64,
+        /// Time from its read to the first piece.
+        first_piece_ms: u64,
+        /// Attempts that were made.
+        attempts: u32
+    };
+    /// An attempt at a server failed.
+    AttemptFailed = 8102, Essential {
+        /// Request.
+        id: &'a str,
+        /// Server.
+        server: &'a str,
+        /// Attempt, from 1.
+        attempt: u32,
+        /// What was seen.
+        reason: &'a str,
+        /// Time since it was sent.
+        after_ms: u64,
+        /// Whether it goes on at another server.
+        goes_on: bool
+    };
+    /// A request was refused or given up by this node.
+    RequestRefused = 8103, Essential {
+        /// Request.
+        id: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Result code.
+        code: u32,
+        /// Status.
+        status: u16,
+        /// Time since it was read.
+        after_ms: u64,
+        /// Time after which to come back.
+        come_back_ms: u64,
+        /// Version of the routing table.
+        table_version: u64
+    };
+    /// An answer was broken off after its head had been passed on.
+    AnswerCut = 8104, Essential {
+        /// Request.
+        id: &'a str,
+        /// Server that sent last.
+        server: &'a str,
+        /// What was seen.
+        reason: &'a str,
+        /// Time since the request was read.
+        after_ms: u64
+    };
+    /// The client left before its answer was whole.
+    ClientGone = 8105, Essential {
+        /// Request.
+        id: &'a str,
+        /// Server that worked on it.
+        server: &'a str,
+        /// Time since the request was read.
+        after_ms: u64
+    };
+    /// A batch job was kept, or a resend of it was recognized.
+    JobAccepted = 8200, Essential {
+        /// Job.
+        job: &'a str,
+        /// Its items.
+        items: usize,
+        /// Whether it was known before.
+        resent: bool,
+        /// Revision of its record.
+        revision: u64,
+        /// Time that it took.
+        after_ms: u64
+    };
+    /// A batch job was not kept.
+    JobRefused = 8201, Essential {
+        /// Job.
+        job: &'a str,
+        /// Status.
+        status: u16,
+        /// Why.
+        reason: &'a str,
+        /// Time that it took.
+        after_ms: u64
+    };
+    /// A batch job was ended by its client.
+    JobEnded = 8202, Essential {
+        /// Job.
+        job: &'a str,
+        /// Status of the answer.
+        status: u16
+    };
+    /// This worker runs the items of a job from now on.
+    JobTaken = 8210, Essential {
+        /// Job.
+        job: &'a str,
+        /// Its items.
+        items: usize,
+        /// Results that are listed already.
+        listed: usize,
+        /// Workers that are believed to live.
+        workers: usize
+    };
+    /// This worker runs a job no longer.
+    JobLeft = 8211, Essential {
+        /// Job.
+        job: &'a str,
+        /// Why.
+        reason: &'a str,
+        /// Results that are listed.
+        listed: usize
+    };
+    /// An item was sent to a server.
+    ItemSent = 8212, Routine {
+        /// Job.
+        job: &'a str,
+        /// Item.
+        item: &'a str,
+        /// Server.
+        server: &'a str,
+        /// Load that is believed of the server.
+        load: f64,
+        /// Events that are kept from earlier runs.
+        events_kept: u64
+    };
+    /// A run of an item failed or was broken off.
+    ItemAttemptFailed = 8213, Essential {
+        /// Job.
+        job: &'a str,
+        /// Item.
+        item: &'a str,
+        /// Server.
+        server: &'a str,
+        /// What was seen.
+        reason: &'a str,
+        /// Failures of the item so far.
+        failures: u32,
+        /// Events that are kept.
+        events_kept: u64
+    };
+    /// An item has its result.
+    ItemEnded = 8214, Routine {
+        /// Job.
+        job: &'a str,
+        /// Item.
+        item: &'a str,
+        /// How.
+        end: ItemEnd,
+        /// Failures before.
+        failures: u32,
+        /// Time since its job was taken by this worker.
+        after_ms: u64
+    };
+    /// Results were listed.
+    ResultsListed = 8215, Routine {
+        /// Job.
+        job: &'a str,
+        /// Position of the first.
+        first: usize,
+        /// Their number.
+        count: usize,
+        /// Revision of the record.
+        revision: u64
+    };
+    /// Results could not be listed; the list is read again.
+    ListingFailed = 8216, Essential {
+        /// Job.
+        job: &'a str,
+        /// Position of the first.
+        first: usize,
+        /// Why.
+        reason: &'a str
+    };
+    /// The set of workers changed.
+    WorkersChanged = 8220, Essential {
+        /// Their names.
+        workers: &'a str
+    };
+    /// This machine was asked to give up its work.
+    Retiring = 8230, Essential {
+        /// What it answered.
+        state: &'a str
+    };
+}
--- /dev/null
+++ b/crates/events/src/output.rs
@@ -0,0 +1,95 @@
+//! Writing of events: `log` and `fern` behind a writer that never waits.
+
+use crate::budget::LineBudget;
+use crate::event::Event;
+use eyre::Result;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Target of the log records that carry events.
+const TARGET: &str = "event";
+
+static BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
+static NOT_TAKEN: AtomicU64 = AtomicU64::new(0);
+
+/// Sets the log up, once a process; before it, events are dropped.
+///
+/// # Errors
+/// If a log was set up before.
+pub fn start(node: &str, role: &str) -> Result<()> {
+    let node = serde_json::to_string(node)?;
+    let role = serde_json::to_string(role)?;
+    let origin = Instant::now();
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Info)
+        .filter(|metadata| metadata.target() == TARGET)
+        .format(move |out, message, _| {
+            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+            let steady = origin.elapsed().as_millis();
+            out.finish(format_args!(
+                "{{\"time\":{time},\"steady\":{steady},\"node\":{node},\"role\":{role},{message}}}"
+            ));
+        })
+        .chain(Box::new(StandardOutput) as Box<dyn Write + Send>)
+        .apply()?;
+    if let Ok(mut budget) = BUDGET.lock() {
+        *budget = Some(LineBudget::default());
+    }
+    Ok(())
+}
+
+/// Writes an event. `subject` is the request or job that it is about, or
+/// empty; of a sampled request all nodes write all lines.
+pub fn emit(subject: &str, event: &Event<'_>) {
+    let (number, name, weight) = event.kind();
+    let second = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    let Ok(mut guard) = BUDGET.lock() else { return };
+    let Some(budget) = guard.as_mut() else { return };
+    if !budget.admit(second, weight, sample_of(subject)) {
+        return;
+    }
+    let over_budget = budget.take_dropped();
+    drop(guard);
+    let not_taken = NOT_TAKEN.swap(0, Ordering::Relaxed);
+    if over_budget + not_taken > 0 {
+        let dropped = Event::LinesDropped { over_budget, not_taken };
+        let (number, name, _) = dropped.kind();
+        write_line(number, name, &dropped);
+    }
+    write_line(number, name, event);
+}
+
+fn write_line(number: u32, name: &str, event: &Event<'_>) {
+    let Ok(fields) = serde_json::to_string(event) else { return };
+    // The fields' own braces give way to those of the line.
+    let fields = fields.trim_start_matches('{').trim_end_matches('}');
+    log::info!(target: TARGET, "\"event\":\"E{number}\",\"name\":\"{name}\",{fields}");
+}
+
+/// FNV-1a: the same on every node.
+fn sample_of(subject: &str) -> u64 {
+    subject.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// Standard output that drops what its reader doesn't take.
+struct StandardOutput;
+
+impl Write for StandardOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut ready = libc::pollfd { fd: libc::STDOUT_FILENO, events: libc::POLLOUT, revents: 0 };
+        // SAFETY: one valid entry is passed, and the call does not wait.
+        let polled = unsafe { libc::poll(&mut ready, 1, 0) };
+        if polled == 0 {
+            NOT_TAKEN.fetch_add(1, Ordering::Relaxed);
+            return Ok(bytes.len());
+        }
+        // A line is shorter than what a pipe takes at once when it is ready.
+        std::io::stdout().write_all(bytes).map(|()| bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        std::io::stdout().flush()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange.rs
@@ -0,0 +1,236 @@
+//! One attempt at a server, up to the head of its answer.
+
+use crate::dialect::Dialect;
+use crate::pool::{keep_time, Connection};
+use crate::shared::Shared;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use latchwheel_core::attempts::AttemptFailure;
+use latchwheel_core::dispatch::{Ending, Placement, Prompt};
+use latchwheel_core::time::Instant;
+use latchwheel_http::{full, read_bounded};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 9] = [
+    hyper::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    hyper::header::PROXY_AUTHENTICATE,
+    hyper::header::PROXY_AUTHORIZATION,
+    hyper::header::TE,
+    hyper::header::TRAILER,
+    hyper::header::TRANSFER_ENCODING,
+    hyper::header::UPGRADE,
+];
+
+/// Bytes and time within which the body of a rejection is read, so that its
+/// connection can be kept.
+const REJECTION_LIMIT: usize = 16 << 10;
+const REJECTION_TIME: Duration = Duration::from_millis(50);
+
+/// A request as it goes to any server.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers; those of one connection are taken out.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Its identity, which the answer must carry back.
+    pub id: HeaderValue,
+    /// Its prompt.
+    pub prompt: Prompt,
+}
+
+impl Outgoing {
+    /// Takes out the headers that concern one connection only.
+    pub fn strip(headers: &mut HeaderMap) {
+        let named: Vec<HeaderName> = headers
+            .get_all(hyper::header::CONNECTION)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(','))
+            .filter_map(|name| name.trim().parse().ok())
+            .collect();
+        for name in named.iter().chain(&CONNECTION_HEADERS) {
+            headers.remove(name);
+        }
+    }
+}
+
+/// Why an attempt brought no answer for the caller.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// Whether it can have run.
+    pub failure: AttemptFailure,
+    /// What was seen, for the log.
+    pub reason: &'static str,
+}
+
+/// An attempt in progress. Dropping it closes its connection, so that the
+/// server drops the request.
+#[derive(Debug)]
+pub struct Exchange<D: Dialect> {
+    shared: Arc<Shared<D>>,
+    placement: Placement,
+    connection: Option<Connection>,
+    keep: Option<Duration>,
+    sent_at: Instant,
+    started: bool,
+    ending: Ending,
+}
+
+impl<D: Dialect> Exchange<D> {
+    /// Reserves a place at the server: from now on the dispatcher counts it.
+    pub fn reserve(shared: &Arc<Shared<D>>, placement: Placement, outgoing: &Outgoing) -> Self {
+        let sent_at = shared.clock.now();
+        shared.dispatcher().note_sent(sent_at, &placement, &outgoing.prompt);
+        Self {
+            shared: shared.clone(),
+            placement,
+            connection: None,
+            keep: None,
+            sent_at,
+            started: false,
+            ending: Ending::Withdrawn,
+        }
+    }
+
+    /// Sends the request and waits up to `patience` for the head of the
+    /// answer. `left` is the time that the request has, and `last_event` the
+    /// number of the last event that the asker has.
+    ///
+    /// # Errors
+    /// [`AttemptEnd`].
+    pub async fn send(
+        mut self,
+        outgoing: &Outgoing,
+        left: Duration,
+        patience: Duration,
+        last_event: Option<u64>,
+    ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
+        let connected = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
+        let Some(mut connection) = connected else {
+            self.ending = Ending::Broken;
+            return Err(AttemptEnd { failure: AttemptFailure::NotSent, reason: "no_connection" });
+        };
+        let waited = self.shared.clock.now().since(self.sent_at);
+        let request = self.request(outgoing, left.saturating_sub(waited), last_event);
+        let answer = tokio::time::timeout(patience, connection.sender.send_request(request)).await;
+        self.connection = Some(connection);
+        let response = match answer {
+            Ok(Ok(response)) => response,
+            Ok(Err(fault)) => return Err(self.broken(&fault)),
+            Err(_) => {
+                self.ending = Ending::Silent;
+                return Err(AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "no_answer" });
+            }
+        };
+        self.check(response, outgoing).await
+    }
+
+    /// Server that works on it.
+    pub fn server(&self) -> &Arc<str> {
+        &self.placement.server
+    }
+
+    /// A piece of the answer came.
+    pub fn note_piece(&mut self) {
+        let now = self.shared.clock.now();
+        let mut dispatcher = self.shared.dispatcher();
+        if self.started {
+            dispatcher.note_heard(now, &self.placement.server);
+            return;
+        }
+        self.started = true;
+        dispatcher.note_first_piece(now, &self.placement, now.since(self.sent_at));
+    }
+
+    /// The answer is whole: its connection may be kept.
+    pub fn finish(mut self) {
+        self.ending = Ending::Answered;
+        if let Some(connection) = self.connection.take() {
+            self.shared.pool.put(&self.placement.server, connection, self.keep);
+        }
+    }
+
+    /// The answer broke off or is no answer.
+    pub fn fail(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+
+    fn request(&self, outgoing: &Outgoing, left: Duration, last_event: Option<u64>) -> Request<latchwheel_http::Body> {
+        let names = self.shared.dialect.names();
+        let mut request = Request::new(full(outgoing.body.clone()));
+        *request.method_mut() = outgoing.method.clone();
+        *request.uri_mut() = outgoing.uri.clone();
+        let headers = request.headers_mut();
+        *headers = outgoing.headers.clone();
+        headers.insert(names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
+        if let Ok(server) = HeaderValue::from_str(&self.placement.server) {
+            headers.insert(names.expected_server.clone(), server);
+        }
+        if let Some(event) = last_event {
+            headers.insert(names.last_event.clone(), HeaderValue::from(event));
+        }
+        request
+    }
+
+    fn broken(mut self, fault: &hyper::Error) -> AttemptEnd {
+        self.ending = Ending::Broken;
+        if fault.is_canceled() {
+            // An idle connection that the server had closed: nothing was sent.
+            self.ending = Ending::Withdrawn;
+            return AttemptEnd { failure: AttemptFailure::NotSent, reason: "connection_was_closed" };
+        }
+        let reason = if fault.is_parse() { "no_http_answer" } else { "connection_broke" };
+        AttemptEnd { failure: AttemptFailure::MayHaveRun, reason }
+    }
+
+    async fn check(
+        mut self,
+        response: Response<Incoming>,
+        outgoing: &Outgoing,
+    ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
+        let names = self.shared.dialect.names().clone();
+        let headers = response.headers();
+        if headers.get(&names.request_id) != Some(&outgoing.id) {
+            self.ending = Ending::Broken;
+            return Err(AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "answer_of_another_request" });
+        }
+        let load = self.shared.dialect.load(headers);
+        if let Some(load) = load {
+            let now = self.shared.clock.now();
+            self.shared.dispatcher().note_load(now, &self.placement.server, load);
+        }
+        self.keep = keep_time(headers);
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            self.ending = Ending::Misdirected;
+            return Err(AttemptEnd { failure: AttemptFailure::NotRun, reason: "another_server" });
+        }
+        if headers.contains_key(&names.not_run) {
+            self.ending = Ending::Rejected;
+            let whole = read_bounded(response.into_body(), REJECTION_LIMIT, REJECTION_TIME).await.is_ok();
+            if let Some(connection) = self.connection.take().filter(|_| whole) {
+                self.shared.pool.put(&self.placement.server, connection, self.keep);
+            }
+            return Err(AttemptEnd { failure: AttemptFailure::NotRun, reason: "rejected" });
+        }
+        Ok((self, response))
+    }
+}
+
+impl<D: Dialect> Drop for Exchange<D> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let time = now.since(self.sent_at);
+        self.shared.dispatcher().note_end(now, &self.placement, self.ending, self.started, time);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/forward.rs
@@ -0,0 +1,393 @@
+//! The way of a request: route, server, attempts, answer.
+
+use crate::answer::error_answer;
+use crate::dialect::Dialect;
+use crate::exchange::{Exchange, Outgoing};
+use crate::resumable::{stream_body, Streaming};
+use crate::shared::Shared;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::{Request, Response};
+use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
+use latchwheel_core::code::ResultCode;
+use latchwheel_core::dispatch::{Ask, Choice, Ending, Placement};
+use latchwheel_core::routes::{RequestKind, Route};
+use latchwheel_core::time::Instant;
+use latchwheel_events::{emit, Event};
+use latchwheel_http::{full, read_bounded, Body, BodyFault};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Answers up to this length are read whole before their head is passed on,
+/// so that a broken one can be asked for again.
+const WHOLE_ANSWER_LIMIT: usize = 1 << 20;
+/// An attempt that could be repeated is given up after this many latency
+/// targets without an answer.
+const PATIENCE_TARGETS: u32 = 2;
+/// Least time that an attempt is waited for.
+const LEAST_PATIENCE: Duration = Duration::from_millis(200);
+/// A wait for a free slot of this many latency targets is worth taking.
+const WAIT_TARGETS: u32 = 3;
+
+/// What is known of a request on its way.
+#[derive(Debug)]
+pub(crate) struct Context<D: Dialect> {
+    pub(crate) shared: Arc<Shared<D>>,
+    pub(crate) id: String,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) table_version: u64,
+    pub(crate) received: Instant,
+    pub(crate) until: Instant,
+    pub(crate) outgoing: Outgoing,
+    pub(crate) attempts: Attempts,
+    pub(crate) asked: Vec<Arc<str>>,
+}
+
+/// Forwards a request to a server of its route and gives back the answer.
+pub async fn forward<D: Dialect>(shared: Arc<Shared<D>>, request: Request<Incoming>) -> Response<Body> {
+    let received = shared.clock.now();
+    let guard = shared.enter();
+    let mut response = match accept(&shared, request, received).await {
+        Ok(context) => run(context, guard).await,
+        Err(refusal) => refusal.answer(&shared, received),
+    };
+    if shared.is_leaving() {
+        response.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// A request that is refused before it is routed.
+struct Refusal {
+    id: String,
+    route: Option<Arc<Route>>,
+    code: ResultCode,
+}
+
+impl Refusal {
+    fn answer<D: Dialect>(&self, shared: &Shared<D>, received: Instant) -> Response<Body> {
+        let route = self.route.as_ref().map_or("", |route| &*route.name);
+        log_refusal(shared, &self.id, route, self.code, received, Duration::ZERO);
+        error_answer(self.code, None)
+    }
+}
+
+async fn accept<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    request: Request<Incoming>,
+    received: Instant,
+) -> Result<Context<D>, Refusal> {
+    let names = shared.dialect.names();
+    let (mut head, body) = request.into_parts();
+    let id_header = head.headers.get(&names.request_id).cloned();
+    let id = id_header.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+    let refuse = |code, route| Refusal { id: id.clone(), route, code };
+    let table = shared.table();
+    if table.version == 0 {
+        return Err(refuse(ResultCode::NotReady, None));
+    }
+    let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
+    let host = host_of(&head);
+    let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
+    let deadline = head.headers.get(&names.deadline).and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let time = deadline.map(Duration::from_millis).map_or(route.timeout, |time| time.min(route.timeout));
+    let until = received + time;
+    let body = read_bounded(body, table.limits.body_bytes, time).await.map_err(|fault| {
+        let code = match fault {
+            BodyFault::TooLarge => ResultCode::TooLarge,
+            BodyFault::Slow => ResultCode::SlowBody,
+            BodyFault::Gone => ResultCode::CallerGone,
+        };
+        refuse(code, Some(route.clone()))
+    })?;
+    let prompt = shared.dialect.prompt(&head.headers);
+    Outgoing::strip(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    let service = shared.next_service(&route).ok_or_else(|| refuse(ResultCode::NoServer, Some(route.clone())))?;
+    Ok(Context {
+        shared: shared.clone(),
+        id,
+        service,
+        table_version: table.version,
+        received,
+        until,
+        outgoing: Outgoing {
+            method: head.method,
+            uri: path_only(&head.uri),
+            headers: head.headers,
+            body,
+            id: id_header,
+            prompt,
+        },
+        attempts: Attempts::new(route.kind, route.max_attempts),
+        route,
+        asked: Vec::new(),
+    })
+}
+
+/// Host that a request names, without a port.
+fn host_of(head: &hyper::http::request::Parts) -> String {
+    let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = header.or_else(|| head.uri.host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_ascii_lowercase()
+}
+
+/// A target in origin form, whatever form the caller used.
+fn path_only(uri: &hyper::Uri) -> hyper::Uri {
+    uri.path_and_query().map_or_else(|| hyper::Uri::from_static("/"), |path| hyper::Uri::from(path.clone()))
+}
+
+/// Attempts until there is an answer or the request is given up.
+async fn run<D: Dialect>(mut context: Context<D>, guard: crate::shared::InProgress<D>) -> Response<Body> {
+    loop {
+        let mut departure = Departure::new(&context);
+        let attempt = context.attempt(None).await;
+        departure.arrived();
+        drop(departure);
+        let (exchange, response) = match attempt {
+            Ok(started) => started,
+            Err(Some(answer)) => return answer,
+            Err(None) => continue,
+        };
+        let is_stream = matches!(context.route.kind, RequestKind::Stream { .. });
+        if is_stream && response.status().is_success() {
+            return stream_answer(context, exchange, response, guard);
+        }
+        match context.whole_answer(exchange, response).await {
+            Ok(answer) => return answer,
+            Err(Some(answer)) => return answer,
+            Err(None) => {}
+        }
+    }
+}
+
+fn stream_answer<D: Dialect>(
+    context: Context<D>,
+    exchange: Exchange<D>,
+    response: Response<Incoming>,
+    guard: crate::shared::InProgress<D>,
+) -> Response<Body> {
+    let (mut head, incoming) = response.into_parts();
+    Outgoing::strip(&mut head.headers);
+    let resumable = context.route.kind == RequestKind::Stream { resumable: true };
+    if resumable {
+        head.headers.remove(CONTENT_LENGTH);
+    }
+    let streaming = Streaming::new(context, exchange, incoming, head.status.as_u16(), resumable, guard);
+    Response::from_parts(head, stream_body(streaming))
+}
+
+/// Logs that the client left, unless the attempt comes to an end before.
+struct Departure<D: Dialect> {
+    shared: Arc<Shared<D>>,
+    id: String,
+    received: Instant,
+    gone: bool,
+}
+
+impl<D: Dialect> Departure<D> {
+    fn new(context: &Context<D>) -> Self {
+        Self { shared: context.shared.clone(), id: context.id.clone(), received: context.received, gone: true }
+    }
+
+    fn arrived(&mut self) {
+        self.gone = false;
+    }
+}
+
+impl<D: Dialect> Drop for Departure<D> {
+    fn drop(&mut self) {
+        if self.gone {
+            let after_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
+            emit(&self.id, &Event::ClientGone { id: &self.id, server: "", after_ms });
+        }
+    }
+}
+
+impl<D: Dialect> Context<D> {
+    /// Time that the request has left.
+    pub(crate) fn left(&self) -> Duration {
+        self.until.since(self.shared.clock.now())
+    }
+
+    /// Sends the request to one more server. `Err(None)` means that another
+    /// attempt may follow, `Err(Some)` is the final answer.
+    pub(crate) async fn attempt(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<(Exchange<D>, Response<Incoming>), Option<Response<Body>>> {
+        let left = self.left();
+        if left.is_zero() {
+            return Err(Some(self.refuse(ResultCode::DeadlinePassed, None)));
+        }
+        let placement = match self.choose() {
+            Choice::Send(placement) => placement,
+            Choice::Full(come_back) => return Err(Some(self.refuse(ResultCode::WaitTooLong, Some(come_back)))),
+            Choice::NoServer => return Err(Some(self.refuse(ResultCode::NoServer, None))),
+        };
+        self.log_sent(&placement, left);
+        let server = placement.server.clone();
+        let sent_at = self.shared.clock.now();
+        let patience = self.patience(left);
+        let exchange = Exchange::reserve(&self.shared, placement, &self.outgoing);
+        let started = exchange.send(&self.outgoing, left, patience, last_event).await;
+        self.asked.push(server.clone());
+        started.map_err(|end| self.failed(&server, sent_at, end.failure, end.reason))
+    }
+
+    /// Time to wait for the head of an answer: to the end where the request
+    /// can't be repeated anyway.
+    fn patience(&self, left: Duration) -> Duration {
+        if !self.attempts.may_repeat() {
+            return left;
+        }
+        (self.route.latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE).min(left)
+    }
+
+    fn choose(&self) -> Choice {
+        let ask = Ask {
+            service: &self.service,
+            prompt: &self.outgoing.prompt,
+            avoid: &self.asked,
+            wait_limit: (self.route.latency_target * WAIT_TARGETS).min(self.left()),
+            reserve: 0.0,
+            spread: self.shared.next_spread(),
+        };
+        self.shared.dispatcher().choose(self.shared.clock.now(), &ask)
+    }
+
+    /// An attempt failed: `None` if another may follow, or the final answer.
+    pub(crate) fn failed(
+        &mut self,
+        server: &str,
+        sent_at: Instant,
+        failure: AttemptFailure,
+        reason: &str,
+    ) -> Option<Response<Body>> {
+        let attempt = self.attempts.made() + 1;
+        let step = self.attempts.after(failure, self.left());
+        let after_ms = self.shared.clock.now().since(sent_at).as_millis() as u64;
+        let goes_on = step == NextStep::TryAgain;
+        emit(&self.id, &Event::AttemptFailed { id: &self.id, server, attempt, reason, after_ms, goes_on });
+        match step {
+            NextStep::TryAgain => None,
+            NextStep::GiveUp(code) => Some(self.refuse(code, None)),
+        }
+    }
+
+    /// Reads an answer to its end before its head is passed on.
+    async fn whole_answer(
+        &mut self,
+        mut exchange: Exchange<D>,
+        response: Response<Incoming>,
+    ) -> Result<Response<Body>, Option<Response<Body>>> {
+        let (mut head, mut incoming) = response.into_parts();
+        Outgoing::strip(&mut head.headers);
+        exchange.note_piece();
+        let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
+        let sent_at = self.shared.clock.now();
+        let mut whole = BytesMut::new();
+        let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole)).await;
+        match read {
+            Ok(WholeRead::Whole) => {
+                exchange.finish();
+                self.log_answered(head.status.as_u16(), first_piece_ms);
+                Ok(Response::from_parts(head, full(Bytes::from(whole))))
+            }
+            Ok(WholeRead::TooLong) => {
+                self.log_answered(head.status.as_u16(), first_piece_ms);
+                let rest = latchwheel_http::pass(incoming);
+                Ok(Response::from_parts(head, chained(Bytes::from(whole), rest, exchange)))
+            }
+            Ok(WholeRead::Broken) | Err(_) => {
+                let server = exchange.server().clone();
+                exchange.fail(Ending::Broken);
+                Err(self.failed(&server, sent_at, AttemptFailure::MayHaveRun, "answer_broke"))
+            }
+        }
+    }
+
+    /// Gives the request up with the code, or with one that says that it may
+    /// have run.
+    pub(crate) fn refuse(&self, not_run: ResultCode, come_back: Option<Duration>) -> Response<Body> {
+        let code = self.attempts.verdict(not_run);
+        let come_back_time = come_back.unwrap_or_default();
+        log_refusal(&self.shared, &self.id, &self.route.name, code, self.received, come_back_time);
+        error_answer(code, come_back)
+    }
+
+    fn log_sent(&self, placement: &Placement, left: Duration) {
+        let event = Event::RequestSent {
+            id: &self.id,
+            route: &self.route.name,
+            server: &placement.server,
+            attempt: self.attempts.made() + 1,
+            expected_wait_ms: placement.expected_wait.as_millis() as u64,
+            uncached_tokens: placement.uncached,
+            load: placement.load,
+            table_version: self.table_version,
+            left_ms: left.as_millis() as u64,
+        };
+        emit(&self.id, &event);
+    }
+
+    pub(crate) fn log_answered(&self, status: u16, first_piece_ms: u64) {
+        let total_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
+        let attempts = self.attempts.made() + 1;
+        emit(&self.id, &Event::RequestAnswered { id: &self.id, status, total_ms, first_piece_ms, attempts });
+    }
+}
+
+fn log_refusal<D: Dialect>(
+    shared: &Shared<D>,
+    id: &str,
+    route: &str,
+    code: ResultCode,
+    received: Instant,
+    come_back: Duration,
+) {
+    let event = Event::RequestRefused {
+        id,
+        route,
+        code: code.number(),
+        status: code.http_status(),
+        after_ms: shared.clock.now().since(received).as_millis() as u64,
+        come_back_ms: come_back.as_millis() as u64,
+        table_version: shared.table().version,
+    };
+    emit(id, &event);
+}
+
+enum WholeRead {
+    Whole,
+    TooLong,
+    Broken,
+}
+
+async fn read_whole(incoming: &mut Incoming, whole: &mut BytesMut) -> WholeRead {
+    while let Some(frame) = incoming.frame().await {
+        let Ok(frame) = frame else { return WholeRead::Broken };
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+        if whole.len() > WHOLE_ANSWER_LIMIT {
+            return WholeRead::TooLong;
+        }
+    }
+    WholeRead::Whole
+}
+
+/// The part that was read and the rest; the exchange ends with the body.
+fn chained<D: Dialect>(read: Bytes, rest: Body, exchange: Exchange<D>) -> Body {
+    use futures::StreamExt;
+    use hyper::body::Frame;
+    let first = futures::stream::iter([Ok(Frame::data(read))]);
+    let rest = http_body_util::BodyStream::new(rest).map(move |frame| {
+        let _alive = &exchange;
+        frame
+    });
+    http_body_util::StreamBody::new(first.chain(rest)).boxed_unsync()
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,23 @@
+//! Forwarding of requests by a routing table, straight to the servers.
+//!
+//! Each node sends to every server: there is no owner of a server and no
+//! second process on a request's way. The choice, what follows a failed
+//! attempt, and the framing of event streams are decided in
+//! `latchwheel-core`; this crate carries them out. The headers that a site
+//! uses are told by its [`Dialect`].
+
+mod answer;
+mod clock;
+mod dialect;
+mod exchange;
+mod forward;
+mod pool;
+mod resumable;
+mod shared;
+
+pub use answer::{come_back_header, error_answer};
+pub use clock::Clock;
+pub use dialect::{Dialect, HeaderNames};
+pub use exchange::{AttemptEnd, Exchange, Outgoing};
+pub use forward::forward;
+pub use shared::Shared;
--- /dev/null
+++ b/crates/proxy/src/resumable.rs
@@ -0,0 +1,209 @@
+//! Passing a stream on, and going on with it at another server.
+//!
+//! Events of a resumable stream leave only when they are whole. When its
+//! server breaks off or falls silent, the connection to it is closed first;
+//! then another server is asked for what follows the last event. The client
+//! sees one answer, with the head of the first server.
+
+use crate::dialect::Dialect;
+use crate::exchange::Exchange;
+use crate::forward::Context;
+use crate::shared::InProgress;
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use latchwheel_core::attempts::AttemptFailure;
+use latchwheel_core::dispatch::Ending;
+use latchwheel_core::event_stream::EventFramer;
+use latchwheel_core::time::Instant;
+use latchwheel_events::{emit, Event};
+use latchwheel_http::Body;
+use std::time::Duration;
+
+/// A resumable stream goes on elsewhere after a pause of this many of the
+/// longest pauses that are in time.
+const PAUSE_TARGETS: u32 = 2;
+/// The longest pause in time where the route tells none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+
+/// A stream that is being passed on.
+#[derive(Debug)]
+pub(crate) struct Streaming<D: Dialect> {
+    context: Context<D>,
+    exchange: Option<Exchange<D>>,
+    incoming: Incoming,
+    status: u16,
+    resumable: bool,
+    framer: EventFramer,
+    last_event: Option<u64>,
+    first_piece: Option<Instant>,
+    ended: bool,
+    _guard: InProgress<D>,
+}
+
+/// What to do after a piece.
+enum Step {
+    Pass(Bytes),
+    Wait,
+    End,
+    Broken(&'static str, Ending),
+}
+
+impl<D: Dialect> Streaming<D> {
+    pub(crate) fn new(
+        context: Context<D>,
+        exchange: Exchange<D>,
+        incoming: Incoming,
+        status: u16,
+        resumable: bool,
+        guard: InProgress<D>,
+    ) -> Self {
+        Self {
+            context,
+            exchange: Some(exchange),
+            incoming,
+            status,
+            resumable,
+            framer: EventFramer::default(),
+            last_event: None,
+            first_piece: None,
+            ended: false,
+            _guard: guard,
+        }
+    }
+
+    /// The next bytes for the client; `None` at the end, an error if the
+    /// answer has to be broken off.
+    async fn next(&mut self) -> Option<Result<Bytes, &'static str>> {
+        loop {
+            match self.step().await {
+                Step::Pass(bytes) => return Some(Ok(bytes)),
+                Step::Wait => {}
+                Step::End => {
+                    self.end();
+                    return None;
+                }
+                Step::Broken(reason, ending) => {
+                    if !self.go_on(reason, ending).await {
+                        return Some(Err(reason));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let limit = self.pause_limit();
+        let Ok(frame) = tokio::time::timeout(limit, self.incoming.frame()).await else {
+            let reason = if self.context.left().is_zero() { "time_is_over" } else { "no_event" };
+            return Step::Broken(reason, Ending::Silent);
+        };
+        let data = match frame {
+            None if self.framer.holds_part() => return Step::Broken("ended_within_an_event", Ending::Broken),
+            None => return Step::End,
+            Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        self.note_piece();
+        if !self.resumable {
+            return Step::Pass(data);
+        }
+        let Ok(events) = self.framer.push(&data) else { return Step::Broken("event_too_long", Ending::Broken) };
+        self.last_event = events.iter().filter_map(|event| event.id).next_back().or(self.last_event);
+        match events.as_slice() {
+            [] => Step::Wait,
+            [only] => Step::Pass(only.bytes.clone()),
+            several => Step::Pass(several.iter().flat_map(|event| event.bytes.clone()).collect()),
+        }
+    }
+
+    /// Silence ends an attempt only where the stream can go on elsewhere.
+    fn pause_limit(&self) -> Duration {
+        let left = self.context.left();
+        if self.resumable && self.context.attempts.may_repeat() {
+            let pause = self.context.route.gap_target.unwrap_or(DEFAULT_PAUSE) * PAUSE_TARGETS;
+            return pause.min(left);
+        }
+        left
+    }
+
+    fn note_piece(&mut self) {
+        self.first_piece.get_or_insert_with(|| self.context.shared.clock.now());
+        if let Some(exchange) = self.exchange.as_mut() {
+            exchange.note_piece();
+        }
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        if let Some(exchange) = self.exchange.take() {
+            exchange.finish();
+        }
+        let first = self.first_piece.unwrap_or(self.context.received);
+        let first_piece_ms = first.since(self.context.received).as_millis() as u64;
+        self.context.log_answered(self.status, first_piece_ms);
+    }
+
+    /// Goes on at another server; `false` if the answer has to be broken off.
+    async fn go_on(&mut self, reason: &'static str, ending: Ending) -> bool {
+        let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
+        if let Some(exchange) = self.exchange.take() {
+            exchange.fail(ending);
+        }
+        self.framer.reset();
+        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, reason).await {
+            return true;
+        }
+        self.ended = true;
+        let after_ms = self.context.shared.clock.now().since(self.context.received).as_millis() as u64;
+        let event = Event::AnswerCut { id: &self.context.id, server: &server, reason, after_ms };
+        emit(&self.context.id, &event);
+        false
+    }
+
+    async fn ask_another(&mut self, server: &str, reason: &'static str) -> bool {
+        let now = self.context.shared.clock.now();
+        if self.context.failed(server, now, AttemptFailure::MayHaveRun, reason).is_some() {
+            return false;
+        }
+        loop {
+            match self.context.attempt(self.last_event).await {
+                Ok((exchange, response)) if response.status().is_success() => {
+                    self.exchange = Some(exchange);
+                    self.incoming = response.into_body();
+                    return true;
+                }
+                Ok((exchange, _)) => {
+                    exchange.fail(Ending::Rejected);
+                    return false;
+                }
+                Err(None) => {}
+                Err(Some(_)) => return false,
+            }
+        }
+    }
+}
+
+impl<D: Dialect> Drop for Streaming<D> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
+        let after_ms = self.context.shared.clock.now().since(self.context.received).as_millis() as u64;
+        emit(&self.context.id, &Event::ClientGone { id: &self.context.id, server: &server, after_ms });
+    }
+}
+
+/// The body of a stream that is being passed on. Dropping it closes the
+/// connection to the server.
+pub(crate) fn stream_body<D: Dialect>(streaming: Streaming<D>) -> Body {
+    let pieces = futures::stream::unfold(Some(streaming), |streaming| async move {
+        let mut streaming = streaming?;
+        match streaming.next().await? {
+            Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(streaming))),
+            Err(reason) => Some((Err(reason.into()), None)),
+        }
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
--- /dev/null
+++ b/crates/proxy/src/shared.rs
@@ -0,0 +1,114 @@
+//! What all requests of a process share.
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::pool::Pool;
+use latchwheel_core::dispatch::Dispatcher;
+use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What all requests of a process share.
+#[derive(Debug)]
+pub struct Shared<D> {
+    /// The site's headers.
+    pub dialect: D,
+    /// The clock.
+    pub clock: Clock,
+    pub(crate) pool: Pool,
+    dispatcher: Mutex<Dispatcher>,
+    table: Mutex<Arc<RoutingTable>>,
+    turns: Mutex<WeightedTurns>,
+    leaving: AtomicBool,
+    in_progress: AtomicUsize,
+    sent: AtomicU64,
+}
+
+impl<D: Dialect> Shared<D> {
+    /// Nothing is known yet: the table has version zero.
+    pub fn new(dialect: D, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            dialect,
+            clock,
+            pool: Pool::default(),
+            dispatcher: Mutex::default(),
+            table: Mutex::default(),
+            turns: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            sent: AtomicU64::new(0),
+        })
+    }
+
+    /// The table in force; its version is zero until one is known.
+    pub fn table(&self) -> Arc<RoutingTable> {
+        lock(&self.table).clone()
+    }
+
+    /// Puts a table in force if it is newer than the present one, whose
+    /// version is given back.
+    pub fn put_in_force(&self, table: RoutingTable) -> Option<u64> {
+        let mut present = lock(&self.table);
+        let previous = present.version;
+        if table.version <= previous {
+            return None;
+        }
+        *present = Arc::new(table);
+        Some(previous)
+    }
+
+    /// The dispatcher, for one decision.
+    pub fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        lock(&self.dispatcher)
+    }
+
+    /// Closes connections to servers that are not among these.
+    pub fn keep_connections_to(&self, ready: &std::collections::HashSet<Arc<str>>) {
+        self.pool.retain(ready);
+    }
+
+    /// The service that takes the next request of a route.
+    pub fn next_service(&self, route: &Route) -> Option<Arc<str>> {
+        lock(&self.turns).next(route)
+    }
+
+    /// The process leaves: answers close their connections from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InProgress<D> {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+
+    /// A number that differs for each request.
+    pub(crate) fn next_spread(&self) -> u64 {
+        self.sent.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// Counts a request as in progress.
+#[derive(Debug)]
+pub struct InProgress<D>(Arc<Shared<D>>);
+
+impl<D> Drop for InProgress<D> {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/records/src/memory.rs
@@ -0,0 +1,166 @@
+//! A record store in memory, for tests and single processes.
+
+use crate::{Change, Changes, Committed, Listing, Record, RecordStore, RecordsFault, Transaction};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::watch;
+
+const VALUE_LIMIT: usize = 1 << 20;
+
+#[derive(Debug, Default)]
+struct State {
+    records: BTreeMap<String, (Record, u64)>,
+    history: Vec<Change>,
+    revision: u64,
+    leases: u64,
+    live_leases: Vec<u64>,
+    fault: Option<RecordsFault>,
+    lose_answers: u32,
+}
+
+/// A record store in memory. Clones share their records.
+#[derive(Clone, Debug)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self { state: Arc::default(), changed: Arc::new(watch::channel(0).0) }
+    }
+}
+
+impl MemoryStore {
+    /// Every call fails so from now on, or none.
+    pub fn set_fault(&self, fault: Option<RecordsFault>) {
+        self.lock().fault = fault;
+    }
+
+    /// The next commits are done, but their answers are lost.
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lose_answers = count;
+    }
+
+    /// Ends a lease with its records.
+    pub fn end_lease(&self, lease: u64) {
+        let mut state = self.lock();
+        state.live_leases.retain(|live| *live != lease);
+        let keys: Vec<String> =
+            state.records.iter().filter(|(_, (_, own))| *own == lease).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            state.remove(&key);
+        }
+        self.changed.send_replace(state.revision);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn check(&self) -> Result<MutexGuard<'_, State>, RecordsFault> {
+        let state = self.lock();
+        match state.fault {
+            Some(fault) => Err(fault),
+            None => Ok(state),
+        }
+    }
+}
+
+impl State {
+    fn remove(&mut self, key: &str) {
+        if self.records.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push(Change::Removed { key: key.to_owned(), revision: self.revision });
+        }
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Committed {
+        let revision_of = |key: &str| self.records.get(key).map_or(0, |(record, _)| record.revision);
+        if transaction.expected.iter().any(|(key, revision)| revision_of(key) != *revision) {
+            let present = transaction.expected.iter().filter_map(|(key, _)| self.records.get(key));
+            return Committed::Differs(present.map(|(record, _)| record.clone()).collect());
+        }
+        let lease_lives = |lease: u64| lease == 0 || self.live_leases.contains(&lease);
+        if transaction.writes.iter().any(|write| !lease_lives(write.lease)) {
+            return Committed::NoLease;
+        }
+        self.revision += 1;
+        for write in &transaction.writes {
+            let record = Record { key: write.key.clone(), value: write.value.clone(), revision: self.revision };
+            self.history.push(Change::Written(record.clone()));
+            self.records.insert(write.key.clone(), (record, write.lease));
+        }
+        for key in &transaction.removes {
+            self.remove(key);
+        }
+        Committed::Done(self.revision)
+    }
+
+    fn changes_after(&self, prefix: &str, after: u64) -> Vec<Change> {
+        let of_prefix = |change: &&Change| match change {
+            Change::Written(record) => record.revision > after && record.key.starts_with(prefix),
+            Change::Removed { key, revision } => *revision > after && key.starts_with(prefix),
+        };
+        self.history.iter().filter(of_prefix).cloned().collect()
+    }
+}
+
+impl RecordStore for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<Record>, RecordsFault> {
+        Ok(self.check()?.records.get(key).map(|(record, _)| record.clone()))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, RecordsFault> {
+        let state = self.check()?;
+        let of_prefix = state.records.iter().filter(|(key, _)| key.starts_with(prefix));
+        let records = of_prefix.map(|(_, (record, _))| record.clone()).collect();
+        Ok(Listing { records, revision: state.revision })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, RecordsFault> {
+        let mut changed = self.changed.subscribe();
+        let found = async {
+            loop {
+                let changes = self.check()?.changes_after(prefix, after);
+                if !changes.is_empty() || changed.changed().await.is_err() {
+                    return Ok(changes);
+                }
+            }
+        };
+        let changes = tokio::time::timeout(wait, found).await.unwrap_or(Ok(Vec::new()))?;
+        let revision = changes.last().map_or(after, |change| match change {
+            Change::Written(record) => record.revision,
+            Change::Removed { revision, .. } => *revision,
+        });
+        Ok(Changes { changes, revision })
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, RecordsFault> {
+        let mut state = self.check()?;
+        let committed = state.commit(transaction);
+        self.changed.send_replace(state.revision);
+        if state.lose_answers > 0 {
+            state.lose_answers -= 1;
+            return Err(RecordsFault::Unknown);
+        }
+        Ok(committed)
+    }
+
+    async fn grant(&self, _length: Duration) -> Result<u64, RecordsFault> {
+        let mut state = self.check()?;
+        state.leases += 1;
+        let lease = state.leases;
+        state.live_leases.push(lease);
+        Ok(lease)
+    }
+
+    async fn renew(&self, lease: u64) -> Result<bool, RecordsFault> {
+        Ok(self.check()?.live_leases.contains(&lease))
+    }
+
+    fn value_limit(&self) -> usize {
+        VALUE_LIMIT
+    }
+}
--- /dev/null
+++ b/crates/worker/src/desk.rs
@@ -0,0 +1,314 @@
+//! Taking, ending and reading jobs, at any node.
+
+use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::results::ResultList;
+use bytes::Bytes;
+use latchwheel_core::identity::stable_hash;
+use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Pause before a call to the store is made again.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Jobs whose results are remembered.
+const REMEMBERED_JOBS: usize = 64;
+/// Jobs whose bodies are remembered.
+const REMEMBERED_BODIES: usize = 4;
+/// Room for the encoding of a value.
+const VALUE_MARGIN: usize = 1024;
+
+/// Why a call on a job failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeskFault {
+    /// The store did not do it, and won't: nothing of a new job runs.
+    Refused,
+    /// It can't be told whether it was done.
+    Unknown,
+    /// There is no such job or item.
+    Absent,
+    /// Another job was handed in under this identity.
+    Conflict,
+}
+
+/// A job that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Taken {
+    /// Whether it was known before.
+    pub resent: bool,
+    /// Revision at which it was written; zero if it was known before.
+    pub revision: u64,
+}
+
+/// Some results of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResultPage {
+    /// Items of the job.
+    pub total: usize,
+    /// Results from the asked position on.
+    pub results: Vec<Arc<ListedResult>>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    total: usize,
+    list: ResultList,
+}
+
+/// Takes, ends and reads jobs.
+#[derive(Debug)]
+pub struct JobDesk<S> {
+    store: Arc<S>,
+    known: Mutex<Recent<Known>>,
+    bodies: Mutex<Recent<Arc<JobBody>>>,
+}
+
+impl<S: RecordStore> JobDesk<S> {
+    /// A desk on this store.
+    pub fn new(store: Arc<S>) -> Self {
+        Self {
+            store,
+            known: Mutex::new(Recent::new(REMEMBERED_JOBS)),
+            bodies: Mutex::new(Recent::new(REMEMBERED_BODIES)),
+        }
+    }
+
+    /// Keeps a job. Once this returns, the job lasts.
+    ///
+    /// # Errors
+    /// [`DeskFault`]; with `Refused` nothing of the job will run.
+    pub async fn take(
+        &self,
+        job: &str,
+        host: &str,
+        path: &str,
+        body: &JobBody,
+        until: Instant,
+    ) -> Result<Taken, DeskFault> {
+        let bytes = serde_json::to_vec(body).map_err(|_| DeskFault::Refused)?;
+        let record = self.new_record(host, path, body, &bytes);
+        let transaction = self.taking(job, &record, &bytes);
+        let mut fault = DeskFault::Refused;
+        loop {
+            match self.store.commit(&transaction).await {
+                Ok(Committed::Done(revision)) => return Ok(Taken { resent: false, revision }),
+                Ok(Committed::Differs(present)) => {
+                    let present = present.first().and_then(|present| read_record(&present.value));
+                    return match present {
+                        Some(present) if present.body_hash == record.body_hash => {
+                            Ok(Taken { resent: true, revision: 0 })
+                        }
+                        Some(_) => Err(DeskFault::Conflict),
+                        None => Err(DeskFault::Unknown),
+                    };
+                }
+                Ok(Committed::NoLease) | Err(RecordsFault::Refused) => {}
+                Err(_) => fault = DeskFault::Unknown,
+            }
+            if Instant::now() + PAUSE >= until {
+                return Err(fault);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn new_record(&self, host: &str, path: &str, body: &JobBody, bytes: &[u8]) -> JobRecord {
+        let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        JobRecord {
+            state: JobState::Open,
+            host: host.to_owned(),
+            path: path.to_owned(),
+            items: body.items.len(),
+            body_parts: bytes.chunks(self.part_limit()).count(),
+            body_hash: stable_hash(bytes),
+            accepted_ms: accepted.as_millis() as u64,
+        }
+    }
+
+    fn part_limit(&self) -> usize {
+        self.store.value_limit().saturating_sub(VALUE_MARGIN).max(1)
+    }
+
+    fn taking(&self, job: &str, record: &JobRecord, bytes: &[u8]) -> Transaction {
+        let parts = bytes.chunks(self.part_limit()).enumerate();
+        let mut writes: Vec<Write> = parts
+            .map(|(part, bytes)| Write { key: body_key(job, part), value: Bytes::copy_from_slice(bytes), lease: 0 })
+            .collect();
+        writes.push(Write { key: job_key(job), value: write_record(record), lease: 0 });
+        Transaction { expected: vec![(job_key(job), 0)], writes, removes: Vec::new() }
+    }
+
+    /// Ends a job: none of its items is sent again.
+    ///
+    /// # Errors
+    /// [`DeskFault`].
+    pub async fn end(&self, job: &str, until: Instant) -> Result<(), DeskFault> {
+        loop {
+            match self.try_end(job).await {
+                Ok(true) => return Ok(()),
+                Ok(false) => {}
+                Err(DeskFault::Absent) => return Err(DeskFault::Absent),
+                Err(fault) if Instant::now() + PAUSE >= until => return Err(fault),
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn try_end(&self, job: &str) -> Result<bool, DeskFault> {
+        let present = self.store.get(&job_key(job)).await.map_err(desk_fault)?.ok_or(DeskFault::Absent)?;
+        let mut record = read_record(&present.value).ok_or(DeskFault::Unknown)?;
+        if record.state == JobState::Ended {
+            return Ok(true);
+        }
+        record.state = JobState::Ended;
+        let transaction = Transaction {
+            expected: vec![(job_key(job), present.revision)],
+            writes: vec![Write { key: job_key(job), value: write_record(&record), lease: 0 }],
+            removes: Vec::new(),
+        };
+        let committed = self.store.commit(&transaction).await.map_err(desk_fault)?;
+        Ok(matches!(committed, Committed::Done(_)))
+    }
+
+    /// Reads results from a position on, `byte_limit` at most but one at
+    /// least; waits up to `wait` until there is one.
+    ///
+    /// # Errors
+    /// [`DeskFault`].
+    pub async fn read(
+        &self,
+        job: &str,
+        from: usize,
+        byte_limit: usize,
+        wait: Duration,
+    ) -> Result<ResultPage, DeskFault> {
+        let remembered = lock(&self.known).get(job).cloned();
+        let mut known = match remembered {
+            Some(known) => known,
+            None => self.load(job).await?,
+        };
+        let until = Instant::now() + wait;
+        let mut asked = false;
+        while known.list.results.len() <= from && known.list.results.len() < known.total {
+            let left = until.saturating_duration_since(Instant::now());
+            if asked && left.is_zero() {
+                break;
+            }
+            asked = true;
+            known.list.extend(&*self.store, job, left).await.map_err(desk_fault)?;
+        }
+        let page = page_of(&known, from, byte_limit);
+        self.remember(job, known);
+        Ok(page)
+    }
+
+    async fn load(&self, job: &str) -> Result<Known, DeskFault> {
+        let record = self.record(job).await?;
+        let list = ResultList::load(&*self.store, job).await.map_err(desk_fault)?;
+        Ok(Known { total: record.items, list })
+    }
+
+    fn remember(&self, job: &str, known: Known) {
+        let mut remembered = lock(&self.known);
+        let newer = remembered.get(job).is_none_or(|present| present.list.parts <= known.list.parts);
+        if newer {
+            remembered.put(job, known);
+        }
+    }
+
+    async fn record(&self, job: &str) -> Result<JobRecord, DeskFault> {
+        let record = self.store.get(&job_key(job)).await.map_err(desk_fault)?.ok_or(DeskFault::Absent)?;
+        read_record(&record.value).ok_or(DeskFault::Unknown)
+    }
+
+    /// Body of an item, in base64.
+    ///
+    /// # Errors
+    /// [`DeskFault`].
+    pub async fn item_body(&self, job: &str, item: &str) -> Result<String, DeskFault> {
+        let remembered = lock(&self.bodies).get(job).cloned();
+        let body = match remembered {
+            Some(body) => body,
+            None => {
+                let record = self.record(job).await?;
+                let body = Arc::new(read_body(&*self.store, job, &record).await.map_err(desk_fault)?);
+                lock(&self.bodies).put(job, body.clone());
+                body
+            }
+        };
+        let found = body.items.iter().find(|present| present.id == item);
+        found.map(|item| item.body.clone()).ok_or(DeskFault::Absent)
+    }
+}
+
+/// Reads a job's items.
+pub(crate) async fn read_body<S: RecordStore>(
+    store: &S,
+    job: &str,
+    record: &JobRecord,
+) -> Result<JobBody, RecordsFault> {
+    let mut bytes = Vec::new();
+    for part in 0..record.body_parts {
+        let part = store.get(&body_key(job, part)).await?.ok_or(RecordsFault::BadAnswer)?;
+        bytes.extend_from_slice(&part.value);
+    }
+    serde_json::from_slice(&bytes).map_err(|_| RecordsFault::BadAnswer)
+}
+
+pub(crate) fn read_record(value: &[u8]) -> Option<JobRecord> {
+    serde_json::from_slice(value).ok()
+}
+
+pub(crate) fn write_record(record: &JobRecord) -> Bytes {
+    serde_json::to_vec(record).unwrap_or_default().into()
+}
+
+fn page_of(known: &Known, from: usize, byte_limit: usize) -> ResultPage {
+    let mut bytes = 0;
+    let results = known.list.results.iter().skip(from).take_while(|result| {
+        let first = bytes == 0;
+        bytes += result.text.len() + result.item.len();
+        first || bytes <= byte_limit
+    });
+    ResultPage { total: known.total, results: results.cloned().collect() }
+}
+
+fn desk_fault(fault: RecordsFault) -> DeskFault {
+    match fault {
+        RecordsFault::Refused => DeskFault::Refused,
+        RecordsFault::Unknown | RecordsFault::HistoryLost | RecordsFault::BadAnswer => DeskFault::Unknown,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The values that were put last, by job.
+#[derive(Debug)]
+struct Recent<T> {
+    limit: usize,
+    values: HashMap<String, T>,
+    order: VecDeque<String>,
+}
+
+impl<T> Recent<T> {
+    fn new(limit: usize) -> Self {
+        Self { limit, values: HashMap::new(), order: VecDeque::new() }
+    }
+
+    fn get(&self, job: &str) -> Option<&T> {
+        self.values.get(job)
+    }
+
+    fn put(&mut self, job: &str, value: T) {
+        if self.values.insert(job.to_owned(), value).is_none() {
+            self.order.push_back(job.to_owned());
+        }
+        while self.order.len() > self.limit {
+            if let Some(oldest) = self.order.pop_front() {
+                self.values.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/worker/src/item_run.rs
@@ -0,0 +1,101 @@
+//! One run of an item at a server.
+
+use crate::layout::ItemBody;
+use base64::prelude::{Engine, BASE64_STANDARD};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::{Method, Response};
+use latchwheel_core::dispatch::Ending;
+use latchwheel_core::event_stream::{event_data, EventFramer};
+use latchwheel_core::item_progress::{ItemProgress, RunEnd};
+use latchwheel_proxy::{Dialect, Exchange, Outgoing, Shared};
+use std::time::Duration;
+
+/// Silence after which an item is sent to another server.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Most bytes of an item's output.
+const TEXT_LIMIT: usize = 900 << 10;
+const UNPROCESSABLE: u16 = 422;
+
+/// The request of an item; `None` if it can't be formed from what was handed in.
+pub fn outgoing_of<D: Dialect>(shared: &Shared<D>, host: &str, item: &ItemBody) -> Option<Outgoing> {
+    let names = shared.dialect.names();
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        headers.insert(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
+    }
+    Outgoing::strip(&mut headers);
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    let id = HeaderValue::from_str(&item.id).ok()?;
+    headers.insert(names.request_id.clone(), id.clone());
+    headers.insert(HOST, HeaderValue::from_str(host).ok()?);
+    let prompt = shared.dialect.prompt(&headers);
+    Some(Outgoing {
+        method: Method::POST,
+        uri: item.path.parse().ok()?,
+        headers,
+        body: BASE64_STANDARD.decode(&item.body).ok()?.into(),
+        id,
+        prompt,
+    })
+}
+
+/// Runs an item once, going on after the last event that is kept. Gives back
+/// how the run ended and what was seen.
+pub(crate) async fn run_item<D: Dialect>(
+    exchange: Exchange<D>,
+    outgoing: &Outgoing,
+    left: Duration,
+    progress: &mut ItemProgress,
+) -> (RunEnd, &'static str) {
+    let last_event = progress.last_event();
+    let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
+        Ok(started) => started,
+        Err(end) => return (RunEnd::Interrupted, end.reason),
+    };
+    match response.status().as_u16() {
+        200..=299 => collect(exchange, response, progress).await,
+        UNPROCESSABLE => (RunEnd::Impossible, "impossible"),
+        500 => (RunEnd::Failed, "failed"),
+        _ => (RunEnd::Interrupted, "unexpected_status"),
+    }
+}
+
+async fn collect<D: Dialect>(
+    mut exchange: Exchange<D>,
+    response: Response<Incoming>,
+    progress: &mut ItemProgress,
+) -> (RunEnd, &'static str) {
+    let mut incoming = response.into_body();
+    let mut framer = EventFramer::default();
+    loop {
+        let Ok(frame) = tokio::time::timeout(SILENCE, incoming.frame()).await else {
+            exchange.fail(Ending::Silent);
+            return (RunEnd::Interrupted, "no_event");
+        };
+        let data = match frame {
+            None if framer.holds_part() => {
+                exchange.fail(Ending::Broken);
+                return (RunEnd::Interrupted, "ended_within_an_event");
+            }
+            None => {
+                exchange.finish();
+                return (RunEnd::Whole, "whole");
+            }
+            Some(Err(_)) => {
+                exchange.fail(Ending::Broken);
+                return (RunEnd::Interrupted, "stream_broke");
+            }
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        exchange.note_piece();
+        let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, "event_too_long") };
+        for event in events {
+            progress.push_event(event.id, &event_data(&event.bytes));
+        }
+        if progress.text().len() > TEXT_LIMIT {
+            return (RunEnd::Interrupted, "output_too_long");
+        }
+    }
+}
--- /dev/null
+++ b/crates/worker/src/job_run.rs
@@ -0,0 +1,384 @@
+//! Running one job: its items, and the list of their results.
+
+use crate::desk::{read_body, read_record, write_record};
+use crate::item_run::{outgoing_of, run_item};
+use crate::layout::{job_key, result_key, ItemBody, JobBody, JobRecord, JobState, ListedResult};
+use crate::results::ResultList;
+use crate::worker::WorkerContext;
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use futures::FutureExt;
+use latchwheel_core::dispatch::{Ask, Choice};
+use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
+use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
+use latchwheel_core::time::Instant;
+use latchwheel_events::{emit, Event, ItemEnd};
+use latchwheel_proxy::{Dialect, Exchange, Outgoing};
+use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+
+/// Time between looks at what may start or be listed.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Results that end within this time are listed together.
+const LIST_EVERY: Duration = Duration::from_millis(300);
+/// Most bytes of results listed together.
+const LIST_BYTES: usize = 600 << 10;
+/// Pause before the store is asked again.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+/// Share of every server's slots that is left to online work.
+const ONLINE_RESERVE: f64 = 0.35;
+/// Time that a server is given for an item at most.
+const ITEM_TIME: Duration = Duration::from_secs(60);
+/// Retention of a job whose route is not known any more.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
+
+/// What a job's worker has to know from outside.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum JobOrder {
+    /// Run it.
+    Run,
+    /// Start no further run; what runs may end.
+    Wind,
+    /// Leave it at once.
+    Leave(&'static str),
+}
+
+type ItemRun = BoxFuture<'static, (usize, ItemProgress, RunEnd, &'static str, Arc<str>)>;
+type Listing = BoxFuture<'static, Result<Committed, RecordsFault>>;
+
+/// Runs a job until all its items are listed or it has to be left.
+pub(crate) async fn run_job<S: RecordStore, D: Dialect>(
+    context: Arc<WorkerContext<S, D>>,
+    job: String,
+    record: JobRecord,
+    revision: u64,
+    mut orders: watch::Receiver<JobOrder>,
+) {
+    let (body, list) = loop {
+        match load(&*context.store, &job, &record).await {
+            Ok(loaded) => break loaded,
+            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+        }
+        if matches!(*orders.borrow(), JobOrder::Leave(_)) {
+            return;
+        }
+    };
+    emit(
+        &job,
+        &Event::JobTaken {
+            job: &job,
+            items: body.items.len(),
+            listed: list.results.len(),
+            workers: context.worker_count(),
+        },
+    );
+    let mut run = JobRun::new(context, job, record, revision, body, list);
+    let reason = run.run(&mut orders).await;
+    emit(&run.job, &Event::JobLeft { job: &run.job, reason, listed: run.list.results.len() });
+}
+
+async fn load<S: RecordStore>(store: &S, job: &str, record: &JobRecord) -> Result<(JobBody, ResultList), RecordsFault> {
+    let body = read_body(store, job, record).await?;
+    let list = ResultList::load(store, job).await?;
+    Ok((body, list))
+}
+
+struct JobRun<S, D> {
+    context: Arc<WorkerContext<S, D>>,
+    job: String,
+    record: JobRecord,
+    revision: u64,
+    items: Vec<ItemBody>,
+    positions: HashMap<String, usize>,
+    progress: Vec<ItemProgress>,
+    listed: Vec<bool>,
+    list: ResultList,
+    runs: FuturesUnordered<ItemRun>,
+    listing: Option<(Vec<usize>, Transaction, Listing)>,
+    unlisted_since: Option<Instant>,
+    taken_at: Instant,
+}
+
+impl<S: RecordStore, D: Dialect> JobRun<S, D> {
+    fn new(
+        context: Arc<WorkerContext<S, D>>,
+        job: String,
+        record: JobRecord,
+        revision: u64,
+        body: JobBody,
+        list: ResultList,
+    ) -> Self {
+        let positions = body.items.iter().enumerate().map(|(position, item)| (item.id.clone(), position)).collect();
+        let count = body.items.len();
+        let taken_at = context.shared.clock.now();
+        let mut run = Self {
+            context,
+            job,
+            record,
+            revision,
+            items: body.items,
+            positions,
+            progress: vec![ItemProgress::default(); count],
+            listed: vec![false; count],
+            list,
+            runs: FuturesUnordered::new(),
+            listing: None,
+            unlisted_since: None,
+            taken_at,
+        };
+        run.note_list();
+        run
+    }
+
+    async fn run(&mut self, orders: &mut watch::Receiver<JobOrder>) -> &'static str {
+        loop {
+            let order = orders.borrow_and_update().clone();
+            match order {
+                JobOrder::Leave(reason) => return reason,
+                JobOrder::Run => self.start_items(),
+                JobOrder::Wind if self.runs.is_empty() && self.listing.is_none() && self.ready_to_list().is_empty() => {
+                    return "worker_leaves";
+                }
+                JobOrder::Wind => {}
+            }
+            self.begin_listing();
+            if self.listing.is_none() && self.listed.iter().all(|listed| *listed) {
+                return "finished";
+            }
+            tokio::select! {
+                Some((position, progress, end, reason, server)) = self.runs.next() => {
+                    self.end_run(position, progress, end, reason, &server);
+                }
+                committed = poll_listing(&mut self.listing) => self.end_listing(committed).await,
+                changed = orders.changed() => {
+                    if changed.is_err() {
+                        return "worker_stops";
+                    }
+                }
+                () = tokio::time::sleep(LOOK_EVERY) => {}
+            }
+        }
+    }
+
+    fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
+        let table = self.context.shared.table();
+        let route = table.find(&self.record.host, &self.record.path);
+        let now = self.context.shared.clock.now();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let age = wall.saturating_sub(Duration::from_millis(self.record.accepted_ms));
+        let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
+        let expires = now + retention.saturating_sub(age);
+        let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+        (GiveUpRules { max_failures, expires }, route)
+    }
+
+    fn start_items(&mut self) {
+        let now = self.context.shared.clock.now();
+        let (rules, route) = self.rules();
+        let Some(route) = route else { return };
+        for position in 0..self.items.len() {
+            self.progress[position].tick(now, &rules);
+            if !self.progress[position].may_start(now) {
+                continue;
+            }
+            if !self.start_item(now, position, &rules, &route) {
+                return;
+            }
+        }
+    }
+
+    /// Starts an item; `false` if no server has room.
+    fn start_item(&mut self, now: Instant, position: usize, rules: &GiveUpRules, route: &Route) -> bool {
+        let shared = &self.context.shared;
+        let item = &self.items[position];
+        let Some(outgoing) = outgoing_of(shared, &self.record.host, item) else { return true };
+        let Some(service) = shared.next_service(route) else { return false };
+        let ask = Ask {
+            service: &service,
+            prompt: &outgoing.prompt,
+            avoid: &[],
+            wait_limit: Duration::ZERO,
+            reserve: ONLINE_RESERVE,
+            spread: position as u64,
+        };
+        let choice = shared.dispatcher().choose(now, &ask);
+        let Choice::Send(placement) = choice else { return false };
+        let event = Event::ItemSent {
+            job: &self.job,
+            item: &item.id,
+            server: &placement.server,
+            load: placement.load,
+            events_kept: self.progress[position].events(),
+        };
+        emit(&self.job, &event);
+        let exchange = Exchange::reserve(shared, placement, &outgoing);
+        let left = rules.expires.since(now).min(ITEM_TIME);
+        self.progress[position].start();
+        let progress = self.progress[position].clone();
+        self.runs.push(run_owned(position, exchange, outgoing, left, progress).boxed());
+        true
+    }
+
+    fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &str) {
+        let now = self.context.shared.clock.now();
+        let (rules, _) = self.rules();
+        if self.listed[position] {
+            return;
+        }
+        self.progress[position] = progress;
+        let progress = &mut self.progress[position];
+        progress.end_run(now, end, &rules);
+        let item = &self.items[position].id;
+        let failures = progress.failures();
+        if end != RunEnd::Whole {
+            let events_kept = progress.events();
+            let event = Event::ItemAttemptFailed { job: &self.job, item, server, reason, failures, events_kept };
+            emit(&self.job, &event);
+        }
+        let end = match progress.state() {
+            ItemState::Completed => ItemEnd::Completed,
+            ItemState::GivenUp => ItemEnd::GivenUp,
+            ItemState::Waiting(_) | ItemState::Running => return,
+        };
+        let after_ms = now.since(self.taken_at).as_millis() as u64;
+        emit(&self.job, &Event::ItemEnded { job: &self.job, item, end, failures, after_ms });
+        self.unlisted_since.get_or_insert(now);
+    }
+
+    /// Items that have a result which is not listed.
+    fn ready_to_list(&self) -> Vec<usize> {
+        let ended = |position: &usize| {
+            matches!(self.progress[*position].state(), ItemState::Completed | ItemState::GivenUp)
+                && !self.listed[*position]
+        };
+        (0..self.items.len()).filter(ended).collect()
+    }
+
+    fn begin_listing(&mut self) {
+        if self.listing.is_some() {
+            return;
+        }
+        let mut ready = self.ready_to_list();
+        if ready.is_empty() {
+            return;
+        }
+        let now = self.context.shared.clock.now();
+        let open = self.listed.iter().filter(|listed| !**listed).count();
+        let since = *self.unlisted_since.get_or_insert(now);
+        if ready.len() < open && now.since(since) < LIST_EVERY {
+            return;
+        }
+        let mut bytes = 0;
+        ready.retain(|position| {
+            bytes += self.progress[*position].text().len();
+            bytes <= LIST_BYTES || bytes == self.progress[*position].text().len()
+        });
+        let transaction = self.listing_of(&ready, ready.len() == open);
+        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
+        self.listing = Some((ready, transaction, commit));
+    }
+
+    fn listing_of(&self, ready: &[usize], last: bool) -> Transaction {
+        let part: Vec<ListedResult> = ready.iter().map(|position| self.result_of(*position)).collect();
+        let key = result_key(&self.job, self.list.parts);
+        let value = serde_json::to_vec(&part).unwrap_or_default().into();
+        let mut transaction = Transaction {
+            expected: vec![(key.clone(), 0)],
+            writes: vec![Write { key, value, lease: 0 }],
+            removes: Vec::new(),
+        };
+        if last {
+            let record = JobRecord { state: JobState::Finished, ..self.record.clone() };
+            transaction.expected.push((job_key(&self.job), self.revision));
+            transaction.writes.push(Write { key: job_key(&self.job), value: write_record(&record), lease: 0 });
+        }
+        transaction
+    }
+
+    fn result_of(&self, position: usize) -> ListedResult {
+        let progress = &self.progress[position];
+        let completed = progress.state() == ItemState::Completed;
+        let text = if completed { String::from_utf8_lossy(progress.text()).into_owned() } else { String::new() };
+        ListedResult { item: self.items[position].id.clone(), completed, text }
+    }
+
+    async fn end_listing(&mut self, committed: Result<Committed, RecordsFault>) {
+        let Some((ready, transaction, _)) = self.listing.take() else { return };
+        let first = self.list.results.len();
+        let reason = match committed {
+            Ok(Committed::Done(revision)) => {
+                let results: Vec<_> = ready.iter().map(|position| Arc::new(self.result_of(*position))).collect();
+                self.list.results.extend(results);
+                self.list.parts += 1;
+                self.note_list();
+                let count = ready.len();
+                emit(&self.job, &Event::ResultsListed { job: &self.job, first, count, revision });
+                return;
+            }
+            Ok(Committed::Differs(_)) => "another_wrote",
+            Ok(Committed::NoLease) => "no_lease",
+            Err(fault) => fault.word(),
+        };
+        emit(&self.job, &Event::ListingFailed { job: &self.job, first, reason });
+        if matches!(committed, Ok(Committed::Differs(_))) {
+            self.reload().await;
+            return;
+        }
+        tokio::time::sleep(STORE_PAUSE).await;
+        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
+        self.listing = Some((ready, transaction, commit));
+    }
+
+    /// Reads the list and the job's record anew.
+    async fn reload(&mut self) {
+        let store = self.context.store.clone();
+        if let Ok(list) = ResultList::load(&*store, &self.job).await {
+            self.list = list;
+            self.note_list();
+        }
+        if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
+            if let Some(record) = read_record(&present.value) {
+                self.record = record;
+                self.revision = present.revision;
+            }
+        }
+    }
+
+    /// Takes over what the list says.
+    fn note_list(&mut self) {
+        for result in &self.list.results {
+            let Some(position) = self.positions.get(&result.item).copied() else { continue };
+            if !self.listed[position] {
+                self.listed[position] = true;
+                self.progress[position].note_listed(result.completed);
+            }
+        }
+        self.unlisted_since = None;
+    }
+}
+
+async fn commit<S: RecordStore>(store: Arc<S>, transaction: Transaction) -> Result<Committed, RecordsFault> {
+    store.commit(&transaction).await
+}
+
+async fn poll_listing(listing: &mut Option<(Vec<usize>, Transaction, Listing)>) -> Result<Committed, RecordsFault> {
+    match listing {
+        Some((_, _, commit)) => commit.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn run_owned<D: Dialect>(
+    position: usize,
+    exchange: Exchange<D>,
+    outgoing: Outgoing,
+    left: Duration,
+    mut progress: ItemProgress,
+) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
+    let server = exchange.server().clone();
+    let (end, reason) = run_item(exchange, &outgoing, left, &mut progress).await;
+    (position, progress, end, reason, server)
+}
--- /dev/null
+++ b/crates/worker/src/layout.rs
@@ -0,0 +1,118 @@
+//! The records of a job in the shared store.
+//!
+//! | key | value |
+//! | --- | --- |
+//! | `latchwheel/work/job/JOB` | [`JobRecord`] |
+//! | `latchwheel/work/node/NODE` | a worker that lives, under its lease |
+//! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
+//! | `latchwheel/result/JOB/N` | part N of the list of results |
+//!
+//! Invariants: the parts of the list are written in order, each only where it
+//! is absent, so that whoever appends knows all parts before; nothing of a
+//! list is ever changed.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Prefix of what workers follow.
+pub const WORK_PREFIX: &str = "latchwheel/work/";
+
+const JOB_PREFIX: &str = "latchwheel/work/job/";
+const WORKER_PREFIX: &str = "latchwheel/work/node/";
+
+/// Key of a job's record.
+pub fn job_key(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}")
+}
+
+/// The job whose record has this key.
+pub fn job_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(JOB_PREFIX)
+}
+
+/// Key of a worker's registration.
+pub fn worker_key(node: &str) -> String {
+    format!("{WORKER_PREFIX}{node}")
+}
+
+/// The worker whose registration has this key.
+pub fn worker_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(WORKER_PREFIX)
+}
+
+/// Key of a part of a job's body.
+pub fn body_key(job: &str, part: usize) -> String {
+    format!("latchwheel/body/{job}/{part:04}")
+}
+
+/// Prefix of the parts of a job's list of results.
+pub fn result_prefix(job: &str) -> String {
+    format!("latchwheel/result/{job}/")
+}
+
+/// Key of a part of a job's list of results.
+pub fn result_key(job: &str, part: usize) -> String {
+    format!("latchwheel/result/{job}/{part:06}")
+}
+
+/// Whether a job still runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    /// Its items run.
+    Open,
+    /// All its items have results.
+    Finished,
+    /// Its client ended it.
+    Ended,
+}
+
+/// What is known of a job beside its items.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// State.
+    pub state: JobState,
+    /// Host that its client named.
+    pub host: String,
+    /// Path that it was handed in at.
+    pub path: String,
+    /// Number of items.
+    pub items: usize,
+    /// Parts of its body.
+    pub body_parts: usize,
+    /// Hash of its body.
+    pub body_hash: u64,
+    /// Time of day at which it was accepted, in milliseconds since 1970.
+    pub accepted_ms: u64,
+}
+
+/// The items of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobBody {
+    /// In the order in which they were handed in.
+    pub items: Vec<ItemBody>,
+}
+
+/// One item.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemBody {
+    /// Identity, unique in its job.
+    pub id: String,
+    /// Path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: BTreeMap<String, String>,
+    /// Body of its request, in base64.
+    pub body: String,
+}
+
+/// A result as it stands in the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedResult {
+    /// Item.
+    pub item: String,
+    /// Whether its output is whole; otherwise it was given up.
+    pub completed: bool,
+    /// Its output.
+    pub text: String,
+}
--- /dev/null
+++ b/crates/worker/src/lib.rs
@@ -0,0 +1,22 @@
+//! Batch jobs on a shared record store.
+//!
+//! A node that takes a job writes it to the store before it says so. Workers
+//! divide the open jobs among themselves, run the items and append results to
+//! the job's list; any node reads the list from the store. Nothing of a job
+//! lives only in a process, so that any of them may be lost at any time.
+//!
+//! - [`desk`]: taking, ending and reading jobs, at any node.
+//! - [`worker`]: running them.
+//! - [`layout`]: the records.
+
+pub mod desk;
+mod item_run;
+mod job_run;
+pub mod layout;
+mod results;
+pub mod worker;
+
+pub use desk::{DeskFault, JobDesk, ResultPage};
+pub use item_run::outgoing_of;
+pub use layout::{ItemBody, JobBody, ListedResult};
+pub use worker::{run_worker, WorkerHandle};
--- /dev/null
+++ b/crates/worker/src/results.rs
@@ -0,0 +1,65 @@
+//! The list of a job's results as one process knows it.
+
+use crate::layout::{result_prefix, ListedResult};
+use latchwheel_records::{Change, Record, RecordStore, RecordsFault};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A list, complete as of a revision.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ResultList {
+    pub(crate) results: Vec<Arc<ListedResult>>,
+    pub(crate) parts: usize,
+    pub(crate) revision: u64,
+}
+
+impl ResultList {
+    /// Reads the whole list.
+    pub(crate) async fn load<S: RecordStore>(store: &S, job: &str) -> Result<Self, RecordsFault> {
+        let listing = store.list(&result_prefix(job)).await?;
+        let mut list = Self { revision: listing.revision, ..Self::default() };
+        for record in &listing.records {
+            list.append(job, record)?;
+        }
+        Ok(list)
+    }
+
+    /// Waits for more parts of the list.
+    pub(crate) async fn extend<S: RecordStore>(
+        &mut self,
+        store: &S,
+        job: &str,
+        wait: Duration,
+    ) -> Result<(), RecordsFault> {
+        let changes = match store.watch(&result_prefix(job), self.revision, wait).await {
+            Err(RecordsFault::HistoryLost) => {
+                *self = Self::load(store, job).await?;
+                return Ok(());
+            }
+            other => other?,
+        };
+        for change in &changes.changes {
+            if let Change::Written(record) = change {
+                self.append(job, record)?;
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+        Ok(())
+    }
+
+    /// Takes the next part; one that is known already is passed over.
+    pub(crate) fn append(&mut self, job: &str, record: &Record) -> Result<(), RecordsFault> {
+        let number = record.key.strip_prefix(&result_prefix(job)).and_then(|number| number.parse::<usize>().ok());
+        let number = number.ok_or(RecordsFault::BadAnswer)?;
+        if number < self.parts {
+            return Ok(());
+        }
+        if number > self.parts {
+            return Err(RecordsFault::BadAnswer);
+        }
+        let part: Vec<ListedResult> = serde_json::from_slice(&record.value).map_err(|_| RecordsFault::BadAnswer)?;
+        self.results.extend(part.into_iter().map(Arc::new));
+        self.parts += 1;
+        Ok(())
+    }
+}
