Tell nodes of each other's requests; keep new jobs on disks while the store is away

Ruled out: asking servers for reports (priced as probes, stale as well); our replicated log for jobs (an accepted job needs copies until the store has it, no order among jobs).

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,15 +7,19 @@
 //! is expected soonest; one whose wait would be too long is refused at once.
 
 mod cost;
+mod peers;
 mod server;
 
 pub use cost::{Prompt, PromptPart};
+pub use peers::{ServerShare, REPORT_LIFE};
 pub use server::{ServerLoad, ServerReport};
 
 use crate::directory::ServerRecord;
+use crate::identity::NodeId;
 use crate::time::Instant;
 use cost::ServiceCost;
-use server::ServerState;
+use peers::PeerReports;
+use server::{ServerState, ServerView};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +96,7 @@
 pub struct Dispatcher {
     servers: HashMap<Arc<str>, ServerState>,
     services: HashMap<Arc<str>, ServiceCost>,
+    peers: PeerReports,
 }
 
 impl Dispatcher {
@@ -133,9 +138,10 @@
             if ask.avoid.contains(id) && self.ready_count(ask.service) > ask.avoid.len() {
                 continue;
             }
+            let view = self.view(now, server);
             let uncached = server.uncached(now, ask.prompt, home.as_ref() == Some(id));
-            let wait = server.expected_wait(now, &cost, ask.reserve);
-            let total = wait + server.penalty(now) + server.expected_prefill(now, &cost, uncached);
+            let wait = view.wait(&cost, ask.reserve);
+            let total = wait + view.penalty() + view.prefill(&cost, uncached);
             soonest = soonest.min(wait);
             if wait > ask.wait_limit.as_secs_f64() {
                 continue;
@@ -150,7 +156,7 @@
                     address: server.address.clone(),
                     expected_wait: Duration::from_secs_f64(wait.min(3600.0)),
                     uncached,
-                    load: server.expected_load(now),
+                    load: view.load(),
                 };
                 best = Some((total, order, placement));
             }
@@ -207,7 +213,27 @@
 
     /// What is believed of each server, for reports.
     pub fn reports(&self, now: Instant) -> Vec<ServerReport> {
-        self.servers.iter().map(|(id, server)| server.report(now, id)).collect()
+        self.servers.iter().map(|(id, server)| self.view(now, server).report(id)).collect()
+    }
+
+    /// What this node tells others of its requests.
+    pub fn shares(&self, now: Instant) -> Vec<ServerShare> {
+        self.servers.values().filter_map(|server| server.share(now)).collect()
+    }
+
+    /// Another node tells of its requests; `sequence` rises with its reports.
+    pub fn note_peer(&mut self, now: Instant, from: NodeId, sequence: u64, shares: Vec<ServerShare>) {
+        self.peers.note(now, from, sequence, shares);
+    }
+
+    /// Slots of a server that are free, if a share of all stays free; negative
+    /// where requests wait. `None` if the server is not known.
+    pub fn free_slots(&self, now: Instant, server: &str, reserve: f64) -> Option<f64> {
+        self.servers.get(server).map(|server| self.view(now, server).free_slots(reserve))
+    }
+
+    fn view<'a>(&self, now: Instant, state: &'a ServerState) -> ServerView<'a> {
+        ServerView { state, peers: self.peers.at(now, state.name_hash), now }
     }
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -1,6 +1,7 @@
 //! What one node knows of one server.
 
 use super::cost::{Prompt, ServiceCost};
+use super::peers::{PeerShare, ServerShare};
 use super::Ending;
 use crate::directory::ServerRecord;
 use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 /// A told load counts in full at once and for nothing after this time.
-const TOLD_LOAD_LIFE: Duration = Duration::from_secs(2);
+const TOLD_LOAD_LIFE: Duration = Duration::from_millis(800);
 /// Time for which a server that failed is avoided, doubled at each failure in
 /// a row.
 const AVOID_MINIMUM: Duration = Duration::from_millis(250);
@@ -18,13 +19,15 @@
 /// Time for which a server that rejected a request is avoided.
 const REJECTED_PAUSE: Duration = Duration::from_millis(100);
 /// Silence of a server with requests in progress after which it is avoided.
-const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+const SILENCE_LIMIT: Duration = Duration::from_millis(400);
 /// Seconds by which a server to be avoided is worse than any other.
 const AVOID_PENALTY: f64 = 100.0;
 /// Prefixes remembered as cached at one server.
 const PREFIX_LIMIT: usize = 512;
 /// Time after which a sent prefix isn't taken to be cached any more.
 const PREFIX_LIFE: Duration = Duration::from_secs(60);
+/// Share of a service time that a fully loaded server adds to a first token.
+const LOAD_COST: f64 = 0.25;
 
 /// Load that a server tells in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,13 +53,14 @@
     pub avoided: bool,
 }
 
+/// One server, as this node knows it by itself.
 #[derive(Debug)]
 pub(super) struct ServerState {
     pub(super) service: Arc<str>,
     pub(super) address: Arc<str>,
     pub(super) ready: bool,
+    pub(super) name_hash: u64,
     slots: u32,
-    name_hash: u64,
     own: u32,
     own_prefill_tokens: u32,
     told: Option<(Instant, ServerLoad)>,
@@ -69,14 +73,72 @@
     prefix_order: VecDeque<u64>,
 }
 
+/// One server, with what other nodes tell of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServerView<'a> {
+    pub(super) state: &'a ServerState,
+    pub(super) peers: PeerShare,
+    pub(super) now: Instant,
+}
+
+impl ServerView<'_> {
+    /// Requests of all nodes there: those that the nodes count themselves, or
+    /// the load that the server told just now where that is more.
+    pub(super) fn load(&self) -> f64 {
+        let counted = f64::from(self.state.own + self.peers.requests);
+        let Some((at, load)) = self.state.told else { return counted };
+        let age = self.now.since(at).as_secs_f64();
+        let trust = (1.0 - age / TOLD_LOAD_LIFE.as_secs_f64()).max(0.0);
+        let told = f64::from(load.running + load.waiting) + self.state.own_change as f64;
+        (told * trust + counted * (1.0 - trust)).max(counted)
+    }
+
+    /// Slots that are free, if a share of all stays free; may be negative.
+    pub(super) fn free_slots(&self, reserve: f64) -> f64 {
+        (f64::from(self.state.slots) * (1.0 - reserve)).max(1.0) - self.load()
+    }
+
+    /// Seconds until a slot is free, if a share of the slots stays free.
+    pub(super) fn wait(&self, cost: &ServiceCost, reserve: f64) -> f64 {
+        let over = 1.0 - self.free_slots(reserve);
+        if over <= 0.0 {
+            return 0.0;
+        }
+        over * cost.service_seconds() / f64::from(self.state.slots)
+    }
+
+    /// Seconds to read the prompt behind those that were sent before.
+    pub(super) fn prefill(&self, cost: &ServiceCost, uncached: u32) -> f64 {
+        let ahead = f64::from(self.state.own_prefill_tokens) + f64::from(self.peers.prompt_tokens);
+        let share = self.load() / f64::from(self.state.slots);
+        // Of two servers that would answer as soon, the emptier is better.
+        cost.prefill(ahead + f64::from(uncached)) + share * cost.service_seconds() * LOAD_COST
+    }
+
+    /// Seconds by which the server is worse for having failed, here or at a
+    /// node that heard of it later than this one.
+    pub(super) fn penalty(&self) -> f64 {
+        let suspected = self.peers.suspect_at.is_some_and(|at| at > self.state.last_heard);
+        if self.now < self.state.avoid_until || self.state.is_silent(self.now) || suspected {
+            AVOID_PENALTY
+        } else {
+            0.0
+        }
+    }
+
+    pub(super) fn report(&self, id: &Arc<str>) -> ServerReport {
+        ServerReport { id: id.clone(), own: self.state.own, load: self.load(), avoided: self.penalty() > 0.0 }
+    }
+}
+
 impl ServerState {
     pub(super) fn new(record: &ServerRecord) -> Self {
         Self {
             service: record.service.clone(),
             address: record.address.clone(),
             ready: true,
-            slots: record.slots.max(1),
             name_hash: stable_hash(record.id.as_bytes()),
+            slots: record.slots.max(1),
             own: 0,
             own_prefill_tokens: 0,
             told: None,
@@ -99,42 +161,18 @@
         self.own
     }
 
-    /// Requests of all nodes there: the told load, as far as it is young, with
-    /// what this node has changed since; never less than its own.
-    pub(super) fn expected_load(&self, now: Instant) -> f64 {
-        let own = f64::from(self.own);
-        let Some((at, load)) = self.told else { return own };
-        let age = now.since(at).as_secs_f64();
-        let trust = (1.0 - age / TOLD_LOAD_LIFE.as_secs_f64()).max(0.0);
-        let told = f64::from(load.running + load.waiting) + self.own_change as f64;
-        (told * trust + own * (1.0 - trust)).max(own)
-    }
-
-    /// Seconds until a slot is free, if a share of the slots stays free.
-    pub(super) fn expected_wait(&self, now: Instant, cost: &ServiceCost, reserve: f64) -> f64 {
-        let slots = (f64::from(self.slots) * (1.0 - reserve)).max(1.0);
-        let over = self.expected_load(now) + 1.0 - slots;
-        if over <= 0.0 {
-            return 0.0;
-        }
-        over * cost.service_seconds() / slots
-    }
-
-    /// Seconds to read the prompt behind those that this node sent before.
-    pub(super) fn expected_prefill(&self, now: Instant, cost: &ServiceCost, uncached: u32) -> f64 {
-        let ahead = f64::from(self.own_prefill_tokens);
-        let share = self.expected_load(now) / f64::from(self.slots);
-        // Of two servers that would answer as soon, the emptier is better.
-        cost.prefill(ahead + f64::from(uncached)) + share * cost.service_seconds() * LOAD_COST
-    }
-
-    /// Seconds by which the server is worse for having failed.
-    pub(super) fn penalty(&self, now: Instant) -> f64 {
-        if now < self.avoid_until || self.is_silent(now) {
-            AVOID_PENALTY
-        } else {
-            0.0
+    /// What this node tells others of the server; `None` if there is nothing.
+    pub(super) fn share(&self, now: Instant) -> Option<ServerShare> {
+        let suspect = now < self.avoid_until && self.failures_in_row > 0 || self.is_silent(now);
+        if self.own == 0 && !suspect {
+            return None;
         }
+        Some(ServerShare {
+            server: self.name_hash,
+            requests: self.own,
+            prompt_tokens: self.own_prefill_tokens,
+            suspect,
+        })
     }
 
     fn is_silent(&self, now: Instant) -> bool {
@@ -163,7 +201,7 @@
         }
         self.own += 1;
         self.own_change += 1;
-        self.own_prefill_tokens += uncached;
+        self.own_prefill_tokens = self.own_prefill_tokens.saturating_add(uncached);
         for (key, _) in prompt.prefixes().take(prompt.parts.len().saturating_sub(1)) {
             if self.prefixes.insert(key, now).is_none() {
                 self.prefix_order.push_back(key);
@@ -220,11 +258,4 @@
         self.prefixes.clear();
         self.prefix_order.clear();
     }
-
-    pub(super) fn report(&self, now: Instant, id: &Arc<str>) -> ServerReport {
-        ServerReport { id: id.clone(), own: self.own, load: self.expected_load(now), avoided: self.penalty(now) > 0.0 }
-    }
 }
-
-/// Share of a service time that a fully loaded server adds to a first token.
-const LOAD_COST: f64 = 0.25;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -234,8 +234,8 @@
         items: usize,
         /// Whether it was known before.
         resent: bool,
-        /// Revision of its record.
-        revision: u64,
+        /// Where it was kept: the store, or this many disks.
+        disks: usize,
         /// Time that it took.
         after_ms: u64
     };
@@ -343,6 +343,39 @@
         /// Their names.
         workers: &'a str
     };
+    /// Another node is registered.
+    NodeSeen = 8221, Essential {
+        /// Its name.
+        peer: &'a str,
+        /// Its address.
+        address: &'a str
+    };
+    /// Another node's registration is gone.
+    NodeGone = 8222, Essential {
+        /// Its name.
+        peer: &'a str
+    };
+    /// A job was kept on this disk until the record store takes it.
+    JobSpooled = 8203, Essential {
+        /// Job.
+        job: &'a str,
+        /// Bytes.
+        bytes: usize
+    };
+    /// A job went from this disk to the record store.
+    SpoolDrained = 8204, Essential {
+        /// Job.
+        job: &'a str,
+        /// Whether it was there already.
+        present: bool
+    };
+    /// The disk did not keep a job.
+    SpoolFailed = 8205, Essential {
+        /// Job.
+        job: &'a str,
+        /// Why.
+        reason: &'a str
+    };
     /// This machine was asked to give up its work.
     Retiring = 8230, Essential {
         /// What it answered.
--- a/crates/worker/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,14 +1,19 @@
 //! Taking, ending and reading jobs, at any node.
 
 use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::nodes::Workers;
 use crate::results::ResultList;
+use crate::spool::hand_out;
 use bytes::Bytes;
 use latchwheel_core::identity::stable_hash;
 use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Time after which a job goes to the workers' disks too.
+const STORE_PATIENCE: Duration = Duration::from_millis(120);
 /// Pause before a call to the store is made again.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Jobs whose results are remembered.
@@ -36,8 +41,75 @@
 pub struct Taken {
     /// Whether it was known before.
     pub resent: bool,
-    /// Revision at which it was written; zero if it was known before.
-    pub revision: u64,
+    /// Disks that hold it; zero if the store does.
+    pub disks: usize,
+}
+
+/// A job as it was handed in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Handed {
+    host: String,
+    path: String,
+    accepted_ms: u64,
+    body: JobBody,
+}
+
+impl Handed {
+    fn new(host: &str, path: &str, body: JobBody) -> Self {
+        let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { host: host.to_owned(), path: path.to_owned(), accepted_ms: accepted.as_millis() as u64, body }
+    }
+}
+
+/// The transaction that writes a new job.
+pub(crate) fn taking<S: RecordStore>(store: &S, job: &str, handed: &Handed) -> Transaction {
+    let bytes = serde_json::to_vec(&handed.body).unwrap_or_default();
+    let part_limit = store.value_limit().saturating_sub(VALUE_MARGIN).max(1);
+    let parts = bytes.chunks(part_limit).enumerate();
+    let mut writes: Vec<Write> = parts
+        .map(|(part, bytes)| Write { key: body_key(job, part), value: Bytes::copy_from_slice(bytes), lease: 0 })
+        .collect();
+    let record = JobRecord {
+        state: JobState::Open,
+        host: handed.host.clone(),
+        path: handed.path.clone(),
+        items: handed.body.items.len(),
+        body_parts: writes.len(),
+        body_hash: stable_hash(&bytes),
+        accepted_ms: handed.accepted_ms,
+    };
+    writes.push(Write { key: job_key(job), value: write_record(&record), lease: 0 });
+    Transaction { expected: vec![(job_key(job), 0)], writes, removes: Vec::new() }
+}
+
+/// Writes a new job to the store, as often as it takes until it is settled.
+async fn write_job<S: RecordStore>(
+    store: Arc<S>,
+    job: String,
+    handed: Arc<Handed>,
+    until: Instant,
+) -> Result<Taken, DeskFault> {
+    let transaction = taking(&*store, &job, &handed);
+    let body_hash = stable_hash(&serde_json::to_vec(&handed.body).unwrap_or_default());
+    let mut fault = DeskFault::Refused;
+    loop {
+        match store.commit(&transaction).await {
+            Ok(Committed::Done(_)) => return Ok(Taken { resent: false, disks: 0 }),
+            Ok(Committed::Differs(present)) => {
+                return match present.first().and_then(|present| read_record(&present.value)) {
+                    Some(present) if present.body_hash == body_hash => Ok(Taken { resent: true, disks: 0 }),
+                    Some(_) => Err(DeskFault::Conflict),
+                    None => Err(DeskFault::Unknown),
+                };
+            }
+            Ok(Committed::NoLease) | Err(RecordsFault::Refused) => {}
+            Err(_) => fault = DeskFault::Unknown,
+        }
+        if Instant::now() + PAUSE >= until {
+            return Err(fault);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
 }
 
 /// Some results of a job.
@@ -59,21 +131,27 @@
 #[derive(Debug)]
 pub struct JobDesk<S> {
     store: Arc<S>,
+    workers: Workers,
+    copies: usize,
     known: Mutex<Recent<Known>>,
     bodies: Mutex<Recent<Arc<JobBody>>>,
 }
 
 impl<S: RecordStore> JobDesk<S> {
-    /// A desk on this store.
-    pub fn new(store: Arc<S>) -> Self {
+    /// A desk on this store; `copies` disks of the workers make a job last
+    /// while the store is away.
+    pub fn new(store: Arc<S>, workers: Workers, copies: usize) -> Self {
         Self {
             store,
+            workers,
+            copies,
             known: Mutex::new(Recent::new(REMEMBERED_JOBS)),
             bodies: Mutex::new(Recent::new(REMEMBERED_BODIES)),
         }
     }
 
-    /// Keeps a job. Once this returns, the job lasts.
+    /// Keeps a job. Once this returns, the job lasts: in the store, or on the
+    /// disks of several workers where the store does not answer in time.
     ///
     /// # Errors
     /// [`DeskFault`]; with `Refused` nothing of the job will run.
@@ -82,62 +160,35 @@
         job: &str,
         host: &str,
         path: &str,
-        body: &JobBody,
+        body: JobBody,
         until: Instant,
     ) -> Result<Taken, DeskFault> {
-        let bytes = serde_json::to_vec(body).map_err(|_| DeskFault::Refused)?;
-        let record = self.new_record(host, path, body, &bytes);
-        let transaction = self.taking(job, &record, &bytes);
-        let mut fault = DeskFault::Refused;
-        loop {
-            match self.store.commit(&transaction).await {
-                Ok(Committed::Done(revision)) => return Ok(Taken { resent: false, revision }),
-                Ok(Committed::Differs(present)) => {
-                    let present = present.first().and_then(|present| read_record(&present.value));
-                    return match present {
-                        Some(present) if present.body_hash == record.body_hash => {
-                            Ok(Taken { resent: true, revision: 0 })
-                        }
-                        Some(_) => Err(DeskFault::Conflict),
-                        None => Err(DeskFault::Unknown),
-                    };
-                }
-                Ok(Committed::NoLease) | Err(RecordsFault::Refused) => {}
-                Err(_) => fault = DeskFault::Unknown,
-            }
-            if Instant::now() + PAUSE >= until {
-                return Err(fault);
-            }
-            tokio::time::sleep(PAUSE).await;
+        let handed = Arc::new(Handed::new(host, path, body));
+        let mut writing = tokio::spawn(write_job(self.store.clone(), job.to_owned(), handed.clone(), until));
+        let patience = tokio::time::sleep(STORE_PATIENCE);
+        tokio::select! {
+            written = &mut writing => match written.unwrap_or(Err(DeskFault::Unknown)) {
+                Err(DeskFault::Refused | DeskFault::Unknown) => {}
+                settled => return settled,
+            },
+            () = patience => {}
         }
-    }
-
-    fn new_record(&self, host: &str, path: &str, body: &JobBody, bytes: &[u8]) -> JobRecord {
-        let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        JobRecord {
-            state: JobState::Open,
-            host: host.to_owned(),
-            path: path.to_owned(),
-            items: body.items.len(),
-            body_parts: bytes.chunks(self.part_limit()).count(),
-            body_hash: stable_hash(bytes),
-            accepted_ms: accepted.as_millis() as u64,
+        let workers = self.workers.addresses();
+        let spooling = hand_out(&workers, job, &handed, self.copies);
+        tokio::select! {
+            written = &mut writing, if !writing.is_finished() => match written.unwrap_or(Err(DeskFault::Unknown)) {
+                Err(fault) => Err(fault),
+                settled => settled,
+            },
+            kept = spooling => match kept {
+                true => Ok(Taken { resent: false, disks: self.copies }),
+                // Some disk may hold it: only the store can tell now.
+                false if writing.is_finished() => Err(DeskFault::Unknown),
+                false => writing.await.unwrap_or(Err(DeskFault::Unknown)).map_err(|_| DeskFault::Unknown),
+            },
         }
     }
 
-    fn part_limit(&self) -> usize {
-        self.store.value_limit().saturating_sub(VALUE_MARGIN).max(1)
-    }
-
-    fn taking(&self, job: &str, record: &JobRecord, bytes: &[u8]) -> Transaction {
-        let parts = bytes.chunks(self.part_limit()).enumerate();
-        let mut writes: Vec<Write> = parts
-            .map(|(part, bytes)| Write { key: body_key(job, part), value: Bytes::copy_from_slice(bytes), lease: 0 })
-            .collect();
-        writes.push(Write { key: job_key(job), value: write_record(record), lease: 0 });
-        Transaction { expected: vec![(job_key(job), 0)], writes, removes: Vec::new() }
-    }
-
     /// Ends a job: none of its items is sent again.
     ///
     /// # Errors
--- a/crates/worker/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -18,7 +18,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 /// Time between looks at what may start or be listed.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -30,6 +30,9 @@
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Share of every server's slots that is left to online work.
 const ONLINE_RESERVE: f64 = 0.35;
+/// From this share of the time to its due time on, a job may fill all slots
+/// that online work leaves free.
+const LATE_SHARE: f64 = 0.5;
 /// Time that a server is given for an item at most.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 /// Retention of a job whose route is not known any more.
@@ -86,6 +89,13 @@
     Ok((body, list))
 }
 
+/// A run of an item, and the way to break it off.
+struct RunningItem {
+    server: Arc<str>,
+    order: u64,
+    give_way: Arc<Notify>,
+}
+
 struct JobRun<S, D> {
     context: Arc<WorkerContext<S, D>>,
     job: String,
@@ -97,6 +107,8 @@
     listed: Vec<bool>,
     list: ResultList,
     runs: FuturesUnordered<ItemRun>,
+    running: HashMap<usize, RunningItem>,
+    started: u64,
     listing: Option<(Vec<usize>, Transaction, Listing)>,
     unlisted_since: Option<Instant>,
     taken_at: Instant,
@@ -125,6 +137,8 @@
             listed: vec![false; count],
             list,
             runs: FuturesUnordered::new(),
+            running: HashMap::new(),
+            started: 0,
             listing: None,
             unlisted_since: None,
             taken_at,
@@ -138,7 +152,10 @@
             let order = orders.borrow_and_update().clone();
             match order {
                 JobOrder::Leave(reason) => return reason,
-                JobOrder::Run => self.start_items(),
+                JobOrder::Run => {
+                    self.give_way();
+                    self.start_items();
+                }
                 JobOrder::Wind if self.runs.is_empty() && self.listing.is_none() && self.ready_to_list().is_empty() => {
                     return "worker_leaves";
                 }
@@ -175,6 +192,33 @@
         (GiveUpRules { max_failures, expires }, route)
     }
 
+    /// Breaks off the latest run at each server where requests wait for a
+    /// slot; it goes on later after its last event.
+    fn give_way(&mut self) {
+        let now = self.context.shared.clock.now();
+        let dispatcher = self.context.shared.dispatcher();
+        let mut latest: HashMap<&Arc<str>, &RunningItem> = HashMap::new();
+        for item in self.running.values() {
+            let crowded = dispatcher.free_slots(now, &item.server, 0.0).is_some_and(|free| free < 0.0);
+            if crowded && latest.get(&item.server).is_none_or(|present| present.order < item.order) {
+                latest.insert(&item.server, item);
+            }
+        }
+        latest.values().for_each(|item| item.give_way.notify_one());
+    }
+
+    /// Share of the slots that is left to online work: none once the job is
+    /// in danger of being late.
+    fn reserve(&self, route: &Route) -> f64 {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let age = wall.saturating_sub(Duration::from_millis(self.record.accepted_ms));
+        if age.as_secs_f64() > route.due.as_secs_f64() * LATE_SHARE {
+            0.0
+        } else {
+            ONLINE_RESERVE
+        }
+    }
+
     fn start_items(&mut self) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
@@ -201,7 +245,7 @@
             prompt: &outgoing.prompt,
             avoid: &[],
             wait_limit: Duration::ZERO,
-            reserve: ONLINE_RESERVE,
+            reserve: self.reserve(route),
             spread: position as u64,
         };
         let choice = shared.dispatcher().choose(now, &ask);
@@ -218,13 +262,19 @@
         let left = rules.expires.since(now).min(ITEM_TIME);
         self.progress[position].start();
         let progress = self.progress[position].clone();
-        self.runs.push(run_owned(position, exchange, outgoing, left, progress).boxed());
+        let give_way = Arc::new(Notify::new());
+        self.started += 1;
+        let running =
+            RunningItem { server: exchange.server().clone(), order: self.started, give_way: give_way.clone() };
+        self.running.insert(position, running);
+        self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
 
     fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &str) {
         let now = self.context.shared.clock.now();
         let (rules, _) = self.rules();
+        self.running.remove(&position);
         if self.listed[position] {
             return;
         }
@@ -377,8 +427,12 @@
     outgoing: Outgoing,
     left: Duration,
     mut progress: ItemProgress,
+    give_way: Arc<Notify>,
 ) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
     let server = exchange.server().clone();
-    let (end, reason) = run_item(exchange, &outgoing, left, &mut progress).await;
+    let (end, reason) = tokio::select! {
+        ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
+        () = give_way.notified() => (RunEnd::Interrupted, "gave_way"),
+    };
     (position, progress, end, reason, server)
 }
--- a/crates/worker/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -3,7 +3,7 @@
 //! | key | value |
 //! | --- | --- |
 //! | `latchwheel/work/job/JOB` | [`JobRecord`] |
-//! | `latchwheel/work/node/NODE` | a worker that lives, under its lease |
+//! | `latchwheel/work/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
 //!
@@ -18,7 +18,8 @@
 pub const WORK_PREFIX: &str = "latchwheel/work/";
 
 const JOB_PREFIX: &str = "latchwheel/work/job/";
-const WORKER_PREFIX: &str = "latchwheel/work/node/";
+/// Prefix of the registrations of nodes.
+pub const NODE_PREFIX: &str = "latchwheel/work/node/";
 
 /// Key of a job's record.
 pub fn job_key(job: &str) -> String {
@@ -30,14 +31,14 @@
     key.strip_prefix(JOB_PREFIX)
 }
 
-/// Key of a worker's registration.
-pub fn worker_key(node: &str) -> String {
-    format!("{WORKER_PREFIX}{node}")
+/// Key of a node's registration.
+pub fn node_key(node: &str) -> String {
+    format!("{NODE_PREFIX}{node}")
 }
 
-/// The worker whose registration has this key.
-pub fn worker_of_key(key: &str) -> Option<&str> {
-    key.strip_prefix(WORKER_PREFIX)
+/// The node whose registration has this key.
+pub fn node_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(NODE_PREFIX)
 }
 
 /// Key of a part of a job's body.
@@ -116,3 +117,34 @@
     /// Its output.
     pub text: String,
 }
+
+/// What a node does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NodeRole {
+    /// Takes requests from clients.
+    Front,
+    /// Runs batch jobs.
+    Worker,
+}
+
+/// Registration of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// What it does.
+    pub role: NodeRole,
+    /// Address that other nodes reach it at, IP and port.
+    pub address: String,
+}
+
+impl NodeRecord {
+    /// Reads a registration.
+    pub fn read(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+
+    /// The registration as a value of the store.
+    pub fn write(&self) -> bytes::Bytes {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
--- a/crates/worker/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,16 +7,22 @@
 //!
 //! - [`desk`]: taking, ending and reading jobs, at any node.
 //! - [`worker`]: running them.
+//! - [`nodes`]: which nodes there are.
+//! - [`spool`]: keeping new jobs while the store is away.
 //! - [`layout`]: the records.
 
 pub mod desk;
 mod item_run;
 mod job_run;
 pub mod layout;
+pub mod nodes;
 mod results;
+pub mod spool;
 pub mod worker;
 
 pub use desk::{DeskFault, JobDesk, ResultPage};
 pub use item_run::outgoing_of;
-pub use layout::{ItemBody, JobBody, ListedResult};
+pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
+pub use nodes::{Membership, Workers};
+pub use spool::Spool;
 pub use worker::{run_worker, WorkerHandle};
--- /dev/null
+++ b/crates/jobs/src/nodes.rs
@@ -0,0 +1,109 @@
+//! Membership: a node registers itself under a lease and follows the others.
+
+use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, NODE_PREFIX};
+use latchwheel_events::{emit, Event};
+use latchwheel_proxy::{exchange_shares, Dialect, Peers, Shared};
+use latchwheel_records::{follow, keep_registered, unregister, Change, Followed, Record, RecordStore};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+/// Least time between two looks at the registrations.
+const FOLLOW_PACE: Duration = Duration::from_millis(500);
+
+/// The workers that are registered, with their addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Workers {
+    addresses: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
+}
+
+impl Workers {
+    /// Addresses of all workers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().values().copied().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, SocketAddr>> {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// This process among the nodes.
+#[derive(Debug)]
+pub struct Membership<S> {
+    store: Arc<S>,
+    name: String,
+    registration: JoinHandle<()>,
+    /// The workers as they are known.
+    pub workers: Workers,
+}
+
+impl<S: RecordStore> Membership<S> {
+    /// Registers this node, follows the others, and exchanges with them what
+    /// each does at the servers.
+    pub fn join<D: Dialect>(
+        store: Arc<S>,
+        shared: Arc<Shared<D>>,
+        name: &str,
+        record: &NodeRecord,
+        socket: UdpSocket,
+    ) -> Self {
+        let peers = Peers::default();
+        let workers = Workers::default();
+        let registration = tokio::spawn(keep_registered(store.clone(), node_key(name), record.write()));
+        let own = name.to_owned();
+        let follower = Follower { own: own.clone(), peers: peers.clone(), workers: workers.clone() };
+        tokio::spawn(follow(store.clone(), NODE_PREFIX.to_owned(), FOLLOW_PACE, move |followed| {
+            follower.take(followed);
+        }));
+        tokio::spawn(async move { exchange_shares(shared, socket, &own, peers).await });
+        Self { store, name: name.to_owned(), registration, workers }
+    }
+
+    /// Takes the registration back.
+    pub async fn leave(&self) {
+        self.registration.abort();
+        unregister(&*self.store, &node_key(&self.name)).await;
+    }
+}
+
+struct Follower {
+    own: String,
+    peers: Peers,
+    workers: Workers,
+}
+
+impl Follower {
+    /// A node whose registration vanished is forgotten; one that vanished in
+    /// an outage of the store registers itself anew.
+    fn take(&self, followed: Followed) {
+        match followed {
+            Followed::All(records) => records.iter().for_each(|record| self.note(record)),
+            Followed::Changed(Change::Written(record)) => self.note(&record),
+            Followed::Changed(Change::Removed { key, .. }) => {
+                if let Some(node) = node_of_key(&key) {
+                    self.peers.remove(node);
+                    self.workers.lock().remove(node);
+                    emit("", &Event::NodeGone { peer: node });
+                }
+            }
+            Followed::Lost(_) | Followed::Regained(_) | Followed::Sound => {}
+        }
+    }
+
+    fn note(&self, record: &Record) {
+        let Some(node) = node_of_key(&record.key) else { return };
+        let Some(present) = NodeRecord::read(&record.value) else { return };
+        let Ok(address) = present.address.parse() else { return };
+        if present.role == NodeRole::Worker {
+            self.workers.lock().insert(node.to_owned(), address);
+        }
+        if node != self.own {
+            self.peers.put(node, address);
+            emit("", &Event::NodeSeen { peer: node, address: &present.address });
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/spool.rs
@@ -0,0 +1,207 @@
+//! Keeping a new job on disks while the record store is away.
+//!
+//! A node that can't write a job to the store in time hands it to the workers,
+//! which write it to their disks. Once enough disks have it, it lasts, and is
+//! accepted. Every worker that holds a job writes it to the store as soon as
+//! that answers, under the condition that it is absent, and removes its file
+//! only then. Copies thus end up as one job, whichever arrives first.
+
+use crate::desk::{taking, Handed};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use latchwheel_events::{emit, Event};
+use latchwheel_http::{empty, read_bounded, serve, Body, Client, Version};
+use latchwheel_records::{Committed, RecordStore};
+use std::fs::File;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Notify};
+
+const PATH: &str = "/spool/";
+const FOLDER: &str = "spool";
+const FILE_ENDING: &str = "job";
+/// Most bytes of a job.
+const JOB_LIMIT: usize = 16 << 20;
+/// Time in which a job must arrive.
+const ARRIVAL_TIME: Duration = Duration::from_secs(2);
+/// Time in which a worker must have kept a job.
+const KEEP_TIME: Duration = Duration::from_millis(1500);
+/// Pause before the store is asked again.
+const DRAIN_PAUSE: Duration = Duration::from_millis(150);
+
+/// Hands a job to all workers; completes once `copies` of them have kept it,
+/// or with `false` if that can't be any more.
+pub(crate) async fn hand_out(workers: &[SocketAddr], job: &str, handed: &Handed, copies: usize) -> bool {
+    use futures::stream::{FuturesUnordered, StreamExt};
+    let Ok(bytes) = serde_json::to_vec(handed) else { return false };
+    let bytes = Bytes::from(bytes);
+    let calls = workers.iter().map(|worker| hand_to(worker.to_string(), job.to_owned(), bytes.clone()));
+    // The calls go on by themselves: more copies than needed do no harm.
+    let mut calls: FuturesUnordered<_> = calls.map(tokio::spawn).collect();
+    let mut kept = 0;
+    while kept < copies {
+        match calls.next().await {
+            Some(Ok(true)) => kept += 1,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+    true
+}
+
+async fn hand_to(worker: String, job: String, bytes: Bytes) -> bool {
+    let client = Client::http1();
+    client.call(Method::POST, &worker, &format!("{PATH}{job}"), bytes, KEEP_TIME).await.is_ok()
+}
+
+/// The jobs on this machine's disk.
+#[derive(Debug)]
+pub struct Spool<S> {
+    store: Arc<S>,
+    folder: PathBuf,
+    arrived: Notify,
+    empty: watch::Sender<bool>,
+}
+
+impl<S: RecordStore> Spool<S> {
+    /// Opens the folder in a data folder, and starts to write what is there
+    /// to the store.
+    ///
+    /// # Errors
+    /// If the folder can't be made.
+    pub fn open(store: Arc<S>, data_folder: &Path) -> std::io::Result<Arc<Self>> {
+        let folder = data_folder.join(FOLDER);
+        std::fs::create_dir_all(&folder)?;
+        File::open(data_folder)?.sync_all()?;
+        let spool = Arc::new(Self { store, folder, arrived: Notify::new(), empty: watch::channel(false).0 });
+        tokio::spawn(spool.clone().drain());
+        Ok(spool)
+    }
+
+    /// Takes jobs from other nodes at this address.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        serve(listener, Version::Http1, stop, move |request| {
+            let spool = self.clone();
+            async move { spool.answer(request).await }
+        })
+        .await;
+    }
+
+    /// Completes once no job is left on the disk.
+    pub async fn emptied(&self) {
+        let mut empty = self.empty.subscribe();
+        let _ = empty.wait_for(|empty| *empty).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let mut response = Response::new(empty());
+        *response.status_mut() = match self.take(request).await {
+            Ok(()) => StatusCode::OK,
+            Err(status) => status,
+        };
+        response
+    }
+
+    async fn take(&self, request: Request<Incoming>) -> Result<(), StatusCode> {
+        let job = request.uri().path().strip_prefix(PATH).unwrap_or_default().to_owned();
+        let named_well =
+            !job.is_empty() && job.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte));
+        if *request.method() != Method::POST || !named_well {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        let bytes = read_bounded(request.into_body(), JOB_LIMIT, ARRIVAL_TIME).await;
+        let bytes = bytes.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+        if serde_json::from_slice::<Handed>(&bytes).is_err() {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        let length = bytes.len();
+        let folder = self.folder.clone();
+        let file_name = job.clone();
+        self.empty.send_replace(false);
+        let kept = tokio::task::spawn_blocking(move || write_file(&folder, &file_name, &bytes)).await;
+        match kept {
+            Ok(Ok(())) => {
+                emit(&job, &Event::JobSpooled { job: &job, bytes: length });
+                self.arrived.notify_one();
+                Ok(())
+            }
+            Ok(Err(fault)) => {
+                emit(&job, &Event::SpoolFailed { job: &job, reason: &fault.to_string() });
+                self.arrived.notify_one();
+                Err(StatusCode::INSUFFICIENT_STORAGE)
+            }
+            Err(_) => Err(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    /// Writes the jobs on the disk to the store, for ever.
+    async fn drain(self: Arc<Self>) {
+        loop {
+            let folder = self.folder.clone();
+            let jobs = tokio::task::spawn_blocking(move || read_files(&folder)).await;
+            let jobs = jobs.ok().and_then(Result::ok).unwrap_or_default();
+            let mut left = 0;
+            for (job, path, handed) in jobs {
+                if !self.drain_one(&job, path, &handed).await {
+                    left += 1;
+                }
+            }
+            if left > 0 {
+                tokio::time::sleep(DRAIN_PAUSE).await;
+                continue;
+            }
+            self.empty.send_replace(true);
+            self.arrived.notified().await;
+        }
+    }
+
+    async fn drain_one(&self, job: &str, path: PathBuf, handed: &Handed) -> bool {
+        let transaction = taking(&*self.store, job, handed);
+        let present = match self.store.commit(&transaction).await {
+            Ok(Committed::Done(_)) => false,
+            Ok(Committed::Differs(_)) => true,
+            Ok(Committed::NoLease) | Err(_) => return false,
+        };
+        emit(job, &Event::SpoolDrained { job, present });
+        let removed = tokio::task::spawn_blocking(move || std::fs::remove_file(path)).await;
+        matches!(removed, Ok(Ok(())))
+    }
+}
+
+/// Writes a file so that it lasts under its name or isn't there.
+fn write_file(folder: &Path, job: &str, bytes: &[u8]) -> std::io::Result<()> {
+    let path = folder.join(format!("{job}.{FILE_ENDING}"));
+    let partial = folder.join(format!("{job}.part"));
+    let written = write_synced(&partial, bytes).and_then(|()| std::fs::rename(&partial, &path));
+    if let Err(fault) = written {
+        let _ = std::fs::remove_file(&partial);
+        return Err(fault);
+    }
+    File::open(folder)?.sync_all()
+}
+
+fn write_synced(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
+/// All whole jobs in the folder. One that can't be read was never accepted.
+fn read_files(folder: &Path) -> std::io::Result<Vec<(String, PathBuf, Handed)>> {
+    let mut jobs = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let is_job = path.extension().is_some_and(|ending| ending == FILE_ENDING);
+        let name = path.file_stem().and_then(|name| name.to_str()).unwrap_or_default().to_owned();
+        let whole = std::fs::read(&path).ok().and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        if let (true, Some(handed)) = (is_job, whole) {
+            jobs.push((name, path, handed));
+        }
+    }
+    Ok(jobs)
+}
--- a/crates/worker/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,12 +7,11 @@
 
 use crate::desk::read_record;
 use crate::job_run::{run_job, JobOrder};
-use crate::layout::{job_of_key, worker_key, worker_of_key, JobRecord, JobState, WORK_PREFIX};
-use bytes::Bytes;
+use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use latchwheel_core::identity::{stable_hash, stable_pair_hash};
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
-use latchwheel_records::{follow, Change, Committed, Followed, Record, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{follow, Change, Followed, Record, RecordStore};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -20,12 +19,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-/// Length of a worker's lease.
-const LEASE: Duration = Duration::from_millis(4500);
-/// The lease is renewed this often.
-const RENEW_EVERY: Duration = Duration::from_millis(1200);
-/// Pause before the store is asked again.
-const STORE_PAUSE: Duration = Duration::from_millis(200);
 /// Least time between two looks at the jobs.
 const FOLLOW_PACE: Duration = Duration::from_millis(300);
 
@@ -49,76 +42,34 @@
 /// Tells a worker to leave.
 #[derive(Clone, Debug)]
 pub struct WorkerHandle {
-    leave: watch::Sender<bool>,
+    leave: watch::Sender<Option<Duration>>,
     left: watch::Receiver<bool>,
 }
 
 impl WorkerHandle {
-    /// Takes no further work, and completes once what ran has ended and the
-    /// registration is gone.
-    pub async fn leave(&self) {
-        self.leave.send_replace(true);
+    /// Takes no further work, and completes once what ran has ended; what
+    /// still runs after `limit` is left to other workers.
+    pub async fn leave(&self, limit: Duration) {
+        self.leave.send_replace(Some(limit));
         let mut left = self.left.clone();
         let _ = left.wait_for(|left| *left).await;
     }
 }
 
-/// Starts a worker of that name.
-pub fn run_worker<S: RecordStore, D: Dialect>(
-    store: Arc<S>,
-    shared: Arc<Shared<D>>,
-    name: &str,
-    renewed: impl Fn() + Send + 'static,
-) -> WorkerHandle {
-    let (leave, leaves) = watch::channel(false);
+/// Starts a worker of that name; it gets jobs once a worker is registered
+/// under that name (see [`crate::layout::NodeRecord`]).
+pub fn run_worker<S: RecordStore, D: Dialect>(store: Arc<S>, shared: Arc<Shared<D>>, name: &str) -> WorkerHandle {
+    let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
     let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0) });
     let name = name.to_owned();
     tokio::spawn(async move {
-        let registration = tokio::spawn(keep_registered(context.store.clone(), name.clone(), renewed));
         divide_jobs(context.clone(), name.clone(), leaves).await;
-        registration.abort();
-        unregister(&*context.store, &name).await;
         left_sender.send_replace(true);
     });
     WorkerHandle { leave, left }
 }
 
-async fn keep_registered<S: RecordStore>(store: Arc<S>, name: String, renewed: impl Fn()) {
-    let mut lease = None;
-    loop {
-        let registered = match lease {
-            Some(lease) => store.renew(lease).await.map(|lives| lives.then_some(lease)),
-            None => register(&*store, &name).await,
-        };
-        match registered {
-            Ok(Some(present)) => {
-                lease = Some(present);
-                renewed();
-                tokio::time::sleep(RENEW_EVERY).await;
-            }
-            Ok(None) => lease = None,
-            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
-        }
-    }
-}
-
-async fn register<S: RecordStore>(store: &S, name: &str) -> Result<Option<u64>, RecordsFault> {
-    let lease = store.grant(LEASE).await?;
-    let write = Write { key: worker_key(name), value: Bytes::from_static(b"worker"), lease };
-    let transaction = Transaction { writes: vec![write], ..Transaction::default() };
-    match store.commit(&transaction).await? {
-        Committed::Done(_) => Ok(Some(lease)),
-        Committed::Differs(_) | Committed::NoLease => Ok(None),
-    }
-}
-
-/// The lease ends the registration where this can't.
-async fn unregister<S: RecordStore>(store: &S, name: &str) {
-    let transaction = Transaction { removes: vec![worker_key(name)], ..Transaction::default() };
-    let _ = store.commit(&transaction).await;
-}
-
 struct Job {
     record: JobRecord,
     revision: u64,
@@ -130,27 +81,26 @@
     name: String,
     workers: BTreeSet<String>,
     jobs: HashMap<String, Job>,
-    winding: bool,
 }
 
 async fn divide_jobs<S: RecordStore, D: Dialect>(
     context: Arc<WorkerContext<S, D>>,
     name: String,
-    mut leaves: watch::Receiver<bool>,
+    mut leaves: watch::Receiver<Option<Duration>>,
 ) {
     let (sender, mut seen) = mpsc::unbounded_channel();
     let following = follow(context.store.clone(), WORK_PREFIX.to_owned(), FOLLOW_PACE, move |followed| {
         let _ = sender.send(followed);
     });
     let following = tokio::spawn(following);
-    let mut division = Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new(), winding: false };
+    let mut division = Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new() };
     loop {
         tokio::select! {
             followed = seen.recv() => match followed {
                 Some(followed) => division.take(followed),
                 None => break,
             },
-            _ = leaves.wait_for(|leave| *leave) => break,
+            _ = leaves.wait_for(Option::is_some) => break,
         }
         // Whatever came together is acted on together.
         while let Ok(followed) = seen.try_recv() {
@@ -159,7 +109,8 @@
         division.act();
     }
     following.abort();
-    division.wind_up().await;
+    let limit = leaves.borrow().unwrap_or_default();
+    division.wind_up(limit).await;
 }
 
 impl<S: RecordStore, D: Dialect> Division<S, D> {
@@ -186,8 +137,9 @@
     }
 
     fn note_record(&mut self, record: Record) {
-        if let Some(worker) = worker_of_key(&record.key) {
-            if self.workers.insert(worker.to_owned()) {
+        if let Some(node) = node_of_key(&record.key) {
+            let is_worker = NodeRecord::read(&record.value).is_some_and(|node| node.role == NodeRole::Worker);
+            if is_worker && self.workers.insert(node.to_owned()) {
                 self.log_workers();
             }
         }
@@ -203,8 +155,8 @@
     }
 
     fn note_removed(&mut self, key: &str) {
-        if let Some(worker) = worker_of_key(key) {
-            if self.workers.remove(worker) {
+        if let Some(node) = node_of_key(key) {
+            if self.workers.remove(node) {
                 self.log_workers();
             }
         }
@@ -228,7 +180,7 @@
     /// Starts the jobs that fall to this worker, and leaves the others.
     fn act(&mut self) {
         for (name, job) in &mut self.jobs {
-            let ours = !self.winding && owner_of(name, &self.workers) == Some(self.name.as_str());
+            let ours = owner_of(name, &self.workers) == Some(self.name.as_str());
             match (&job.run, ours) {
                 (None, true) => {
                     let (orders, received) = watch::channel(JobOrder::Run);
@@ -244,14 +196,16 @@
         }
     }
 
-    async fn wind_up(mut self) {
-        self.winding = true;
+    async fn wind_up(self, limit: Duration) {
         let runs: Vec<_> = self.jobs.into_values().filter_map(|job| job.run).collect();
         for (orders, _) in &runs {
             orders.send_replace(JobOrder::Wind);
         }
-        for (_, run) in runs {
-            let _ = run.await;
+        let end = tokio::time::Instant::now() + limit;
+        for (orders, run) in runs {
+            if tokio::time::timeout_at(end, run).await.is_err() {
+                orders.send_replace(JobOrder::Leave("worker_leaves"));
+            }
         }
     }
 }
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Time that a watch waits for changes.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause after a failed call, doubled at each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod follow;
 pub mod memory;
+mod registration;
 
 pub use follow::{follow, Followed};
+pub use registration::{keep_registered, unregister};
 
 use bytes::Bytes;
 use std::future::Future;
