--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -20,6 +20,12 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(100);
 /// Silence of a server with requests in progress after which it is avoided.
 const SILENCE_LIMIT: Duration = Duration::from_millis(400);
+/// Time in which the memory of a server's failures falls to a third.
+const FAILURE_MEMORY: Duration = Duration::from_secs(4);
+/// Seconds by which a server is worse for each remembered failure.
+const FAILURE_COST: f64 = 0.25;
+/// Remembered failures from which on a server is suspect.
+const SUSPECT_FAILURES: f64 = 1.5;
 /// Seconds by which a server to be avoided is worse than any other.
 const AVOID_PENALTY: f64 = 100.0;
 /// Prefixes remembered as cached at one server.
@@ -69,6 +75,9 @@
     last_heard: Instant,
     avoid_until: Instant,
     failures_in_row: u32,
+    /// Failures as remembered at the time of the last one.
+    failures: f64,
+    failed_at: Instant,
     prefixes: HashKeyMap<u64, Instant>,
     prefix_order: VecDeque<u64>,
 }
@@ -119,15 +128,21 @@
     /// node that heard of it later than this one.
     pub(super) fn penalty(&self) -> f64 {
         let suspected = self.peers.suspect_at.is_some_and(|at| at > self.state.last_heard);
+        let remembered = self.state.remembered_failures(self.now) * FAILURE_COST;
         if self.now < self.state.avoid_until || self.state.is_silent(self.now) || suspected {
-            AVOID_PENALTY
+            AVOID_PENALTY + remembered
         } else {
-            0.0
+            remembered
         }
     }
 
     pub(super) fn report(&self, id: &Arc<str>) -> ServerReport {
-        ServerReport { id: id.clone(), own: self.state.own, load: self.load(), avoided: self.penalty() > 0.0 }
+        ServerReport {
+            id: id.clone(),
+            own: self.state.own,
+            load: self.load(),
+            avoided: self.penalty() >= AVOID_PENALTY,
+        }
     }
 }
 
@@ -146,6 +161,8 @@
             last_heard: Instant::default(),
             avoid_until: Instant::default(),
             failures_in_row: 0,
+            failures: 0.0,
+            failed_at: Instant::default(),
             prefixes: HashKeyMap::default(),
             prefix_order: VecDeque::new(),
         }
@@ -163,7 +180,8 @@
 
     /// What this node tells others of the server; `None` if there is nothing.
     pub(super) fn share(&self, now: Instant) -> Option<ServerShare> {
-        let suspect = now < self.avoid_until && self.failures_in_row > 0 || self.is_silent(now);
+        let failing = now < self.avoid_until && self.failures_in_row > 0;
+        let suspect = failing || self.is_silent(now) || self.remembered_failures(now) > SUSPECT_FAILURES;
         if self.own == 0 && !suspect {
             return None;
         }
@@ -175,6 +193,11 @@
         })
     }
 
+    fn remembered_failures(&self, now: Instant) -> f64 {
+        let age = now.since(self.failed_at).as_secs_f64();
+        self.failures * (-age / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+
     fn is_silent(&self, now: Instant) -> bool {
         self.own > 0 && now.since(self.last_heard) > SILENCE_LIMIT
     }
@@ -252,6 +275,8 @@
     }
 
     fn note_failure(&mut self, now: Instant) {
+        self.failures = self.remembered_failures(now) + 1.0;
+        self.failed_at = now;
         let pause = AVOID_MINIMUM * 2_u32.saturating_pow(self.failures_in_row.min(8));
         self.failures_in_row += 1;
         self.avoid_until = now + pause.min(AVOID_MAXIMUM);
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -246,7 +246,11 @@
                 break;
             }
             asked = true;
-            known.list.extend(&*self.store, job, left).await.map_err(desk_fault)?;
+            if let Err(fault) = known.list.extend(&*self.store, job, left).await {
+                // What the watch missed may be in no history any more.
+                lock(&self.known).remove(job);
+                return Err(desk_fault(fault));
+            }
         }
         let page = page_of(&known, from, byte_limit);
         self.remember(job, known);
@@ -352,6 +356,11 @@
         self.values.get(job)
     }
 
+    fn remove(&mut self, job: &str) {
+        self.values.remove(job);
+        self.order.retain(|present| present != job);
+    }
+
     fn put(&mut self, job: &str, value: T) {
         if self.values.insert(job.to_owned(), value).is_none() {
             self.order.push_back(job.to_owned());
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -1,9 +1,9 @@
 //! Following the records under a prefix: one list, then watches.
 
 use crate::{Change, Record, RecordStore, RecordsFault};
-use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time that a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -47,20 +47,20 @@
                     let some = !changes.changes.is_empty();
                     changes.changes.into_iter().map(Followed::Changed).for_each(&mut take);
                     if some {
-                        pause_until(started + pace).await;
+                        tokio::time::sleep_until(started + pace).await;
                     }
                 }
                 Err(RecordsFault::HistoryLost) => break,
-                Err(fault) => outage.begin(fault, &mut take).await,
+                // What it missed may be in no history any more: list anew.
+                Err(fault) => {
+                    outage.begin(fault, &mut take).await;
+                    break;
+                }
             }
         }
     }
 }
 
-fn pause_until(time: Instant) -> impl Future<Output = ()> {
-    tokio::time::sleep(time.saturating_duration_since(Instant::now()))
-}
-
 #[derive(Default)]
 struct Outage {
     since: Option<Instant>,
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -17,6 +17,8 @@
     live_leases: Vec<u64>,
     fault: Option<RecordsFault>,
     lose_answers: u32,
+    /// Changes up to this revision are in no watch any more.
+    forgotten: u64,
 }
 
 /// A record store in memory. Clones share their records.
@@ -43,6 +45,20 @@
         self.lock().lose_answers = count;
     }
 
+    /// Makes waiting watches look again.
+    pub fn cut_watches(&self) {
+        let revision = self.lock().revision;
+        self.changed.send_replace(revision);
+    }
+
+    /// Forgets all changes so far: a watch from before hears of them only at
+    /// its end, as a lost history.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.revision;
+    }
+
     /// Ends a lease with its records.
     pub fn end_lease(&self, lease: u64) {
         let mut state = self.lock();
@@ -130,6 +146,9 @@
             }
         };
         let changes = tokio::time::timeout(wait, found).await.unwrap_or(Ok(Vec::new()))?;
+        if after < self.lock().forgotten {
+            return Err(RecordsFault::HistoryLost);
+        }
         let revision = changes.last().map_or(after, |change| match change {
             Change::Written(record) => record.revision,
             Change::Removed { revision, .. } => *revision,
