--- /dev/null
+++ b/crates/core/tests/attempts.rs
@@ -0,0 +1,72 @@
+//! What follows a failed attempt, and what the caller is told.
+
+use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
+use latchwheel_core::code::ResultCode;
+use latchwheel_core::routes::RequestKind;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const TIME: Duration = Duration::from_secs(1);
+const STREAM: RequestKind = RequestKind::Stream { resumable: false };
+const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
+
+#[test]
+fn a_request_that_may_have_run_is_not_repeated_unless_its_kind_allows() {
+    for kind in [RequestKind::AtMostOnce, STREAM, RequestKind::Batch] {
+        let mut attempts = Attempts::new(kind, 3);
+        let step = attempts.after(AttemptFailure::MayHaveRun, TIME);
+        assert_eq!(step, NextStep::GiveUp(ResultCode::OutcomeUnknown), "{kind:?}");
+    }
+    for kind in [RequestKind::Idempotent, RESUMABLE] {
+        assert_eq!(Attempts::new(kind, 2).after(AttemptFailure::MayHaveRun, TIME), NextStep::TryAgain, "{kind:?}");
+    }
+}
+
+#[test]
+fn a_request_that_surely_did_not_run_goes_to_another_server_whatever_its_kind() {
+    let mut attempts = Attempts::new(STREAM, 1);
+    assert_eq!(attempts.after(AttemptFailure::NotRun, TIME), NextStep::TryAgain);
+    assert_eq!(attempts.after(AttemptFailure::NotSent, TIME), NextStep::TryAgain);
+    assert_eq!(attempts.after(AttemptFailure::NotRun, TIME), NextStep::TryAgain);
+    assert_eq!(
+        attempts.after(AttemptFailure::NotRun, TIME),
+        NextStep::GiveUp(ResultCode::EngineUnreachable),
+        "attempts that were not run have a bound too"
+    );
+}
+
+#[test]
+fn no_attempt_follows_when_the_time_is_over() {
+    let mut attempts = Attempts::new(RequestKind::Idempotent, 5);
+    assert!(matches!(attempts.after(AttemptFailure::MayHaveRun, Duration::ZERO), NextStep::GiveUp(_)));
+}
+
+fn failure() -> impl Strategy<Value = AttemptFailure> {
+    prop_oneof![Just(AttemptFailure::NotSent), Just(AttemptFailure::NotRun), Just(AttemptFailure::MayHaveRun)]
+}
+
+fn kind() -> impl Strategy<Value = RequestKind> {
+    prop_oneof![Just(RequestKind::Idempotent), Just(RequestKind::AtMostOnce), Just(STREAM), Just(RESUMABLE)]
+}
+
+proptest! {
+    /// A refusal (429, 503) promises that the request has not run.
+    #[test]
+    fn a_promise_is_given_only_if_no_attempt_can_have_run(
+        kind in kind(), limit in 0_u32..5, failures in prop::collection::vec(failure(), 1..12),
+    ) {
+        let mut attempts = Attempts::new(kind, limit);
+        let mut may_have_run = 0;
+        for failure in failures {
+            may_have_run += u32::from(failure == AttemptFailure::MayHaveRun);
+            match attempts.after(failure, TIME) {
+                NextStep::TryAgain => prop_assert!(may_have_run < limit.max(1), "the route's limit holds"),
+                NextStep::GiveUp(code) => {
+                    prop_assert_eq!(matches!(code.http_status(), 429 | 503), may_have_run == 0);
+                    prop_assert_eq!(attempts.verdict(ResultCode::WaitTooLong).http_status() == 429, may_have_run == 0);
+                    break;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/directory.rs
@@ -0,0 +1,90 @@
+//! What a node believes of servers, through drains, late heartbeats and outages.
+
+use latchwheel_core::directory::{Directory, DirectoryChange, ServerRecord};
+use latchwheel_core::time::Instant;
+use std::time::Duration;
+
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+fn record(id: &str, draining: bool, sequence: u64) -> ServerRecord {
+    ServerRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        slots: 4,
+        draining,
+        sequence,
+    }
+}
+
+fn at(seconds: f64) -> Instant {
+    Instant::default() + Duration::from_secs_f64(seconds)
+}
+
+fn ready(directory: &Directory) -> Vec<String> {
+    let mut ready: Vec<String> = directory.ready().map(|record| record.id.to_string()).collect();
+    ready.sort();
+    ready
+}
+
+#[test]
+fn a_heartbeat_alone_is_no_change() {
+    let mut directory = Directory::new(HEARTBEAT);
+    assert!(matches!(directory.note_record(record("a", false, 1)), Some(DirectoryChange::Ready(_))));
+    assert_eq!(directory.note_record(record("a", false, 2)), None);
+}
+
+#[test]
+fn a_draining_server_never_becomes_ready_again() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.note_record(record("a", false, 1));
+    assert_eq!(directory.note_record(record("a", true, 2)), Some(DirectoryChange::Draining("a".into())));
+    assert_eq!(directory.note_record(record("a", false, 3)), None);
+    assert!(ready(&directory).is_empty());
+}
+
+#[test]
+fn a_vanished_registration_means_a_leaving_server() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.note_record(record("a", false, 5));
+    assert_eq!(directory.note_vanished(at(10.0), "a"), Some(DirectoryChange::Gone("a".into())));
+    assert!(ready(&directory).is_empty());
+}
+
+#[test]
+fn a_late_heartbeat_does_not_bring_a_gone_server_back() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.note_record(record("a", false, 5));
+    directory.note_vanished(at(10.0), "a");
+    assert_eq!(directory.note_record(record("a", false, 4)), None);
+    assert_eq!(directory.note_record(record("a", false, 5)), None);
+    assert!(ready(&directory).is_empty());
+    assert!(directory.note_record(record("a", false, 6)).is_some());
+}
+
+#[test]
+fn a_registration_that_lapses_in_an_outage_is_kept_until_it_had_time_to_return() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.note_record(record("alive", false, 1));
+    directory.note_record(record("dead", false, 1));
+    directory.note_record(record("leaving", true, 1));
+    directory.note_outage(at(10.0));
+    let changes = directory.replace_all(at(10.5), Vec::new());
+    assert!(changes.contains(&DirectoryChange::Unconfirmed("alive".into())));
+    assert!(changes.contains(&DirectoryChange::Gone("leaving".into())));
+    assert_eq!(ready(&directory), ["alive", "dead"]);
+    directory.note_record(record("alive", false, 2));
+    assert!(directory.tick(at(11.0)).is_empty());
+    assert_eq!(directory.tick(at(12.5)), [DirectoryChange::Gone("dead".into())]);
+    assert_eq!(ready(&directory), ["alive"]);
+}
+
+#[test]
+fn a_list_replaces_what_was_believed() {
+    let mut directory = Directory::new(HEARTBEAT);
+    directory.note_record(record("a", false, 1));
+    directory.note_record(record("b", false, 1));
+    directory.replace_all(at(20.0), vec![record("b", false, 2), record("c", false, 1)]);
+    assert_eq!(ready(&directory), ["b", "c"]);
+}
--- /dev/null
+++ b/crates/core/tests/dispatch.rs
@@ -0,0 +1,212 @@
+//! Choice of a server by nodes that all send to all servers.
+
+use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::dispatch::{
+    Ask, Choice, Dispatcher, Ending, Placement, Prompt, PromptPart, ServerLoad, ServerShare, REPORT_LIFE,
+};
+use latchwheel_core::identity::{stable_hash, NodeId};
+use latchwheel_core::time::Instant;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SLOTS: u32 = 4;
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::default() + Duration::from_secs(100) + Duration::from_millis(milliseconds)
+}
+
+fn dispatcher(names: &[&str]) -> Dispatcher {
+    let records: Vec<ServerRecord> = names
+        .iter()
+        .map(|name| ServerRecord {
+            id: (*name).into(),
+            service: "s".into(),
+            address: format!("{name}:1").into(),
+            zone: "z".into(),
+            slots: SLOTS,
+            draining: false,
+            sequence: 1,
+        })
+        .collect();
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_ready(records.iter());
+    dispatcher
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = vec![PromptPart { key: shared, tokens: 10_000 }, PromptPart { key: own, tokens: 100 }];
+    Prompt { parts, output_tokens: 100 }
+}
+
+fn ask<'a>(prompt: &'a Prompt, spread: u64) -> Ask<'a> {
+    Ask { service: "s", prompt, avoid: &[], wait_limit: Duration::from_secs(1), reserve: 0.0, spread }
+}
+
+fn placed(choice: Choice) -> Placement {
+    match choice {
+        Choice::Send(placement) => placement,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn requests_spread_over_equal_servers() {
+    let mut dispatcher = dispatcher(&["a", "b", "c"]);
+    let empty = Prompt::default();
+    let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+    for spread in 0..9 {
+        let placement = placed(dispatcher.choose(at(0), &ask(&empty, spread)));
+        dispatcher.note_sent(at(0), &placement, &empty);
+        *counts.entry(placement.server).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 3), "{counts:?}");
+}
+
+/// All nodes send a prefix to the same server without telling each other.
+#[test]
+fn a_prefix_has_the_same_home_at_every_node() {
+    let names = ["a", "b", "c", "d", "e"];
+    for shared in 0..20 {
+        let first = placed(dispatcher(&names).choose(at(0), &ask(&prompt(shared, 1), 7)));
+        let second = placed(dispatcher(&names).choose(at(5), &ask(&prompt(shared, 2), 8)));
+        assert_eq!(first.server, second.server);
+        assert_eq!(first.uncached, 100);
+    }
+}
+
+#[test]
+fn a_busy_home_is_left_for_an_emptier_server() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let home = placed(dispatcher.choose(at(0), &ask(&prompt(1, 1), 0)));
+    for _ in 0..40 {
+        dispatcher.note_sent(at(0), &home, &prompt(1, 1));
+    }
+    let next = placed(dispatcher.choose(at(1), &ask(&prompt(1, 2), 0)));
+    assert_ne!(next.server, home.server);
+}
+
+#[test]
+fn requests_of_other_nodes_count() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let share =
+        |name: &str, requests| ServerShare { server: stable_hash(name.as_bytes()), requests, ..ServerShare::default() };
+    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share("a", 3)]);
+    dispatcher.note_peer(at(0), NodeId(2), 1, vec![share("a", 2)]);
+    let empty = Prompt::default();
+    for spread in 0..2 {
+        assert_eq!(&*placed(dispatcher.choose(at(1), &ask(&empty, spread))).server, "b");
+    }
+    assert_eq!(dispatcher.free_slots(at(1), "a", 0.0), Some(-1.0));
+    // A later report replaces the one before; an earlier one that comes late doesn't.
+    dispatcher.note_peer(at(2), NodeId(1), 5, vec![]);
+    dispatcher.note_peer(at(3), NodeId(1), 4, vec![share("a", 3)]);
+    assert_eq!(dispatcher.free_slots(at(4), "a", 0.0), Some(2.0));
+}
+
+#[test]
+fn the_report_of_a_dead_node_lapses() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let share = ServerShare { server: stable_hash(b"a"), requests: 4, ..ServerShare::default() };
+    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share]);
+    assert_eq!(dispatcher.free_slots(at(1), "a", 0.0), Some(0.0));
+    assert_eq!(dispatcher.free_slots(at(0) + REPORT_LIFE, "a", 0.0), Some(4.0));
+}
+
+#[test]
+fn a_told_load_counts_while_it_is_young() {
+    let mut dispatcher = dispatcher(&["a"]);
+    dispatcher.note_load(at(0), "a", ServerLoad { running: 4, waiting: 2, slots: 4 });
+    assert_eq!(dispatcher.free_slots(at(0), "a", 0.0), Some(-2.0));
+    assert_eq!(dispatcher.free_slots(at(5_000), "a", 0.0), Some(4.0));
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let empty = Prompt::default();
+    for _ in 0..400 {
+        let placement = Placement {
+            server: "a".into(),
+            address: "a:1".into(),
+            expected_wait: Duration::ZERO,
+            uncached: 0,
+            load: 0.0,
+        };
+        dispatcher.note_sent(at(0), &placement, &empty);
+    }
+    match dispatcher.choose(at(0), &ask(&empty, 0)) {
+        Choice::Full(time) => assert!(time > Duration::ZERO),
+        other => panic!("{other:?}"),
+    }
+    let none = Ask { service: "unknown", ..ask(&empty, 0) };
+    assert_eq!(dispatcher.choose(at(0), &none), Choice::NoServer);
+}
+
+#[test]
+fn batch_work_leaves_a_reserve() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let empty = Prompt::default();
+    let batch = Ask { wait_limit: Duration::ZERO, reserve: 0.5, ..ask(&empty, 0) };
+    for _ in 0..2 {
+        let placement = placed(dispatcher.choose(at(0), &batch));
+        dispatcher.note_sent(at(0), &placement, &empty);
+    }
+    assert!(matches!(dispatcher.choose(at(0), &batch), Choice::Full(_)));
+    assert!(matches!(dispatcher.choose(at(0), &ask(&empty, 0)), Choice::Send(_)));
+}
+
+#[test]
+fn a_silent_server_is_left_by_the_node_that_waits_and_by_those_it_tells() {
+    let names = ["a", "b"];
+    let mut first = dispatcher(&names);
+    let empty = Prompt::default();
+    let placement = placed(first.choose(at(0), &ask(&empty, 0)));
+    first.note_sent(at(0), &placement, &empty);
+    let later = at(500);
+    for spread in 0..8 {
+        assert_ne!(placed(first.choose(later, &ask(&empty, spread))).server, placement.server);
+    }
+    let shares = first.shares(later);
+    assert!(shares.iter().any(|share| share.suspect));
+    let mut second = dispatcher(&names);
+    second.note_peer(later, NodeId(1), 1, shares);
+    for spread in 0..8 {
+        assert_ne!(placed(second.choose(later, &ask(&empty, spread))).server, placement.server);
+    }
+    // Who hears of it later than the report knows better.
+    second.note_heard(at(501), &placement.server);
+    let chosen: Vec<_> = (0..8).map(|spread| placed(second.choose(at(502), &ask(&empty, spread))).server).collect();
+    assert!(chosen.contains(&placement.server) || second.free_slots(at(502), &placement.server, 0.0) < Some(4.0));
+}
+
+/// A server that fails some requests and answers others is used less.
+#[test]
+fn failures_are_remembered_between_answers() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let empty = Prompt::default();
+    let placement =
+        Placement { server: "a".into(), address: "a:1".into(), expected_wait: Duration::ZERO, uncached: 0, load: 0.0 };
+    for ending in [Ending::Broken, Ending::Answered, Ending::Broken, Ending::Answered] {
+        dispatcher.note_sent(at(0), &placement, &empty);
+        dispatcher.note_end(at(1), &placement, ending, true, Duration::from_millis(1));
+    }
+    for spread in 0..8 {
+        assert_eq!(&*placed(dispatcher.choose(at(1_500), &ask(&empty, spread))).server, "b");
+    }
+    let much_later: Vec<_> =
+        (0..16).map(|spread| placed(dispatcher.choose(at(60_000), &ask(&empty, spread))).server).collect();
+    assert!(much_later.iter().any(|server| &**server == "a"), "it is tried again");
+}
+
+#[test]
+fn a_server_that_is_not_ready_gets_nothing_new() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let empty = Prompt::default();
+    let placement = placed(dispatcher.choose(at(0), &ask(&empty, 0)));
+    dispatcher.note_sent(at(0), &placement, &empty);
+    dispatcher.set_ready([].into_iter());
+    assert_eq!(dispatcher.choose(at(1), &ask(&empty, 0)), Choice::NoServer);
+    dispatcher.note_end(at(2), &placement, Ending::Answered, true, Duration::from_millis(1));
+    assert!(dispatcher.reports(at(2)).is_empty());
+}
--- /dev/null
+++ b/crates/core/tests/item_progress.rs
@@ -0,0 +1,71 @@
+//! Progress of batch items: what is kept, and when one is given up.
+
+use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
+use latchwheel_core::time::Instant;
+use std::time::Duration;
+
+fn at(seconds: u64) -> Instant {
+    Instant::default() + Duration::from_secs(seconds)
+}
+
+const RULES: GiveUpRules = GiveUpRules { max_failures: 3, expires: Instant::from_micros(60_000_000) };
+
+#[test]
+fn an_item_that_always_fails_is_given_up_after_its_attempts() {
+    let mut item = ItemProgress::default();
+    for failure in 1..=3 {
+        assert!(item.may_start(at(failure * 10)));
+        item.start();
+        item.end_run(at(failure * 10), RunEnd::Failed, &RULES);
+    }
+    assert_eq!(item.state(), ItemState::GivenUp);
+}
+
+#[test]
+fn an_item_that_can_not_be_done_is_given_up_at_once() {
+    let mut item = ItemProgress::default();
+    item.start();
+    item.end_run(at(1), RunEnd::Impossible, &RULES);
+    assert_eq!(item.state(), ItemState::GivenUp);
+}
+
+#[test]
+fn interruptions_are_no_failures() {
+    let mut item = ItemProgress::default();
+    for time in 0..20 {
+        item.start();
+        item.end_run(at(time), RunEnd::Interrupted, &RULES);
+        assert!(matches!(item.state(), ItemState::Waiting(_)));
+    }
+    assert_eq!(item.failures(), 0);
+}
+
+#[test]
+fn an_item_is_given_up_only_when_its_time_is_over() {
+    let mut item = ItemProgress::default();
+    item.tick(at(59), &RULES);
+    assert!(matches!(item.state(), ItemState::Waiting(_)));
+    item.tick(at(60), &RULES);
+    assert_eq!(item.state(), ItemState::GivenUp);
+}
+
+#[test]
+fn a_pause_follows_each_broken_run() {
+    let mut item = ItemProgress::default();
+    item.start();
+    item.end_run(at(1), RunEnd::Interrupted, &RULES);
+    assert!(!item.may_start(at(1)));
+    assert!(item.may_start(at(2)));
+}
+
+/// What a second run sends again is not kept twice.
+#[test]
+fn events_are_kept_once_and_in_order() {
+    let mut item = ItemProgress::default();
+    assert!(item.push_event(Some(1), b"a"));
+    assert!(item.push_event(Some(2), b"b"));
+    assert!(!item.push_event(Some(2), b"b"));
+    assert!(item.push_event(Some(3), b""));
+    assert!(item.push_event(Some(4), b"c"));
+    assert_eq!((item.text(), item.events(), item.last_event()), (&b"a\nb\n\nc"[..], 4, Some(4)));
+}
--- /dev/null
+++ b/crates/core/tests/routes.rs
@@ -0,0 +1,79 @@
+//! The routing table and the division of a route by weights.
+
+use latchwheel_core::routes::{
+    ClientLimits, RequestKind, Route, RoutingTable, ServiceDefinition, WeightedService, WeightedTurns,
+};
+use proptest::prelude::*;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn route(name: &str, host: &str, prefix: &str, targets: &[(&str, f64)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(4),
+        latency_target: Duration::from_millis(300),
+        priority: 0,
+        targets: targets
+            .iter()
+            .map(|(service, weight)| WeightedService { service: (*service).into(), weight: *weight })
+            .collect(),
+        max_attempts: 2,
+        gap_target: None,
+        due: Duration::from_secs(20),
+        retention: Duration::from_secs(60),
+    }
+}
+
+fn table(routes: Vec<Route>) -> RoutingTable {
+    RoutingTable::new(1, ClientLimits::default(), HashMap::<Arc<str>, ServiceDefinition>::new(), routes)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        route("short", "a.example", "/x/", &[("s", 1.0)]),
+        route("long", "a.example", "/x/y/", &[("s", 1.0)]),
+        route("other", "b.example", "/x/y/z/", &[("s", 1.0)]),
+    ]);
+    let name = |host, path| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("a.example", "/x/y/z/1"), Some("long".into()));
+    assert_eq!(name("a.example", "/x/1"), Some("short".into()));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("b.example", "/x/1"), None);
+    assert_eq!(name("c.example", "/x/1"), None);
+}
+
+#[test]
+fn weights_changed_by_the_operator_count_at_once() {
+    let mut turns = WeightedTurns::default();
+    let before = route("r", "a.example", "/", &[("s", 90.0), ("t", 10.0)]);
+    (0..7).for_each(|_| drop(turns.next(&before)));
+    let after = route("r", "a.example", "/", &[("s", 0.0), ("t", 10.0)]);
+    assert!((0..20).all(|_| turns.next(&after).as_deref() == Some("t")));
+}
+
+proptest! {
+    /// At any moment each service has its share, give or take one request.
+    #[test]
+    fn shares_follow_weights(weights in prop::collection::vec(1_u32..100, 1..6), requests in 1_usize..500) {
+        let names: Vec<String> = (0..weights.len()).map(|number| format!("s{number}")).collect();
+        let targets: Vec<(&str, f64)> =
+            names.iter().zip(&weights).map(|(name, weight)| (name.as_str(), f64::from(*weight))).collect();
+        let route = route("r", "a.example", "/", &targets);
+        let mut turns = WeightedTurns::default();
+        let mut counts: HashMap<Arc<str>, usize> = HashMap::new();
+        for _ in 0..requests {
+            *counts.entry(turns.next(&route).unwrap()).or_default() += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (name, weight) in names.iter().zip(&weights) {
+            let share = requests as f64 * f64::from(*weight) / f64::from(total);
+            let count = counts.get(name.as_str()).copied().unwrap_or(0) as f64;
+            prop_assert!((count - share).abs() <= weights.len() as f64, "{count} of {share}");
+        }
+    }
+}
