--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -3,10 +3,10 @@
 use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Workers;
 use crate::results::ResultList;
-use crate::spool::hand_out;
+use crate::spool::{hand_out, may_be_held};
 use bytes::Bytes;
 use latchwheel_core::identity::stable_hash;
-use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{Committed, Record, RecordStore, RecordsFault, Transaction, Write};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -206,7 +206,7 @@
     }
 
     async fn try_end(&self, job: &str) -> Result<bool, DeskFault> {
-        let present = self.store.get(&job_key(job)).await.map_err(desk_fault)?.ok_or(DeskFault::Absent)?;
+        let present = self.present(job).await?;
         let mut record = read_record(&present.value).ok_or(DeskFault::Unknown)?;
         if record.state == JobState::Ended {
             return Ok(true);
@@ -272,10 +272,23 @@
     }
 
     async fn record(&self, job: &str) -> Result<JobRecord, DeskFault> {
-        let record = self.store.get(&job_key(job)).await.map_err(desk_fault)?.ok_or(DeskFault::Absent)?;
+        let record = self.present(job).await?;
         read_record(&record.value).ok_or(DeskFault::Unknown)
     }
 
+    /// The job's record. That a job is absent is said only if it is on no
+    /// disk either; it may have gone from there to the store meanwhile.
+    async fn present(&self, job: &str) -> Result<Record, DeskFault> {
+        let key = job_key(job);
+        if let Some(record) = self.store.get(&key).await.map_err(desk_fault)? {
+            return Ok(record);
+        }
+        if may_be_held(&*self.store, job).await.map_err(desk_fault)? {
+            return Err(DeskFault::Unknown);
+        }
+        self.store.get(&key).await.map_err(desk_fault)?.ok_or(DeskFault::Absent)
+    }
+
     /// Body of an item, in base64.
     ///
     /// # Errors
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `latchwheel/work/job/JOB` | [`JobRecord`] |
 //! | `latchwheel/work/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
+//! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
 //!
@@ -18,6 +19,8 @@
 pub const WORK_PREFIX: &str = "latchwheel/work/";
 
 const JOB_PREFIX: &str = "latchwheel/work/job/";
+/// Prefix of the records of disks that may hold jobs.
+pub const DISK_PREFIX: &str = "latchwheel/disk/";
 /// Prefix of the registrations of nodes.
 pub const NODE_PREFIX: &str = "latchwheel/work/node/";
 
@@ -36,6 +39,11 @@
     format!("{NODE_PREFIX}{node}")
 }
 
+/// Key of the record of a worker's disk.
+pub fn disk_key(node: &str) -> String {
+    format!("{DISK_PREFIX}{node}")
+}
+
 /// The node whose registration has this key.
 pub fn node_of_key(key: &str) -> Option<&str> {
     key.strip_prefix(NODE_PREFIX)
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -5,18 +5,24 @@
 //! accepted. Every worker that holds a job writes it to the store as soon as
 //! that answers, under the condition that it is absent, and removes its file
 //! only then. Copies thus end up as one job, whichever arrives first.
+//!
+//! A job that is absent in the store may thus still be on a disk. Nobody says
+//! that there is no such job before every disk on record has said that it
+//! doesn't hold it; a disk that is down leaves the question open.
 
 use crate::desk::{taking, Handed};
+use crate::layout::{disk_key, NodeRecord, NodeRole, DISK_PREFIX};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use latchwheel_events::{emit, Event};
-use latchwheel_http::{empty, read_bounded, serve, Body, Client, Version};
-use latchwheel_records::{Committed, RecordStore};
+use latchwheel_http::{empty, read_bounded, serve, Body, CallFault, Client, Version};
+use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
 use std::fs::File;
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -25,12 +31,16 @@
 const PATH: &str = "/spool/";
 const FOLDER: &str = "spool";
 const FILE_ENDING: &str = "job";
+/// File with the address under which the disk is on record.
+const RECORDED: &str = "on-record";
 /// Most bytes of a job.
 const JOB_LIMIT: usize = 16 << 20;
 /// Time in which a job must arrive.
 const ARRIVAL_TIME: Duration = Duration::from_secs(2);
 /// Time in which a worker must have kept a job.
 const KEEP_TIME: Duration = Duration::from_millis(1500);
+/// Time in which a worker must say whether it holds a job.
+const ASK_TIME: Duration = Duration::from_millis(500);
 /// Pause before the store is asked again.
 const DRAIN_PAUSE: Duration = Duration::from_millis(150);
 
@@ -59,26 +69,60 @@
     client.call(Method::POST, &worker, &format!("{PATH}{job}"), bytes, KEEP_TIME).await.is_ok()
 }
 
+/// Whether a disk on record holds a job, or can't be asked.
+///
+/// # Errors
+/// If the records of the disks can't be read.
+pub(crate) async fn may_be_held<S: RecordStore>(store: &S, job: &str) -> Result<bool, RecordsFault> {
+    let disks = store.list(DISK_PREFIX).await?;
+    let addresses = disks.records.iter().filter_map(|record| NodeRecord::read(&record.value));
+    let questions = addresses.map(|disk| is_held(disk.address, job));
+    let answers = futures::future::join_all(questions).await;
+    Ok(answers.into_iter().any(|held| held != Some(false)))
+}
+
+/// `None` if the worker gives no answer.
+async fn is_held(worker: String, job: &str) -> Option<bool> {
+    let path = format!("{PATH}{job}");
+    match Client::http1().call(Method::GET, &worker, &path, Bytes::new(), ASK_TIME).await {
+        Ok(_) => Some(true),
+        Err(CallFault::BadAnswer(404, _)) => Some(false),
+        Err(_) => None,
+    }
+}
+
 /// The jobs on this machine's disk.
 #[derive(Debug)]
 pub struct Spool<S> {
     store: Arc<S>,
+    name: String,
     folder: PathBuf,
+    on_record: AtomicBool,
     arrived: Notify,
     empty: watch::Sender<bool>,
 }
 
 impl<S: RecordStore> Spool<S> {
-    /// Opens the folder in a data folder, and starts to write what is there
-    /// to the store.
+    /// Opens the folder of the worker `name` in its data folder, and starts to
+    /// write what is there to the store. The disk is on record from the first
+    /// time that the store answers; until then it takes no job.
     ///
     /// # Errors
     /// If the folder can't be made.
-    pub fn open(store: Arc<S>, data_folder: &Path) -> std::io::Result<Arc<Self>> {
+    pub fn open(store: Arc<S>, name: &str, address: &str, data_folder: &Path) -> std::io::Result<Arc<Self>> {
         let folder = data_folder.join(FOLDER);
         std::fs::create_dir_all(&folder)?;
         File::open(data_folder)?.sync_all()?;
-        let spool = Arc::new(Self { store, folder, arrived: Notify::new(), empty: watch::channel(false).0 });
+        let recorded = folder.join(RECORDED);
+        let spool = Arc::new(Self {
+            store,
+            name: name.to_owned(),
+            folder,
+            on_record: AtomicBool::new(std::fs::read_to_string(&recorded).is_ok_and(|known| known == address)),
+            arrived: Notify::new(),
+            empty: watch::channel(false).0,
+        });
+        tokio::spawn(spool.clone().put_on_record(NodeRecord { role: NodeRole::Worker, address: address.to_owned() }));
         tokio::spawn(spool.clone().drain());
         Ok(spool)
     }
@@ -98,6 +142,33 @@
         let _ = empty.wait_for(|empty| *empty).await;
     }
 
+    /// Takes the disk off the record once it is empty.
+    pub async fn close(&self) {
+        self.emptied().await;
+        let transaction = Transaction { removes: vec![disk_key(&self.name)], ..Transaction::default() };
+        while !matches!(self.store.commit(&transaction).await, Ok(Committed::Done(_))) {
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
+    }
+
+    async fn put_on_record(self: Arc<Self>, record: NodeRecord) {
+        let write = Write { key: disk_key(&self.name), value: record.write(), lease: 0 };
+        let transaction = Transaction { writes: vec![write], ..Transaction::default() };
+        while !matches!(self.store.commit(&transaction).await, Ok(Committed::Done(_))) {
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
+        let (folder, address) = (self.folder.clone(), record.address);
+        let noted = tokio::task::spawn_blocking(move || write_synced(&folder.join(RECORDED), address.as_bytes()));
+        // Without the note the disk only has to be put on record again.
+        let _ = noted.await;
+        self.on_record.store(true, Ordering::Relaxed);
+    }
+
+    async fn holds(&self, job: &str) -> bool {
+        let path = self.folder.join(format!("{job}.{FILE_ENDING}"));
+        tokio::task::spawn_blocking(move || path.exists()).await.unwrap_or(true)
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let mut response = Response::new(empty());
         *response.status_mut() = match self.take(request).await {
@@ -111,9 +182,15 @@
         let job = request.uri().path().strip_prefix(PATH).unwrap_or_default().to_owned();
         let named_well =
             !job.is_empty() && job.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte));
-        if *request.method() != Method::POST || !named_well {
+        if !named_well {
             return Err(StatusCode::NOT_FOUND);
         }
+        if *request.method() == Method::GET {
+            return if self.holds(&job).await { Ok(()) } else { Err(StatusCode::NOT_FOUND) };
+        }
+        if *request.method() != Method::POST || !self.on_record.load(Ordering::Relaxed) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let bytes = read_bounded(request.into_body(), JOB_LIMIT, ARRIVAL_TIME).await;
         let bytes = bytes.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
         if serde_json::from_slice::<Handed>(&bytes).is_err() {
--- /dev/null
+++ b/crates/jobs/tests/desk.rs
@@ -0,0 +1,193 @@
+//! Taking, ending and reading jobs while the store fails in every way.
+
+use latchwheel_jobs::{DeskFault, ItemBody, JobBody, JobDesk, Membership, NodeRecord, NodeRole, Spool, Workers};
+use latchwheel_proxy::Shared;
+use latchwheel_records::memory::MemoryStore;
+use latchwheel_records::{RecordStore, RecordsFault};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::TestDialect;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+
+#[path = "../../proxy/tests/support/mod.rs"]
+mod support;
+
+const JOB: &str = "job-1";
+const HOST: &str = "host.example";
+
+fn body(items: usize) -> JobBody {
+    let items = (0..items).map(|number| ItemBody {
+        id: format!("item-{number}"),
+        path: "/path/item".into(),
+        body: "YWJj".into(),
+        ..ItemBody::default()
+    });
+    JobBody { items: items.collect() }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(800)
+}
+
+/// Completes once a condition on the store's side holds.
+async fn until<F: std::future::Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds().await {
+        assert!(Instant::now() < end, "it never came about");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A worker's disk that is served until it is dropped.
+struct Disk {
+    _stop: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+async fn disk(store: &MemoryStore, name: &str, address: &str, folder: &Path) -> Disk {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let spool =
+        Spool::open(Arc::new(store.clone()), name, &listener.local_addr().unwrap().to_string(), folder).unwrap();
+    let (stop, stopped) = watch::channel(false);
+    Disk { _stop: stop, task: tokio::spawn(spool.serve(listener, stopped)) }
+}
+
+/// Addresses that nobody uses now.
+async fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string()
+}
+
+/// The workers as a node that follows the store knows them.
+async fn workers(store: &MemoryStore, addresses: &[String]) -> Workers {
+    let shared = Shared::new(TestDialect::default(), latchwheel_proxy::Clock::start());
+    let mut last = None;
+    for (number, address) in addresses.iter().enumerate() {
+        let record = NodeRecord { role: NodeRole::Worker, address: address.clone() };
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let name = format!("worker-{number}");
+        last = Some(Membership::join(Arc::new(store.clone()), shared.clone(), &name, &record, socket));
+    }
+    let workers = last.map(|membership| membership.workers).unwrap_or_default();
+    until(|| async { workers.addresses().len() == addresses.len() }).await;
+    workers
+}
+
+fn desk(store: &MemoryStore, workers: Workers) -> JobDesk<MemoryStore> {
+    JobDesk::new(Arc::new(store.clone()), workers, 2)
+}
+
+#[tokio::test]
+async fn a_job_is_taken_once_however_often_it_is_sent() {
+    let store = MemoryStore::default();
+    let desk = desk(&store, Workers::default());
+    assert!(!desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
+    assert!(desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
+    let other = desk.take(JOB, HOST, "/path/x", body(4), soon()).await;
+    assert_eq!(other, Err(DeskFault::Conflict));
+    assert_eq!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 3);
+    assert_eq!(desk.item_body(JOB, "item-1").await.as_deref(), Ok("YWJj"));
+    assert_eq!(desk.item_body(JOB, "item-9").await, Err(DeskFault::Absent));
+    assert_eq!(desk.item_body("job-2", "item-1").await, Err(DeskFault::Absent));
+}
+
+/// The answer was lost, but the job was written: the next try finds it.
+#[tokio::test]
+async fn a_lost_answer_of_the_store_is_no_loss() {
+    let store = MemoryStore::default();
+    store.lose_answers(1);
+    let desk = desk(&store, Workers::default());
+    assert!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await.is_ok());
+}
+
+/// Only a store that said no promises that nothing runs.
+#[tokio::test]
+async fn a_job_is_refused_only_if_it_can_not_run() {
+    let store = MemoryStore::default();
+    let desk = desk(&store, Workers::default());
+    store.set_fault(Some(RecordsFault::Unknown));
+    assert_eq!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await, Err(DeskFault::Unknown));
+}
+
+#[tokio::test]
+async fn an_end_lasts_and_may_be_repeated() {
+    let store = MemoryStore::default();
+    let desk = desk(&store, Workers::default());
+    assert_eq!(desk.end(JOB, soon()).await, Err(DeskFault::Absent));
+    desk.take(JOB, HOST, "/path/x", body(1), soon()).await.unwrap();
+    store.lose_answers(1);
+    assert_eq!(desk.end(JOB, soon()).await, Ok(()));
+    assert_eq!(desk.end(JOB, soon()).await, Ok(()));
+    assert!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await.unwrap().resent);
+}
+
+/// The store is away: two disks make the job last. All disks go dark while
+/// the store is back: nobody may say that there is no such job. When a disk
+/// is back, the job is there.
+#[tokio::test]
+async fn a_job_on_disks_is_never_denied() {
+    let store = MemoryStore::default();
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let addresses = [free_address().await, free_address().await];
+    let mut disks = Vec::new();
+    for (number, (folder, address)) in folders.iter().zip(&addresses).enumerate() {
+        disks.push(disk(&store, &format!("worker-{number}"), address, folder.path()).await);
+    }
+    let on_record = || async { store.list("latchwheel/disk/").await.unwrap().records.len() == 2 };
+    until(on_record).await;
+    let desk = desk(&store, workers(&store, &addresses).await);
+    // The disks note that they are on record after the store has taken it.
+    until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
+
+    store.set_fault(Some(RecordsFault::Refused));
+    let taken = desk.take(JOB, HOST, "/path/x", body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
+    assert_eq!(taken.disks, 2);
+    assert_eq!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Refused));
+
+    // The machines go dark before the store is back: what is on their disks
+    // is kept aside meanwhile.
+    let kept = tempfile::tempdir().unwrap();
+    for (number, folder) in folders.iter().enumerate() {
+        let name = format!("spool/{JOB}.job");
+        std::fs::rename(folder.path().join(name), kept.path().join(number.to_string())).unwrap();
+    }
+    for disk in &disks {
+        disk.task.abort();
+    }
+    until(|| async { disks.iter().all(|disk| disk.task.is_finished()) }).await;
+    store.set_fault(None);
+    let other_node = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    // The accepting node still tries to write the job; one that died doesn't.
+    let absent = store.get("latchwheel/work/job/job-9").await.unwrap();
+    assert_eq!(absent, None);
+    assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Unknown));
+
+    // One disk comes back with what it kept.
+    std::fs::rename(kept.path().join("0"), folders[0].path().join("spool/job-9.job")).unwrap();
+    let address = free_address().await;
+    let _back = disk(&store, "worker-0", &address, folders[0].path()).await;
+    until(|| async { store.get("latchwheel/work/job/job-9").await.unwrap().is_some() }).await;
+    assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
+}
+
+/// Copies on several disks end up as one job.
+#[tokio::test]
+async fn every_disk_writes_its_copy_and_the_store_takes_one() {
+    let store = MemoryStore::default();
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let addresses = [free_address().await, free_address().await];
+    let mut disks = Vec::new();
+    for (number, (folder, address)) in folders.iter().zip(&addresses).enumerate() {
+        disks.push(disk(&store, &format!("worker-{number}"), address, folder.path()).await);
+    }
+    let desk = desk(&store, workers(&store, &addresses).await);
+    until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
+    store.set_fault(Some(RecordsFault::Refused));
+    desk.take(JOB, HOST, "/path/x", body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
+    store.set_fault(None);
+    let file = format!("spool/{JOB}.job");
+    until(|| async { folders.iter().all(|folder| !folder.path().join(&file).exists()) }).await;
+    assert_eq!(store.list("latchwheel/work/job/").await.unwrap().records.len(), 1);
+    assert!(desk.take(JOB, HOST, "/path/x", body(2), soon()).await.unwrap().resent);
+}
--- /dev/null
+++ b/crates/jobs/tests/worker.rs
@@ -0,0 +1,174 @@
+//! Workers that run jobs at servers and list the results.
+
+use latchwheel_core::routes::RequestKind;
+use latchwheel_jobs::{
+    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, WorkerHandle, Workers,
+};
+use latchwheel_proxy::Shared;
+use latchwheel_records::memory::MemoryStore;
+use latchwheel_records::RecordsFault;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{node, route, Act, TestDialect, TestServer, HOST};
+use tokio::net::UdpSocket;
+
+#[path = "../../proxy/tests/support/mod.rs"]
+mod support;
+
+const JOB: &str = "job-1";
+
+fn body(items: usize) -> JobBody {
+    let items = (0..items).map(|number| ItemBody {
+        id: format!("item-{number}"),
+        path: "/path/item".into(),
+        body: "YWJj".into(),
+        ..ItemBody::default()
+    });
+    JobBody { items: items.collect() }
+}
+
+async fn start_worker(
+    store: &MemoryStore,
+    shared: Arc<Shared<TestDialect>>,
+    name: &str,
+) -> (WorkerHandle, Membership<MemoryStore>) {
+    let store = Arc::new(store.clone());
+    let worker = run_worker(store.clone(), shared.clone(), name);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let record = NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string() };
+    (worker, Membership::join(store, shared, name, &record, socket))
+}
+
+/// Reads until the job has that many results.
+async fn results(store: &MemoryStore, count: usize) -> Vec<Arc<ListedResult>> {
+    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let end = Instant::now() + Duration::from_secs(30);
+    loop {
+        let page = desk.read(JOB, 0, 1 << 20, Duration::from_millis(200)).await;
+        let results = page.map(|page| page.results).unwrap_or_default();
+        if results.len() >= count {
+            return results;
+        }
+        assert!(Instant::now() < end, "{results:?}");
+    }
+}
+
+async fn take(store: &MemoryStore, items: usize) {
+    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let until = Instant::now() + Duration::from_secs(5);
+    desk.take(JOB, HOST, "/path/x", body(items), until).await.unwrap();
+}
+
+#[tokio::test]
+async fn every_item_gets_one_result() {
+    let server = TestServer::start("server", vec![Act::StreamTo(3); 20]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let _worker = start_worker(&store, shared, "worker").await;
+    take(&store, 12).await;
+    let results = results(&store, 12).await;
+    let mut items: Vec<&str> = results.iter().map(|result| result.item.as_str()).collect();
+    items.sort_unstable();
+    items.dedup();
+    assert_eq!(items.len(), 12);
+    assert!(results.iter().all(|result| result.completed && result.text == "part 1\npart 2\npart 3"));
+}
+
+#[tokio::test]
+async fn a_broken_run_goes_on_after_its_last_event() {
+    let server = TestServer::start("server", vec![Act::CutStream(vec![1, 2]), Act::Close, Act::StreamTo(4)]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let _worker = start_worker(&store, shared, "worker").await;
+    take(&store, 1).await;
+    let results = results(&store, 1).await;
+    assert_eq!(results[0].text, "part 1\npart 2\npart 3\npart 4");
+    let asked: Vec<Option<String>> = server.seen().iter().map(|seen| seen.header("t-last-event")).collect();
+    assert_eq!(asked, [None, Some("2".into()), Some("2".into())]);
+}
+
+#[tokio::test]
+async fn an_item_is_given_up_for_a_reason_only() {
+    let failing = vec![Act::Answer(500, String::new()); 3];
+    for (acts, runs) in [(failing, 3), (vec![Act::Answer(422, String::new())], 1)] {
+        let server = TestServer::start("server", acts).await;
+        let store = MemoryStore::default();
+        let shared = node(route(RequestKind::Batch, 3), &[&server]);
+        let _worker = start_worker(&store, shared, "worker").await;
+        take(&store, 1).await;
+        let results = results(&store, 1).await;
+        assert!(!results[0].completed && results[0].text.is_empty());
+        assert_eq!(server.seen().len(), runs);
+    }
+}
+
+/// Results that were ready while the store was away are listed afterwards,
+/// also those whose listing was done but not answered.
+#[tokio::test]
+async fn outages_of_the_store_lose_and_double_nothing() {
+    let server = TestServer::start("server", vec![Act::StreamTo(1); 8]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    take(&store, 8).await;
+    let _worker = start_worker(&store, shared, "worker").await;
+    while server.seen().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    store.set_fault(Some(RecordsFault::Unknown));
+    while server.seen().len() < 8 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    store.set_fault(None);
+    store.lose_answers(2);
+    let first = results(&store, 8).await;
+    assert_eq!(first.len(), 8);
+    assert_eq!(results(&store, 8).await, first, "positions stay");
+}
+
+/// Two workers that both hold the job list each item once.
+#[tokio::test]
+async fn workers_that_both_run_a_job_list_each_item_once() {
+    let server = TestServer::start("server", vec![Act::StreamTo(2); 60]).await;
+    let store = MemoryStore::default();
+    let shared = || node(route(RequestKind::Batch, 3), &[&server]);
+    take(&store, 10).await;
+    // Both are told to be the only worker: the same name twice.
+    let _first = start_worker(&store, shared(), "worker").await;
+    let _second = start_worker(&store, shared(), "worker").await;
+    let results = results(&store, 10).await;
+    let mut items: Vec<&str> = results.iter().map(|result| result.item.as_str()).collect();
+    items.sort_unstable();
+    items.dedup();
+    assert_eq!((results.len(), items.len()), (10, 10));
+}
+
+#[tokio::test]
+async fn an_ended_job_is_left() {
+    let server = TestServer::start("server", vec![Act::Silence; 40]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let _worker = start_worker(&store, shared, "worker").await;
+    take(&store, 3).await;
+    while server.seen().len() < 3 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    desk.end(JOB, Instant::now() + Duration::from_secs(5)).await.unwrap();
+    let end = Instant::now() + Duration::from_secs(20);
+    while server.abandoned() < 3 && Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(server.abandoned(), 3, "its runs are broken off");
+}
+
+#[tokio::test]
+async fn a_worker_that_leaves_lets_its_runs_end() {
+    let server = TestServer::start("server", vec![Act::StreamTo(1); 40]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let (worker, membership) = start_worker(&store, shared, "worker").await;
+    take(&store, 2).await;
+    results(&store, 2).await;
+    worker.leave(Duration::from_secs(10)).await;
+    membership.leave().await;
+}
--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,254 @@
+//! A site for tests: headers, a server that does what it is told, and the
+//! shared state of a node that knows it.
+
+#![allow(dead_code)]
+
+use hyper::header::{HeaderMap, HeaderName};
+use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::dispatch::{Prompt, ServerLoad};
+use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable, WeightedService};
+use latchwheel_proxy::{Clock, Dialect, HeaderNames, Shared};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+pub const SERVICE: &str = "service";
+pub const HOST: &str = "host.example";
+
+/// Headers of the tests' site.
+#[derive(Debug)]
+pub struct TestDialect(HeaderNames);
+
+impl Default for TestDialect {
+    fn default() -> Self {
+        Self(HeaderNames {
+            request_id: HeaderName::from_static("t-id"),
+            deadline: HeaderName::from_static("t-deadline"),
+            expected_server: HeaderName::from_static("t-server"),
+            not_run: HeaderName::from_static("t-not-run"),
+            last_event: HeaderName::from_static("t-last-event"),
+        })
+    }
+}
+
+impl Dialect for TestDialect {
+    fn names(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn prompt(&self, _headers: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
+    fn load(&self, _headers: &HeaderMap) -> Option<ServerLoad> {
+        None
+    }
+}
+
+/// What a server does with a request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// A whole answer with this status and body.
+    Answer(u16, String),
+    /// Says that it did not run the request.
+    Reject,
+    /// Says that another server was meant.
+    Misdirected,
+    /// Closes the connection without an answer.
+    Close,
+    /// Says nothing more and keeps the connection.
+    Silence,
+    /// Answers with another request's identity.
+    WrongIdentity,
+    /// Sends the events of these numbers, then part of one, and closes.
+    CutStream(Vec<u64>),
+    /// Sends the events that follow the last one of the asker, up to this
+    /// number, and ends the stream.
+    StreamTo(u64),
+    /// Sends one event, then nothing.
+    StallAfterFirst,
+}
+
+/// A request as the server saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: String,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            (key.eq_ignore_ascii_case(name)).then(|| value.trim().to_owned())
+        })
+    }
+}
+
+/// A server on loopback that does what it is told, one act a request; with
+/// none left it answers 200.
+#[derive(Clone, Debug)]
+pub struct TestServer {
+    pub name: String,
+    pub address: String,
+    acts: Arc<Mutex<VecDeque<Act>>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    closed: Arc<Mutex<usize>>,
+}
+
+impl TestServer {
+    pub async fn start(name: &str, acts: Vec<Act>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = Self {
+            name: name.into(),
+            address: listener.local_addr().unwrap().to_string(),
+            acts: Arc::new(Mutex::new(acts.into())),
+            seen: Arc::default(),
+            closed: Arc::default(),
+        };
+        let accepting = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(accepting.clone().serve(stream));
+            }
+        });
+        server
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Connections that the other side closed while a request was unanswered.
+    pub fn abandoned(&self) -> usize {
+        *self.closed.lock().unwrap()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(seen) = read_request(&mut stream).await {
+            self.seen.lock().unwrap().push(seen.clone());
+            let act = self.acts.lock().unwrap().pop_front().unwrap_or(Act::Answer(200, "ok".into()));
+            if !self.act(&mut stream, &seen, act).await {
+                return;
+            }
+        }
+    }
+
+    /// Whether the connection is kept.
+    async fn act(&self, stream: &mut TcpStream, seen: &Seen, act: Act) -> bool {
+        let id = seen.header("t-id").unwrap_or_default();
+        let answer = match act {
+            Act::Answer(status, body) => whole(&id, status, "t-stamp: stamp\r\n", &body),
+            Act::Reject => whole(&id, 503, "t-not-run: 1\r\n", ""),
+            Act::Misdirected => whole(&id, 421, "", ""),
+            Act::WrongIdentity => whole("another", 200, "", "ok"),
+            Act::Close => return false,
+            Act::Silence => return self.wait_for_close(stream).await,
+            Act::CutStream(events) => {
+                let mut bytes = stream_head(&id);
+                events.iter().for_each(|event| bytes.push_str(&chunk(&event_text(*event))));
+                bytes.push_str(&chunk("id: 99\ndata: pa"));
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                return false;
+            }
+            Act::StreamTo(last) => {
+                let after = seen.header("t-last-event").and_then(|event| event.parse().ok()).unwrap_or(0);
+                let mut bytes = stream_head(&id);
+                (after + 1..=last).for_each(|event| bytes.push_str(&chunk(&event_text(event))));
+                bytes + "0\r\n\r\n"
+            }
+            Act::StallAfterFirst => {
+                let bytes = stream_head(&id) + &chunk(&event_text(1));
+                let _ = stream.write_all(bytes.as_bytes()).await;
+                return self.wait_for_close(stream).await;
+            }
+        };
+        stream.write_all(answer.as_bytes()).await.is_ok()
+    }
+
+    async fn wait_for_close(&self, stream: &mut TcpStream) -> bool {
+        let mut rest = [0; 64];
+        while stream.read(&mut rest).await.is_ok_and(|length| length > 0) {}
+        *self.closed.lock().unwrap() += 1;
+        false
+    }
+
+    pub fn record(&self) -> ServerRecord {
+        ServerRecord {
+            id: self.name.as_str().into(),
+            service: SERVICE.into(),
+            address: self.address.as_str().into(),
+            zone: "zone".into(),
+            slots: 8,
+            draining: false,
+            sequence: 1,
+        }
+    }
+}
+
+pub fn event_text(event: u64) -> String {
+    format!("id: {event}\ndata: part {event}\n\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn whole(id: &str, status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} Status\r\nt-id: {id}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+fn stream_head(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ntransfer-encoding: chunked\r\n\r\n")
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(position) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break position + 4;
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let length = Seen { head: head.clone(), body: String::new() }.header("content-length");
+    let length = head_end + length.and_then(|length| length.parse::<usize>().ok()).unwrap_or(0);
+    while bytes.len() < length {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(Seen { head, body: String::from_utf8_lossy(&bytes[head_end..length]).into_owned() })
+}
+
+/// A route of this kind for all paths under `/path/`.
+pub fn route(kind: RequestKind, max_attempts: u32) -> Route {
+    Route {
+        name: "route".into(),
+        host: HOST.into(),
+        prefix: "/path/".into(),
+        kind,
+        timeout: Duration::from_secs(20),
+        latency_target: Duration::from_millis(100),
+        priority: 0,
+        targets: vec![WeightedService { service: SERVICE.into(), weight: 1.0 }],
+        max_attempts,
+        gap_target: Some(Duration::from_millis(100)),
+        due: Duration::from_secs(20),
+        retention: Duration::from_secs(60),
+    }
+}
+
+/// A node that knows these servers and the route.
+pub fn node(route: Route, servers: &[&TestServer]) -> Arc<Shared<TestDialect>> {
+    let shared = Shared::new(TestDialect::default(), Clock::start());
+    let table = RoutingTable::new(1, ClientLimits::default(), HashMap::new(), [route]);
+    assert_eq!(shared.put_in_force(table), Some(0));
+    let records: Vec<ServerRecord> = servers.iter().map(|server| server.record()).collect();
+    shared.dispatcher().set_ready(records.iter());
+    shared
+}
