--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The node's metrics. `docs/OPERATING.md` tells what to look at.
+//! The node's metrics. `docs/OPERATIONS.md` tells what to look at.
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -31,6 +31,9 @@
 /// A wait for a free slot of this many latency targets is worth taking.
 const WAIT_TARGETS: u32 = 3;
 
+/// Time after which to come back where another node can take a request at once.
+const OTHER_NODE_COME_BACK: Duration = Duration::from_millis(10);
+
 /// What is known of a request on its way.
 #[derive(Debug)]
 pub(crate) struct Context<D: Dialect> {
@@ -71,7 +74,8 @@
     fn answer<D: Dialect>(&self, shared: &Shared<D>, received: Instant) -> Response<Body> {
         let route = self.route.as_ref().map_or("", |route| &*route.name);
         log_refusal(shared, &self.id, route, self.code, received, Duration::ZERO);
-        error_answer(self.code, None)
+        let come_back = (self.code == ResultCode::Leaving).then_some(OTHER_NODE_COME_BACK);
+        error_answer(self.code, come_back)
     }
 }
 
@@ -92,6 +96,9 @@
     let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
     let host = host_of(&head);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
+    if shared.refuses_streams() && matches!(route.kind, RequestKind::Stream { .. }) {
+        return Err(refuse(ResultCode::Leaving, Some(route)));
+    }
     let deadline = head.headers.get(&names.deadline).and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let time = deadline.map(Duration::from_millis).map_or(route.timeout, |time| time.min(route.timeout));
     let until = received + time;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -20,6 +20,7 @@
     table: Mutex<Arc<RoutingTable>>,
     turns: Mutex<WeightedTurns>,
     leaving: AtomicBool,
+    refusing_streams: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
 }
@@ -35,6 +36,7 @@
             table: Mutex::default(),
             turns: Mutex::default(),
             leaving: AtomicBool::new(false),
+            refusing_streams: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
         })
@@ -82,6 +84,17 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Refuses streams from now on: one that is taken so late could not end
+    /// before the process does. Other requests are short.
+    pub fn refuse_streams(&self) {
+        self.refusing_streams.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether new streams are refused.
+    pub fn refuses_streams(&self) -> bool {
+        self.refusing_streams.load(Ordering::Relaxed)
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Relaxed)
