--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -226,6 +226,11 @@
         self.peers.note(now, from, sequence, shares);
     }
 
+    /// Whether another node was heard of lately.
+    pub fn hears(&self, now: Instant, node: NodeId) -> bool {
+        self.peers.hears(now, node)
+    }
+
     /// Slots of a server that are free, if a share of all stays free; negative
     /// where requests wait. `None` if the server is not known.
     pub fn free_slots(&self, now: Instant, server: &str, reserve: f64) -> Option<f64> {
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -50,6 +50,11 @@
         self.reports.retain(|_, report| now.since(report.at) < REPORT_LIFE);
     }
 
+    /// Whether a node was heard of lately.
+    pub(super) fn hears(&self, now: Instant, node: NodeId) -> bool {
+        self.reports.get(&node.0).is_some_and(|report| now.since(report.at) < REPORT_LIFE)
+    }
+
     /// What all other nodes do at a server; it is suspect from the time of
     /// the latest report that says so.
     pub(super) fn at(&self, now: Instant, server: u64) -> PeerShare {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -14,6 +14,8 @@
 
 /// Time after which a job goes to the workers' disks too.
 const STORE_PATIENCE: Duration = Duration::from_millis(120);
+/// Further time after which a node that hears of no worker either gives up.
+const CUT_OFF_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause before a call to the store is made again.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Jobs whose results are remembered.
@@ -175,7 +177,15 @@
         }
         let workers = self.workers.addresses();
         let spooling = hand_out(&workers, job, &handed, self.copies);
+        let cut_off = async {
+            tokio::time::sleep(CUT_OFF_PATIENCE).await;
+            if self.workers.hears_any() {
+                std::future::pending::<()>().await;
+            }
+        };
         tokio::select! {
+            // Another node may reach what this one doesn't.
+            () = cut_off => Err(DeskFault::Unknown),
             written = &mut writing, if !writing.is_finished() => match written.unwrap_or(Err(DeskFault::Unknown)) {
                 Err(fault) => Err(fault),
                 settled => settled,
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -1,6 +1,7 @@
 //! Membership: a node registers itself under a lease and follows the others.
 
 use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, NODE_PREFIX};
+use latchwheel_core::identity::NodeId;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{exchange_shares, Dialect, Peers, Shared};
 use latchwheel_records::{follow, keep_registered, unregister, Change, Followed, Record, RecordStore};
@@ -14,10 +15,20 @@
 /// Least time between two looks at the registrations.
 const FOLLOW_PACE: Duration = Duration::from_millis(500);
 
+/// Tells whether a node was heard of lately.
+type Hears = Arc<dyn Fn(&str) -> bool + Send + Sync>;
+
 /// The workers that are registered, with their addresses.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Workers {
     addresses: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
+    hears: Option<Hears>,
+}
+
+impl std::fmt::Debug for Workers {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Workers").field("addresses", &*self.lock()).finish_non_exhaustive()
+    }
 }
 
 impl Workers {
@@ -26,6 +37,13 @@
         self.lock().values().copied().collect()
     }
 
+    /// Whether any worker was heard of lately; none is where this node is cut
+    /// off from them.
+    pub fn hears_any(&self) -> bool {
+        let Some(hears) = &self.hears else { return true };
+        self.lock().keys().any(|worker| hears(worker))
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, SocketAddr>> {
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -52,7 +70,9 @@
         socket: UdpSocket,
     ) -> Self {
         let peers = Peers::default();
-        let workers = Workers::default();
+        let hearing = shared.clone();
+        let hears = move |node: &str| hearing.dispatcher().hears(hearing.clock.now(), NodeId::of_name(node));
+        let workers = Workers { hears: Some(Arc::new(hears)), ..Workers::default() };
         let registration = tokio::spawn(keep_registered(store.clone(), node_key(name), record.write()));
         let own = name.to_owned();
         let follower = Follower { own: own.clone(), peers: peers.clone(), workers: workers.clone() };
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -10,7 +10,7 @@
 const RAN_HEADER: HeaderName = HeaderName::from_static("x-latchwheel-ran");
 
 /// Default time after which to come back.
-const COME_BACK: Duration = Duration::from_millis(250);
+pub(crate) const COME_BACK: Duration = Duration::from_millis(250);
 
 /// An answer with a result code; refusals say when to come back.
 pub fn error_answer(code: ResultCode, come_back: Option<Duration>) -> Response<Body> {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,6 @@
 //! The way of a request: route, server, attempts, answer.
 
-use crate::answer::error_answer;
+use crate::answer::{error_answer, COME_BACK};
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::resumable::{stream_body, Streaming};
@@ -28,8 +28,6 @@
 const PATIENCE_TARGETS: u32 = 2;
 /// Least time that an attempt is waited for.
 const LEAST_PATIENCE: Duration = Duration::from_millis(200);
-/// A wait for a free slot of this many latency targets is worth taking.
-const WAIT_TARGETS: u32 = 3;
 
 /// Time after which to come back where another node can take a request at once.
 const OTHER_NODE_COME_BACK: Duration = Duration::from_millis(10);
@@ -73,9 +71,9 @@
 impl Refusal {
     fn answer<D: Dialect>(&self, shared: &Shared<D>, received: Instant) -> Response<Body> {
         let route = self.route.as_ref().map_or("", |route| &*route.name);
-        log_refusal(shared, &self.id, route, self.code, received, Duration::ZERO);
-        let come_back = (self.code == ResultCode::Leaving).then_some(OTHER_NODE_COME_BACK);
-        error_answer(self.code, come_back)
+        let come_back = if self.code == ResultCode::Leaving { OTHER_NODE_COME_BACK } else { COME_BACK };
+        log_refusal(shared, &self.id, route, self.code, received, come_back);
+        error_answer(self.code, Some(come_back))
     }
 }
 
@@ -259,7 +257,8 @@
             service: &self.service,
             prompt: &self.outgoing.prompt,
             avoid: &self.asked,
-            wait_limit: (self.route.latency_target * WAIT_TARGETS).min(self.left()),
+            // Who would be late anyway is told at once when to come back.
+            wait_limit: self.route.latency_target.min(self.left()),
             reserve: 0.0,
             spread: self.shared.next_spread(),
         };
@@ -321,7 +320,7 @@
     /// have run.
     pub(crate) fn refuse(&self, not_run: ResultCode, come_back: Option<Duration>) -> Response<Body> {
         let code = self.attempts.verdict(not_run);
-        let come_back_time = come_back.unwrap_or_default();
+        let come_back_time = come_back.unwrap_or(COME_BACK);
         log_refusal(&self.shared, &self.id, &self.route.name, code, self.received, come_back_time);
         error_answer(code, come_back)
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -17,7 +17,8 @@
 
 /// Least time between two reports.
 const TELL_EVERY: Duration = Duration::from_millis(100);
-/// A report that says the same again is sent this often.
+/// A report that says the same again is sent this often: others know by it
+/// that they can reach this node.
 const REPEAT_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of reports that a node sends in a second.
 const BYTES_PER_SECOND: usize = 16 << 10;
@@ -119,7 +120,7 @@
         shares.sort_by_key(|share| (!share.suspect, std::cmp::Reverse(share.requests), share.server));
         shares.truncate(SHARE_LIMIT);
         let repeats = shares == self.told;
-        if repeats && (shares.is_empty() || self.told_at.elapsed() < REPEAT_EVERY) {
+        if repeats && self.told_at.elapsed() < REPEAT_EVERY {
             return 0;
         }
         self.sequence += 1;
