--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -73,6 +73,8 @@
     /// Own requests sent and ended since the load was told.
     own_change: i64,
     last_heard: Instant,
+    /// When a request was sent while none was in progress.
+    waits_since: Instant,
     avoid_until: Instant,
     failures_in_row: u32,
     /// Failures as remembered at the time of the last one.
@@ -159,6 +161,7 @@
             told: None,
             own_change: 0,
             last_heard: Instant::default(),
+            waits_since: Instant::default(),
             avoid_until: Instant::default(),
             failures_in_row: 0,
             failures: 0.0,
@@ -199,7 +202,7 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
-        self.own > 0 && now.since(self.last_heard) > SILENCE_LIMIT
+        self.own > 0 && now.since(self.last_heard.max(self.waits_since)) > SILENCE_LIMIT
     }
 
     /// Prompt tokens that it must read anew.
@@ -220,7 +223,7 @@
 
     pub(super) fn note_sent(&mut self, now: Instant, prompt: &Prompt, uncached: u32) {
         if self.own == 0 {
-            self.last_heard = now;
+            self.waits_since = now;
         }
         self.own += 1;
         self.own_change += 1;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -210,3 +210,27 @@
     dispatcher.note_end(at(2), &placement, Ending::Answered, true, Duration::from_millis(1));
     assert!(dispatcher.reports(at(2)).is_empty());
 }
+
+/// To send is not to hear: a request sent after the report changes nothing.
+#[test]
+fn sending_does_not_clear_a_suspicion() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let empty = Prompt::default();
+    let share = ServerShare { server: stable_hash(b"a"), suspect: true, ..ServerShare::default() };
+    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share]);
+    let placement = Placement {
+        server: "a".into(),
+        address: "a:1".into(),
+        expected_wait: Duration::ZERO,
+        uncached: 0,
+        load: 0.0,
+    };
+    dispatcher.note_sent(at(1), &placement, &empty);
+    // The other server is the busier one.
+    for _ in 0..3 {
+        dispatcher.note_sent(at(1), &Placement { server: "b".into(), ..placement.clone() }, &empty);
+    }
+    for spread in 0..8 {
+        assert_eq!(&*placed(dispatcher.choose(at(2), &ask(&empty, spread))).server, "b");
+    }
+}
