--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -218,13 +218,8 @@
     let empty = Prompt::default();
     let share = ServerShare { server: stable_hash(b"a"), suspect: true, ..ServerShare::default() };
     dispatcher.note_peer(at(0), NodeId(1), 1, vec![share]);
-    let placement = Placement {
-        server: "a".into(),
-        address: "a:1".into(),
-        expected_wait: Duration::ZERO,
-        uncached: 0,
-        load: 0.0,
-    };
+    let placement =
+        Placement { server: "a".into(), address: "a:1".into(), expected_wait: Duration::ZERO, uncached: 0, load: 0.0 };
     dispatcher.note_sent(at(1), &placement, &empty);
     // The other server is the busier one.
     for _ in 0..3 {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,6 +1,6 @@
 //! Taking, ending and reading jobs, at any node.
 
-use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::layout::{body_key, job_key, total_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Workers;
 use crate::results::ResultList;
 use crate::spool::{hand_out, may_be_held};
@@ -18,6 +18,9 @@
 const CUT_OFF_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause before a call to the store is made again.
 const PAUSE: Duration = Duration::from_millis(60);
+/// Time for which a list that was read counts as the present one; readers at
+/// other nodes may see more meanwhile.
+const FRESH_TIME: Duration = Duration::from_millis(400);
 /// Jobs whose results are remembered.
 const REMEMBERED_JOBS: usize = 64;
 /// Jobs whose bodies are remembered.
@@ -80,6 +83,8 @@
         body_hash: stable_hash(&bytes),
         accepted_ms: handed.accepted_ms,
     };
+    let total = serde_json::to_vec(&record.items).unwrap_or_default();
+    writes.push(Write { key: total_key(job), value: total.into(), lease: 0 });
     writes.push(Write { key: job_key(job), value: write_record(&record), lease: 0 });
     Transaction { expected: vec![(job_key(job), 0)], writes, removes: Vec::new() }
 }
@@ -127,6 +132,8 @@
 struct Known {
     total: usize,
     list: ResultList,
+    /// When the store was asked last.
+    asked_at: Instant,
 }
 
 /// Takes, ends and reads jobs.
@@ -249,13 +256,15 @@
             None => self.load(job).await?,
         };
         let until = Instant::now() + wait;
-        let mut asked = false;
+        // Who doesn't wait is told what was known a moment ago.
+        let mut asked = wait.is_zero() && known.asked_at.elapsed() < FRESH_TIME;
         while known.list.results.len() <= from && known.list.results.len() < known.total {
             let left = until.saturating_duration_since(Instant::now());
             if asked && left.is_zero() {
                 break;
             }
             asked = true;
+            known.asked_at = Instant::now();
             if let Err(fault) = known.list.extend(&*self.store, job, left).await {
                 // What the watch missed may be in no history any more.
                 lock(&self.known).remove(job);
@@ -268,9 +277,13 @@
     }
 
     async fn load(&self, job: &str) -> Result<Known, DeskFault> {
-        let record = self.record(job).await?;
+        let asked_at = Instant::now();
         let list = ResultList::load(&*self.store, job).await.map_err(desk_fault)?;
-        Ok(Known { total: record.items, list })
+        let total = match list.total {
+            Some(total) => total,
+            None => self.record(job).await?.items,
+        };
+        Ok(Known { total, list, asked_at })
     }
 
     fn remember(&self, job: &str, known: Known) {
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -23,7 +23,7 @@
 /// Time between looks at what may start or be listed.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Results that end within this time are listed together.
-const LIST_EVERY: Duration = Duration::from_millis(300);
+const LIST_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of results listed together.
 const LIST_BYTES: usize = 600 << 10;
 /// Pause before the store is asked again.
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -7,6 +7,7 @@
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
+//! | `latchwheel/result/JOB/total` | number of the job's items, so that one list tells all that readers need |
 //!
 //! Invariants: the parts of the list are written in order, each only where it
 //! is absent, so that whoever appends knows all parts before; nothing of a
@@ -64,6 +65,14 @@
     format!("latchwheel/result/{job}/{part:06}")
 }
 
+/// Key of the number of a job's items.
+pub fn total_key(job: &str) -> String {
+    format!("latchwheel/result/{job}/{TOTAL}")
+}
+
+/// Last part of that key.
+pub const TOTAL: &str = "total";
+
 /// Whether a job still runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 /// Least time between two looks at the registrations.
-const FOLLOW_PACE: Duration = Duration::from_millis(500);
+const FOLLOW_PACE: Duration = Duration::from_millis(1500);
 
 /// Tells whether a node was heard of lately.
 type Hears = Arc<dyn Fn(&str) -> bool + Send + Sync>;
--- a/crates/jobs/src/results.rs
+++ b/crates/jobs/src/results.rs
@@ -1,6 +1,6 @@
 //! The list of a job's results as one process knows it.
 
-use crate::layout::{result_prefix, ListedResult};
+use crate::layout::{result_prefix, ListedResult, TOTAL};
 use latchwheel_records::{Change, Record, RecordStore, RecordsFault};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,8 @@
 pub(crate) struct ResultList {
     pub(crate) results: Vec<Arc<ListedResult>>,
     pub(crate) parts: usize,
+    /// Number of the job's items, if it is on record.
+    pub(crate) total: Option<usize>,
     pub(crate) revision: u64,
 }
 
@@ -49,8 +51,12 @@
 
     /// Takes the next part; one that is known already is passed over.
     pub(crate) fn append(&mut self, job: &str, record: &Record) -> Result<(), RecordsFault> {
-        let number = record.key.strip_prefix(&result_prefix(job)).and_then(|number| number.parse::<usize>().ok());
-        let number = number.ok_or(RecordsFault::BadAnswer)?;
+        let name = record.key.strip_prefix(&result_prefix(job)).ok_or(RecordsFault::BadAnswer)?;
+        if name == TOTAL {
+            self.total = Some(serde_json::from_slice(&record.value).map_err(|_| RecordsFault::BadAnswer)?);
+            return Ok(());
+        }
+        let number: usize = name.parse().map_err(|_| RecordsFault::BadAnswer)?;
         if number < self.parts {
             return Ok(());
         }
