Remove old jobs from the store, all but a mark

Cause: nothing that a job wrote was ever removed; the store would grow for ever. Ruled out: removing the mark too (an ended job could run again from such a disk). Conclusion: test an_old_job_is_removed_and_never_runs_again; marks stay for good (open).

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -340,6 +340,11 @@
         /// Why.
         reason: &'a str
     };
+    /// A job that ran no longer was removed from the store.
+    JobRemoved = 8217, Essential {
+        /// Job.
+        job: &'a str
+    };
     /// The set of workers changed.
     WorkersChanged = 8220, Essential {
         /// Their names.
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,6 +1,6 @@
 //! Taking, ending and reading jobs, at any node.
 
-use crate::layout::{body_key, job_key, total_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::layout::{body_key, closed_key, job_key, total_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Workers;
 use crate::results::ResultList;
 use crate::spool::{hand_out, may_be_held};
@@ -86,7 +86,7 @@
     let total = serde_json::to_vec(&record.items).unwrap_or_default();
     writes.push(Write { key: total_key(job), value: total.into(), lease: 0 });
     writes.push(Write { key: job_key(job), value: write_record(&record), lease: 0 });
-    Transaction { expected: vec![(job_key(job), 0)], writes, removes: Vec::new() }
+    Transaction { expected: vec![(job_key(job), 0), (closed_key(job), 0)], writes, removes: Vec::new() }
 }
 
 /// Writes a new job to the store, as often as it takes until it is settled.
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -3,6 +3,7 @@
 //! | key | value |
 //! | --- | --- |
 //! | `latchwheel/work/job/JOB` | [`JobRecord`] |
+//! | `latchwheel/closed/JOB` | [`JobRecord`] of a job that was removed |
 //! | `latchwheel/work/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
@@ -30,6 +31,11 @@
     format!("{JOB_PREFIX}{job}")
 }
 
+/// Key of the mark of a job that was removed.
+pub fn closed_key(job: &str) -> String {
+    format!("latchwheel/closed/{job}")
+}
+
 /// The job whose record has this key.
 pub fn job_of_key(key: &str) -> Option<&str> {
     key.strip_prefix(JOB_PREFIX)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`layout`]: the records.
 
 pub mod desk;
+mod expiry;
 mod item_run;
 mod job_run;
 pub mod layout;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,6 +6,7 @@
 //! twice, but the list of results takes each once.
 
 use crate::desk::read_record;
+use crate::expiry::{remove_job, ClosedJobs};
 use crate::job_run::{run_job, JobOrder};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use latchwheel_core::identity::{stable_hash, stable_pair_hash};
@@ -15,10 +16,13 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
+/// Time between looks at jobs that may be removed.
+const EXPIRY_LOOK: Duration = Duration::from_secs(2);
 /// Least time between two looks at the jobs.
 const FOLLOW_PACE: Duration = Duration::from_millis(300);
 
@@ -57,14 +61,20 @@
 }
 
 /// Starts a worker of that name; it gets jobs once a worker is registered
-/// under that name (see [`crate::layout::NodeRecord`]).
-pub fn run_worker<S: RecordStore, D: Dialect>(store: Arc<S>, shared: Arc<Shared<D>>, name: &str) -> WorkerHandle {
+/// under that name (see [`crate::layout::NodeRecord`]). A job that runs no
+/// longer is kept for `keep` from its acceptance.
+pub fn run_worker<S: RecordStore, D: Dialect>(
+    store: Arc<S>,
+    shared: Arc<Shared<D>>,
+    name: &str,
+    keep: Duration,
+) -> WorkerHandle {
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
     let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0) });
     let name = name.to_owned();
     tokio::spawn(async move {
-        divide_jobs(context.clone(), name.clone(), leaves).await;
+        divide_jobs(context.clone(), name.clone(), keep, leaves).await;
         left_sender.send_replace(true);
     });
     WorkerHandle { leave, left }
@@ -81,11 +91,14 @@
     name: String,
     workers: BTreeSet<String>,
     jobs: HashMap<String, Job>,
+    closed: ClosedJobs,
+    keep: Duration,
 }
 
 async fn divide_jobs<S: RecordStore, D: Dialect>(
     context: Arc<WorkerContext<S, D>>,
     name: String,
+    keep: Duration,
     mut leaves: watch::Receiver<Option<Duration>>,
 ) {
     let (sender, mut seen) = mpsc::unbounded_channel();
@@ -93,7 +106,9 @@
         let _ = sender.send(followed);
     });
     let following = tokio::spawn(following);
-    let mut division = Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new() };
+    let mut division =
+        Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new(), closed: ClosedJobs::default(), keep };
+    let mut next_expiry = Instant::now() + EXPIRY_LOOK;
     loop {
         tokio::select! {
             followed = seen.recv() => match followed {
@@ -101,6 +116,10 @@
                 None => break,
             },
             _ = leaves.wait_for(Option::is_some) => break,
+            () = tokio::time::sleep_until(next_expiry) => {
+                division.expire();
+                next_expiry = Instant::now() + EXPIRY_LOOK;
+            }
         }
         // Whatever came together is acted on together.
         while let Ok(followed) = seen.try_recv() {
@@ -148,6 +167,7 @@
         if job_record.state != JobState::Open {
             let reason = if job_record.state == JobState::Ended { "ended" } else { "finished" };
             self.drop_job(job, reason);
+            self.closed.note(job, job_record, record.revision);
             return;
         }
         let revision = record.revision;
@@ -161,6 +181,7 @@
             }
         }
         if let Some(job) = job_of_key(key) {
+            self.closed.forget(job);
             self.drop_job(job, "record_gone");
         }
     }
@@ -177,6 +198,23 @@
         emit("", &Event::WorkersChanged { workers: &workers });
     }
 
+    /// Removes what is kept of old jobs that would fall to this worker. A
+    /// removal that fails is taken up at the next look.
+    fn expire(&self) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        for (job, record, revision) in self.closed.due(now.as_millis() as u64, self.keep) {
+            if owner_of(&job, &self.workers) != Some(self.name.as_str()) {
+                continue;
+            }
+            let store = self.context.store.clone();
+            tokio::spawn(async move {
+                if let Ok(true) = remove_job(&*store, &job, &record, revision).await {
+                    emit(&job, &Event::JobRemoved { job: &job });
+                }
+            });
+        }
+    }
+
     /// Starts the jobs that fall to this worker, and leaves the others.
     fn act(&mut self) {
         for (name, job) in &mut self.jobs {
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -6,7 +6,7 @@
 };
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::RecordsFault;
+use latchwheel_records::{RecordStore, RecordsFault};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{node, route, Act, TestDialect, TestServer, HOST};
@@ -31,9 +31,18 @@
     store: &MemoryStore,
     shared: Arc<Shared<TestDialect>>,
     name: &str,
+) -> (WorkerHandle, Membership<MemoryStore>) {
+    start_worker_keeping(store, shared, name, Duration::from_secs(3600)).await
+}
+
+async fn start_worker_keeping(
+    store: &MemoryStore,
+    shared: Arc<Shared<TestDialect>>,
+    name: &str,
+    keep: Duration,
 ) -> (WorkerHandle, Membership<MemoryStore>) {
     let store = Arc::new(store.clone());
-    let worker = run_worker(store.clone(), shared.clone(), name);
+    let worker = run_worker(store.clone(), shared.clone(), name, keep);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let record = NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string() };
     (worker, Membership::join(store, shared, name, &record, socket))
@@ -172,3 +181,28 @@
     worker.leave(Duration::from_secs(10)).await;
     membership.leave().await;
 }
+
+/// Nothing of an old job stays but a mark, by which a resend is still known.
+#[tokio::test]
+async fn an_old_job_is_removed_and_never_runs_again() {
+    let server = TestServer::start("server", vec![Act::StreamTo(1); 40]).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let _worker = start_worker_keeping(&store, shared, "worker", Duration::ZERO).await;
+    take(&store, 2).await;
+    let end = Instant::now() + Duration::from_secs(30);
+    loop {
+        let rest = store.list("latchwheel/").await.unwrap().records;
+        let of_job: Vec<&str> = rest.iter().map(|record| record.key.as_str()).filter(|key| key.contains(JOB)).collect();
+        if of_job == ["latchwheel/closed/job-1"] {
+            break;
+        }
+        assert!(Instant::now() < end, "{of_job:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(server.seen().len(), 2);
+    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let until = Instant::now() + Duration::from_secs(5);
+    assert!(desk.take(JOB, HOST, "/path/x", body(2), until).await.unwrap().resent);
+    assert!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.is_err());
+}
