Take the table over from a seed while the store is away; tell a loss once

Change: followers keep their records for other nodes; a node that starts asks the seeds when the store does not answer at once. A loss is told once.

--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -110,7 +110,7 @@
                     emit("", &Event::NodeGone { peer: node });
                 }
             }
-            Followed::Lost(_) | Followed::Regained(_) | Followed::Sound => {}
+            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) | Followed::Sound => {}
         }
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -138,7 +138,7 @@
             Followed::All(records) => self.replace_all(records),
             Followed::Changed(Change::Written(record)) => self.note_record(record),
             Followed::Changed(Change::Removed { key, .. }) => self.note_removed(&key),
-            Followed::Lost(_) | Followed::Regained(_) | Followed::Sound => {}
+            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) | Followed::Sound => {}
         }
     }
 
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -6,10 +6,12 @@
 //! the store of a platform; [`memory::MemoryStore`] is the one for tests.
 
 mod follow;
+mod handover;
 pub mod memory;
 mod registration;
 
-pub use follow::{follow, Followed};
+pub use follow::{follow, follow_with, Followed};
+pub use handover::Handover;
 pub use registration::{keep_registered, unregister};
 
 use bytes::Bytes;
--- a/crates/records/tests/follow.rs
+++ b/crates/records/tests/follow.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{follow, Change, Followed, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{
+    follow, follow_with, Change, Followed, Handover, RecordStore, RecordsFault, Transaction, Write,
+};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -82,3 +84,38 @@
     });
     assert!(away.is_some_and(|away| away >= Duration::from_secs(3)), "{away:?}");
 }
+
+/// A node that starts while the store is away knows what another one knows,
+/// and the store's own list as soon as that answers.
+#[tokio::test]
+async fn a_start_in_an_outage_takes_over_from_another_node() {
+    let store = MemoryStore::default();
+    write(&store, "a/1", "known").await;
+    let first = Handover::new(Vec::new());
+    tokio::spawn(follow_with(Arc::new(store.clone()), PREFIX.into(), PACE, first.clone(), |_| {}));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (_stop, stopped) = tokio::sync::watch::channel(false);
+    tokio::spawn(first.clone().serve(listener, stopped));
+    until(|| first.knows(PREFIX)).await;
+
+    store.set_fault(Some(RecordsFault::Refused));
+    let second = Handover::new(vec!["127.0.0.1:1".into(), address]);
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let seen = told.clone();
+    tokio::spawn(follow_with(Arc::new(store.clone()), PREFIX.into(), PACE, second, move |followed| {
+        seen.lock().unwrap().push(followed);
+    }));
+    until(|| newest(&told) == Some(Bytes::from_static(b"known"))).await;
+    store.set_fault(None);
+    write(&store, "a/1", "newer").await;
+    until(|| newest(&told) == Some(Bytes::from_static(b"newer"))).await;
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    let end = std::time::Instant::now() + Duration::from_secs(20);
+    while !holds() {
+        assert!(std::time::Instant::now() < end, "it never came about");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
