Batch work keeps few slots while online requests are refused

A refused request loads no server, so that workers did not see it. Change: nodes tell each other which services they refuse requests for; meanwhile workers keep 15 in 100 of the slots among them, so that batch goes on. Ruled out: stopping batch altogether (it would be starved in a long overload). Test in crates/core/tests/dispatch.rs.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -11,11 +11,11 @@
 mod server;
 
 pub use cost::{Prompt, PromptPart};
-pub use peers::{ServerShare, REPORT_LIFE};
+pub use peers::{NodeShares, ServerShare, REPORT_LIFE};
 pub use server::{ServerLoad, ServerReport};
 
 use crate::directory::ServerRecord;
-use crate::identity::NodeId;
+use crate::identity::{stable_hash, stable_pair_hash, NodeId};
 use crate::time::Instant;
 use cost::ServiceCost;
 use peers::PeerReports;
@@ -27,6 +27,8 @@
 /// Bounds on the time that a refused caller is told to wait.
 const COME_BACK_MINIMUM: Duration = Duration::from_millis(50);
 const COME_BACK_MAXIMUM: Duration = Duration::from_secs(5);
+/// Time for which a refusal counts as pressure on its service.
+const PRESSURE_TIME: Duration = Duration::from_secs(1);
 /// Expected times to the first token that differ less than this are equal.
 const TIE: f64 = 0.000_5;
 
@@ -96,6 +98,7 @@
 pub struct Dispatcher {
     servers: HashMap<Arc<str>, ServerState>,
     services: HashMap<Arc<str>, ServiceCost>,
+    refused_at: HashMap<Arc<str>, Instant>,
     peers: PeerReports,
 }
 
@@ -216,14 +219,35 @@
         self.servers.iter().map(|(id, server)| self.view(now, server).report(id)).collect()
     }
 
-    /// What this node tells others of its requests.
-    pub fn shares(&self, now: Instant) -> Vec<ServerShare> {
-        self.servers.values().filter_map(|server| server.share(now)).collect()
+    /// A request of the service was refused for want of slots.
+    pub fn note_refused(&mut self, now: Instant, service: &Arc<str>) {
+        self.refused_at.insert(service.clone(), now);
     }
 
-    /// Another node tells of its requests; `sequence` rises with its reports.
-    pub fn note_peer(&mut self, now: Instant, from: NodeId, sequence: u64, shares: Vec<ServerShare>) {
-        self.peers.note(now, from, sequence, shares);
+    /// Whether requests of the service are being refused, here or elsewhere:
+    /// work that can wait holds few slots meanwhile.
+    pub fn is_pressed(&self, now: Instant, service: &str) -> bool {
+        let own = self.refused_at.get(service).is_some_and(|at| now.since(*at) < PRESSURE_TIME);
+        own || self.peers.press(now, stable_hash(service.as_bytes()))
+    }
+
+    /// Slots of all servers of the service.
+    pub fn slots_of(&self, service: &str) -> u32 {
+        self.of_service(service).map(|(_, server)| server.slots()).sum()
+    }
+
+    /// What this node tells others of itself.
+    pub fn shares(&self, now: Instant) -> NodeShares {
+        let refused = self.refused_at.iter().filter(|(_, at)| now.since(**at) < PRESSURE_TIME);
+        let mut pressed: Vec<u64> = refused.map(|(service, _)| stable_hash(service.as_bytes())).collect();
+        pressed.sort_unstable();
+        let servers = self.servers.values().filter_map(|server| server.share(now)).collect();
+        NodeShares { servers, pressed }
+    }
+
+    /// Another node tells of itself; `sequence` rises with its reports.
+    pub fn note_peer(&mut self, now: Instant, from: NodeId, sequence: u64, told: NodeShares) {
+        self.peers.note(now, from, sequence, told);
     }
 
     /// Whether another node was heard of lately.
@@ -247,8 +271,7 @@
 
     /// The server where prompts with this prefix are kept.
     fn home_of(&self, service: &str, key: u64) -> Option<Arc<str>> {
-        let weight =
-            |id: &Arc<str>| crate::identity::stable_pair_hash(crate::identity::stable_hash(id.as_bytes()), key);
+        let weight = |id: &Arc<str>| stable_pair_hash(stable_hash(id.as_bytes()), key);
         self.of_service(service).map(|(id, _)| id).max_by_key(|id| weight(id)).cloned()
     }
 }
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -25,11 +25,21 @@
     pub suspect: bool,
 }
 
+/// What a node tells of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NodeShares {
+    /// What it does at servers.
+    pub servers: Vec<ServerShare>,
+    /// Hashes of services for which it refused requests lately, ordered.
+    pub pressed: Vec<u64>,
+}
+
 #[derive(Debug)]
 struct Report {
     at: Instant,
     sequence: u64,
     shares: HashKeyMap<u64, ServerShare>,
+    pressed: Vec<u64>,
 }
 
 /// The last report of each other node.
@@ -40,16 +50,22 @@
 
 impl PeerReports {
     /// Takes a report, unless a later one of the node came before.
-    pub(super) fn note(&mut self, now: Instant, from: NodeId, sequence: u64, shares: Vec<ServerShare>) {
+    pub(super) fn note(&mut self, now: Instant, from: NodeId, sequence: u64, told: NodeShares) {
         let present = self.reports.get(&from.0);
         if present.is_some_and(|present| sequence <= present.sequence && now.since(present.at) < REPORT_LIFE) {
             return;
         }
-        let shares = shares.into_iter().map(|share| (share.server, share)).collect();
-        self.reports.insert(from.0, Report { at: now, sequence, shares });
+        let shares = told.servers.into_iter().map(|share| (share.server, share)).collect();
+        self.reports.insert(from.0, Report { at: now, sequence, shares, pressed: told.pressed });
         self.reports.retain(|_, report| now.since(report.at) < REPORT_LIFE);
     }
 
+    /// Whether a node refuses requests for a service.
+    pub(super) fn press(&self, now: Instant, service: u64) -> bool {
+        let fresh = self.reports.values().filter(|report| now.since(report.at) < REPORT_LIFE);
+        fresh.into_iter().any(|report| report.pressed.contains(&service))
+    }
+
     /// Whether a node was heard of lately.
     pub(super) fn hears(&self, now: Instant, node: NodeId) -> bool {
         self.reports.get(&node.0).is_some_and(|report| now.since(report.at) < REPORT_LIFE)
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -181,6 +181,10 @@
         self.own
     }
 
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// What this node tells others of the server; `None` if there is nothing.
     pub(super) fn share(&self, now: Instant) -> Option<ServerShare> {
         let failing = now < self.avoid_until && self.failures_in_row > 0;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{
-    Ask, Choice, Dispatcher, Ending, Placement, Prompt, PromptPart, ServerLoad, ServerShare, REPORT_LIFE,
+    Ask, Choice, Dispatcher, Ending, NodeShares, Placement, Prompt, PromptPart, ServerLoad, ServerShare, REPORT_LIFE,
 };
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::time::Instant;
@@ -39,6 +39,10 @@
     Prompt { parts, output_tokens: 100 }
 }
 
+fn told(servers: Vec<ServerShare>) -> NodeShares {
+    NodeShares { servers, pressed: Vec::new() }
+}
+
 fn ask<'a>(prompt: &'a Prompt, spread: u64) -> Ask<'a> {
     Ask { service: "s", prompt, avoid: &[], wait_limit: Duration::from_secs(1), reserve: 0.0, spread }
 }
@@ -91,16 +95,16 @@
     let mut dispatcher = dispatcher(&["a", "b"]);
     let share =
         |name: &str, requests| ServerShare { server: stable_hash(name.as_bytes()), requests, ..ServerShare::default() };
-    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share("a", 3)]);
-    dispatcher.note_peer(at(0), NodeId(2), 1, vec![share("a", 2)]);
+    dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share("a", 3)]));
+    dispatcher.note_peer(at(0), NodeId(2), 1, told(vec![share("a", 2)]));
     let empty = Prompt::default();
     for spread in 0..2 {
         assert_eq!(&*placed(dispatcher.choose(at(1), &ask(&empty, spread))).server, "b");
     }
     assert_eq!(dispatcher.free_slots(at(1), "a", 0.0), Some(-1.0));
     // A later report replaces the one before; an earlier one that comes late doesn't.
-    dispatcher.note_peer(at(2), NodeId(1), 5, vec![]);
-    dispatcher.note_peer(at(3), NodeId(1), 4, vec![share("a", 3)]);
+    dispatcher.note_peer(at(2), NodeId(1), 5, told(vec![]));
+    dispatcher.note_peer(at(3), NodeId(1), 4, told(vec![share("a", 3)]));
     assert_eq!(dispatcher.free_slots(at(4), "a", 0.0), Some(2.0));
 }
 
@@ -108,7 +112,7 @@
 fn the_report_of_a_dead_node_lapses() {
     let mut dispatcher = dispatcher(&["a"]);
     let share = ServerShare { server: stable_hash(b"a"), requests: 4, ..ServerShare::default() };
-    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share]);
+    dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share]));
     assert_eq!(dispatcher.free_slots(at(1), "a", 0.0), Some(0.0));
     assert_eq!(dispatcher.free_slots(at(0) + REPORT_LIFE, "a", 0.0), Some(4.0));
 }
@@ -168,7 +172,7 @@
         assert_ne!(placed(first.choose(later, &ask(&empty, spread))).server, placement.server);
     }
     let shares = first.shares(later);
-    assert!(shares.iter().any(|share| share.suspect));
+    assert!(shares.servers.iter().any(|share| share.suspect));
     let mut second = dispatcher(&names);
     second.note_peer(later, NodeId(1), 1, shares);
     for spread in 0..8 {
@@ -217,7 +221,7 @@
     let mut dispatcher = dispatcher(&["a", "b"]);
     let empty = Prompt::default();
     let share = ServerShare { server: stable_hash(b"a"), suspect: true, ..ServerShare::default() };
-    dispatcher.note_peer(at(0), NodeId(1), 1, vec![share]);
+    dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share]));
     let placement =
         Placement { server: "a".into(), address: "a:1".into(), expected_wait: Duration::ZERO, uncached: 0, load: 0.0 };
     dispatcher.note_sent(at(1), &placement, &empty);
@@ -229,3 +233,17 @@
         assert_eq!(&*placed(dispatcher.choose(at(2), &ask(&empty, spread))).server, "b");
     }
 }
+
+/// Who runs batch work hears that online requests are refused elsewhere.
+#[test]
+fn a_refusal_presses_all_nodes_for_a_while() {
+    let mut front = dispatcher(&["a"]);
+    let mut worker = dispatcher(&["a"]);
+    assert!(!worker.is_pressed(at(0), "s"));
+    front.note_refused(at(0), &"s".into());
+    worker.note_peer(at(100), NodeId(1), 1, front.shares(at(100)));
+    assert!(worker.is_pressed(at(200), "s") && front.is_pressed(at(200), "s"));
+    assert!(!worker.is_pressed(at(200), "t"));
+    worker.note_peer(at(1_100), NodeId(1), 2, front.shares(at(1_100)));
+    assert!(!worker.is_pressed(at(1_200), "s") && !front.is_pressed(at(1_200), "s"));
+}
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -30,6 +30,9 @@
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Share of every server's slots that is left to online work.
 const ONLINE_RESERVE: f64 = 0.35;
+/// Share of all slots that batch work keeps while online requests are refused:
+/// it goes on, so that it is not starved.
+const PRESSED_SHARE: f64 = 0.15;
 /// From this share of the time to its due time on, a job may fill all slots
 /// that online work leaves free.
 const LATE_SHARE: f64 = 0.5;
@@ -196,6 +199,13 @@
     /// slot; it goes on later after its last event.
     fn give_way(&mut self) {
         let now = self.context.shared.clock.now();
+        let (_, route) = self.rules();
+        let excess = route.and_then(|route| self.pressed_excess(&route));
+        if excess.is_some_and(|excess| excess > 0) {
+            if let Some(item) = self.running.values().max_by_key(|item| item.order) {
+                item.give_way.notify_one();
+            }
+        }
         let dispatcher = self.context.shared.dispatcher();
         let mut latest: HashMap<&Arc<str>, &RunningItem> = HashMap::new();
         for item in self.running.values() {
@@ -207,6 +217,23 @@
         latest.values().for_each(|item| item.give_way.notify_one());
     }
 
+    /// Runs that this worker may keep while online requests are refused.
+    fn pressed_limit(&self, service: &str) -> usize {
+        let slots = f64::from(self.context.shared.dispatcher().slots_of(service));
+        let workers = self.context.worker_count().max(1) as f64;
+        ((slots * PRESSED_SHARE / workers) as usize).max(1)
+    }
+
+    /// Runs of this worker beyond what it may keep while online requests of one
+    /// of the route's services are refused; `None` while none are.
+    fn pressed_excess(&self, route: &Route) -> Option<i64> {
+        let now = self.context.shared.clock.now();
+        let pressed = |service: &str| self.context.shared.dispatcher().is_pressed(now, service);
+        let limits = route.targets.iter().filter(|target| pressed(&target.service));
+        let limit = limits.map(|target| self.pressed_limit(&target.service)).min()?;
+        Some(self.context.running() as i64 - limit as i64)
+    }
+
     /// Share of the slots that is left to online work: none once the job is
     /// in danger of being late.
     fn reserve(&self, route: &Route) -> f64 {
@@ -223,6 +250,9 @@
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
         let Some(route) = route else { return };
+        if self.pressed_excess(&route).is_some_and(|excess| excess >= 0) {
+            return;
+        }
         for position in 0..self.items.len() {
             self.progress[position].tick(now, &rules);
             if !self.progress[position].may_start(now) {
@@ -267,6 +297,7 @@
         let running =
             RunningItem { server: exchange.server().clone(), order: self.started, give_way: give_way.clone() };
         self.running.insert(position, running);
+        self.context.note_runs(1, 0);
         self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
@@ -274,7 +305,9 @@
     fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &str) {
         let now = self.context.shared.clock.now();
         let (rules, _) = self.rules();
-        self.running.remove(&position);
+        if self.running.remove(&position).is_some() {
+            self.context.note_runs(0, 1);
+        }
         if self.listed[position] {
             return;
         }
@@ -410,6 +443,12 @@
     }
 }
 
+impl<S, D> Drop for JobRun<S, D> {
+    fn drop(&mut self) {
+        self.context.note_runs(0, self.running.len());
+    }
+}
+
 async fn commit<S: RecordStore>(store: Arc<S>, transaction: Transaction) -> Result<Committed, RecordsFault> {
     store.commit(&transaction).await
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -34,9 +34,21 @@
     /// Servers, routes and connections.
     pub shared: Arc<Shared<D>>,
     workers: AtomicUsize,
+    running: AtomicUsize,
 }
 
 impl<S, D> WorkerContext<S, D> {
+    /// Counts a run of an item as in progress, or as ended.
+    pub(crate) fn note_runs(&self, started: usize, ended: usize) {
+        self.running.fetch_add(started, Ordering::Relaxed);
+        self.running.fetch_sub(ended, Ordering::Relaxed);
+    }
+
+    /// Runs of items in progress at this worker.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// Workers that are believed to live.
     pub(crate) fn worker_count(&self) -> usize {
         self.workers.load(Ordering::Relaxed)
@@ -71,7 +83,7 @@
 ) -> WorkerHandle {
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
-    let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0) });
+    let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0), running: AtomicUsize::new(0) });
     let name = name.to_owned();
     tokio::spawn(async move {
         divide_jobs(context.clone(), name.clone(), keep, leaves).await;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -230,7 +230,10 @@
         }
         let placement = match self.choose() {
             Choice::Send(placement) => placement,
-            Choice::Full(come_back) => return Err(Some(self.refuse(ResultCode::WaitTooLong, Some(come_back)))),
+            Choice::Full(come_back) => {
+                self.shared.dispatcher().note_refused(self.shared.clock.now(), &self.service);
+                return Err(Some(self.refuse(ResultCode::WaitTooLong, Some(come_back))));
+            }
             Choice::NoServer => return Err(Some(self.refuse(ResultCode::NoServer, None))),
         };
         self.log_sent(&placement, left);
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -5,7 +5,7 @@
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use latchwheel_core::dispatch::{ServerShare, REPORT_LIFE};
+use latchwheel_core::dispatch::{NodeShares, ServerShare, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
@@ -61,7 +61,7 @@
 /// Tells peers of the own requests and hears of theirs, for ever.
 pub async fn exchange_shares<D: Dialect>(shared: Arc<Shared<D>>, socket: UdpSocket, name: &str, peers: Peers) {
     let own = NodeId::of_name(name);
-    let mut teller = Teller { own, sequence: first_sequence(), told: Vec::new(), told_at: Instant::now() };
+    let mut teller = Teller { own, sequence: first_sequence(), told: NodeShares::default(), told_at: Instant::now() };
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next = Instant::now() + TELL_EVERY;
     loop {
@@ -102,14 +102,15 @@
         prompt_tokens: share.prompt_tokens,
         suspect: share.suspect,
     });
+    let told = NodeShares { servers: shares.collect(), pressed: report.pressed };
     let now = shared.clock.now();
-    shared.dispatcher().note_peer(now, NodeId(report.from), report.sequence, shares.collect());
+    shared.dispatcher().note_peer(now, NodeId(report.from), report.sequence, told);
 }
 
 struct Teller {
     own: NodeId,
     sequence: u64,
-    told: Vec<ServerShare>,
+    told: NodeShares,
     told_at: Instant,
 }
 
@@ -117,8 +118,8 @@
     /// Sends a report if there is something to say; gives back its bytes.
     async fn tell<D: Dialect>(&mut self, shared: &Shared<D>, socket: &UdpSocket, peers: &[SocketAddr]) -> usize {
         let mut shares = shared.dispatcher().shares(shared.clock.now());
-        shares.sort_by_key(|share| (!share.suspect, std::cmp::Reverse(share.requests), share.server));
-        shares.truncate(SHARE_LIMIT);
+        shares.servers.sort_by_key(|share| (!share.suspect, std::cmp::Reverse(share.requests), share.server));
+        shares.servers.truncate(SHARE_LIMIT);
         let repeats = shares == self.told;
         if repeats && self.told_at.elapsed() < REPEAT_EVERY {
             return 0;
@@ -128,7 +129,8 @@
         let report = v1::ServerShares {
             from: self.own.0,
             sequence: self.sequence,
-            shares: shares.iter().map(message_of).collect(),
+            shares: shares.servers.iter().map(message_of).collect(),
+            pressed: shares.pressed.clone(),
         };
         self.told = shares;
         let bytes = report.encode_to_vec();
