--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -7,7 +7,7 @@
 use latchwheel_emulator::engine::EngineFaults;
 use latchwheel_emulator::platform::KeyValueFaults;
 use latchwheel_http::Client;
-use latchwheel_platform::{Machine, MachineKind, MachineListClient, MachineState};
+use latchwheel_site::{Machine, MachineKind, MachineListClient, MachineState};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
--- a/crates/bench/src/scale/place.rs
+++ b/crates/bench/src/scale/place.rs
@@ -3,7 +3,7 @@
 use latchwheel_core::identity::ServerId;
 use latchwheel_core::ownership::OwnedServer;
 use latchwheel_core::table::{Class, Limits, RetryPolicy, Row, Table};
-use latchwheel_platform::{Machine, MachineKind, MachineState};
+use latchwheel_site::{Machine, MachineKind, MachineState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/emulator/src/platform/machines.rs
+++ b/crates/emulator/src/platform/machines.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request};
 use latchwheel_core::identity::stable_hash;
 use latchwheel_http::{json, serve, Version};
-use latchwheel_platform::{Machine, MachineKind, RegionMachines};
+use latchwheel_site::{Machine, MachineKind, RegionMachines};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -3,7 +3,7 @@
 use crate::engine::{Engine, EngineSettings};
 use crate::platform::{KeyValue, KeyValueSettings, MachineList, WeightSettings, WeightStore};
 use eyre::{Result, WrapErr};
-use latchwheel_platform::{Machine, MachineKind, MachineState};
+use latchwheel_site::{Machine, MachineKind, MachineState};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::net::TcpListener;
--- a/crates/emulator/tests/stand_ins.rs
+++ b/crates/emulator/tests/stand_ins.rs
@@ -4,7 +4,7 @@
 use latchwheel_emulator::engine::{Engine, EngineFaults, EngineSettings};
 use latchwheel_emulator::platform::{KeyValue, KeyValueFaults, KeyValueSettings, WeightSettings, WeightStore};
 use latchwheel_http::{CallFault, Client};
-use latchwheel_platform::{KeyValueClient, KeyValueFault, WeightClient, Written};
+use latchwheel_site::{KeyValueClient, KeyValueFault, WeightClient, Written};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use body::{channel, empty, full, json, pass, read_bounded, Body, BodyFault, BodySender};
 pub use client::{CallFault, Client};
-pub use server::{serve, Version};
+pub use server::{serve, serve_resting, Version};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,7 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Time in which the head of a request must arrive.
+/// Time in which the head of a request must arrive; it counts from the end of
+/// the answer before, so that an idle connection is closed after it.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Streams that one HTTP/2 connection may carry at once.
 const STREAMS_PER_CONNECTION: u32 = 10_000;
@@ -29,10 +30,26 @@
 
 /// Serves connections until `stop` becomes true. Then it accepts no more,
 /// lets the requests in progress finish, and returns once all are done.
-pub async fn serve<H, F>(listener: TcpListener, version: Version, mut stop: watch::Receiver<bool>, handler: H)
+pub async fn serve<H, F>(listener: TcpListener, version: Version, stop: watch::Receiver<bool>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_resting(listener, version, stop, || HEAD_TIMEOUT, handler).await;
+}
+
+/// As [`serve`]; a connection may rest for the time that `rest` tells when it
+/// is accepted, and is closed after it.
+pub async fn serve_resting<R, H, F>(
+    listener: TcpListener,
+    version: Version,
+    mut stop: watch::Receiver<bool>,
+    rest: R,
+    handler: H,
+) where
+    R: Fn() -> Duration + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (guard, mut finished) = tokio::sync::mpsc::channel::<()>(1);
     loop {
@@ -43,8 +60,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let (handler, stop, guard) = (handler.clone(), stop.clone(), guard.clone());
+                let rest = rest();
                 tokio::spawn(async move {
-                    serve_connection(stream, version, stop, handler).await;
+                    serve_connection(stream, version, rest, stop, handler).await;
                     drop(guard);
                 });
             }
@@ -56,8 +74,13 @@
     let _ = finished.recv().await;
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, version: Version, mut stop: watch::Receiver<bool>, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    version: Version,
+    rest: Duration,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -75,7 +98,7 @@
         Version::Http1 => {
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
+                .header_read_timeout(rest)
                 .serve_connection(io, service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,23 +1,22 @@
 //! Taking, ending and reading jobs, at any node.
 
-use crate::layout::{body_key, closed_key, job_key, total_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::handed::{write_job, Handed};
+use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Workers;
+use crate::recent::Recent;
 use crate::results::ResultList;
 use crate::spool::{hand_out, may_be_held};
 use bytes::Bytes;
-use latchwheel_core::identity::stable_hash;
 use latchwheel_records::{Committed, Record, RecordStore, RecordsFault, Transaction, Write};
-use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Time after which a job goes to the workers' disks too.
 const STORE_PATIENCE: Duration = Duration::from_millis(120);
 /// Further time after which a node that hears of no worker either gives up.
 const CUT_OFF_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause before a call to the store is made again.
-const PAUSE: Duration = Duration::from_millis(60);
+pub(crate) const PAUSE: Duration = Duration::from_millis(60);
 /// Time for which a list that was read counts as the present one; readers at
 /// other nodes may see more meanwhile.
 const FRESH_TIME: Duration = Duration::from_millis(400);
@@ -25,8 +24,6 @@
 const REMEMBERED_JOBS: usize = 64;
 /// Jobs whose bodies are remembered.
 const REMEMBERED_BODIES: usize = 4;
-/// Room for the encoding of a value.
-const VALUE_MARGIN: usize = 1024;
 
 /// Why a call on a job failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,75 +47,6 @@
     pub disks: usize,
 }
 
-/// A job as it was handed in.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Handed {
-    host: String,
-    path: String,
-    accepted_ms: u64,
-    body: JobBody,
-}
-
-impl Handed {
-    fn new(host: &str, path: &str, body: JobBody) -> Self {
-        let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { host: host.to_owned(), path: path.to_owned(), accepted_ms: accepted.as_millis() as u64, body }
-    }
-}
-
-/// The transaction that writes a new job.
-pub(crate) fn taking<S: RecordStore>(store: &S, job: &str, handed: &Handed) -> Transaction {
-    let bytes = serde_json::to_vec(&handed.body).unwrap_or_default();
-    let part_limit = store.value_limit().saturating_sub(VALUE_MARGIN).max(1);
-    let parts = bytes.chunks(part_limit).enumerate();
-    let mut writes: Vec<Write> = parts
-        .map(|(part, bytes)| Write { key: body_key(job, part), value: Bytes::copy_from_slice(bytes), lease: 0 })
-        .collect();
-    let record = JobRecord {
-        state: JobState::Open,
-        host: handed.host.clone(),
-        path: handed.path.clone(),
-        items: handed.body.items.len(),
-        body_parts: writes.len(),
-        body_hash: stable_hash(&bytes),
-        accepted_ms: handed.accepted_ms,
-    };
-    let total = serde_json::to_vec(&record.items).unwrap_or_default();
-    writes.push(Write { key: total_key(job), value: total.into(), lease: 0 });
-    writes.push(Write { key: job_key(job), value: write_record(&record), lease: 0 });
-    Transaction { expected: vec![(job_key(job), 0), (closed_key(job), 0)], writes, removes: Vec::new() }
-}
-
-/// Writes a new job to the store, as often as it takes until it is settled.
-async fn write_job<S: RecordStore>(
-    store: Arc<S>,
-    job: String,
-    handed: Arc<Handed>,
-    until: Instant,
-) -> Result<Taken, DeskFault> {
-    let transaction = taking(&*store, &job, &handed);
-    let body_hash = stable_hash(&serde_json::to_vec(&handed.body).unwrap_or_default());
-    let mut fault = DeskFault::Refused;
-    loop {
-        match store.commit(&transaction).await {
-            Ok(Committed::Done(_)) => return Ok(Taken { resent: false, disks: 0 }),
-            Ok(Committed::Differs(present)) => {
-                return match present.first().and_then(|present| read_record(&present.value)) {
-                    Some(present) if present.body_hash == body_hash => Ok(Taken { resent: true, disks: 0 }),
-                    Some(_) => Err(DeskFault::Conflict),
-                    None => Err(DeskFault::Unknown),
-                };
-            }
-            Ok(Committed::NoLease) | Err(RecordsFault::Refused) => {}
-            Err(_) => fault = DeskFault::Unknown,
-        }
-        if Instant::now() + PAUSE >= until {
-            return Err(fault);
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
 /// Some results of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResultPage {
@@ -374,37 +302,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// The values that were put last, by job.
-#[derive(Debug)]
-struct Recent<T> {
-    limit: usize,
-    values: HashMap<String, T>,
-    order: VecDeque<String>,
-}
-
-impl<T> Recent<T> {
-    fn new(limit: usize) -> Self {
-        Self { limit, values: HashMap::new(), order: VecDeque::new() }
-    }
-
-    fn get(&self, job: &str) -> Option<&T> {
-        self.values.get(job)
-    }
-
-    fn remove(&mut self, job: &str) {
-        self.values.remove(job);
-        self.order.retain(|present| present != job);
-    }
-
-    fn put(&mut self, job: &str, value: T) {
-        if self.values.insert(job.to_owned(), value).is_none() {
-            self.order.push_back(job.to_owned());
-        }
-        while self.order.len() > self.limit {
-            if let Some(oldest) = self.order.pop_front() {
-                self.values.remove(&oldest);
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/jobs/src/job_listing.rs
@@ -0,0 +1,153 @@
+//! Appending a job's results to its list.
+//!
+//! A part is written only where it is absent, so that whoever appends knows all
+//! parts before. When another worker was first, the list is read anew.
+
+use crate::desk::{read_record, write_record};
+use crate::job_run::{JobRun, STORE_PAUSE};
+use crate::layout::{job_key, result_key, JobRecord, JobState, ListedResult};
+use crate::results::ResultList;
+use futures::future::BoxFuture;
+use futures::FutureExt;
+use latchwheel_core::item_progress::ItemState;
+use latchwheel_events::{emit, Event};
+use latchwheel_proxy::Dialect;
+use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Results that end within this time are listed together.
+const LIST_EVERY: Duration = Duration::from_millis(600);
+/// Most bytes of results listed together.
+const LIST_BYTES: usize = 600 << 10;
+
+/// A part that is being written: its items, the transaction, and its outcome.
+pub(crate) struct Listing {
+    pub(crate) items: Vec<usize>,
+    pub(crate) transaction: Transaction,
+    pub(crate) outcome: BoxFuture<'static, Result<Committed, RecordsFault>>,
+}
+
+impl<S: RecordStore, D: Dialect> JobRun<S, D> {
+    /// Items that have a result which is not listed.
+    pub(crate) fn ready_to_list(&self) -> Vec<usize> {
+        let ended = |position: &usize| {
+            matches!(self.progress[*position].state(), ItemState::Completed | ItemState::GivenUp)
+                && !self.listed[*position]
+        };
+        (0..self.items.len()).filter(ended).collect()
+    }
+
+    pub(crate) fn begin_listing(&mut self) {
+        if self.listing.is_some() {
+            return;
+        }
+        let mut ready = self.ready_to_list();
+        if ready.is_empty() {
+            return;
+        }
+        let now = self.context.shared.clock.now();
+        let open = self.listed.iter().filter(|listed| !**listed).count();
+        let since = *self.unlisted_since.get_or_insert(now);
+        if ready.len() < open && now.since(since) < LIST_EVERY {
+            return;
+        }
+        let mut bytes = 0;
+        ready.retain(|position| {
+            bytes += self.progress[*position].text().len();
+            bytes <= LIST_BYTES || bytes == self.progress[*position].text().len()
+        });
+        let transaction = self.listing_of(&ready, ready.len() == open);
+        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
+        self.listing = Some(Listing { items: ready, transaction, outcome: commit });
+    }
+
+    fn listing_of(&self, ready: &[usize], last: bool) -> Transaction {
+        let part: Vec<ListedResult> = ready.iter().map(|position| self.result_of(*position)).collect();
+        let key = result_key(&self.job, self.list.parts);
+        let value = serde_json::to_vec(&part).unwrap_or_default().into();
+        let mut transaction = Transaction {
+            expected: vec![(key.clone(), 0)],
+            writes: vec![Write { key, value, lease: 0 }],
+            removes: Vec::new(),
+        };
+        if last {
+            let record = JobRecord { state: JobState::Finished, ..self.record.clone() };
+            transaction.expected.push((job_key(&self.job), self.revision));
+            transaction.writes.push(Write { key: job_key(&self.job), value: write_record(&record), lease: 0 });
+        }
+        transaction
+    }
+
+    fn result_of(&self, position: usize) -> ListedResult {
+        let progress = &self.progress[position];
+        let completed = progress.state() == ItemState::Completed;
+        let text = if completed { String::from_utf8_lossy(progress.text()).into_owned() } else { String::new() };
+        ListedResult { item: self.items[position].id.clone(), completed, text }
+    }
+
+    pub(crate) async fn end_listing(&mut self, committed: Result<Committed, RecordsFault>) {
+        let Some(Listing { items: ready, transaction, .. }) = self.listing.take() else { return };
+        let first = self.list.results.len();
+        let reason = match committed {
+            Ok(Committed::Done(revision)) => {
+                let results: Vec<_> = ready.iter().map(|position| Arc::new(self.result_of(*position))).collect();
+                self.list.results.extend(results);
+                self.list.parts += 1;
+                self.note_list();
+                let count = ready.len();
+                emit(&self.job, &Event::ResultsListed { job: &self.job, first, count, revision });
+                return;
+            }
+            Ok(Committed::Differs(_)) => "another_wrote",
+            Ok(Committed::NoLease) => "no_lease",
+            Err(fault) => fault.word(),
+        };
+        emit(&self.job, &Event::ListingFailed { job: &self.job, first, reason });
+        if matches!(committed, Ok(Committed::Differs(_))) {
+            self.reload().await;
+            return;
+        }
+        tokio::time::sleep(STORE_PAUSE).await;
+        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
+        self.listing = Some(Listing { items: ready, transaction, outcome: commit });
+    }
+
+    /// Reads the list and the job's record anew.
+    async fn reload(&mut self) {
+        let store = self.context.store.clone();
+        if let Ok(list) = ResultList::load(&*store, &self.job).await {
+            self.list = list;
+            self.note_list();
+        }
+        if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
+            if let Some(record) = read_record(&present.value) {
+                self.record = record;
+                self.revision = present.revision;
+            }
+        }
+    }
+
+    /// Takes over what the list says.
+    pub(crate) fn note_list(&mut self) {
+        for result in &self.list.results {
+            let Some(position) = self.positions.get(&result.item).copied() else { continue };
+            if !self.listed[position] {
+                self.listed[position] = true;
+                self.progress[position].note_listed(result.completed);
+            }
+        }
+        self.unlisted_since = None;
+    }
+}
+
+async fn commit<S: RecordStore>(store: Arc<S>, transaction: Transaction) -> Result<Committed, RecordsFault> {
+    store.commit(&transaction).await
+}
+
+pub(crate) async fn poll_listing(listing: &mut Option<Listing>) -> Result<Committed, RecordsFault> {
+    match listing {
+        Some(listing) => (&mut listing.outcome).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -1,8 +1,9 @@
 //! Running one job: its items, and the list of their results.
 
-use crate::desk::{read_body, read_record, write_record};
+use crate::desk::read_body;
 use crate::item_run::{outgoing_of, run_item};
-use crate::layout::{job_key, result_key, ItemBody, JobBody, JobRecord, JobState, ListedResult};
+use crate::job_listing::{poll_listing, Listing};
+use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::results::ResultList;
 use crate::worker::WorkerContext;
 use futures::future::BoxFuture;
@@ -14,7 +15,7 @@
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event, ItemEnd};
 use latchwheel_proxy::{Dialect, Exchange, Outgoing};
-use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{RecordStore, RecordsFault};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -22,12 +23,8 @@
 
 /// Time between looks at what may start or be listed.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Results that end within this time are listed together.
-const LIST_EVERY: Duration = Duration::from_millis(600);
-/// Most bytes of results listed together.
-const LIST_BYTES: usize = 600 << 10;
 /// Pause before the store is asked again.
-const STORE_PAUSE: Duration = Duration::from_millis(150);
+pub(crate) const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Share of every server's slots that is left to online work.
 const ONLINE_RESERVE: f64 = 0.35;
 /// Share of all slots that batch work keeps while online requests are refused:
@@ -53,7 +50,6 @@
 }
 
 type ItemRun = BoxFuture<'static, (usize, ItemProgress, RunEnd, &'static str, Arc<str>)>;
-type Listing = BoxFuture<'static, Result<Committed, RecordsFault>>;
 
 /// Runs a job until all its items are listed or it has to be left.
 pub(crate) async fn run_job<S: RecordStore, D: Dialect>(
@@ -93,28 +89,29 @@
 }
 
 /// A run of an item, and the way to break it off.
-struct RunningItem {
+pub(crate) struct RunningItem {
     server: Arc<str>,
     order: u64,
     give_way: Arc<Notify>,
 }
 
-struct JobRun<S, D> {
-    context: Arc<WorkerContext<S, D>>,
-    job: String,
-    record: JobRecord,
-    revision: u64,
-    items: Vec<ItemBody>,
-    positions: HashMap<String, usize>,
-    progress: Vec<ItemProgress>,
-    listed: Vec<bool>,
-    list: ResultList,
-    runs: FuturesUnordered<ItemRun>,
-    running: HashMap<usize, RunningItem>,
-    started: u64,
-    listing: Option<(Vec<usize>, Transaction, Listing)>,
-    unlisted_since: Option<Instant>,
-    taken_at: Instant,
+/// A job that this worker runs.
+pub(crate) struct JobRun<S, D> {
+    pub(crate) context: Arc<WorkerContext<S, D>>,
+    pub(crate) job: String,
+    pub(crate) record: JobRecord,
+    pub(crate) revision: u64,
+    pub(crate) items: Vec<ItemBody>,
+    pub(crate) positions: HashMap<String, usize>,
+    pub(crate) progress: Vec<ItemProgress>,
+    pub(crate) listed: Vec<bool>,
+    pub(crate) list: ResultList,
+    pub(crate) runs: FuturesUnordered<ItemRun>,
+    pub(crate) running: HashMap<usize, RunningItem>,
+    pub(crate) started: u64,
+    pub(crate) listing: Option<Listing>,
+    pub(crate) unlisted_since: Option<Instant>,
+    pub(crate) taken_at: Instant,
 }
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -330,117 +327,6 @@
         emit(&self.job, &Event::ItemEnded { job: &self.job, item, end, failures, after_ms });
         self.unlisted_since.get_or_insert(now);
     }
-
-    /// Items that have a result which is not listed.
-    fn ready_to_list(&self) -> Vec<usize> {
-        let ended = |position: &usize| {
-            matches!(self.progress[*position].state(), ItemState::Completed | ItemState::GivenUp)
-                && !self.listed[*position]
-        };
-        (0..self.items.len()).filter(ended).collect()
-    }
-
-    fn begin_listing(&mut self) {
-        if self.listing.is_some() {
-            return;
-        }
-        let mut ready = self.ready_to_list();
-        if ready.is_empty() {
-            return;
-        }
-        let now = self.context.shared.clock.now();
-        let open = self.listed.iter().filter(|listed| !**listed).count();
-        let since = *self.unlisted_since.get_or_insert(now);
-        if ready.len() < open && now.since(since) < LIST_EVERY {
-            return;
-        }
-        let mut bytes = 0;
-        ready.retain(|position| {
-            bytes += self.progress[*position].text().len();
-            bytes <= LIST_BYTES || bytes == self.progress[*position].text().len()
-        });
-        let transaction = self.listing_of(&ready, ready.len() == open);
-        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
-        self.listing = Some((ready, transaction, commit));
-    }
-
-    fn listing_of(&self, ready: &[usize], last: bool) -> Transaction {
-        let part: Vec<ListedResult> = ready.iter().map(|position| self.result_of(*position)).collect();
-        let key = result_key(&self.job, self.list.parts);
-        let value = serde_json::to_vec(&part).unwrap_or_default().into();
-        let mut transaction = Transaction {
-            expected: vec![(key.clone(), 0)],
-            writes: vec![Write { key, value, lease: 0 }],
-            removes: Vec::new(),
-        };
-        if last {
-            let record = JobRecord { state: JobState::Finished, ..self.record.clone() };
-            transaction.expected.push((job_key(&self.job), self.revision));
-            transaction.writes.push(Write { key: job_key(&self.job), value: write_record(&record), lease: 0 });
-        }
-        transaction
-    }
-
-    fn result_of(&self, position: usize) -> ListedResult {
-        let progress = &self.progress[position];
-        let completed = progress.state() == ItemState::Completed;
-        let text = if completed { String::from_utf8_lossy(progress.text()).into_owned() } else { String::new() };
-        ListedResult { item: self.items[position].id.clone(), completed, text }
-    }
-
-    async fn end_listing(&mut self, committed: Result<Committed, RecordsFault>) {
-        let Some((ready, transaction, _)) = self.listing.take() else { return };
-        let first = self.list.results.len();
-        let reason = match committed {
-            Ok(Committed::Done(revision)) => {
-                let results: Vec<_> = ready.iter().map(|position| Arc::new(self.result_of(*position))).collect();
-                self.list.results.extend(results);
-                self.list.parts += 1;
-                self.note_list();
-                let count = ready.len();
-                emit(&self.job, &Event::ResultsListed { job: &self.job, first, count, revision });
-                return;
-            }
-            Ok(Committed::Differs(_)) => "another_wrote",
-            Ok(Committed::NoLease) => "no_lease",
-            Err(fault) => fault.word(),
-        };
-        emit(&self.job, &Event::ListingFailed { job: &self.job, first, reason });
-        if matches!(committed, Ok(Committed::Differs(_))) {
-            self.reload().await;
-            return;
-        }
-        tokio::time::sleep(STORE_PAUSE).await;
-        let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
-        self.listing = Some((ready, transaction, commit));
-    }
-
-    /// Reads the list and the job's record anew.
-    async fn reload(&mut self) {
-        let store = self.context.store.clone();
-        if let Ok(list) = ResultList::load(&*store, &self.job).await {
-            self.list = list;
-            self.note_list();
-        }
-        if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
-            if let Some(record) = read_record(&present.value) {
-                self.record = record;
-                self.revision = present.revision;
-            }
-        }
-    }
-
-    /// Takes over what the list says.
-    fn note_list(&mut self) {
-        for result in &self.list.results {
-            let Some(position) = self.positions.get(&result.item).copied() else { continue };
-            if !self.listed[position] {
-                self.listed[position] = true;
-                self.progress[position].note_listed(result.completed);
-            }
-        }
-        self.unlisted_since = None;
-    }
 }
 
 impl<S, D> Drop for JobRun<S, D> {
@@ -449,17 +335,6 @@
     }
 }
 
-async fn commit<S: RecordStore>(store: Arc<S>, transaction: Transaction) -> Result<Committed, RecordsFault> {
-    store.commit(&transaction).await
-}
-
-async fn poll_listing(listing: &mut Option<(Vec<usize>, Transaction, Listing)>) -> Result<Committed, RecordsFault> {
-    match listing {
-        Some((_, _, commit)) => commit.await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn run_owned<D: Dialect>(
     position: usize,
     exchange: Exchange<D>,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,10 +13,13 @@
 
 pub mod desk;
 mod expiry;
+mod handed;
 mod item_run;
+mod job_listing;
 mod job_run;
 pub mod layout;
 pub mod nodes;
+mod recent;
 mod results;
 pub mod spool;
 pub mod worker;
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -10,7 +10,7 @@
 //! that there is no such job before every disk on record has said that it
 //! doesn't hold it; a disk that is down leaves the question open.
 
-use crate::desk::{taking, Handed};
+use crate::handed::{taking, Handed};
 use crate::layout::{disk_key, NodeRecord, NodeRole, DISK_PREFIX};
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -6,8 +6,8 @@
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::ownership::is_among_first;
 use latchwheel_core::table::{Edit, Table};
-use latchwheel_platform::{KeyValueClient, KeyValueFault, Written};
 use latchwheel_protocol::v1::{RevisionAnswer, RevisionPull, RevisionRecord};
+use latchwheel_site::{KeyValueClient, KeyValueFault, Written};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,11 +26,11 @@
 use latchwheel_engine::EngineClient;
 use latchwheel_gateway::{refuse, Backend, Gateway};
 use latchwheel_http::{full, read_bounded, serve, Body, Version};
-use latchwheel_platform::{KeyValueClient, Machine, MachineKind, MachineListClient, MachineState};
 use latchwheel_protocol::v1::{
     ForwardRequest, LimitRequest, MemberRecord, ReplicationMessages, RevisionPull, StatePull,
 };
 use latchwheel_protocol::Message;
+use latchwheel_site::{KeyValueClient, Machine, MachineKind, MachineListClient, MachineState};
 use latchwheel_store::folder::DataFolder;
 use serde::Serialize;
 use std::net::SocketAddr;
--- a/crates/node/src/stores.rs
+++ b/crates/node/src/stores.rs
@@ -6,10 +6,10 @@
 use latchwheel_core::replication::replacement::first_members;
 use latchwheel_core::replication::Settings as ReplicationSettings;
 use latchwheel_core::table::{Class, Table};
-use latchwheel_platform::{KeyValueClient, KeyValueFault, Written};
 use latchwheel_protocol::v1::{
     MemberRecord, Members as GroupMembers, Replica, ReplicationMessage, ReplicationMessages, StatePage, StatePull,
 };
+use latchwheel_site::{KeyValueClient, KeyValueFault, Written};
 use latchwheel_store::folder::DataFolder;
 use latchwheel_store::group::{Group, GroupSettings, PresentNodes, RowFact, RowFacts, Transport};
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
@@ -92,7 +92,7 @@
         return Err(refuse(ResultCode::NotReady, None));
     }
     let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
-    let host = host_of(&head);
+    let host = host_of(&head.headers, &head.uri);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
     if shared.refuses_streams() && matches!(route.kind, RequestKind::Stream { .. }) {
         return Err(refuse(ResultCode::Leaving, Some(route)));
@@ -133,10 +133,10 @@
     })
 }
 
-/// Host that a request names, without a port.
-fn host_of(head: &hyper::http::request::Parts) -> String {
-    let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = header.or_else(|| head.uri.host()).unwrap_or_default();
+/// Host that a request names, in lower case and without a port.
+pub fn host_of(headers: &HeaderMap, uri: &hyper::Uri) -> String {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = header.or_else(|| uri.host()).unwrap_or_default();
     host.split(':').next().unwrap_or_default().to_ascii_lowercase()
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,6 @@
 pub use clock::Clock;
 pub use dialect::{Dialect, HeaderNames};
 pub use exchange::{AttemptEnd, Exchange, Outgoing};
-pub use forward::forward;
+pub use forward::{forward, host_of};
 pub use peers::{exchange_shares, Peers};
 pub use shared::Shared;
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_http::{full, serve, Client, Version};
+use latchwheel_http::{full, serve, serve_resting, Client, Version};
 use latchwheel_proxy::{forward, Shared};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -221,3 +221,26 @@
     node.shared.refuse_streams();
     assert_eq!(ask(&node, "/path/a", 4000).await.status, 200);
 }
+
+/// The rest that the operator allows decides when an idle connection is
+/// closed: clients use it again for most of that time.
+#[tokio::test]
+async fn an_idle_connection_is_closed_after_its_rest() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let server = TestServer::start("server", Vec::new()).await;
+    let shared = node(route(RequestKind::Idempotent, 1), &[&server]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let rest = || Duration::from_millis(300);
+    tokio::spawn(serve_resting(listener, Version::Http1, stopped, rest, move |request| {
+        forward(shared.clone(), request)
+    }));
+    let mut connection = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = format!("GET /path/a HTTP/1.1\r\nhost: {HOST}\r\nt-id: 1\r\n\r\n");
+    connection.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    // Read to the end: the answer, and then the close after the rest.
+    connection.read_to_end(&mut bytes).await.unwrap();
+    assert!(bytes.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&bytes));
+}
