Hand a new job to another front where this one is cut off

Change: such a front hands the job to another front, which keeps it as its own; nodes are known by role. Keys of jobs and nodes lie under latchwheel/active (the former name read like a path of a machine). Ruled out: not being ready while cut off (its streams are served well). Conclusion: test a_front_that_is_cut_off_hands_a_job_on.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -2,8 +2,9 @@
 
 use crate::handed::{write_job, Handed};
 use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
-use crate::nodes::Workers;
+use crate::nodes::Nodes;
 use crate::recent::Recent;
+use crate::relay::relay;
 use crate::results::ResultList;
 use crate::spool::{hand_out, may_be_held};
 use bytes::Bytes;
@@ -13,7 +14,8 @@
 
 /// Time after which a job goes to the workers' disks too.
 const STORE_PATIENCE: Duration = Duration::from_millis(120);
-/// Further time after which a node that hears of no worker either gives up.
+/// Further time after which a node that hears of no worker either hands a job
+/// to another front.
 const CUT_OFF_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause before a call to the store is made again.
 pub(crate) const PAUSE: Duration = Duration::from_millis(60);
@@ -68,7 +70,7 @@
 #[derive(Debug)]
 pub struct JobDesk<S> {
     store: Arc<S>,
-    workers: Workers,
+    nodes: Nodes,
     copies: usize,
     known: Mutex<Recent<Known>>,
     bodies: Mutex<Recent<Arc<JobBody>>>,
@@ -77,10 +79,10 @@
 impl<S: RecordStore> JobDesk<S> {
     /// A desk on this store; `copies` disks of the workers make a job last
     /// while the store is away.
-    pub fn new(store: Arc<S>, workers: Workers, copies: usize) -> Self {
+    pub fn new(store: Arc<S>, nodes: Nodes, copies: usize) -> Self {
         Self {
             store,
-            workers,
+            nodes,
             copies,
             known: Mutex::new(Recent::new(REMEMBERED_JOBS)),
             bodies: Mutex::new(Recent::new(REMEMBERED_BODIES)),
@@ -101,6 +103,21 @@
         until: Instant,
     ) -> Result<Taken, DeskFault> {
         let handed = Arc::new(Handed::new(host, path, body));
+        let cut_off = async {
+            tokio::time::sleep(STORE_PATIENCE + CUT_OFF_PATIENCE).await;
+            if self.nodes.hears_any_worker() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            kept = self.keep(job, &handed, until) => kept,
+            // Another front may reach what this one doesn't.
+            () = cut_off => relay(&self.nodes.fronts(), job, &handed).await,
+        }
+    }
+
+    /// Keeps a job in the store or on disks, by what this node itself reaches.
+    pub(crate) async fn keep(&self, job: &str, handed: &Arc<Handed>, until: Instant) -> Result<Taken, DeskFault> {
         let mut writing = tokio::spawn(write_job(self.store.clone(), job.to_owned(), handed.clone(), until));
         let patience = tokio::time::sleep(STORE_PATIENCE);
         tokio::select! {
@@ -110,17 +127,9 @@
             },
             () = patience => {}
         }
-        let workers = self.workers.addresses();
-        let spooling = hand_out(&workers, job, &handed, self.copies);
-        let cut_off = async {
-            tokio::time::sleep(CUT_OFF_PATIENCE).await;
-            if self.workers.hears_any() {
-                std::future::pending::<()>().await;
-            }
-        };
+        let workers = self.nodes.workers();
+        let spooling = hand_out(&workers, job, handed, self.copies);
         tokio::select! {
-            // Another node may reach what this one doesn't.
-            () = cut_off => Err(DeskFault::Unknown),
             written = &mut writing, if !writing.is_finished() => match written.unwrap_or(Err(DeskFault::Unknown)) {
                 Err(fault) => Err(fault),
                 settled => settled,
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -2,9 +2,9 @@
 //!
 //! | key | value |
 //! | --- | --- |
-//! | `latchwheel/work/job/JOB` | [`JobRecord`] |
+//! | `latchwheel/active/job/JOB` | [`JobRecord`] |
 //! | `latchwheel/closed/JOB` | [`JobRecord`] of a job that was removed |
-//! | `latchwheel/work/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
+//! | `latchwheel/active/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
@@ -18,13 +18,13 @@
 use std::collections::BTreeMap;
 
 /// Prefix of what workers follow.
-pub const WORK_PREFIX: &str = "latchwheel/work/";
+pub const WORK_PREFIX: &str = "latchwheel/active/";
 
-const JOB_PREFIX: &str = "latchwheel/work/job/";
+const JOB_PREFIX: &str = "latchwheel/active/job/";
 /// Prefix of the records of disks that may hold jobs.
 pub const DISK_PREFIX: &str = "latchwheel/disk/";
 /// Prefix of the registrations of nodes.
-pub const NODE_PREFIX: &str = "latchwheel/work/node/";
+pub const NODE_PREFIX: &str = "latchwheel/active/node/";
 
 /// Key of a job's record.
 pub fn job_key(job: &str) -> String {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`worker`]: running them.
 //! - [`nodes`]: which nodes there are.
 //! - [`spool`]: keeping new jobs while the store is away.
+//! - [`relay`]: handing a new job to another front.
 //! - [`layout`]: the records.
 
 pub mod desk;
@@ -20,6 +21,7 @@
 pub mod layout;
 pub mod nodes;
 mod recent;
+pub mod relay;
 mod results;
 pub mod spool;
 pub mod worker;
@@ -27,6 +29,7 @@
 pub use desk::{DeskFault, JobDesk, ResultPage};
 pub use item_run::outgoing_of;
 pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
-pub use nodes::{Membership, Workers};
+pub use nodes::{Membership, Nodes};
+pub use relay::serve_relay;
 pub use spool::Spool;
 pub use worker::{run_worker, WorkerHandle};
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -18,34 +18,59 @@
 /// Tells whether a node was heard of lately.
 type Hears = Arc<dyn Fn(&str) -> bool + Send + Sync>;
 
-/// The workers that are registered, with their addresses.
+/// The other nodes that are registered, with their addresses.
 #[derive(Clone, Default)]
-pub struct Workers {
-    addresses: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
+pub struct Nodes {
+    known: Arc<Mutex<BTreeMap<String, (NodeRole, SocketAddr)>>>,
     hears: Option<Hears>,
 }
 
-impl std::fmt::Debug for Workers {
+impl std::fmt::Debug for Nodes {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("Workers").field("addresses", &*self.lock()).finish_non_exhaustive()
+        formatter.debug_struct("Nodes").field("known", &*self.lock()).finish_non_exhaustive()
     }
 }
 
-impl Workers {
+impl Nodes {
+    /// Nodes of which `hears` tells whether they were heard of lately.
+    pub fn new(hears: impl Fn(&str) -> bool + Send + Sync + 'static) -> Self {
+        Self { known: Arc::default(), hears: Some(Arc::new(hears)) }
+    }
+
+    /// A node is registered.
+    pub fn put(&self, node: &str, role: NodeRole, address: SocketAddr) {
+        self.lock().insert(node.to_owned(), (role, address));
+    }
+
     /// Addresses of all workers.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.lock().values().copied().collect()
+    pub fn workers(&self) -> Vec<SocketAddr> {
+        self.of_role(NodeRole::Worker)
+    }
+
+    /// Addresses of all other fronts.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.of_role(NodeRole::Front)
     }
 
     /// Whether any worker was heard of lately; none is where this node is cut
     /// off from them.
-    pub fn hears_any(&self) -> bool {
+    pub fn hears_any_worker(&self) -> bool {
         let Some(hears) = &self.hears else { return true };
-        self.lock().keys().any(|worker| hears(worker))
+        let known = self.lock();
+        let mut workers = known.iter().filter(|(_, (role, _))| *role == NodeRole::Worker);
+        workers.any(|(worker, _)| hears(worker))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, SocketAddr>> {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    fn of_role(&self, role: NodeRole) -> Vec<SocketAddr> {
+        self.lock().values().filter(|(own, _)| *own == role).map(|(_, address)| *address).collect()
+    }
+
+    fn remove(&self, node: &str) {
+        self.lock().remove(node);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, (NodeRole, SocketAddr)>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -55,8 +80,8 @@
     store: Arc<S>,
     name: String,
     registration: JoinHandle<()>,
-    /// The workers as they are known.
-    pub workers: Workers,
+    /// The other nodes as they are known.
+    pub nodes: Nodes,
 }
 
 impl<S: RecordStore> Membership<S> {
@@ -72,15 +97,15 @@
         let peers = Peers::default();
         let hearing = shared.clone();
         let hears = move |node: &str| hearing.dispatcher().hears(hearing.clock.now(), NodeId::of_name(node));
-        let workers = Workers { hears: Some(Arc::new(hears)), ..Workers::default() };
+        let nodes = Nodes::new(hears);
         let registration = tokio::spawn(keep_registered(store.clone(), node_key(name), record.write()));
         let own = name.to_owned();
-        let follower = Follower { own: own.clone(), peers: peers.clone(), workers: workers.clone() };
+        let follower = Follower { own: own.clone(), peers: peers.clone(), nodes: nodes.clone() };
         tokio::spawn(follow(store.clone(), NODE_PREFIX.to_owned(), FOLLOW_PACE, move |followed| {
             follower.take(followed);
         }));
         tokio::spawn(async move { exchange_shares(shared, socket, &own, peers).await });
-        Self { store, name: name.to_owned(), registration, workers }
+        Self { store, name: name.to_owned(), registration, nodes }
     }
 
     /// Takes the registration back.
@@ -93,7 +118,7 @@
 struct Follower {
     own: String,
     peers: Peers,
-    workers: Workers,
+    nodes: Nodes,
 }
 
 impl Follower {
@@ -106,7 +131,7 @@
             Followed::Changed(Change::Removed { key, .. }) => {
                 if let Some(node) = node_of_key(&key) {
                     self.peers.remove(node);
-                    self.workers.lock().remove(node);
+                    self.nodes.remove(node);
                     emit("", &Event::NodeGone { peer: node });
                 }
             }
@@ -118,10 +143,8 @@
         let Some(node) = node_of_key(&record.key) else { return };
         let Some(present) = NodeRecord::read(&record.value) else { return };
         let Ok(address) = present.address.parse() else { return };
-        if present.role == NodeRole::Worker {
-            self.workers.lock().insert(node.to_owned(), address);
-        }
         if node != self.own {
+            self.nodes.put(node, present.role, address);
             self.peers.put(node, address);
             emit("", &Event::NodeSeen { peer: node, address: &present.address });
         }
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -1,19 +1,14 @@
 //! Taking, ending and reading jobs while the store fails in every way.
 
-use latchwheel_jobs::{DeskFault, ItemBody, JobBody, JobDesk, Membership, NodeRecord, NodeRole, Spool, Workers};
-use latchwheel_proxy::Shared;
+use latchwheel_jobs::{serve_relay, DeskFault, ItemBody, JobBody, JobDesk, NodeRole, Nodes, Spool};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{RecordStore, RecordsFault};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::TestDialect;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-#[path = "../../proxy/tests/support/mod.rs"]
-mod support;
-
 const JOB: &str = "job-1";
 const HOST: &str = "host.example";
 
@@ -59,29 +54,23 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string()
 }
 
-/// The workers as a node that follows the store knows them.
-async fn workers(store: &MemoryStore, addresses: &[String]) -> Workers {
-    let shared = Shared::new(TestDialect::default(), latchwheel_proxy::Clock::start());
-    let mut last = None;
+/// These workers, all heard of.
+fn workers(addresses: &[String]) -> Nodes {
+    let nodes = Nodes::new(|_| true);
     for (number, address) in addresses.iter().enumerate() {
-        let record = NodeRecord { role: NodeRole::Worker, address: address.clone() };
-        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        let name = format!("worker-{number}");
-        last = Some(Membership::join(Arc::new(store.clone()), shared.clone(), &name, &record, socket));
+        nodes.put(&format!("worker-{number}"), NodeRole::Worker, address.parse().unwrap());
     }
-    let workers = last.map(|membership| membership.workers).unwrap_or_default();
-    until(|| async { workers.addresses().len() == addresses.len() }).await;
-    workers
+    nodes
 }
 
-fn desk(store: &MemoryStore, workers: Workers) -> JobDesk<MemoryStore> {
-    JobDesk::new(Arc::new(store.clone()), workers, 2)
+fn desk(store: &MemoryStore, nodes: Nodes) -> JobDesk<MemoryStore> {
+    JobDesk::new(Arc::new(store.clone()), nodes, 2)
 }
 
 #[tokio::test]
 async fn a_job_is_taken_once_however_often_it_is_sent() {
     let store = MemoryStore::default();
-    let desk = desk(&store, Workers::default());
+    let desk = desk(&store, Nodes::default());
     assert!(!desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
     assert!(desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
     let other = desk.take(JOB, HOST, "/path/x", body(4), soon()).await;
@@ -97,7 +86,7 @@
 async fn a_lost_answer_of_the_store_is_no_loss() {
     let store = MemoryStore::default();
     store.lose_answers(1);
-    let desk = desk(&store, Workers::default());
+    let desk = desk(&store, Nodes::default());
     assert!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await.is_ok());
 }
 
@@ -105,7 +94,7 @@
 #[tokio::test]
 async fn a_job_is_refused_only_if_it_can_not_run() {
     let store = MemoryStore::default();
-    let desk = desk(&store, Workers::default());
+    let desk = desk(&store, Nodes::default());
     store.set_fault(Some(RecordsFault::Unknown));
     assert_eq!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await, Err(DeskFault::Unknown));
 }
@@ -113,7 +102,7 @@
 #[tokio::test]
 async fn an_end_lasts_and_may_be_repeated() {
     let store = MemoryStore::default();
-    let desk = desk(&store, Workers::default());
+    let desk = desk(&store, Nodes::default());
     assert_eq!(desk.end(JOB, soon()).await, Err(DeskFault::Absent));
     desk.take(JOB, HOST, "/path/x", body(1), soon()).await.unwrap();
     store.lose_answers(1);
@@ -136,7 +125,7 @@
     }
     let on_record = || async { store.list("latchwheel/disk/").await.unwrap().records.len() == 2 };
     until(on_record).await;
-    let desk = desk(&store, workers(&store, &addresses).await);
+    let desk = desk(&store, workers(&addresses));
     // The disks note that they are on record after the store has taken it.
     until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
 
@@ -157,9 +146,9 @@
     }
     until(|| async { disks.iter().all(|disk| disk.task.is_finished()) }).await;
     store.set_fault(None);
-    let other_node = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let other_node = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     // The accepting node still tries to write the job; one that died doesn't.
-    let absent = store.get("latchwheel/work/job/job-9").await.unwrap();
+    let absent = store.get("latchwheel/active/job/job-9").await.unwrap();
     assert_eq!(absent, None);
     assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Unknown));
 
@@ -167,7 +156,7 @@
     std::fs::rename(kept.path().join("0"), folders[0].path().join("spool/job-9.job")).unwrap();
     let address = free_address().await;
     let _back = disk(&store, "worker-0", &address, folders[0].path()).await;
-    until(|| async { store.get("latchwheel/work/job/job-9").await.unwrap().is_some() }).await;
+    until(|| async { store.get("latchwheel/active/job/job-9").await.unwrap().is_some() }).await;
     assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
 }
 
@@ -181,13 +170,36 @@
     for (number, (folder, address)) in folders.iter().zip(&addresses).enumerate() {
         disks.push(disk(&store, &format!("worker-{number}"), address, folder.path()).await);
     }
-    let desk = desk(&store, workers(&store, &addresses).await);
+    let desk = desk(&store, workers(&addresses));
     until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
     store.set_fault(Some(RecordsFault::Refused));
     desk.take(JOB, HOST, "/path/x", body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
     store.set_fault(None);
     let file = format!("spool/{JOB}.job");
     until(|| async { folders.iter().all(|folder| !folder.path().join(&file).exists()) }).await;
-    assert_eq!(store.list("latchwheel/work/job/").await.unwrap().records.len(), 1);
+    assert_eq!(store.list("latchwheel/active/job/").await.unwrap().records.len(), 1);
     assert!(desk.take(JOB, HOST, "/path/x", body(2), soon()).await.unwrap().resent);
 }
+
+/// A front that reaches neither the store nor a worker hands the job to one
+/// that does.
+#[tokio::test]
+async fn a_front_that_is_cut_off_hands_a_job_on() {
+    let store = MemoryStore::default();
+    let other = Arc::new(desk(&store, Nodes::default()));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    tokio::spawn(serve_relay(other.clone(), listener, stopped));
+
+    let unreachable = MemoryStore::default();
+    unreachable.set_fault(Some(RecordsFault::Unknown));
+    let nodes = Nodes::new(|_| false);
+    nodes.put("front", NodeRole::Front, address);
+    let cut_off = desk(&unreachable, nodes);
+    let until = Instant::now() + Duration::from_secs(10);
+    assert!(cut_off.take(JOB, HOST, "/path/x", body(2), until).await.is_ok());
+    assert_eq!(other.read(JOB, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
+    let conflict = cut_off.take(JOB, HOST, "/path/x", body(3), until).await;
+    assert_eq!(conflict, Err(DeskFault::Conflict));
+}
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -1,8 +1,8 @@
-//! Workers that run jobs at servers and list the results.
+//! Nodes that run jobs at servers and list the results.
 
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{
-    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, WorkerHandle, Workers,
+    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, WorkerHandle,
 };
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
@@ -50,7 +50,7 @@
 
 /// Reads until the job has that many results.
 async fn results(store: &MemoryStore, count: usize) -> Vec<Arc<ListedResult>> {
-    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let end = Instant::now() + Duration::from_secs(30);
     loop {
         let page = desk.read(JOB, 0, 1 << 20, Duration::from_millis(200)).await;
@@ -63,7 +63,7 @@
 }
 
 async fn take(store: &MemoryStore, items: usize) {
-    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let until = Instant::now() + Duration::from_secs(5);
     desk.take(JOB, HOST, "/path/x", body(items), until).await.unwrap();
 }
@@ -161,7 +161,7 @@
     while server.seen().len() < 3 {
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
-    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     desk.end(JOB, Instant::now() + Duration::from_secs(5)).await.unwrap();
     let end = Instant::now() + Duration::from_secs(20);
     while server.abandoned() < 3 && Instant::now() < end {
@@ -201,7 +201,7 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     assert_eq!(server.seen().len(), 2);
-    let desk = JobDesk::new(Arc::new(store.clone()), Workers::default(), 2);
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let until = Instant::now() + Duration::from_secs(5);
     assert!(desk.take(JOB, HOST, "/path/x", body(2), until).await.unwrap().resent);
     assert!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.is_err());
