--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -37,9 +37,9 @@
         Self { known: Arc::default(), hears: Some(Arc::new(hears)) }
     }
 
-    /// A node is registered.
-    pub fn put(&self, node: &str, role: NodeRole, address: SocketAddr) {
-        self.lock().insert(node.to_owned(), (role, address));
+    /// A node is registered; tells whether that is news.
+    pub fn put(&self, node: &str, role: NodeRole, address: SocketAddr) -> bool {
+        self.lock().insert(node.to_owned(), (role, address)) != Some((role, address))
     }
 
     /// Addresses of all workers.
@@ -144,9 +144,10 @@
         let Some(present) = NodeRecord::read(&record.value) else { return };
         let Ok(address) = present.address.parse() else { return };
         if node != self.own {
-            self.nodes.put(node, present.role, address);
             self.peers.put(node, address);
-            emit("", &Event::NodeSeen { peer: node, address: &present.address });
+            if self.nodes.put(node, present.role, address) {
+                emit("", &Event::NodeSeen { peer: node, address: &present.address });
+            }
         }
     }
 }
