Follow records through other nodes' caches; one clock for all crates

Cause: every node watched the platform's store itself for the operator's document, the servers and the nodes. Ruled out: heartbeats of servers as the cause (the store tells no change for them); longer waits of the watches alone, which leave the calls proportional to the nodes. Change: nodes whose address is among the seeds watch the store; all others poll one of these for all that they follow at once (records::watch_cache, decided by core::record_source), and turn to the store when it is silent, cut off or behind. Fronts renew a long lease, since nothing depends on its end. It replaces the handover to nodes that start. The two clock types are one crate now. Conclusion: calls for following no longer grow with the number of nodes.

--- /dev/null
+++ b/crates/core/src/record_source.rs
@@ -0,0 +1,108 @@
+//! Where a node takes the records that it follows from.
+//!
+//! If every node watched the record store itself, the calls would grow with
+//! the number of nodes. A few nodes watch the store; all others poll one of
+//! these, their *upstream*. An upstream tells how long ago the store was last
+//! known to answer it. A node whose upstream is silent, cut off from the store
+//! or behind turns to the store at once, and to the next upstream after a
+//! pause: no upstream is ever needed, and none is chosen by agreement.
+//!
+//! Invariant: while the source is an upstream, what the node believes is no
+//! older than [`AGE_LIMIT`] and the time of one poll.
+
+use crate::time::Instant;
+use std::time::Duration;
+
+/// An upstream is sound only if the store answered it within this time.
+pub const AGE_LIMIT: Duration = Duration::from_millis(900);
+/// An upstream whose calls to the store fail for longer is not sound. Shorter
+/// failures are waiting calls that were cut.
+pub const OUTAGE_LIMIT: Duration = Duration::from_millis(300);
+/// Time in which a node that starts waits for an upstream that starts too.
+const START_PATIENCE: Duration = Duration::from_millis(1000);
+/// Pause between two polls while starting.
+const START_PAUSE: Duration = Duration::from_millis(80);
+/// Pause after a failed poll, doubled at each failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Where followed records come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordSource {
+    /// Nothing was heard yet from an upstream that may yet start.
+    Undecided,
+    /// Another node's cache.
+    Upstream,
+    /// The record store itself.
+    Store,
+}
+
+/// What an upstream told of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamState {
+    /// Time since the store was last known to answer it.
+    pub age: Duration,
+    /// Time since which its calls to the store fail; zero if they don't.
+    pub outage: Duration,
+    /// Whether it follows all that was asked for.
+    pub complete: bool,
+}
+
+impl UpstreamState {
+    /// Whether what it tells can be relied on.
+    pub fn is_sound(&self) -> bool {
+        self.complete && self.age <= AGE_LIMIT && self.outage <= OUTAGE_LIMIT
+    }
+}
+
+/// The choice between the store and a number of upstreams.
+#[derive(Clone, Debug)]
+pub struct SourceChoice {
+    upstreams: usize,
+    turn: usize,
+    source: RecordSource,
+    started: Instant,
+    failures: u32,
+}
+
+impl SourceChoice {
+    /// A node that starts `now`; `spread` makes different nodes begin with
+    /// different upstreams. Without upstreams the store is the source.
+    pub fn new(upstreams: usize, spread: u64, now: Instant) -> Self {
+        let source = if upstreams == 0 { RecordSource::Store } else { RecordSource::Undecided };
+        let turn = spread.checked_rem(upstreams as u64).unwrap_or(0) as usize;
+        Self { upstreams, turn, source, started: now, failures: 0 }
+    }
+
+    /// The present source.
+    pub fn source(&self) -> RecordSource {
+        self.source
+    }
+
+    /// Number of the upstream to poll next; `None` if there is none.
+    pub fn upstream(&self) -> Option<usize> {
+        (self.upstreams > 0).then_some(self.turn)
+    }
+
+    /// An upstream answered. Gives back the pause before the next poll.
+    pub fn note_answer(&mut self, now: Instant, state: &UpstreamState) -> Duration {
+        if !state.is_sound() {
+            return self.note_failure(now);
+        }
+        self.source = RecordSource::Upstream;
+        self.failures = 0;
+        Duration::ZERO
+    }
+
+    /// An upstream gave no answer. Gives back the pause before the next poll.
+    pub fn note_failure(&mut self, now: Instant) -> Duration {
+        self.turn = (self.turn + 1) % self.upstreams.max(1);
+        if self.source == RecordSource::Undecided && now.since(self.started) < START_PATIENCE {
+            return START_PAUSE;
+        }
+        self.source = RecordSource::Store;
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        pause.min(LONGEST_PAUSE)
+    }
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -89,6 +89,19 @@
         /// Time that it was away.
         away_ms: u64
     };
+    /// Followed records come from elsewhere from now on.
+    RecordSourceChanged = 8012, Essential {
+        /// The store, or an upstream: another node that watches it.
+        source: &'a str,
+        /// Address of the upstream that was polled last.
+        upstream: &'a str,
+        /// Whether it answered.
+        answered: bool,
+        /// Time since the store was last known to answer it.
+        age_ms: u64,
+        /// Time since which its calls to the store fail.
+        outage_ms: u64
+    };
     /// A routing table is in force from now on.
     TableInForce = 8020, Essential {
         /// Its version.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -29,7 +29,7 @@
 pub use desk::{DeskFault, JobDesk, ResultPage};
 pub use item_run::outgoing_of;
 pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
-pub use nodes::{Membership, Nodes};
+pub use nodes::{Membership, Nodes, OwnNode};
 pub use relay::serve_relay;
 pub use spool::Spool;
 pub use worker::{run_worker, WorkerHandle};
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -4,7 +4,9 @@
 use latchwheel_core::identity::NodeId;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{exchange_shares, Dialect, Peers, Shared};
-use latchwheel_records::{follow, keep_registered, unregister, Change, Followed, Record, RecordStore};
+use latchwheel_records::{
+    keep_registered, unregister, Change, Contact, Followed, Record, RecordStore, Registration, WatchCache,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,6 +17,15 @@
 /// Least time between two looks at the registrations.
 const FOLLOW_PACE: Duration = Duration::from_millis(1500);
 
+/// Lease of a node whose end others wait for, and the time between renewals.
+const SHORT_LEASE: Duration = Duration::from_millis(4500);
+const SHORT_RENEWAL: Duration = Duration::from_millis(1200);
+/// Time between renewals of a node by which others judge the store.
+const UPSTREAM_RENEWAL: Duration = Duration::from_millis(400);
+/// Lease of any other node, and the time between renewals.
+const LONG_LEASE: Duration = Duration::from_secs(15);
+const LONG_RENEWAL: Duration = Duration::from_secs(5);
+
 /// Tells whether a node was heard of lately.
 type Hears = Arc<dyn Fn(&str) -> bool + Send + Sync>;
 
@@ -74,6 +85,31 @@
     }
 }
 
+/// This node as it registers itself.
+#[derive(Clone, Debug)]
+pub struct OwnNode {
+    /// Name, unique among the nodes.
+    pub name: String,
+    /// What others are told.
+    pub record: NodeRecord,
+    /// Whether other nodes take followed records from it.
+    pub is_upstream: bool,
+}
+
+impl OwnNode {
+    /// A worker's jobs fall to others once its lease ends, and an upstream's
+    /// renewals show others that the store answers it. Of a front nothing
+    /// depends on the lease: others notice its death by its datagrams.
+    fn registration(&self) -> Registration {
+        let (lease, renew_every) = match (self.is_upstream, self.record.role) {
+            (true, _) => (SHORT_LEASE, UPSTREAM_RENEWAL),
+            (false, NodeRole::Worker) => (SHORT_LEASE, SHORT_RENEWAL),
+            (false, NodeRole::Front) => (LONG_LEASE, LONG_RENEWAL),
+        };
+        Registration { key: node_key(&self.name), value: self.record.write(), lease, renew_every }
+    }
+}
+
 /// This process among the nodes.
 #[derive(Debug)]
 pub struct Membership<S> {
@@ -89,23 +125,22 @@
     /// each does at the servers.
     pub fn join<D: Dialect>(
         store: Arc<S>,
+        cache: &Arc<WatchCache<S>>,
+        contact: Contact,
         shared: Arc<Shared<D>>,
-        name: &str,
-        record: &NodeRecord,
+        own: &OwnNode,
         socket: UdpSocket,
     ) -> Self {
         let peers = Peers::default();
         let hearing = shared.clone();
         let hears = move |node: &str| hearing.dispatcher().hears(hearing.clock.now(), NodeId::of_name(node));
         let nodes = Nodes::new(hears);
-        let registration = tokio::spawn(keep_registered(store.clone(), node_key(name), record.write()));
-        let own = name.to_owned();
-        let follower = Follower { own: own.clone(), peers: peers.clone(), nodes: nodes.clone() };
-        tokio::spawn(follow(store.clone(), NODE_PREFIX.to_owned(), FOLLOW_PACE, move |followed| {
-            follower.take(followed);
-        }));
-        tokio::spawn(async move { exchange_shares(shared, socket, &own, peers).await });
-        Self { store, name: name.to_owned(), registration, nodes }
+        let registration = tokio::spawn(keep_registered(store.clone(), contact, own.registration()));
+        let name = own.name.clone();
+        let follower = Follower { own: name.clone(), peers: peers.clone(), nodes: nodes.clone() };
+        cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
+        tokio::spawn(async move { exchange_shares(shared, socket, &name, peers).await });
+        Self { store, name: own.name.clone(), registration, nodes }
     }
 
     /// Takes the registration back.
@@ -126,16 +161,22 @@
     /// an outage of the store registers itself anew.
     fn take(&self, followed: Followed) {
         match followed {
-            Followed::All(records) => records.iter().for_each(|record| self.note(record)),
-            Followed::Changed(Change::Written(record)) => self.note(&record),
-            Followed::Changed(Change::Removed { key, .. }) => {
-                if let Some(node) = node_of_key(&key) {
+            Followed::All(listing) => listing.records.iter().for_each(|record| self.note(record)),
+            Followed::Changed(changes) => changes.changes.iter().for_each(|change| self.take_change(change)),
+            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => {}
+        }
+    }
+
+    fn take_change(&self, change: &Change) {
+        match change {
+            Change::Written(record) => self.note(record),
+            Change::Removed { key, .. } => {
+                if let Some(node) = node_of_key(key) {
                     self.peers.remove(node);
                     self.nodes.remove(node);
                     emit("", &Event::NodeGone { peer: node });
                 }
             }
-            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) | Followed::Sound => {}
         }
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -12,7 +12,7 @@
 use latchwheel_core::identity::{stable_hash, stable_pair_hash};
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
-use latchwheel_records::{follow, Change, Followed, Record, RecordStore};
+use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -77,6 +77,7 @@
 /// longer is kept for `keep` from its acceptance.
 pub fn run_worker<S: RecordStore, D: Dialect>(
     store: Arc<S>,
+    cache: &Arc<WatchCache<S>>,
     shared: Arc<Shared<D>>,
     name: &str,
     keep: Duration,
@@ -84,9 +85,9 @@
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
     let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0), running: AtomicUsize::new(0) });
-    let name = name.to_owned();
+    let (name, cache) = (name.to_owned(), cache.clone());
     tokio::spawn(async move {
-        divide_jobs(context.clone(), name.clone(), keep, leaves).await;
+        divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
         left_sender.send_replace(true);
     });
     WorkerHandle { leave, left }
@@ -109,15 +110,15 @@
 
 async fn divide_jobs<S: RecordStore, D: Dialect>(
     context: Arc<WorkerContext<S, D>>,
+    cache: Arc<WatchCache<S>>,
     name: String,
     keep: Duration,
     mut leaves: watch::Receiver<Option<Duration>>,
 ) {
     let (sender, mut seen) = mpsc::unbounded_channel();
-    let following = follow(context.store.clone(), WORK_PREFIX.to_owned(), FOLLOW_PACE, move |followed| {
+    let following = cache.follow(WORK_PREFIX, FOLLOW_PACE, move |followed| {
         let _ = sender.send(followed);
     });
-    let following = tokio::spawn(following);
     let mut division =
         Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new(), closed: ClosedJobs::default(), keep };
     let mut next_expiry = Instant::now() + EXPIRY_LOOK;
@@ -147,10 +148,16 @@
 impl<S: RecordStore, D: Dialect> Division<S, D> {
     fn take(&mut self, followed: Followed) {
         match followed {
-            Followed::All(records) => self.replace_all(records),
-            Followed::Changed(Change::Written(record)) => self.note_record(record),
-            Followed::Changed(Change::Removed { key, .. }) => self.note_removed(&key),
-            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) | Followed::Sound => {}
+            Followed::All(listing) => self.replace_all(listing.records),
+            Followed::Changed(changes) => changes.changes.into_iter().for_each(|change| self.take_change(change)),
+            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => {}
+        }
+    }
+
+    fn take_change(&mut self, change: Change) {
+        match change {
+            Change::Written(record) => self.note_record(record),
+            Change::Removed { key, .. } => self.note_removed(&key),
         }
     }
 
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -2,11 +2,12 @@
 
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{
-    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, WorkerHandle,
+    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode,
+    WorkerHandle,
 };
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{RecordStore, RecordsFault};
+use latchwheel_records::{Contact, RecordStore, RecordsFault, WatchCache};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{node, route, Act, TestDialect, TestServer, HOST};
@@ -42,10 +43,13 @@
     keep: Duration,
 ) -> (WorkerHandle, Membership<MemoryStore>) {
     let store = Arc::new(store.clone());
-    let worker = run_worker(store.clone(), shared.clone(), name, keep);
+    let contact = Contact::default();
+    let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
+    let worker = run_worker(store.clone(), &cache, shared.clone(), name, keep);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let record = NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string() };
-    (worker, Membership::join(store, shared, name, &record, socket))
+    let own = OwnNode { name: name.to_owned(), record, is_upstream: false };
+    (worker, Membership::join(store, &cache, contact, shared, &own, socket))
 }
 
 /// Reads until the job has that many results.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod backend;
 mod batch;
-mod clock;
 mod completions;
 mod configuration;
 mod forward;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,10 +1,10 @@
 //! Runs the rows' limits: asks the homes for shares, and grants shares of
 //! the rows whose home this node is.
 
-use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::members::Members;
 use crate::peers::{PeerCall, PeerClient};
+use latchwheel_clock::Clock;
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::limits::{LimitHolder, LimitHome, ShareDemand};
 use latchwheel_core::ownership::home_of;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,7 +1,7 @@
 //! Runs the membership: its UDP socket, its clock, and a view for the rest
 //! of the node.
 
-use crate::clock::Clock;
+use latchwheel_clock::Clock;
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::membership::{is_live, Action, Event, Membership, Settings};
 use latchwheel_protocol::v1::{Datagram, MemberRecord, MemberStatus, Summary};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,6 @@
 
 use crate::backend::NodeBackend;
 use crate::batch::BatchRunner;
-use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::forward::Router;
 use crate::limits::Limits;
@@ -19,6 +18,7 @@
 use eyre::{Result, WrapErr};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use latchwheel_clock::Clock;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::membership::Event as MembershipEvent;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,7 +1,7 @@
 //! Runs the scheduler of this node's servers: work is handed in, and each
 //! piece hears when to start, when it is refused, and when it gives way.
 
-use crate::clock::Clock;
+use latchwheel_clock::Clock;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::{ServerId, WorkId};
 use latchwheel_core::prefix::CacheEvent;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,7 +7,7 @@
 //! uses are told by its [`Dialect`].
 
 mod answer;
-mod clock;
+
 mod dialect;
 mod exchange;
 mod forward;
@@ -17,9 +17,9 @@
 mod shared;
 
 pub use answer::{come_back_header, error_answer};
-pub use clock::Clock;
 pub use dialect::{Dialect, HeaderNames};
 pub use exchange::{AttemptEnd, Exchange, Outgoing};
 pub use forward::{forward, host_of};
+pub use latchwheel_clock::Clock;
 pub use peers::{exchange_shares, Peers};
 pub use shared::Shared;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,8 +1,8 @@
 //! What all requests of a process share.
 
-use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::pool::Pool;
+use latchwheel_clock::Clock;
 use latchwheel_core::dispatch::Dispatcher;
 use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -1,149 +1,99 @@
-//! Following the records under a prefix: one list, then watches.
+//! Following the records under a prefix of the store: one list, then watches.
 
-use crate::{Change, Handover, Listing, Record, RecordStore, RecordsFault};
-use std::sync::Arc;
+use crate::{Changes, Contact, Listing, RecordStore, RecordsFault};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Time that a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
-/// Time in which the store must answer a node that starts; otherwise another
-/// node is asked.
-const FIRST_ANSWER: Duration = Duration::from_millis(500);
 /// Pause after a failed call, doubled at each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// What happens to a followed prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Followed {
     /// These are all records.
-    All(Vec<Record>),
-    /// One record changed.
-    Changed(Change),
+    All(Listing),
+    /// Some records changed; none where the answer only shows that the source
+    /// is sound.
+    Changed(Changes),
     /// The store did not answer, for the first time.
     Lost(RecordsFault),
     /// The store did not answer once more.
     StillLost,
-    /// The store answers again after that time.
+    /// Changes are heard of again after that time.
     Regained(Duration),
-    /// A call went well.
-    Sound,
 }
 
-/// Follows a prefix for ever; `take` is told what happens. Between two
-/// watches at least `pace` passes, so that frequent changes come together.
-pub async fn follow<S, F>(store: Arc<S>, prefix: String, pace: Duration, take: F)
-where
-    S: RecordStore,
-    F: FnMut(Followed) + Send,
-{
-    follow_with(store, prefix, pace, Handover::new(Vec::new()), take).await;
+/// What a source told of a prefix.
+pub(crate) enum Told {
+    Listing(Listing),
+    Changes(Changes),
+    Failed(RecordsFault),
 }
 
-/// As [`follow`]; until the store has answered for the first time, the records
-/// are taken over from another node.
-pub async fn follow_with<S, F>(
-    store: Arc<S>,
-    prefix: String,
+/// Follows a prefix of the store for ever; `take` is told what it says.
+/// Between two watches at least `pace` passes, so that frequent changes come
+/// together.
+pub(crate) async fn follow_store<S: RecordStore>(
+    store: &S,
+    contact: &Contact,
+    prefix: &str,
     pace: Duration,
-    handover: Arc<Handover>,
-    mut take_change: F,
-) where
-    S: RecordStore,
-    F: FnMut(Followed) + Send,
-{
-    let mut take = |followed: Followed| {
-        handover.note(&prefix, &followed);
-        take_change(followed);
-    };
-    let mut outage = Outage::default();
-    let mut first = first_list(&*store, &prefix, &handover, &mut take).await;
+    mut take: impl FnMut(Told) + Send,
+) {
+    let mut failures = 0;
     loop {
-        let listed = match first.take() {
-            Some(listing) => Ok(listing),
-            None => store.list(&prefix).await,
-        };
-        let Some(listing) = outage.attempt(listed, &mut take).await else { continue };
-        take(Followed::All(listing.records));
-        let mut revision = listing.revision;
-        loop {
-            let started = Instant::now();
-            match store.watch(&prefix, revision, WATCH_WAIT).await {
-                Ok(changes) => {
-                    outage.end(&mut take);
-                    revision = revision.max(changes.revision);
-                    let some = !changes.changes.is_empty();
-                    changes.changes.into_iter().map(Followed::Changed).for_each(&mut take);
-                    if some {
-                        tokio::time::sleep_until(started + pace).await;
-                    }
-                }
-                Err(RecordsFault::HistoryLost) => break,
-                // What it missed may be in no history any more: list anew.
-                Err(fault) => {
-                    outage.begin(fault, &mut take).await;
-                    break;
-                }
+        let sent_at = Instant::now();
+        let fault = match store.list(prefix).await {
+            Ok(listing) => {
+                contact.note_answer(sent_at);
+                failures = 0;
+                let revision = listing.revision;
+                take(Told::Listing(listing));
+                watch_store(store, contact, prefix, revision, pace, &mut take).await
             }
+            Err(fault) => fault,
+        };
+        // A cut watch may have missed what is in no history any more: the
+        // prefix is listed anew, at once if only the history is lost.
+        if fault == RecordsFault::HistoryLost {
+            continue;
         }
+        contact.note_failure();
+        take(Told::Failed(fault));
+        tokio::time::sleep(pause_after(failures)).await;
+        failures += 1;
     }
 }
 
-/// The store's list, if it answers at once; otherwise what another node knows
-/// is told meanwhile.
-async fn first_list<S: RecordStore>(
+/// Watches a prefix from a revision on until a watch fails.
+async fn watch_store<S: RecordStore>(
     store: &S,
+    contact: &Contact,
     prefix: &str,
-    handover: &Handover,
-    take: &mut impl FnMut(Followed),
-) -> Option<Listing> {
-    if let Ok(Ok(listing)) = tokio::time::timeout(FIRST_ANSWER, store.list(prefix)).await {
-        return Some(listing);
-    }
-    if let Some(records) = handover.ask(prefix).await {
-        take(Followed::Lost(RecordsFault::Unknown));
-        take(Followed::All(records));
-    }
-    None
-}
-
-#[derive(Default)]
-struct Outage {
-    since: Option<Instant>,
-    failures: u32,
-}
-
-impl Outage {
-    async fn attempt<T>(&mut self, result: Result<T, RecordsFault>, take: &mut impl FnMut(Followed)) -> Option<T> {
-        match result {
-            Ok(value) => {
-                self.end(take);
-                Some(value)
-            }
-            Err(fault) => {
-                self.begin(fault, take).await;
-                None
-            }
-        }
-    }
-
-    async fn begin(&mut self, fault: RecordsFault, take: &mut impl FnMut(Followed)) {
-        match self.since {
-            Some(_) => take(Followed::StillLost),
-            None => take(Followed::Lost(fault)),
+    mut revision: u64,
+    pace: Duration,
+    take: &mut impl FnMut(Told),
+) -> RecordsFault {
+    loop {
+        let started = Instant::now();
+        let changes = match store.watch(prefix, revision, WATCH_WAIT).await {
+            Ok(changes) => changes,
+            Err(fault) => return fault,
+        };
+        contact.note_answer(Instant::now());
+        revision = revision.max(changes.revision);
+        let some = !changes.changes.is_empty();
+        take(Told::Changes(changes));
+        if some {
+            tokio::time::sleep_until(started + pace).await;
         }
-        self.since.get_or_insert_with(Instant::now);
-        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(8));
-        self.failures += 1;
-        tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
     }
+}
 
-    fn end(&mut self, take: &mut impl FnMut(Followed)) {
-        self.failures = 0;
-        if let Some(since) = self.since.take() {
-            take(Followed::Regained(since.elapsed()));
-        }
-        take(Followed::Sound);
-    }
+/// Pause after so many failures in a row before this one.
+fn pause_after(failures: u32) -> Duration {
+    (FIRST_PAUSE * 2_u32.pow(failures.min(8))).min(LONGEST_PAUSE)
 }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -5,14 +5,17 @@
 //! that others have not changed. An adapter implements [`RecordStore`] for
 //! the store of a platform; [`memory::MemoryStore`] is the one for tests.
 
+mod cached_prefix;
+mod contact;
 mod follow;
-mod handover;
 pub mod memory;
 mod registration;
+mod watch_cache;
 
-pub use follow::{follow, follow_with, Followed};
-pub use handover::Handover;
-pub use registration::{keep_registered, unregister};
+pub use contact::Contact;
+pub use follow::Followed;
+pub use registration::{keep_registered, unregister, Registration};
+pub use watch_cache::{WatchCache, CACHE_PATH};
 
 use bytes::Bytes;
 use std::future::Future;
@@ -43,6 +46,16 @@
     },
 }
 
+impl Change {
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Change::Written(record) => record.revision,
+            Change::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Records under a prefix, complete as of a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
@@ -127,11 +140,20 @@
     /// [`RecordsFault`].
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Record>, RecordsFault>> + Send;
 
+    /// Reads the records under a prefix whose keys follow `after`, all of
+    /// them where it is empty.
+    ///
+    /// # Errors
+    /// [`RecordsFault`].
+    fn list_after(&self, prefix: &str, after: &str) -> impl Future<Output = Result<Listing, RecordsFault>> + Send;
+
     /// Reads all records under a prefix.
     ///
     /// # Errors
     /// [`RecordsFault`].
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, RecordsFault>> + Send;
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, RecordsFault>> + Send {
+        self.list_after(prefix, "")
+    }
 
     /// Waits up to `wait` for changes under a prefix after a revision.
     ///
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -128,9 +128,9 @@
         Ok(self.check()?.records.get(key).map(|(record, _)| record.clone()))
     }
 
-    async fn list(&self, prefix: &str) -> Result<Listing, RecordsFault> {
+    async fn list_after(&self, prefix: &str, after: &str) -> Result<Listing, RecordsFault> {
         let state = self.check()?;
-        let of_prefix = state.records.iter().filter(|(key, _)| key.starts_with(prefix));
+        let of_prefix = state.records.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let records = of_prefix.map(|(_, (record, _))| record.clone()).collect();
         Ok(Listing { records, revision: state.revision })
     }
@@ -149,10 +149,7 @@
         if after < self.lock().forgotten {
             return Err(RecordsFault::HistoryLost);
         }
-        let revision = changes.last().map_or(after, |change| match change {
-            Change::Written(record) => record.revision,
-            Change::Removed { revision, .. } => *revision,
-        });
+        let revision = changes.last().map_or(after, Change::revision);
         Ok(Changes { changes, revision })
     }
 
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -1,40 +1,56 @@
 //! Registration of this process in the store, under a lease.
 
-use crate::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use crate::{Committed, Contact, RecordStore, RecordsFault, Transaction, Write};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
-/// Length of the lease: a dead process is noticed after that time.
-const LEASE: Duration = Duration::from_millis(4500);
-/// The lease is renewed this often.
-const RENEW_EVERY: Duration = Duration::from_millis(1200);
 /// Pause before the store is asked again.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
+/// A record that lasts as long as its process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Bytes,
+    /// Length of the lease: a dead process is noticed after that time.
+    pub lease: Duration,
+    /// The lease is renewed this often. Each renewal also shows whether the
+    /// store answers this process.
+    pub renew_every: Duration,
+}
+
 /// Keeps a record in the store for as long as the process lives; never
 /// completes. A lease that ended is taken anew.
-pub async fn keep_registered<S: RecordStore>(store: Arc<S>, key: String, value: Bytes) {
+pub async fn keep_registered<S: RecordStore>(store: Arc<S>, contact: Contact, registration: Registration) {
     let mut lease = None;
     loop {
+        let sent_at = Instant::now();
         let registered = match lease {
             Some(lease) => store.renew(lease).await.map(|lives| lives.then_some(lease)),
-            None => register(&*store, &key, &value).await,
+            None => register(&*store, &registration).await,
         };
         match registered {
             Ok(Some(present)) => {
+                contact.note_answer(sent_at);
                 lease = Some(present);
-                tokio::time::sleep(RENEW_EVERY).await;
+                tokio::time::sleep_until(sent_at + registration.renew_every).await;
             }
             Ok(None) => lease = None,
-            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+            Err(_) => {
+                contact.note_failure();
+                tokio::time::sleep(STORE_PAUSE).await;
+            }
         }
     }
 }
 
-async fn register<S: RecordStore>(store: &S, key: &str, value: &Bytes) -> Result<Option<u64>, RecordsFault> {
-    let lease = store.grant(LEASE).await?;
-    let write = Write { key: key.to_owned(), value: value.clone(), lease };
+async fn register<S: RecordStore>(store: &S, registration: &Registration) -> Result<Option<u64>, RecordsFault> {
+    let lease = store.grant(registration.lease).await?;
+    let write = Write { key: registration.key.clone(), value: registration.value.clone(), lease };
     let transaction = Transaction { writes: vec![write], ..Transaction::default() };
     match store.commit(&transaction).await? {
         Committed::Done(_) => Ok(Some(lease)),
--- /dev/null
+++ b/crates/records/src/watch_cache.rs
@@ -0,0 +1,329 @@
+//! A cache of the records that a node follows, kept by watches of the store or
+//! by polls of another node's cache, and served to other nodes.
+//!
+//! [`latchwheel_core::record_source`] decides where the records come from.
+//! Each followed prefix has a consumer that is told what happens, in order. A
+//! node that starts while the store is away takes what an upstream knows, old
+//! as it may be.
+
+use crate::cached_prefix::{read_news, CachedPrefix};
+use crate::follow::{follow_store, Followed, Told};
+use crate::{Contact, RecordStore, RecordsFault};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use latchwheel_clock::Clock;
+use latchwheel_core::record_source::{RecordSource, SourceChoice, UpstreamState};
+use latchwheel_events::{emit, Event};
+use latchwheel_http::{empty, full, read_bounded, serve, Body, Client, Version};
+use latchwheel_protocol::{v1, Message};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
+
+/// Path at which caches are polled.
+pub const CACHE_PATH: &str = "/records";
+/// Time that a poll is held while there is no news.
+const POLL_WAIT: Duration = Duration::from_millis(600);
+/// Time that an answer may take beyond that.
+const POLL_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time that this node holds a poll.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// Least time between two polls, so that frequent changes come together.
+const POLL_PACE: Duration = Duration::from_millis(100);
+/// Pace of a prefix that is followed because another node asked for it.
+const ASKED_PACE: Duration = Duration::from_millis(300);
+/// Most prefixes that are followed because another node asked.
+const ASKED_LIMIT: usize = 8;
+/// Bounds on a poll.
+const REQUEST_LIMIT: usize = 16 << 10;
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+
+type Consumer = Box<dyn FnMut(Followed) + Send>;
+
+struct Entry {
+    cached: CachedPrefix,
+    /// Since when nothing is heard of changes.
+    lost_since: Option<Instant>,
+    /// Must not call back into the cache.
+    consumer: Consumer,
+}
+
+impl Entry {
+    /// Takes over what a source told, and tells the consumer; `true` if any
+    /// record changed.
+    fn take(&mut self, told: Told) -> bool {
+        let (changed, followed) = match told {
+            Told::Failed(fault) => return self.take_failure(fault),
+            Told::Listing(listing) => {
+                self.cached.take_listing(&listing);
+                (true, Followed::All(listing))
+            }
+            Told::Changes(changes) => {
+                self.cached.take_changes(&changes);
+                (!changes.changes.is_empty(), Followed::Changed(changes))
+            }
+        };
+        if let Some(since) = self.lost_since.take() {
+            (self.consumer)(Followed::Regained(since.elapsed()));
+        }
+        (self.consumer)(followed);
+        changed
+    }
+
+    fn take_failure(&mut self, fault: RecordsFault) -> bool {
+        let known_before = self.lost_since.is_some();
+        self.lost_since.get_or_insert_with(Instant::now);
+        (self.consumer)(if known_before { Followed::StillLost } else { Followed::Lost(fault) });
+        false
+    }
+}
+
+/// The cache; it is shared by all that follow something.
+pub struct WatchCache<S> {
+    store: Arc<S>,
+    contact: Contact,
+    clock: Clock,
+    upstreams: Vec<String>,
+    entries: Mutex<BTreeMap<String, Entry>>,
+    choice: Mutex<SourceChoice>,
+    source: watch::Sender<RecordSource>,
+    /// Counts changes, so that polls that wait look again.
+    changed: watch::Sender<u64>,
+    /// A prefix was added that a poll on its way doesn't ask for.
+    follows_more: Notify,
+}
+
+impl<S> std::fmt::Debug for WatchCache<S> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("WatchCache").field("upstreams", &self.upstreams).finish_non_exhaustive()
+    }
+}
+
+impl<S: RecordStore> WatchCache<S> {
+    /// A cache of what this store holds. `upstreams` are the addresses of
+    /// other nodes' caches, none for a node that watches the store itself;
+    /// `spread` is any number that differs from node to node.
+    pub fn new(store: Arc<S>, contact: Contact, upstreams: Vec<String>, spread: u64) -> Arc<Self> {
+        let clock = Clock::start();
+        let choice = SourceChoice::new(upstreams.len(), spread, clock.now());
+        let cache = Arc::new(Self {
+            store,
+            contact,
+            clock,
+            upstreams,
+            entries: Mutex::default(),
+            source: watch::channel(choice.source()).0,
+            choice: Mutex::new(choice),
+            changed: watch::channel(0).0,
+            follows_more: Notify::new(),
+        });
+        if !cache.upstreams.is_empty() {
+            tokio::spawn(cache.clone().poll_upstreams());
+        }
+        cache
+    }
+
+    /// Follows a prefix for as long as the process lives; `consumer` is told
+    /// what happens. Between two watches of the store at least `pace` passes.
+    pub fn follow(
+        self: &Arc<Self>,
+        prefix: &str,
+        pace: Duration,
+        consumer: impl FnMut(Followed) + Send + 'static,
+    ) -> tokio::task::JoinHandle<()> {
+        let entry = Entry { cached: CachedPrefix::default(), lost_since: None, consumer: Box::new(consumer) };
+        lock(&self.entries).insert(prefix.to_owned(), entry);
+        self.follows_more.notify_one();
+        tokio::spawn(self.clone().watch_store(prefix.to_owned(), pace))
+    }
+
+    /// Whether anything is known of a prefix.
+    pub fn knows(&self, prefix: &str) -> bool {
+        lock(&self.entries).get(prefix).is_some_and(|entry| entry.cached.is_known())
+    }
+
+    /// The present source.
+    pub fn source(&self) -> RecordSource {
+        *self.source.borrow()
+    }
+
+    /// Answers other nodes at this address.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        serve(listener, Version::Http1, stop, move |request| {
+            let cache = self.clone();
+            async move { cache.answer(request).await }
+        })
+        .await;
+    }
+
+    /// Answers another node's poll.
+    pub async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let understood = request.uri().path() == CACHE_PATH && request.method() == Method::POST;
+        let bytes = read_bounded(request.into_body(), REQUEST_LIMIT, REQUEST_TIME).await.unwrap_or_default();
+        let Ok(asked) = v1::RecordsRequest::decode(bytes) else { return status_only(StatusCode::BAD_REQUEST) };
+        if !understood {
+            return status_only(StatusCode::NOT_FOUND);
+        }
+        self.follow_asked(&asked);
+        let wait = Duration::from_millis(u64::from(asked.wait_ms)).min(LONGEST_WAIT);
+        let mut changed = self.changed.subscribe();
+        let news = async { while !self.has_news(&asked) && changed.changed().await.is_ok() {} };
+        // Without news the answer says only how fresh the asker's state is.
+        let _ = tokio::time::timeout(wait, news).await;
+        Response::new(full(Bytes::from(self.news(&asked).encode_to_vec())))
+    }
+
+    /// A node that watches the store follows what others ask it for.
+    fn follow_asked(self: &Arc<Self>, asked: &v1::RecordsRequest) {
+        if !self.upstreams.is_empty() {
+            return;
+        }
+        for position in &asked.positions {
+            let (known, count) = {
+                let entries = lock(&self.entries);
+                (entries.contains_key(&position.prefix), entries.len())
+            };
+            if !known && count < ASKED_LIMIT {
+                self.follow(&position.prefix, ASKED_PACE, |_| {});
+            }
+        }
+    }
+
+    fn has_news(&self, asked: &v1::RecordsRequest) -> bool {
+        let entries = lock(&self.entries);
+        asked
+            .positions
+            .iter()
+            .any(|position| entries.get(&position.prefix).is_some_and(|entry| entry.cached.has_news(position.revision)))
+    }
+
+    fn news(&self, asked: &v1::RecordsRequest) -> v1::RecordsAnswer {
+        let entries = lock(&self.entries);
+        let known = asked.positions.iter().filter_map(|position| {
+            let entry = entries.get(&position.prefix).filter(|entry| entry.cached.is_known())?;
+            Some(entry.cached.news(&position.prefix, position.revision))
+        });
+        v1::RecordsAnswer {
+            prefixes: known.collect(),
+            age_ms: self.contact.age().map_or(u32::MAX, |age| age.as_millis().min(u128::from(u32::MAX)) as u32),
+            outage_ms: self.contact.outage().as_millis().min(u128::from(u32::MAX)) as u32,
+        }
+    }
+
+    /// Watches the store for a prefix whenever the store is the source.
+    async fn watch_store(self: Arc<Self>, prefix: String, pace: Duration) {
+        let mut source = self.source.subscribe();
+        loop {
+            if source.wait_for(|source| *source == RecordSource::Store).await.is_err() {
+                return;
+            }
+            let take = |told: Told| self.take(&prefix, told);
+            tokio::select! {
+                () = follow_store(&*self.store, &self.contact, &prefix, pace, take) => {}
+                _ = source.wait_for(|source| *source != RecordSource::Store) => {}
+            }
+        }
+    }
+
+    fn take(&self, prefix: &str, told: Told) {
+        let changed = lock(&self.entries).get_mut(prefix).is_some_and(|entry| entry.take(told));
+        if changed {
+            self.note_change();
+        }
+    }
+
+    fn note_change(&self) {
+        self.changed.send_modify(|count| *count = count.wrapping_add(1));
+    }
+
+    async fn poll_upstreams(self: Arc<Self>) {
+        let client = Client::http1();
+        loop {
+            let started = Instant::now();
+            let upstream = lock(&self.choice).upstream().and_then(|number| self.upstreams.get(number));
+            let Some(upstream) = upstream else { return };
+            let polled = tokio::select! {
+                polled = self.poll(&client, upstream) => polled,
+                () = self.follows_more.notified() => continue,
+            };
+            let pause = {
+                let mut choice = lock(&self.choice);
+                let now = self.clock.now();
+                match &polled {
+                    Some(state) => choice.note_answer(now, state),
+                    None => choice.note_failure(now),
+                }
+            };
+            self.set_source(upstream, polled);
+            tokio::time::sleep_until((started + POLL_PACE).max(Instant::now() + pause)).await;
+        }
+    }
+
+    fn set_source(&self, upstream: &str, polled: Option<UpstreamState>) {
+        let source = lock(&self.choice).source();
+        let changed = self.source.send_if_modified(|present| std::mem::replace(present, source) != source);
+        if changed {
+            log_source(source, upstream, polled);
+        }
+    }
+
+    /// Polls an upstream once, and takes over what it tells if that can be
+    /// relied on, or if nothing is known here. `None` if it gave no answer.
+    async fn poll(&self, client: &Client, upstream: &str) -> Option<UpstreamState> {
+        let wait = if self.source() == RecordSource::Upstream { POLL_WAIT } else { Duration::ZERO };
+        let asked = self.positions(wait);
+        let body = Bytes::from(asked.encode_to_vec());
+        let answer = client.call(Method::POST, upstream, CACHE_PATH, body, wait + POLL_MARGIN).await.ok()?;
+        let answer = v1::RecordsAnswer::decode(answer).ok()?;
+        let state = UpstreamState {
+            age: Duration::from_millis(u64::from(answer.age_ms)),
+            outage: Duration::from_millis(u64::from(answer.outage_ms)),
+            complete: answer.prefixes.len() == asked.positions.len(),
+        };
+        let sound = state.is_sound();
+        for told in answer.prefixes {
+            if sound || !self.knows(&told.prefix) {
+                self.take_news(told, sound);
+            }
+        }
+        Some(state)
+    }
+
+    fn positions(&self, wait: Duration) -> v1::RecordsRequest {
+        let entries = lock(&self.entries);
+        let positions = entries
+            .iter()
+            .map(|(prefix, entry)| v1::RecordsPosition { prefix: prefix.clone(), revision: entry.cached.revision() });
+        v1::RecordsRequest { positions: positions.collect(), wait_ms: wait.as_millis() as u32 }
+    }
+
+    fn take_news(&self, told: v1::PrefixRecords, sound: bool) {
+        let prefix = told.prefix.clone();
+        self.take(&prefix, read_news(told));
+        if !sound {
+            self.take(&prefix, Told::Failed(RecordsFault::Unknown));
+        }
+    }
+}
+
+fn log_source(source: RecordSource, upstream: &str, polled: Option<UpstreamState>) {
+    let (age_ms, outage_ms) =
+        polled.map_or((0, 0), |state| (state.age.as_millis() as u64, state.outage.as_millis() as u64));
+    let source = if source == RecordSource::Upstream { "upstream" } else { "store" };
+    let answered = polled.is_some();
+    emit("", &Event::RecordSourceChanged { source, upstream, answered, age_ms, outage_ms });
+}
+
+fn status_only(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/records/tests/follow.rs
+++ b/crates/records/tests/follow.rs
@@ -1,10 +1,9 @@
 //! Following a prefix through outages and lost history.
 
 use bytes::Bytes;
+use latchwheel_core::record_source::RecordSource;
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{
-    follow, follow_with, Change, Followed, Handover, RecordStore, RecordsFault, Transaction, Write,
-};
+use latchwheel_records::{Change, Contact, Followed, RecordStore, RecordsFault, Transaction, WatchCache, Write};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,21 +15,30 @@
     store.commit(&Transaction { writes: vec![write], ..Transaction::default() }).await.unwrap();
 }
 
-/// Keeps the newest value that a follower was told.
-fn start(store: &MemoryStore) -> Arc<Mutex<Vec<Followed>>> {
-    let told = Arc::new(Mutex::new(Vec::new()));
+type Told = Arc<Mutex<Vec<Followed>>>;
+
+/// A node's cache with all that its follower was told; without upstreams it
+/// watches the store.
+fn node(store: &MemoryStore, upstreams: Vec<String>) -> (Arc<WatchCache<MemoryStore>>, Told) {
+    let told = Told::default();
     let seen = told.clone();
-    tokio::spawn(follow(Arc::new(store.clone()), PREFIX.into(), PACE, move |followed| {
-        seen.lock().unwrap().push(followed);
-    }));
-    told
+    let cache = WatchCache::new(Arc::new(store.clone()), Contact::default(), upstreams, 0);
+    cache.follow(PREFIX, PACE, move |followed| seen.lock().unwrap().push(followed));
+    (cache, told)
+}
+
+fn start(store: &MemoryStore) -> Told {
+    node(store, Vec::new()).1
 }
 
 fn newest(told: &Mutex<Vec<Followed>>) -> Option<Bytes> {
     let told = told.lock().unwrap();
     told.iter().rev().find_map(|followed| match followed {
-        Followed::All(records) => records.last().map(|record| record.value.clone()),
-        Followed::Changed(Change::Written(record)) => Some(record.value.clone()),
+        Followed::All(listing) => listing.records.last().map(|record| record.value.clone()),
+        Followed::Changed(changes) => changes.changes.iter().rev().find_map(|change| match change {
+            Change::Written(record) => Some(record.value.clone()),
+            Change::Removed { .. } => None,
+        }),
         _ => None,
     })
 }
@@ -85,33 +93,100 @@
     assert!(away.is_some_and(|away| away >= Duration::from_secs(3)), "{away:?}");
 }
 
+/// A node's cache that others can poll.
+struct Upstream {
+    cache: Arc<WatchCache<MemoryStore>>,
+    address: String,
+    task: tokio::task::JoinHandle<()>,
+    _stop: tokio::sync::watch::Sender<bool>,
+}
+
+async fn upstream(store: &MemoryStore) -> Upstream {
+    let (cache, _) = node(store, Vec::new());
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let task = tokio::spawn(cache.clone().serve(listener, stopped));
+    until(|| cache.knows(PREFIX)).await;
+    Upstream { cache, address, task, _stop: stop }
+}
+
 /// A node that starts while the store is away knows what another one knows,
 /// and the store's own list as soon as that answers.
 #[tokio::test]
 async fn a_start_in_an_outage_takes_over_from_another_node() {
     let store = MemoryStore::default();
     write(&store, "a/1", "known").await;
-    let first = Handover::new(Vec::new());
-    tokio::spawn(follow_with(Arc::new(store.clone()), PREFIX.into(), PACE, first.clone(), |_| {}));
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let (_stop, stopped) = tokio::sync::watch::channel(false);
-    tokio::spawn(first.clone().serve(listener, stopped));
-    until(|| first.knows(PREFIX)).await;
+    let first = upstream(&store).await;
 
     store.set_fault(Some(RecordsFault::Refused));
-    let second = Handover::new(vec!["127.0.0.1:1".into(), address]);
-    let told = Arc::new(Mutex::new(Vec::new()));
-    let seen = told.clone();
-    tokio::spawn(follow_with(Arc::new(store.clone()), PREFIX.into(), PACE, second, move |followed| {
-        seen.lock().unwrap().push(followed);
-    }));
+    store.cut_watches();
+    let (_second, told) = node(&store, vec!["127.0.0.1:1".into(), first.address.clone()]);
     until(|| newest(&told) == Some(Bytes::from_static(b"known"))).await;
     store.set_fault(None);
     write(&store, "a/1", "newer").await;
     until(|| newest(&told) == Some(Bytes::from_static(b"newer"))).await;
 }
 
+/// A node with a sound upstream makes no call to the store: the one that it
+/// could call answers nothing. Removals and further prefixes reach it too.
+#[tokio::test]
+async fn a_node_follows_its_upstream_without_the_store() {
+    let store = MemoryStore::default();
+    write(&store, "a/1", "one").await;
+    write(&store, "b/1", "elsewhere").await;
+    let first = upstream(&store).await;
+    let unreachable = MemoryStore::default();
+    unreachable.set_fault(Some(RecordsFault::Unknown));
+    let (second, told) = node(&unreachable, vec![first.address.clone()]);
+    until(|| newest(&told) == Some(Bytes::from_static(b"one"))).await;
+    assert_eq!(second.source(), RecordSource::Upstream);
+
+    write(&store, "a/1", "two").await;
+    until(|| newest(&told) == Some(Bytes::from_static(b"two"))).await;
+    let remove = Transaction { removes: vec!["a/1".into()], ..Transaction::default() };
+    store.commit(&remove).await.unwrap();
+    until(|| told.lock().unwrap().iter().any(is_removal)).await;
+
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let others = seen.clone();
+    second.follow("b/", PACE, move |followed| others.lock().unwrap().push(followed));
+    until(|| newest(&seen) == Some(Bytes::from_static(b"elsewhere"))).await;
+    assert!(!told.lock().unwrap().iter().any(|followed| matches!(followed, Followed::Lost(_))));
+}
+
+fn is_removal(followed: &Followed) -> bool {
+    let Followed::Changed(changes) = followed else { return false };
+    changes.changes.iter().any(|change| matches!(change, Change::Removed { key, .. } if key == "a/1"))
+}
+
+/// An upstream that dies, or that the store fails, is left for the store.
+#[tokio::test]
+async fn a_node_turns_to_the_store_when_its_upstream_fails() {
+    let store = MemoryStore::default();
+    write(&store, "a/1", "one").await;
+    let own_view = store.clone();
+    let first = upstream(&store).await;
+    let (second, told) = node(&own_view, vec![first.address.clone()]);
+    until(|| second.source() == RecordSource::Upstream).await;
+    first.task.abort();
+    until(|| first.task.is_finished()).await;
+    write(&store, "a/1", "two").await;
+    until(|| newest(&told) == Some(Bytes::from_static(b"two"))).await;
+    assert!(first.cache.knows(PREFIX));
+
+    // The store fails one upstream only.
+    let failing = MemoryStore::default();
+    write(&failing, "a/1", "old").await;
+    let cut_off = upstream(&failing).await;
+    let (third, told) = node(&own_view, vec![cut_off.address.clone()]);
+    until(|| third.source() == RecordSource::Upstream).await;
+    failing.set_fault(Some(RecordsFault::Refused));
+    failing.cut_watches();
+    until(|| third.source() == RecordSource::Store).await;
+    until(|| newest(&told) == Some(Bytes::from_static(b"two"))).await;
+}
+
 async fn until(holds: impl Fn() -> bool) {
     let end = std::time::Instant::now() + Duration::from_secs(20);
     while !holds() {
