Read results at the worker of a job; say "nothing there" only from a listing

Change: a front asks the job's worker, and the store where that can't tell. A worker says that there is nothing only if the store answered it within 1.2 s and no part is on its way for over 0.4 s; who takes a job over lists nothing for 2.5 s, since the former worker may still be asked. Without a worker, nothing is said to be absent that a listing hasn't shown to be. A job stays with the worker that it was assigned to when it was accepted, so that one that joins cuts no runs; who leaves a job lists first what is ready. Reasons for leaving a job are a type. Tests: crates/jobs/tests/results.rs; four of the five were seen to fail with the limits, the listing, the assignment and the grace taken out.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,12 +1,15 @@
 //! Taking, ending and reading jobs, at any node.
 
+use crate::assignment::rendezvous;
 use crate::handed::{write_job, Handed};
 use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Nodes;
+use crate::owned_jobs::page;
 use crate::recent::Recent;
 use crate::relay::relay;
 use crate::results::ResultList;
 use crate::spool::{hand_out, may_be_held};
+use crate::worker_calls::WorkerCalls;
 use bytes::Bytes;
 use latchwheel_records::{Committed, Record, RecordStore, RecordsFault, Transaction, Write};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,9 +22,6 @@
 const CUT_OFF_PATIENCE: Duration = Duration::from_millis(150);
 /// Pause before a call to the store is made again.
 pub(crate) const PAUSE: Duration = Duration::from_millis(60);
-/// Time for which a list that was read counts as the present one; readers at
-/// other nodes may see more meanwhile.
-const FRESH_TIME: Duration = Duration::from_millis(400);
 /// Jobs whose results are remembered.
 const REMEMBERED_JOBS: usize = 64;
 /// Jobs whose bodies are remembered.
@@ -62,8 +62,13 @@
 struct Known {
     total: usize,
     list: ResultList,
-    /// When the store was asked last.
-    asked_at: Instant,
+}
+
+impl Known {
+    /// Whether what follows a position is known: a result, or that none comes.
+    fn answers(&self, from: usize) -> bool {
+        self.list.results.len() > from || self.list.results.len() >= self.total
+    }
 }
 
 /// Takes, ends and reads jobs.
@@ -71,6 +76,7 @@
 pub struct JobDesk<S> {
     store: Arc<S>,
     nodes: Nodes,
+    workers: WorkerCalls,
     copies: usize,
     known: Mutex<Recent<Known>>,
     bodies: Mutex<Recent<Arc<JobBody>>>,
@@ -82,6 +88,7 @@
     pub fn new(store: Arc<S>, nodes: Nodes, copies: usize) -> Self {
         Self {
             store,
+            workers: WorkerCalls::new(nodes.clone()),
             nodes,
             copies,
             known: Mutex::new(Recent::new(REMEMBERED_JOBS)),
@@ -102,7 +109,8 @@
         body: JobBody,
         until: Instant,
     ) -> Result<Taken, DeskFault> {
-        let handed = Arc::new(Handed::new(host, path, body));
+        let workers = self.nodes.worker_names();
+        let handed = Arc::new(Handed::new(host, path, body, rendezvous(job, &workers)));
         let cut_off = async {
             tokio::time::sleep(STORE_PATIENCE + CUT_OFF_PATIENCE).await;
             if self.nodes.hears_any_worker() {
@@ -187,21 +195,20 @@
         byte_limit: usize,
         wait: Duration,
     ) -> Result<ResultPage, DeskFault> {
+        let until = Instant::now() + wait;
         let remembered = lock(&self.known).get(job).cloned();
+        if let Some(known) = remembered.as_ref().filter(|known| known.answers(from)) {
+            return Ok(page_of(known, from, byte_limit));
+        }
+        if let Some(told) = self.workers.results(job, from, byte_limit, wait).await {
+            return Ok(ResultPage { total: told.total, results: told.results });
+        }
         let mut known = match remembered {
             Some(known) => known,
             None => self.load(job).await?,
         };
-        let until = Instant::now() + wait;
-        // Who doesn't wait is told what was known a moment ago.
-        let mut asked = wait.is_zero() && known.asked_at.elapsed() < FRESH_TIME;
-        while known.list.results.len() <= from && known.list.results.len() < known.total {
+        if !known.answers(from) {
             let left = until.saturating_duration_since(Instant::now());
-            if asked && left.is_zero() {
-                break;
-            }
-            asked = true;
-            known.asked_at = Instant::now();
             if let Err(fault) = known.list.extend(&*self.store, job, left).await {
                 // What the watch missed may be in no history any more.
                 lock(&self.known).remove(job);
@@ -214,13 +221,12 @@
     }
 
     async fn load(&self, job: &str) -> Result<Known, DeskFault> {
-        let asked_at = Instant::now();
         let list = ResultList::load(&*self.store, job).await.map_err(desk_fault)?;
         let total = match list.total {
             Some(total) => total,
             None => self.record(job).await?.items,
         };
-        Ok(Known { total, list, asked_at })
+        Ok(Known { total, list })
     }
 
     fn remember(&self, job: &str, known: Known) {
@@ -254,6 +260,9 @@
     /// # Errors
     /// [`DeskFault`].
     pub async fn item_body(&self, job: &str, item: &str) -> Result<String, DeskFault> {
+        if let Some(body) = self.workers.item_body(job, item).await {
+            return Ok(body);
+        }
         let remembered = lock(&self.bodies).get(job).cloned();
         let body = match remembered {
             Some(body) => body,
@@ -292,13 +301,7 @@
 }
 
 fn page_of(known: &Known, from: usize, byte_limit: usize) -> ResultPage {
-    let mut bytes = 0;
-    let results = known.list.results.iter().skip(from).take_while(|result| {
-        let first = bytes == 0;
-        bytes += result.text.len() + result.item.len();
-        first || bytes <= byte_limit
-    });
-    ResultPage { total: known.total, results: results.cloned().collect() }
+    ResultPage { total: known.total, results: page(&known.list.results, from, byte_limit) }
 }
 
 fn desk_fault(fault: RecordsFault) -> DeskFault {
--- a/crates/jobs/src/handed.rs
+++ b/crates/jobs/src/handed.rs
@@ -18,13 +18,22 @@
     host: String,
     path: String,
     accepted_ms: u64,
+    #[serde(default)]
+    assigned: String,
     body: JobBody,
 }
 
 impl Handed {
-    pub(crate) fn new(host: &str, path: &str, body: JobBody) -> Self {
+    /// A job that `assigned` is to run, if any worker is known.
+    pub(crate) fn new(host: &str, path: &str, body: JobBody, assigned: Option<&str>) -> Self {
         let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { host: host.to_owned(), path: path.to_owned(), accepted_ms: accepted.as_millis() as u64, body }
+        Self {
+            host: host.to_owned(),
+            path: path.to_owned(),
+            accepted_ms: accepted.as_millis() as u64,
+            assigned: assigned.unwrap_or_default().to_owned(),
+            body,
+        }
     }
 }
 
@@ -44,6 +53,7 @@
         body_parts: writes.len(),
         body_hash: stable_hash(&bytes),
         accepted_ms: handed.accepted_ms,
+        assigned: handed.assigned.clone(),
     };
     let total = serde_json::to_vec(&record.items).unwrap_or_default();
     writes.push(Write { key: total_key(job), value: total.into(), lease: 0 });
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -20,6 +20,8 @@
 const LIST_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of results listed together.
 const LIST_BYTES: usize = 600 << 10;
+/// Time in which results are listed before a job is left.
+const LEAVING_TIME: Duration = Duration::from_millis(800);
 
 /// A part that is being written: its items, the transaction, and its outcome.
 pub(crate) struct Listing {
@@ -38,28 +40,50 @@
         (0..self.items.len()).filter(ended).collect()
     }
 
+    /// Begins to list what is ready, if it is time to.
     pub(crate) fn begin_listing(&mut self) {
-        if self.listing.is_some() {
-            return;
-        }
-        let mut ready = self.ready_to_list();
-        if ready.is_empty() {
+        let now = self.context.shared.clock.now();
+        let ready = self.ready_to_list();
+        if self.listing.is_some() || ready.is_empty() || now < self.lists_from {
             return;
         }
-        let now = self.context.shared.clock.now();
-        let open = self.listed.iter().filter(|listed| !**listed).count();
         let since = *self.unlisted_since.get_or_insert(now);
-        if ready.len() < open && now.since(since) < LIST_EVERY {
+        if ready.len() < self.open_count() && now.since(since) < LIST_EVERY {
             return;
         }
+        self.list(ready);
+    }
+
+    /// Lists what is ready before the job goes to another worker, which lists
+    /// nothing for a while.
+    pub(crate) async fn list_before_leaving(&mut self) {
+        let ready = self.ready_to_list();
+        if self.listing.is_none() && !ready.is_empty() {
+            self.list(ready);
+        }
+        let committed = tokio::time::timeout(LEAVING_TIME, poll_listing(&mut self.listing)).await;
+        if let Ok(committed) = committed {
+            self.end_listing(committed).await;
+        }
+    }
+
+    /// Items without a listed result.
+    fn open_count(&self) -> usize {
+        self.listed.iter().filter(|listed| !**listed).count()
+    }
+
+    /// Starts the writing of a part with as many of these items as fit.
+    fn list(&mut self, mut ready: Vec<usize>) {
         let mut bytes = 0;
         ready.retain(|position| {
             bytes += self.progress[*position].text().len();
             bytes <= LIST_BYTES || bytes == self.progress[*position].text().len()
         });
-        let transaction = self.listing_of(&ready, ready.len() == open);
+        let transaction = self.listing_of(&ready, ready.len() == self.open_count());
         let commit = commit(self.context.store.clone(), transaction.clone()).boxed();
         self.listing = Some(Listing { items: ready, transaction, outcome: commit });
+        let writing_since = Some(tokio::time::Instant::now());
+        self.context.owned.update(&self.job, |view| view.writing_since = writing_since);
     }
 
     fn listing_of(&self, ready: &[usize], last: bool) -> Transaction {
@@ -95,6 +119,7 @@
                 self.list.results.extend(results);
                 self.list.parts += 1;
                 self.note_list();
+                self.show_list();
                 let count = ready.len();
                 emit(&self.job, &Event::ResultsListed { job: &self.job, first, count, revision });
                 return;
@@ -119,6 +144,7 @@
         if let Ok(list) = ResultList::load(&*store, &self.job).await {
             self.list = list;
             self.note_list();
+            self.show_list();
         }
         if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
             if let Some(record) = read_record(&present.value) {
@@ -128,6 +154,12 @@
         }
     }
 
+    /// Shows the list as it is in the store to readers.
+    fn show_list(&self) {
+        let view = self.view();
+        self.context.owned.update(&self.job, |shown| *shown = view);
+    }
+
     /// Takes over what the list says.
     pub(crate) fn note_list(&mut self) {
         for result in &self.list.results {
@@ -145,6 +177,7 @@
     store.commit(&transaction).await
 }
 
+/// The outcome of the writing that is on its way; never, if there is none.
 pub(crate) async fn poll_listing(listing: &mut Option<Listing>) -> Result<Committed, RecordsFault> {
     match listing {
         Some(listing) => (&mut listing.outcome).await,
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -4,6 +4,7 @@
 use crate::item_run::{outgoing_of, run_item};
 use crate::job_listing::{poll_listing, Listing};
 use crate::layout::{ItemBody, JobBody, JobRecord};
+use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
 use crate::worker::WorkerContext;
 use futures::future::BoxFuture;
@@ -38,6 +39,9 @@
 /// Retention of a job whose route is not known any more.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
 
+/// A job that was accepted less long ago has run at no other worker.
+const NEW_JOB_AGE: Duration = Duration::from_secs(3);
+
 /// What a job's worker has to know from outside.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum JobOrder {
@@ -46,7 +50,40 @@
     /// Start no further run; what runs may end.
     Wind,
     /// Leave it at once.
-    Leave(&'static str),
+    Leave(LeaveReason),
+}
+
+/// Why a job is left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaveReason {
+    /// Its client ended it.
+    Ended,
+    /// All its items are listed.
+    Finished,
+    /// Its record is gone.
+    RecordGone,
+    /// Another worker runs it from now on.
+    FallsToAnother,
+    /// This worker leaves, or the process stops.
+    WorkerLeaves,
+}
+
+impl LeaveReason {
+    /// A word for the log.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            LeaveReason::Ended => "ended",
+            LeaveReason::Finished => "finished",
+            LeaveReason::RecordGone => "record_gone",
+            LeaveReason::FallsToAnother => "falls_to_another",
+            LeaveReason::WorkerLeaves => "worker_leaves",
+        }
+    }
+
+    /// Whether another worker goes on with the job.
+    fn goes_on_elsewhere(self) -> bool {
+        matches!(self, LeaveReason::FallsToAnother | LeaveReason::WorkerLeaves)
+    }
 }
 
 type ItemRun = BoxFuture<'static, (usize, ItemProgress, RunEnd, &'static str, Arc<str>)>;
@@ -79,7 +116,10 @@
     );
     let mut run = JobRun::new(context, job, record, revision, body, list);
     let reason = run.run(&mut orders).await;
-    emit(&run.job, &Event::JobLeft { job: &run.job, reason, listed: run.list.results.len() });
+    if reason.goes_on_elsewhere() {
+        run.list_before_leaving().await;
+    }
+    emit(&run.job, &Event::JobLeft { job: &run.job, reason: reason.word(), listed: run.list.results.len() });
 }
 
 async fn load<S: RecordStore>(store: &S, job: &str, record: &JobRecord) -> Result<(JobBody, ResultList), RecordsFault> {
@@ -101,7 +141,7 @@
     pub(crate) job: String,
     pub(crate) record: JobRecord,
     pub(crate) revision: u64,
-    pub(crate) items: Vec<ItemBody>,
+    pub(crate) items: Arc<Vec<ItemBody>>,
     pub(crate) positions: HashMap<String, usize>,
     pub(crate) progress: Vec<ItemProgress>,
     pub(crate) listed: Vec<bool>,
@@ -112,6 +152,8 @@
     pub(crate) listing: Option<Listing>,
     pub(crate) unlisted_since: Option<Instant>,
     pub(crate) taken_at: Instant,
+    /// Results are listed from this time on.
+    pub(crate) lists_from: Instant,
 }
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -126,12 +168,13 @@
         let positions = body.items.iter().enumerate().map(|(position, item)| (item.id.clone(), position)).collect();
         let count = body.items.len();
         let taken_at = context.shared.clock.now();
+        let lists_from = taken_at + grace_of(&context.name, &record, &list);
         let mut run = Self {
             context,
             job,
             record,
             revision,
-            items: body.items,
+            items: Arc::new(body.items),
             positions,
             progress: vec![ItemProgress::default(); count],
             listed: vec![false; count],
@@ -142,12 +185,14 @@
             listing: None,
             unlisted_since: None,
             taken_at,
+            lists_from,
         };
         run.note_list();
+        run.context.owned.show(&run.job, run.items.clone(), run.view());
         run
     }
 
-    async fn run(&mut self, orders: &mut watch::Receiver<JobOrder>) -> &'static str {
+    async fn run(&mut self, orders: &mut watch::Receiver<JobOrder>) -> LeaveReason {
         loop {
             let order = orders.borrow_and_update().clone();
             match order {
@@ -157,13 +202,13 @@
                     self.start_items();
                 }
                 JobOrder::Wind if self.runs.is_empty() && self.listing.is_none() && self.ready_to_list().is_empty() => {
-                    return "worker_leaves";
+                    return LeaveReason::WorkerLeaves;
                 }
                 JobOrder::Wind => {}
             }
             self.begin_listing();
             if self.listing.is_none() && self.listed.iter().all(|listed| *listed) {
-                return "finished";
+                return LeaveReason::Finished;
             }
             tokio::select! {
                 Some((position, progress, end, reason, server)) = self.runs.next() => {
@@ -172,7 +217,7 @@
                 committed = poll_listing(&mut self.listing) => self.end_listing(committed).await,
                 changed = orders.changed() => {
                     if changed.is_err() {
-                        return "worker_stops";
+                        return LeaveReason::WorkerLeaves;
                     }
                 }
                 () = tokio::time::sleep(LOOK_EVERY) => {}
@@ -180,6 +225,11 @@
         }
     }
 
+    /// What is shown to readers.
+    pub(crate) fn view(&self) -> JobView {
+        JobView { total: self.items.len(), results: self.list.results.clone(), writing_since: None }
+    }
+
     fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
         let table = self.context.shared.table();
         let route = table.find(&self.record.host, &self.record.path);
@@ -331,10 +381,24 @@
 
 impl<S, D> Drop for JobRun<S, D> {
     fn drop(&mut self) {
+        self.context.owned.hide(&self.job);
         self.context.note_runs(0, self.running.len());
     }
 }
 
+/// Time that a worker waits before it lists results: none for a new job that
+/// was assigned to it, since no other can have shown it.
+fn grace_of(worker: &str, record: &JobRecord, list: &ResultList) -> Duration {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let age = wall.saturating_sub(Duration::from_millis(record.accepted_ms));
+    let is_new = record.assigned == worker && list.parts == 0 && age < NEW_JOB_AGE;
+    if is_new {
+        Duration::ZERO
+    } else {
+        TAKEOVER_GRACE
+    }
+}
+
 async fn run_owned<D: Dialect>(
     position: usize,
     exchange: Exchange<D>,
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -108,6 +108,9 @@
     pub body_hash: u64,
     /// Time of day at which it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// Worker that is to run it; empty if none was known.
+    #[serde(default)]
+    pub assigned: String,
 }
 
 /// The items of a job.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,7 +11,11 @@
 //! - [`spool`]: keeping new jobs while the store is away.
 //! - [`relay`]: handing a new job to another front.
 //! - [`layout`]: the records.
+//!
+//! A worker shows the jobs that it runs to the other nodes (`owned_jobs`), so
+//! that readers need the store only where the worker can't tell.
 
+mod assignment;
 pub mod desk;
 mod expiry;
 mod handed;
@@ -20,16 +24,20 @@
 mod job_run;
 pub mod layout;
 pub mod nodes;
+mod owned_jobs;
 mod recent;
 pub mod relay;
 mod results;
 pub mod spool;
 pub mod worker;
+mod worker_calls;
 
 pub use desk::{DeskFault, JobDesk, ResultPage};
 pub use item_run::outgoing_of;
 pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
 pub use nodes::{Membership, Nodes, OwnNode};
+pub use owned_jobs::OwnedJobs;
 pub use relay::serve_relay;
 pub use spool::Spool;
 pub use worker::{run_worker, WorkerHandle};
+pub use worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -7,7 +7,7 @@
 use latchwheel_records::{
     keep_registered, unregister, Change, Contact, Followed, Record, RecordStore, Registration, WatchCache,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -19,7 +19,7 @@
 
 /// Lease of a node whose end others wait for, and the time between renewals.
 const SHORT_LEASE: Duration = Duration::from_millis(4500);
-const SHORT_RENEWAL: Duration = Duration::from_millis(1200);
+const SHORT_RENEWAL: Duration = Duration::from_millis(700);
 /// Time between renewals of a node by which others judge the store.
 const UPSTREAM_RENEWAL: Duration = Duration::from_millis(400);
 /// Lease of any other node, and the time between renewals.
@@ -72,6 +72,18 @@
         workers.any(|(worker, _)| hears(worker))
     }
 
+    /// Names of all workers.
+    pub fn worker_names(&self) -> BTreeSet<String> {
+        let known = self.lock();
+        let workers = known.iter().filter(|(_, (role, _))| *role == NodeRole::Worker);
+        workers.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Address of a node.
+    pub fn address_of(&self, node: &str) -> Option<SocketAddr> {
+        self.lock().get(node).map(|(_, address)| *address)
+    }
+
     fn of_role(&self, role: NodeRole) -> Vec<SocketAddr> {
         self.lock().values().filter(|(own, _)| *own == role).map(|(_, address)| *address).collect()
     }
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -12,6 +12,8 @@
 
 use crate::handed::{taking, Handed};
 use crate::layout::{disk_key, NodeRecord, NodeRole, DISK_PREFIX};
+use crate::owned_jobs::OwnedJobs;
+use crate::worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -127,11 +129,17 @@
         Ok(spool)
     }
 
-    /// Takes jobs from other nodes at this address.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    /// Takes jobs from other nodes at this address, and answers their calls on
+    /// the jobs that the worker runs.
+    pub async fn serve(self: Arc<Self>, owned: Arc<OwnedJobs>, listener: TcpListener, stop: watch::Receiver<bool>) {
         serve(listener, Version::Http1, stop, move |request| {
-            let spool = self.clone();
-            async move { spool.answer(request).await }
+            let (spool, owned) = (self.clone(), owned.clone());
+            async move {
+                match request.uri().path() {
+                    RESULTS_PATH | ITEM_BODY_PATH => owned.answer(request).await,
+                    _ => spool.answer(request).await,
+                }
+            }
         })
         .await;
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -5,11 +5,12 @@
 //! names. Two workers may hold a job at once for a moment; then items run
 //! twice, but the list of results takes each once.
 
+use crate::assignment::owner_of;
 use crate::desk::read_record;
 use crate::expiry::{remove_job, ClosedJobs};
-use crate::job_run::{run_job, JobOrder};
+use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
-use latchwheel_core::identity::{stable_hash, stable_pair_hash};
+use crate::owned_jobs::OwnedJobs;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
@@ -33,6 +34,8 @@
     pub store: Arc<S>,
     /// Servers, routes and connections.
     pub shared: Arc<Shared<D>>,
+    pub(crate) name: String,
+    pub(crate) owned: Arc<OwnedJobs>,
     workers: AtomicUsize,
     running: AtomicUsize,
 }
@@ -79,13 +82,21 @@
     store: Arc<S>,
     cache: &Arc<WatchCache<S>>,
     shared: Arc<Shared<D>>,
+    owned: Arc<OwnedJobs>,
     name: &str,
     keep: Duration,
 ) -> WorkerHandle {
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
-    let context = Arc::new(WorkerContext { store, shared, workers: AtomicUsize::new(0), running: AtomicUsize::new(0) });
     let (name, cache) = (name.to_owned(), cache.clone());
+    let context = Arc::new(WorkerContext {
+        store,
+        shared,
+        name: name.clone(),
+        owned,
+        workers: AtomicUsize::new(0),
+        running: AtomicUsize::new(0),
+    });
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
         left_sender.send_replace(true);
@@ -166,7 +177,7 @@
         let present: BTreeSet<&str> = records.iter().filter_map(|record| job_of_key(&record.key)).collect();
         let missing: Vec<String> = self.jobs.keys().filter(|job| !present.contains(job.as_str())).cloned().collect();
         for job in missing {
-            self.drop_job(&job, "record_gone");
+            self.drop_job(&job, LeaveReason::RecordGone);
         }
         records.into_iter().for_each(|record| self.note_record(record));
         if before != self.workers {
@@ -184,7 +195,8 @@
         let Some(job) = job_of_key(&record.key) else { return };
         let Some(job_record) = read_record(&record.value) else { return };
         if job_record.state != JobState::Open {
-            let reason = if job_record.state == JobState::Ended { "ended" } else { "finished" };
+            let ended = job_record.state == JobState::Ended;
+            let reason = if ended { LeaveReason::Ended } else { LeaveReason::Finished };
             self.drop_job(job, reason);
             self.closed.note(job, job_record, record.revision);
             return;
@@ -201,11 +213,11 @@
         }
         if let Some(job) = job_of_key(key) {
             self.closed.forget(job);
-            self.drop_job(job, "record_gone");
+            self.drop_job(job, LeaveReason::RecordGone);
         }
     }
 
-    fn drop_job(&mut self, job: &str, reason: &'static str) {
+    fn drop_job(&mut self, job: &str, reason: LeaveReason) {
         if let Some(Job { run: Some((orders, _)), .. }) = self.jobs.remove(job) {
             orders.send_replace(JobOrder::Leave(reason));
         }
@@ -222,7 +234,7 @@
     fn expire(&self) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         for (job, record, revision) in self.closed.due(now.as_millis() as u64, self.keep) {
-            if owner_of(&job, &self.workers) != Some(self.name.as_str()) {
+            if owner_of(&job, &record.assigned, &self.workers) != Some(self.name.as_str()) {
                 continue;
             }
             let store = self.context.store.clone();
@@ -236,8 +248,13 @@
 
     /// Starts the jobs that fall to this worker, and leaves the others.
     fn act(&mut self) {
+        let mut elsewhere = HashMap::new();
         for (name, job) in &mut self.jobs {
-            let ours = owner_of(name, &self.workers) == Some(self.name.as_str());
+            let owner = owner_of(name, &job.record.assigned, &self.workers);
+            let ours = owner == Some(self.name.as_str());
+            if let Some(owner) = owner.filter(|_| !ours) {
+                elsewhere.insert(name.clone(), owner.to_owned());
+            }
             match (&job.run, ours) {
                 (None, true) => {
                     let (orders, received) = watch::channel(JobOrder::Run);
@@ -245,12 +262,13 @@
                     job.run = Some((orders, tokio::spawn(run)));
                 }
                 (Some((orders, _)), false) => {
-                    orders.send_replace(JobOrder::Leave("falls_to_another"));
+                    orders.send_replace(JobOrder::Leave(LeaveReason::FallsToAnother));
                     job.run = None;
                 }
                 _ => {}
             }
         }
+        self.context.owned.set_elsewhere(elsewhere);
     }
 
     async fn wind_up(self, limit: Duration) {
@@ -261,15 +279,8 @@
         let end = tokio::time::Instant::now() + limit;
         for (orders, run) in runs {
             if tokio::time::timeout_at(end, run).await.is_err() {
-                orders.send_replace(JobOrder::Leave("worker_leaves"));
+                orders.send_replace(JobOrder::Leave(LeaveReason::WorkerLeaves));
             }
         }
     }
 }
-
-/// The worker to which a job falls.
-fn owner_of<'a>(job: &str, workers: &'a BTreeSet<String>) -> Option<&'a str> {
-    let key = stable_hash(job.as_bytes());
-    let weight = |worker: &&String| stable_pair_hash(stable_hash(worker.as_bytes()), key);
-    workers.iter().max_by_key(weight).map(String::as_str)
-}
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -1,8 +1,8 @@
 //! Taking, ending and reading jobs while the store fails in every way.
 
-use latchwheel_jobs::{serve_relay, DeskFault, ItemBody, JobBody, JobDesk, NodeRole, Nodes, Spool};
+use latchwheel_jobs::{serve_relay, DeskFault, ItemBody, JobBody, JobDesk, NodeRole, Nodes, OwnedJobs, Spool};
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{RecordStore, RecordsFault};
+use latchwheel_records::{Contact, RecordStore, RecordsFault};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -46,7 +46,7 @@
     let spool =
         Spool::open(Arc::new(store.clone()), name, &listener.local_addr().unwrap().to_string(), folder).unwrap();
     let (stop, stopped) = watch::channel(false);
-    Disk { _stop: stop, task: tokio::spawn(spool.serve(listener, stopped)) }
+    Disk { _stop: stop, task: tokio::spawn(spool.serve(OwnedJobs::new(Contact::default()), listener, stopped)) }
 }
 
 /// Addresses that nobody uses now.
--- /dev/null
+++ b/crates/jobs/tests/results.rs
@@ -0,0 +1,193 @@
+//! Reading results at the worker of a job and in the store: what was read once
+//! is found at every node from then on.
+
+use latchwheel_core::routes::RequestKind;
+use latchwheel_jobs::layout::result_key;
+use latchwheel_jobs::{
+    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
+    ResultPage, Spool, WorkerHandle,
+};
+use latchwheel_records::memory::MemoryStore;
+use latchwheel_records::{Contact, RecordStore, RecordsFault, Transaction, WatchCache, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::{node, route, Act, TestServer, HOST};
+use tokio::net::{TcpListener, UdpSocket};
+
+#[path = "../../proxy/tests/support/mod.rs"]
+mod support;
+
+const JOB: &str = "job-1";
+const PAGE: usize = 1 << 20;
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A worker with all that other nodes call.
+struct Worker {
+    address: SocketAddr,
+    _handle: WorkerHandle,
+    _membership: Membership<MemoryStore>,
+    _folder: tempfile::TempDir,
+    _stop: tokio::sync::watch::Sender<bool>,
+}
+
+async fn start_worker(store: &MemoryStore, server: &TestServer, name: &str) -> Worker {
+    let store = Arc::new(store.clone());
+    let contact = Contact::default();
+    let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
+    let owned = OwnedJobs::new(contact.clone());
+    let shared = node(route(RequestKind::Batch, 3), &[server]);
+    let handle = run_worker(store.clone(), &cache, shared.clone(), owned.clone(), name, LIMIT);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let spool = Spool::open(store.clone(), name, &address.to_string(), folder.path()).unwrap();
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    tokio::spawn(spool.serve(owned, listener, stopped));
+    let record = NodeRecord { role: NodeRole::Worker, address: address.to_string() };
+    let own = OwnNode { name: name.to_owned(), record, is_upstream: false };
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let membership = Membership::join(store, &cache, contact, shared, &own, socket);
+    Worker { address, _handle: handle, _membership: membership, _folder: folder, _stop: stop }
+}
+
+/// A desk that knows one worker.
+fn desk(store: &MemoryStore, worker: &str, address: SocketAddr) -> JobDesk<MemoryStore> {
+    let nodes = Nodes::new(|_| true);
+    nodes.put(worker, NodeRole::Worker, address);
+    JobDesk::new(Arc::new(store.clone()), nodes, 2)
+}
+
+/// An address where nobody answers.
+async fn nowhere() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+fn body(items: usize) -> JobBody {
+    let items = (0..items).map(|number| ItemBody {
+        id: format!("item-{number}"),
+        path: "/path/item".into(),
+        body: "YWJj".into(),
+        ..ItemBody::default()
+    });
+    JobBody { items: items.collect() }
+}
+
+async fn take(desk: &JobDesk<MemoryStore>, job: &str, items: usize) {
+    desk.take(job, HOST, "/path/x", body(items), Instant::now() + LIMIT).await.unwrap();
+}
+
+/// Reads until there are that many results from the start on.
+async fn read_until(desk: &JobDesk<MemoryStore>, job: &str, count: usize) -> ResultPage {
+    let end = Instant::now() + LIMIT;
+    loop {
+        match desk.read(job, 0, PAGE, Duration::from_millis(100)).await {
+            Ok(page) if page.results.len() >= count => return page,
+            other => assert!(Instant::now() < end, "{other:?}"),
+        }
+    }
+}
+
+async fn write_part(store: &MemoryStore, item: &str) {
+    let result = ListedResult { item: item.to_owned(), completed: true, text: "text".into() };
+    let value = serde_json::to_vec(&[result]).unwrap().into();
+    let write = Write { key: result_key(JOB, 0), value, lease: 0 };
+    store.commit(&Transaction { writes: vec![write], ..Transaction::default() }).await.unwrap();
+}
+
+/// Watches may hear of changes late: that there is nothing at a position is
+/// told from a listing.
+#[tokio::test]
+async fn a_watch_that_hears_nothing_hides_no_result() {
+    let store = MemoryStore::default();
+    let desk = desk(&store, "worker", nowhere().await);
+    take(&desk, JOB, 2).await;
+    assert!(desk.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
+    store.set_deaf(true);
+    write_part(&store, "item-1").await;
+    for wait in [Duration::from_millis(30), Duration::ZERO] {
+        assert_eq!(desk.read(JOB, 0, PAGE, wait).await.unwrap().results.len(), 1, "{wait:?}");
+    }
+}
+
+/// Results and bodies come from the worker: the reader's store answers nobody.
+#[tokio::test]
+async fn readers_need_no_store_while_the_worker_is_sure() {
+    let server = TestServer::start("server", vec![Act::StreamTo(2), Act::Silence]).await;
+    let store = MemoryStore::default();
+    let worker = start_worker(&store, &server, "worker").await;
+    take(&desk(&store, "worker", worker.address), JOB, 2).await;
+    let unreachable = MemoryStore::default();
+    unreachable.set_fault(Some(RecordsFault::Unknown));
+    let reader = desk(&unreachable, "worker", worker.address);
+    let page = read_until(&reader, JOB, 1).await;
+    assert_eq!(page.total, 2);
+    assert_eq!(page.results[0].text, "part 1\npart 2");
+    assert_eq!(reader.item_body(JOB, "item-1").await.as_deref(), Ok("YWJj"));
+    let calls = store.calls();
+    assert!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.is_ok());
+    assert!(store.calls() - calls < 10, "the worker asks nobody either");
+}
+
+/// A worker that the store doesn't answer any more may be behind: after a
+/// while readers don't believe it that there is nothing, and what the store
+/// has is never hidden again.
+#[tokio::test]
+async fn a_worker_without_the_store_is_not_believed() {
+    let server = TestServer::start("server", vec![Act::Silence; 4]).await;
+    let (cut_off, sound) = (MemoryStore::default(), MemoryStore::default());
+    let worker = start_worker(&cut_off, &server, "worker").await;
+    for store in [&cut_off, &sound] {
+        take(&desk(store, "worker", worker.address), JOB, 2).await;
+    }
+    while server.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let reader = desk(&sound, "worker", worker.address);
+    cut_off.set_fault(Some(RecordsFault::Unknown));
+    cut_off.cut_watches();
+    write_part(&sound, "item-1").await;
+    read_until(&reader, JOB, 1).await;
+    for _ in 0..20 {
+        assert_eq!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
+    }
+}
+
+/// A worker that takes a job over lists nothing before the former one must
+/// have heard of it.
+#[tokio::test]
+async fn a_takeover_lists_nothing_at_first() {
+    let server = TestServer::start("server", vec![Act::StreamTo(1); 8]).await;
+    let store = MemoryStore::default();
+    take(&desk(&store, "former", nowhere().await), JOB, 1).await;
+    let started = Instant::now();
+    let worker = start_worker(&store, &server, "worker").await;
+    read_until(&desk(&store, "worker", worker.address), JOB, 1).await;
+    // A lower bound: a slow machine only makes it longer.
+    assert!(started.elapsed() >= Duration::from_millis(2400), "{:?}", started.elapsed());
+}
+
+/// Workers that join take no job from the one that runs it.
+#[tokio::test]
+async fn a_worker_that_joins_takes_no_job_from_another() {
+    let server = TestServer::start("server", vec![Act::Silence; 2]).await;
+    let others = TestServer::start("others", vec![Act::StreamTo(1); 40]).await;
+    let store = MemoryStore::default();
+    let first = start_worker(&store, &server, "first").await;
+    take(&desk(&store, "first", first.address), JOB, 2).await;
+    while server.seen().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let mut joined = Vec::new();
+    for number in 0..6 {
+        let name = format!("joined-{number}");
+        let worker = start_worker(&store, &others, &name).await;
+        // Once it has run a job of its own, all know of it.
+        let own_desk = desk(&store, &name, worker.address);
+        let job = format!("job-of-{name}");
+        take(&own_desk, &job, 1).await;
+        read_until(&own_desk, &job, 1).await;
+        joined.push(worker);
+    }
+    assert_eq!((server.seen().len(), server.abandoned()), (2, 0));
+}
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -2,7 +2,7 @@
 
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{
-    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode,
+    run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
     WorkerHandle,
 };
 use latchwheel_proxy::Shared;
@@ -45,7 +45,7 @@
     let store = Arc::new(store.clone());
     let contact = Contact::default();
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
-    let worker = run_worker(store.clone(), &cache, shared.clone(), name, keep);
+    let worker = run_worker(store.clone(), &cache, shared.clone(), OwnedJobs::new(contact.clone()), name, keep);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let record = NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string() };
     let own = OwnNode { name: name.to_owned(), record, is_upstream: false };
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -17,6 +17,9 @@
     live_leases: Vec<u64>,
     fault: Option<RecordsFault>,
     lose_answers: u32,
+    /// Watches hear of nothing, though changes are made.
+    deaf: bool,
+    calls: usize,
     /// Changes up to this revision are in no watch any more.
     forgotten: u64,
 }
@@ -45,6 +48,17 @@
         self.lock().lose_answers = count;
     }
 
+    /// Watches hear of nothing from now on, or of all again; listings and
+    /// reads are sound.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.lock().deaf = deaf;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.lock().calls
+    }
+
     /// Makes waiting watches look again.
     pub fn cut_watches(&self) {
         let revision = self.lock().revision;
@@ -76,7 +90,8 @@
     }
 
     fn check(&self) -> Result<MutexGuard<'_, State>, RecordsFault> {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.calls += 1;
         match state.fault {
             Some(fault) => Err(fault),
             None => Ok(state),
@@ -114,7 +129,10 @@
         Committed::Done(self.revision)
     }
 
-    fn changes_after(&self, prefix: &str, after: u64) -> Vec<Change> {
+    fn heard_after(&self, prefix: &str, after: u64) -> Vec<Change> {
+        if self.deaf {
+            return Vec::new();
+        }
         let of_prefix = |change: &&Change| match change {
             Change::Written(record) => record.revision > after && record.key.starts_with(prefix),
             Change::Removed { key, revision } => *revision > after && key.starts_with(prefix),
@@ -139,7 +157,7 @@
         let mut changed = self.changed.subscribe();
         let found = async {
             loop {
-                let changes = self.check()?.changes_after(prefix, after);
+                let changes = self.check()?.heard_after(prefix, after);
                 if !changes.is_empty() || changed.changed().await.is_err() {
                     return Ok(changes);
                 }
