--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -209,7 +209,7 @@
         };
         if !known.answers(from) {
             let left = until.saturating_duration_since(Instant::now());
-            if let Err(fault) = known.list.extend(&*self.store, job, left).await {
+            if let Err(fault) = known.list.extend(&*self.store, job, from, left).await {
                 // What the watch missed may be in no history any more.
                 lock(&self.known).remove(job);
                 return Err(desk_fault(fault));
--- a/crates/jobs/src/results.rs
+++ b/crates/jobs/src/results.rs
@@ -1,7 +1,7 @@
 //! The list of a job's results as one process knows it.
 
-use crate::layout::{result_prefix, ListedResult, TOTAL};
-use latchwheel_records::{Change, Record, RecordStore, RecordsFault};
+use crate::layout::{result_key, result_prefix, ListedResult, TOTAL};
+use latchwheel_records::{Change, Changes, Record, RecordStore, RecordsFault};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,20 +26,37 @@
         Ok(list)
     }
 
-    /// Waits for more parts of the list.
+    /// Waits until there is a result at a position. Without one, the list is
+    /// the present one when this returns: a watch may be late and may tell of
+    /// some changes only, a listing is not and tells of all.
     pub(crate) async fn extend<S: RecordStore>(
         &mut self,
         store: &S,
         job: &str,
+        from: usize,
         wait: Duration,
     ) -> Result<(), RecordsFault> {
-        let changes = match store.watch(&result_prefix(job), self.revision, wait).await {
-            Err(RecordsFault::HistoryLost) => {
-                *self = Self::load(store, job).await?;
-                return Ok(());
+        if !wait.is_zero() {
+            match store.watch(&result_prefix(job), self.revision, wait).await {
+                Ok(changes) => self.take_changes(job, &changes)?,
+                // The listing tells what the watch can't.
+                Err(RecordsFault::HistoryLost) => {}
+                Err(fault) => return Err(fault),
             }
-            other => other?,
-        };
+        }
+        if self.results.len() > from {
+            return Ok(());
+        }
+        let after = self.parts.checked_sub(1).map_or_else(String::new, |last| result_key(job, last));
+        let listing = store.list_after(&result_prefix(job), &after).await?;
+        for record in &listing.records {
+            self.append(job, record)?;
+        }
+        self.revision = self.revision.max(listing.revision);
+        Ok(())
+    }
+
+    fn take_changes(&mut self, job: &str, changes: &Changes) -> Result<(), RecordsFault> {
         for change in &changes.changes {
             if let Change::Written(record) = change {
                 self.append(job, record)?;
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -88,10 +88,10 @@
     }
 }
 
-async fn write_part(store: &MemoryStore, item: &str) {
+async fn write_part(store: &MemoryStore, part: usize, item: &str) {
     let result = ListedResult { item: item.to_owned(), completed: true, text: "text".into() };
     let value = serde_json::to_vec(&[result]).unwrap().into();
-    let write = Write { key: result_key(JOB, 0), value, lease: 0 };
+    let write = Write { key: result_key(JOB, part), value, lease: 0 };
     store.commit(&Transaction { writes: vec![write], ..Transaction::default() }).await.unwrap();
 }
 
@@ -104,12 +104,26 @@
     take(&desk, JOB, 2).await;
     assert!(desk.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
     store.set_deaf(true);
-    write_part(&store, "item-1").await;
+    write_part(&store, 0, "item-1").await;
     for wait in [Duration::from_millis(30), Duration::ZERO] {
         assert_eq!(desk.read(JOB, 0, PAGE, wait).await.unwrap().results.len(), 1, "{wait:?}");
     }
 }
 
+/// A watch may tell of the first change only.
+#[tokio::test]
+async fn a_watch_that_tells_one_change_at_a_time_hides_no_result() {
+    let store = MemoryStore::default();
+    store.limit_watches(1);
+    let desk = desk(&store, "worker", nowhere().await);
+    take(&desk, JOB, 4).await;
+    assert!(desk.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
+    for part in 0..3 {
+        write_part(&store, part, &format!("item-{part}")).await;
+    }
+    assert_eq!(desk.read(JOB, 2, PAGE, Duration::from_millis(30)).await.unwrap().results.len(), 1);
+}
+
 /// Results and bodies come from the worker: the reader's store answers nobody.
 #[tokio::test]
 async fn readers_need_no_store_while_the_worker_is_sure() {
@@ -146,7 +160,7 @@
     let reader = desk(&sound, "worker", worker.address);
     cut_off.set_fault(Some(RecordsFault::Unknown));
     cut_off.cut_watches();
-    write_part(&sound, "item-1").await;
+    write_part(&sound, 0, "item-1").await;
     read_until(&reader, JOB, 1).await;
     for _ in 0..20 {
         assert_eq!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -19,6 +19,8 @@
     lose_answers: u32,
     /// Watches hear of nothing, though changes are made.
     deaf: bool,
+    /// Most changes that one watch tells of; no limit if there is none.
+    heard_at_once: Option<usize>,
     calls: usize,
     /// Changes up to this revision are in no watch any more.
     forgotten: u64,
@@ -54,6 +56,12 @@
         self.lock().deaf = deaf;
     }
 
+    /// A watch tells of so many changes at most; the others are told by the
+    /// next one.
+    pub fn limit_watches(&self, changes: usize) {
+        self.lock().heard_at_once = Some(changes);
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> usize {
         self.lock().calls
@@ -137,7 +145,7 @@
             Change::Written(record) => record.revision > after && record.key.starts_with(prefix),
             Change::Removed { key, revision } => *revision > after && key.starts_with(prefix),
         };
-        self.history.iter().filter(of_prefix).cloned().collect()
+        self.history.iter().filter(of_prefix).take(self.heard_at_once.unwrap_or(usize::MAX)).cloned().collect()
     }
 }
 
