Sum up load at aggregators; the job that is due first starts first

Cause: with more than 24 nodes each told 24 peers in turn within 16 KiB a second. Ruled out: a higher rate (it would grow with the square of the nodes). Change: where there are more than 24 nodes, each tells the upstreams of the followed records, every 150 ms, and one of these answers with the sum over all; direct telling stays for fewer. Nodes tell how many runs wait: the room is divided by that, a new job goes to the one of two workers where less waits, and of a worker's jobs the one that is due first starts items.

--- a/crates/core/src/dispatch/deferrable.rs
+++ b/crates/core/src/dispatch/deferrable.rs
@@ -33,15 +33,24 @@
 pub struct StartBudget {
     allowance: f64,
     filled_at: Option<Instant>,
+    /// When it was filled again after a pause.
+    resumed_at: Instant,
 }
 
 impl StartBudget {
-    /// Time passed; there is `room` for so many runs, and `nodes` nodes share it.
-    pub fn refill(&mut self, now: Instant, room: f64, nodes: usize) {
-        let share = (room / nodes.max(1) as f64).max(1.0);
-        let passed = self.filled_at.map_or(HEARING_TIME, |at| now.since(at));
+    /// Time passed; there is `room` for so many runs, of which this node may
+    /// take a `share` of 0 to 1 by what others told. After a pause they may
+    /// have work too that isn't heard of yet: then `even` is the share, the one
+    /// of a node of equals.
+    pub fn refill(&mut self, now: Instant, room: f64, share: f64, even: f64) {
+        let passed = self.filled_at.map_or(Duration::MAX, |at| now.since(at));
         self.filled_at = Some(now);
-        let gained = share * passed.as_secs_f64() / HEARING_TIME.as_secs_f64();
+        if passed > HEARING_TIME {
+            self.resumed_at = now;
+        }
+        let heard = now.since(self.resumed_at) >= HEARING_TIME;
+        let share = (room * if heard { share } else { share.min(even) }).max(1.0);
+        let gained = share * passed.min(HEARING_TIME).as_secs_f64() / HEARING_TIME.as_secs_f64();
         self.allowance = (self.allowance + gained).min(share);
     }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
-pub use peers::{NodeShares, ServerShare, REPORT_LIFE};
+pub use peers::{NodeShares, ServerShare, SharesSum, REPORT_LIFE};
 pub use server::{ServerLoad, ServerReport};
 
 use crate::directory::ServerRecord;
@@ -107,6 +107,7 @@
     services: HashMap<Arc<str>, ServiceCost>,
     refused_at: HashMap<Arc<str>, Instant>,
     peers: PeerReports,
+    waiting: u32,
 }
 
 impl Dispatcher {
@@ -251,7 +252,23 @@
         let mut pressed: Vec<u64> = refused.map(|(service, _)| stable_hash(service.as_bytes())).collect();
         pressed.sort_unstable();
         let servers = self.servers.values().filter_map(|server| server.share(now)).collect();
-        NodeShares { servers, pressed }
+        NodeShares { servers, pressed, waiting: self.waiting }
+    }
+
+    /// This node would start so many deferrable runs if there were room.
+    pub fn set_waiting(&mut self, runs: u32) {
+        self.waiting = runs;
+    }
+
+    /// This node's share, 0 to 1, of the deferrable runs that wait at all nodes.
+    pub fn share_of_waiting(&self, now: Instant) -> f64 {
+        let all = self.waiting.saturating_add(self.peers.waiting(now));
+        f64::from(self.waiting) / f64::from(all.max(1))
+    }
+
+    /// Deferrable runs that wait at another node, as it told lately.
+    pub fn waiting_at(&self, now: Instant, node: NodeId) -> Option<u32> {
+        self.peers.waiting_at(now, node)
     }
 
     /// Another node tells of itself; `sequence` rises with its reports.
@@ -259,9 +276,15 @@
         self.peers.note(now, from, sequence, told);
     }
 
-    /// Whether another node was heard of lately.
-    pub fn hears(&self, now: Instant, node: NodeId) -> bool {
-        self.peers.hears(now, node)
+    /// A part of the sum over all nodes was told; `own` is what this node told
+    /// when it asked for it.
+    pub fn note_sum(&mut self, now: Instant, sum: SharesSum, own: &NodeShares) {
+        self.peers.note_sum(now, sum, own);
+    }
+
+    /// What all nodes do, as far as they told this one.
+    pub fn shares_of_all(&self, now: Instant) -> NodeShares {
+        self.peers.sum_with(now, self.shares(now))
     }
 
     /// Slots of a server that are free, if a share of all stays free; negative
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -4,6 +4,9 @@
 //! load of a server without asking it. A report replaces the one before it
 //! from the same node and counts for nothing once it is old, so that nothing
 //! has to be taken back when a node dies.
+//!
+//! Where there are too many nodes for each to tell all others, some of them,
+//! the aggregators, are told by all and answer with the sum over all nodes.
 
 use crate::identity::{HashKeyMap, NodeId};
 use crate::time::Instant;
@@ -34,6 +37,8 @@
     pub servers: Vec<ServerShare>,
     /// Hashes of services for which it refused requests lately, ordered.
     pub pressed: Vec<u64>,
+    /// Deferrable runs that it would start if there were room.
+    pub waiting: u32,
 }
 
 #[derive(Debug)]
@@ -42,12 +47,40 @@
     sequence: u64,
     shares: HashKeyMap<u64, ServerShare>,
     pressed: Vec<u64>,
+    waiting: u32,
+}
+
+/// A part of the sum over all nodes, without this node itself.
+#[derive(Debug)]
+struct SumPart {
+    at: Instant,
+    shares: HashKeyMap<u64, ServerShare>,
+    pressed: Vec<u64>,
+    waiting: u32,
+}
+
+/// One datagram's part of the sum over all nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SharesSum {
+    /// Number of parts; a server is in the one that its hash names.
+    pub parts: usize,
+    /// Number of this part, from zero on.
+    pub part: usize,
+    /// What all nodes do, the asking one among them.
+    pub shares: NodeShares,
+}
+
+/// The part of a sum that holds a server.
+fn part_of(server: u64, parts: usize) -> usize {
+    (server % parts.max(1) as u64) as usize
 }
 
 /// The last report of each other node.
 #[derive(Debug, Default)]
 pub(super) struct PeerReports {
     reports: HashKeyMap<u64, Report>,
+    /// The last sum, by part; empty where none is asked for.
+    sum: Vec<Option<SumPart>>,
 }
 
 impl PeerReports {
@@ -58,36 +91,89 @@
             return;
         }
         let shares = told.servers.into_iter().map(|share| (share.server, share)).collect();
-        self.reports.insert(from.0, Report { at: now, sequence, shares, pressed: told.pressed });
+        self.reports.insert(from.0, Report { at: now, sequence, shares, pressed: told.pressed, waiting: told.waiting });
         self.reports.retain(|_, report| now.since(report.at) < REPORT_LIFE);
     }
 
+    /// Takes a part of the sum over all nodes; `own` is what this node told
+    /// when it asked.
+    pub(super) fn note_sum(&mut self, now: Instant, sum: SharesSum, own: &NodeShares) {
+        if self.sum.len() != sum.parts {
+            self.sum = (0..sum.parts).map(|_| None).collect();
+        }
+        let Some(present) = self.sum.get_mut(sum.part) else { return };
+        let mut shares: HashKeyMap<u64, ServerShare> =
+            sum.shares.servers.into_iter().map(|share| (share.server, share)).collect();
+        for told in &own.servers {
+            if let Some(share) = shares.get_mut(&told.server) {
+                share.take_away(told);
+            }
+        }
+        let waiting = sum.shares.waiting.saturating_sub(own.waiting);
+        *present = Some(SumPart { at: now, shares, pressed: sum.shares.pressed, waiting });
+    }
+
+    /// The sum of what other nodes told lately and of what this one does.
+    pub(super) fn sum_with(&self, now: Instant, own: NodeShares) -> NodeShares {
+        let mut servers: HashKeyMap<u64, ServerShare> =
+            own.servers.into_iter().map(|share| (share.server, share)).collect();
+        let mut pressed = own.pressed;
+        let mut waiting = own.waiting;
+        for report in self.fresh(now) {
+            for (server, share) in &report.shares {
+                servers.entry(*server).or_insert(ServerShare { server: *server, ..ServerShare::default() }).add(share);
+            }
+            pressed.extend(&report.pressed);
+            waiting = waiting.saturating_add(report.waiting);
+        }
+        pressed.sort_unstable();
+        pressed.dedup();
+        NodeShares { servers: servers.into_values().collect(), pressed, waiting }
+    }
+
     /// Whether a node refuses requests for a service.
     pub(super) fn press(&self, now: Instant, service: u64) -> bool {
-        let fresh = self.reports.values().filter(|report| now.since(report.at) < REPORT_LIFE);
-        fresh.into_iter().any(|report| report.pressed.contains(&service))
+        let told = self.fresh(now).any(|report| report.pressed.contains(&service));
+        let mut sums = self.sum.iter().flatten().filter(|part| now.since(part.at) < REPORT_LIFE);
+        told || sums.any(|part| part.pressed.contains(&service))
     }
 
-    /// Whether a node was heard of lately.
-    pub(super) fn hears(&self, now: Instant, node: NodeId) -> bool {
-        self.reports.get(&node.0).is_some_and(|report| now.since(report.at) < REPORT_LIFE)
+    /// Deferrable runs that the other nodes would start if there were room.
+    pub(super) fn waiting(&self, now: Instant) -> u32 {
+        let mut sums = self.sum.iter().flatten().filter(|part| now.since(part.at) < REPORT_LIFE);
+        match sums.next() {
+            Some(part) => part.waiting,
+            None => self.fresh(now).map(|report| report.waiting).sum(),
+        }
+    }
+
+    /// Deferrable runs that one node would start, as it told lately.
+    pub(super) fn waiting_at(&self, now: Instant, node: NodeId) -> Option<u32> {
+        self.reports.get(&node.0).filter(|report| now.since(report.at) < REPORT_LIFE).map(|report| report.waiting)
+    }
+
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &Report> {
+        self.reports.values().filter(move |report| now.since(report.at) < REPORT_LIFE)
     }
 
     /// What all other nodes do at a server; it is suspect from the time of
-    /// the latest report that says so.
+    /// the latest report that says so. A fresh sum tells it alone: each report
+    /// that it is made of must not count twice.
     pub(super) fn at(&self, now: Instant, server: u64) -> PeerShare {
-        let fresh = self.reports.values().filter(|report| now.since(report.at) < REPORT_LIFE);
-        let mut sum = PeerShare::default();
-        for report in fresh {
-            let Some(share) = report.shares.get(&server) else { continue };
-            sum.requests += share.requests;
-            sum.deferrable += share.deferrable;
-            sum.prompt_tokens = sum.prompt_tokens.saturating_add(share.prompt_tokens);
-            if share.suspect {
-                sum.suspect_at = sum.suspect_at.max(Some(report.at));
+        let part = self.sum.get(part_of(server, self.sum.len())).and_then(Option::as_ref);
+        let mut result = PeerShare::default();
+        if let Some(part) = part.filter(|part| now.since(part.at) < REPORT_LIFE) {
+            if let Some(share) = part.shares.get(&server) {
+                result.add(share, part.at);
             }
+            return result;
         }
-        sum
+        for report in self.fresh(now) {
+            if let Some(share) = report.shares.get(&server) {
+                result.add(share, report.at);
+            }
+        }
+        result
     }
 }
 
@@ -99,3 +185,47 @@
     pub(super) prompt_tokens: u32,
     pub(super) suspect_at: Option<Instant>,
 }
+
+impl PeerShare {
+    fn add(&mut self, share: &ServerShare, told_at: Instant) {
+        self.requests += share.requests;
+        self.deferrable += share.deferrable;
+        self.prompt_tokens = self.prompt_tokens.saturating_add(share.prompt_tokens);
+        if share.suspect {
+            self.suspect_at = self.suspect_at.max(Some(told_at));
+        }
+    }
+}
+
+impl ServerShare {
+    fn add(&mut self, other: &ServerShare) {
+        self.requests += other.requests;
+        self.deferrable += other.deferrable;
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        self.suspect |= other.suspect;
+    }
+
+    fn take_away(&mut self, own: &ServerShare) {
+        self.requests = self.requests.saturating_sub(own.requests);
+        self.deferrable = self.deferrable.saturating_sub(own.deferrable);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(own.prompt_tokens);
+    }
+}
+
+impl NodeShares {
+    /// The shares in parts of at most `limit` servers about, each with all
+    /// that is pressed.
+    pub fn into_parts(self, limit: usize) -> Vec<SharesSum> {
+        let parts = self.servers.len().div_ceil(limit.max(1)).max(1);
+        let part = |part| SharesSum {
+            parts,
+            part,
+            shares: NodeShares { servers: Vec::new(), pressed: self.pressed.clone(), waiting: self.waiting },
+        };
+        let mut sums: Vec<SharesSum> = (0..parts).map(part).collect();
+        for share in self.servers {
+            sums[part_of(share.server, parts)].shares.servers.push(share);
+        }
+        sums
+    }
+}
--- a/crates/core/tests/deferrable.rs
+++ b/crates/core/tests/deferrable.rs
@@ -18,6 +18,8 @@
 const SLOTS: u32 = 7;
 const NODES: usize = 10;
 const STEP_MS: u64 = 100;
+/// Runs that wait at each node.
+const WAITING: u32 = 50;
 /// Reports reach the others after so many steps.
 const REPORT_STEPS: usize = 3;
 /// Steps that a run takes.
@@ -70,6 +72,7 @@
     fn new() -> Self {
         let mut dispatcher = Dispatcher::default();
         dispatcher.set_ready(records().iter());
+        dispatcher.set_waiting(WAITING);
         Self { dispatcher, budget: StartBudget::default(), concessions: Concessions::default(), runs: Vec::new() }
     }
 
@@ -113,7 +116,8 @@
     fn start(&mut self, step: u64, random: &mut SmallRng) {
         let reserve = reserve_of(1.0);
         let room = self.dispatcher.room(now(step), "s", reserve);
-        self.budget.refill(now(step), room, NODES);
+        let share = self.dispatcher.share_of_waiting(now(step));
+        self.budget.refill(now(step), room, share, 1.0 / NODES as f64);
         let prompt = Prompt::default();
         while self.budget.take() {
             let ask = Ask {
@@ -243,7 +247,8 @@
         let mut budget = StartBudget::default();
         let mut started = 0;
         for look in 0..looks {
-            budget.refill(Instant::default() + Duration::from_millis(60_000 + look * 300 / looks), room, nodes);
+            let now = Instant::default() + Duration::from_millis(60_000 + look * 300 / looks);
+            budget.refill(now, room, 1.0 / nodes as f64, 1.0 / nodes as f64);
             while budget.take() {
                 started += 1;
             }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -40,7 +40,7 @@
 }
 
 fn told(servers: Vec<ServerShare>) -> NodeShares {
-    NodeShares { servers, pressed: Vec::new() }
+    NodeShares { servers, ..NodeShares::default() }
 }
 
 fn ask<'a>(prompt: &'a Prompt, spread: u64) -> Ask<'a> {
@@ -273,3 +273,32 @@
     worker.note_peer(at(1_100), NodeId(1), 2, front.shares(at(1_100)));
     assert!(!worker.is_pressed(at(1_200), "s") && !front.is_pressed(at(1_200), "s"));
 }
+
+/// A sum over all nodes counts this one's own requests too; they count once,
+/// and neither the reports that the sum is made of nor an old sum count.
+#[test]
+fn a_sum_over_all_nodes_counts_each_request_once() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let empty = Prompt::default();
+    let share = |requests| ServerShare { server: stable_hash(b"a"), requests, ..ServerShare::default() };
+    let placement = placed(dispatcher.choose(at(0), &ask(&empty, 0)));
+    dispatcher.note_sent(at(0), &placement, &empty);
+    let own = dispatcher.shares(at(0));
+    dispatcher.note_peer(at(10), NodeId(7), 1, told(vec![share(2)]));
+    assert_eq!(dispatcher.free_slots(at(10), "a", 0.0), Some(1.0));
+    // The aggregator heard this node's one and three of others.
+    let sum = told(vec![share(4)]).into_parts(10).remove(0);
+    dispatcher.note_sum(at(20), sum, &own);
+    assert_eq!(dispatcher.free_slots(at(20), "a", 0.0), Some(0.0));
+    let late = at(20) + REPORT_LIFE;
+    assert_eq!(dispatcher.free_slots(late, "a", 0.0), Some(3.0), "only the own request is left");
+}
+
+#[test]
+fn parts_of_a_sum_hold_every_server_once() {
+    let servers = (0..150).map(|number| ServerShare { server: number * 977, requests: 1, ..ServerShare::default() });
+    let parts = NodeShares { servers: servers.collect(), pressed: vec![5], waiting: 3 }.into_parts(60);
+    assert_eq!(parts.len(), 3);
+    assert_eq!(parts.iter().map(|part| part.shares.servers.len()).sum::<usize>(), 150);
+    assert!(parts.iter().all(|part| part.shares.pressed == [5] && part.shares.servers.len() < 75));
+}
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,6 +1,6 @@
 //! Taking, ending and reading jobs, at any node.
 
-use crate::assignment::rendezvous;
+use crate::assignment::assign;
 use crate::handed::{write_job, Handed};
 use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
 use crate::nodes::Nodes;
@@ -110,7 +110,8 @@
         until: Instant,
     ) -> Result<Taken, DeskFault> {
         let workers = self.nodes.worker_names();
-        let handed = Arc::new(Handed::new(host, path, body, rendezvous(job, &workers)));
+        let assigned = assign(job, &workers, |worker| self.nodes.waiting_at(worker));
+        let handed = Arc::new(Handed::new(host, path, body, assigned.as_deref()));
         let cut_off = async {
             tokio::time::sleep(STORE_PATIENCE + CUT_OFF_PATIENCE).await;
             if self.nodes.hears_any_worker() {
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -145,6 +145,8 @@
     pub(crate) running: HashMap<usize, RunningItem>,
     pub(crate) started: u64,
     concessions: Concessions,
+    /// When the job is due, in milliseconds since 1970.
+    due_ms: u64,
     pub(crate) listing: Option<Listing>,
     pub(crate) unlisted_since: Option<Instant>,
     pub(crate) taken_at: Instant,
@@ -179,6 +181,7 @@
             running: HashMap::new(),
             started: 0,
             concessions: Concessions::default(),
+            due_ms: 0,
             listing: None,
             unlisted_since: None,
             taken_at,
@@ -300,13 +303,16 @@
         if self.pressed_excess(&route).is_some_and(|excess| excess >= 0) {
             return;
         }
+        self.progress.iter_mut().for_each(|progress| progress.tick(now, &rules));
+        let waiting: Vec<usize> =
+            (0..self.items.len()).filter(|position| self.progress[*position].may_start(now)).collect();
+        self.due_ms = self.record.accepted_ms.saturating_add(route.due.as_millis() as u64);
+        if !self.context.note_waiting(&self.job, self.due_ms, waiting.len()) {
+            return;
+        }
         let reserve = self.reserve(&route);
         self.context.refill_starts(now, &route, reserve);
-        for position in 0..self.items.len() {
-            self.progress[position].tick(now, &rules);
-            if !self.progress[position].may_start(now) {
-                continue;
-            }
+        for position in waiting {
             if !self.context.take_start() {
                 return;
             }
@@ -388,6 +394,7 @@
 impl<S, D> Drop for JobRun<S, D> {
     fn drop(&mut self) {
         self.context.owned.hide(&self.job);
+        self.context.forget_waiting(&self.job, self.due_ms);
         self.context.note_runs(0, self.running.len());
     }
 }
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -161,6 +161,9 @@
     pub role: NodeRole,
     /// Address that other nodes reach it at, IP and port.
     pub address: String,
+    /// Whether other nodes take followed records and sums of load from it.
+    #[serde(default)]
+    pub is_upstream: bool,
 }
 
 impl NodeRecord {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 mod results;
 pub mod spool;
+mod start_order;
 pub mod worker;
 mod worker_calls;
 
@@ -39,5 +40,6 @@
 pub use owned_jobs::OwnedJobs;
 pub use relay::serve_relay;
 pub use spool::Spool;
+pub use start_order::StartOrder;
 pub use worker::{run_worker, WorkerHandle};
 pub use worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -3,7 +3,7 @@
 use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, NODE_PREFIX};
 use latchwheel_core::identity::NodeId;
 use latchwheel_events::{emit, Event};
-use latchwheel_proxy::{exchange_shares, Dialect, Peers, Shared};
+use latchwheel_proxy::{exchange_shares, Dialect, Peer, PeerDuties, Peers, Shared};
 use latchwheel_records::{
     keep_registered, unregister, Change, Contact, Followed, Record, RecordStore, Registration, WatchCache,
 };
@@ -26,8 +26,8 @@
 const LONG_LEASE: Duration = Duration::from_secs(15);
 const LONG_RENEWAL: Duration = Duration::from_secs(5);
 
-/// Tells whether a node was heard of lately.
-type Hears = Arc<dyn Fn(&str) -> bool + Send + Sync>;
+/// What a node told of itself lately, if it was heard: the runs that wait there.
+type Hears = Arc<dyn Fn(&str) -> Option<u32> + Send + Sync>;
 
 /// The other nodes that are registered, with their addresses.
 #[derive(Clone, Default)]
@@ -43,8 +43,9 @@
 }
 
 impl Nodes {
-    /// Nodes of which `hears` tells whether they were heard of lately.
-    pub fn new(hears: impl Fn(&str) -> bool + Send + Sync + 'static) -> Self {
+    /// Nodes of which `hears` tells how many runs wait there, if they were
+    /// heard of lately.
+    pub fn new(hears: impl Fn(&str) -> Option<u32> + Send + Sync + 'static) -> Self {
         Self { known: Arc::default(), hears: Some(Arc::new(hears)) }
     }
 
@@ -69,7 +70,12 @@
         let Some(hears) = &self.hears else { return true };
         let known = self.lock();
         let mut workers = known.iter().filter(|(_, (role, _))| *role == NodeRole::Worker);
-        workers.any(|(worker, _)| hears(worker))
+        workers.any(|(worker, _)| hears(worker).is_some())
+    }
+
+    /// Runs that wait at a node, if it was heard of lately.
+    pub fn waiting_at(&self, node: &str) -> Option<u32> {
+        self.hears.as_ref().and_then(|hears| hears(node))
     }
 
     /// Names of all workers.
@@ -104,8 +110,6 @@
     pub name: String,
     /// What others are told.
     pub record: NodeRecord,
-    /// Whether other nodes take followed records from it.
-    pub is_upstream: bool,
 }
 
 impl OwnNode {
@@ -113,7 +117,7 @@
     /// renewals show others that the store answers it. Of a front nothing
     /// depends on the lease: others notice its death by its datagrams.
     fn registration(&self) -> Registration {
-        let (lease, renew_every) = match (self.is_upstream, self.record.role) {
+        let (lease, renew_every) = match (self.record.is_upstream, self.record.role) {
             (true, _) => (SHORT_LEASE, UPSTREAM_RENEWAL),
             (false, NodeRole::Worker) => (SHORT_LEASE, SHORT_RENEWAL),
             (false, NodeRole::Front) => (LONG_LEASE, LONG_RENEWAL),
@@ -145,13 +149,16 @@
     ) -> Self {
         let peers = Peers::default();
         let hearing = shared.clone();
-        let hears = move |node: &str| hearing.dispatcher().hears(hearing.clock.now(), NodeId::of_name(node));
+        let hears = move |node: &str| hearing.dispatcher().waiting_at(hearing.clock.now(), NodeId::of_name(node));
         let nodes = Nodes::new(hears);
         let registration = tokio::spawn(keep_registered(store.clone(), contact, own.registration()));
         let name = own.name.clone();
         let follower = Follower { own: name.clone(), peers: peers.clone(), nodes: nodes.clone() };
         cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
-        tokio::spawn(async move { exchange_shares(shared, socket, &name, peers).await });
+        // Fronts judge by the workers that they hear whether they are cut off.
+        let says_hello = own.record.role == NodeRole::Worker;
+        let duties = PeerDuties { says_hello, aggregates: own.record.is_upstream };
+        tokio::spawn(async move { exchange_shares(shared, socket, &name, duties, peers).await });
         Self { store, name: own.name.clone(), registration, nodes }
     }
 
@@ -197,7 +204,7 @@
         let Some(present) = NodeRecord::read(&record.value) else { return };
         let Ok(address) = present.address.parse() else { return };
         if node != self.own {
-            self.peers.put(node, address);
+            self.peers.put(node, Peer { address, aggregates: present.is_upstream });
             if self.nodes.put(node, present.role, address) {
                 emit("", &Event::NodeSeen { peer: node, address: &present.address });
             }
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -124,7 +124,11 @@
             arrived: Notify::new(),
             empty: watch::channel(false).0,
         });
-        tokio::spawn(spool.clone().put_on_record(NodeRecord { role: NodeRole::Worker, address: address.to_owned() }));
+        tokio::spawn(spool.clone().put_on_record(NodeRecord {
+            role: NodeRole::Worker,
+            address: address.to_owned(),
+            is_upstream: false,
+        }));
         tokio::spawn(spool.clone().drain());
         Ok(spool)
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
+use crate::start_order::StartOrder;
 use latchwheel_core::dispatch::StartBudget;
 use latchwheel_core::routes::Route;
 use latchwheel_events::{emit, Event};
@@ -41,6 +42,7 @@
     workers: AtomicUsize,
     running: AtomicUsize,
     starts: Mutex<StartBudget>,
+    order: Mutex<StartOrder>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -62,7 +64,25 @@
     {
         let services = route.targets.iter().map(|target| &target.service);
         let room = services.map(|service| self.shared.dispatcher().room(now, service, reserve)).sum();
-        self.starts().refill(now, room, self.worker_count());
+        let share = self.shared.dispatcher().share_of_waiting(now);
+        self.starts().refill(now, room, share, 1.0 / self.worker_count().max(1) as f64);
+    }
+
+    /// A job that is due then has so many items to start. Gives back whether
+    /// it may start some: those that are due earlier go first.
+    pub(crate) fn note_waiting(&self, job: &str, due_ms: u64, items: usize) -> bool
+    where
+        D: Dialect,
+    {
+        let mut order = self.order.lock().unwrap_or_else(PoisonError::into_inner);
+        order.set(job, due_ms, items);
+        self.shared.dispatcher().set_waiting(u32::try_from(order.total()).unwrap_or(u32::MAX));
+        order.is_first(job, due_ms)
+    }
+
+    /// A job has nothing to start any more.
+    pub(crate) fn forget_waiting(&self, job: &str, due_ms: u64) {
+        self.order.lock().unwrap_or_else(PoisonError::into_inner).set(job, due_ms, 0);
     }
 
     /// Takes one start; `false` if none is left for now.
@@ -119,6 +139,7 @@
         workers: AtomicUsize::new(0),
         running: AtomicUsize::new(0),
         starts: Mutex::default(),
+        order: Mutex::default(),
     });
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -56,7 +56,7 @@
 
 /// These workers, all heard of.
 fn workers(addresses: &[String]) -> Nodes {
-    let nodes = Nodes::new(|_| true);
+    let nodes = Nodes::new(|_| Some(0));
     for (number, address) in addresses.iter().enumerate() {
         nodes.put(&format!("worker-{number}"), NodeRole::Worker, address.parse().unwrap());
     }
@@ -194,7 +194,7 @@
 
     let unreachable = MemoryStore::default();
     unreachable.set_fault(Some(RecordsFault::Unknown));
-    let nodes = Nodes::new(|_| false);
+    let nodes = Nodes::new(|_| None);
     nodes.put("front", NodeRole::Front, address);
     let cut_off = desk(&unreachable, nodes);
     let until = Instant::now() + Duration::from_secs(10);
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -44,8 +44,8 @@
     let spool = Spool::open(store.clone(), name, &address.to_string(), folder.path()).unwrap();
     let (stop, stopped) = tokio::sync::watch::channel(false);
     tokio::spawn(spool.serve(owned, listener, stopped));
-    let record = NodeRecord { role: NodeRole::Worker, address: address.to_string() };
-    let own = OwnNode { name: name.to_owned(), record, is_upstream: false };
+    let record = NodeRecord { role: NodeRole::Worker, address: address.to_string(), is_upstream: false };
+    let own = OwnNode { name: name.to_owned(), record };
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let membership = Membership::join(store, &cache, contact, shared, &own, socket);
     Worker { address, _handle: handle, _membership: membership, _folder: folder, _stop: stop }
@@ -53,7 +53,7 @@
 
 /// A desk that knows one worker.
 fn desk(store: &MemoryStore, worker: &str, address: SocketAddr) -> JobDesk<MemoryStore> {
-    let nodes = Nodes::new(|_| true);
+    let nodes = Nodes::new(|_| Some(0));
     nodes.put(worker, NodeRole::Worker, address);
     JobDesk::new(Arc::new(store.clone()), nodes, 2)
 }
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -47,8 +47,9 @@
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
     let worker = run_worker(store.clone(), &cache, shared.clone(), OwnedJobs::new(contact.clone()), name, keep);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let record = NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string() };
-    let own = OwnNode { name: name.to_owned(), record, is_upstream: false };
+    let record =
+        NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string(), is_upstream: false };
+    let own = OwnNode { name: name.to_owned(), record };
     (worker, Membership::join(store, &cache, contact, shared, &own, socket))
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,5 +21,5 @@
 pub use exchange::{AttemptEnd, Exchange, Outgoing};
 pub use forward::{forward, host_of};
 pub use latchwheel_clock::Clock;
-pub use peers::{exchange_shares, Peers};
+pub use peers::{exchange_shares, Peer, PeerDuties, Peers};
 pub use shared::Shared;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,11 +1,13 @@
 //! Telling other nodes of the own requests at the servers, by datagrams.
 //!
-//! A lost datagram is made good by the next one. The rate is bounded: with
-//! more peers each is told less often.
+//! A few nodes tell each other directly. Where there are many, each tells the
+//! aggregators only, and one of these answers with the sum over all nodes. A
+//! lost datagram is made good by the next one; an aggregator that does not
+//! answer is left for the next one.
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use latchwheel_core::dispatch::{NodeShares, ServerShare, REPORT_LIFE};
+use latchwheel_core::dispatch::{NodeShares, ServerShare, SharesSum, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
@@ -17,6 +19,8 @@
 
 /// Least time between two reports.
 const TELL_EVERY: Duration = Duration::from_millis(100);
+/// The same where aggregators are told.
+const TELL_AGGREGATORS_EVERY: Duration = Duration::from_millis(150);
 /// A report that says the same again is sent this often: others know by it
 /// that they can reach this node.
 const REPEAT_EVERY: Duration = Duration::from_millis(600);
@@ -24,22 +28,36 @@
 const BYTES_PER_SECOND: usize = 16 << 10;
 /// Bytes of a datagram beside its content.
 const DATAGRAM_BYTES: usize = 48;
-/// Most peers that are told at a time; the others follow in turn.
-const PEERS_AT_ONCE: usize = 24;
-/// Most servers in one report; the size of a datagram bounds it.
-const SHARE_LIMIT: usize = 64;
-const DATAGRAM_LIMIT: usize = 1400;
+/// Up to so many peers are told directly, all of them each time.
+const DIRECT_LIMIT: usize = 24;
+/// An aggregator that has not answered for this time is left.
+const AGGREGATOR_SILENCE: Duration = Duration::from_millis(700);
+/// Where there are many nodes, one that others must be able to hear tells them
+/// this often that it lives.
+const HELLO_EVERY: Duration = Duration::from_millis(1000);
+/// Most servers in one datagram; its size bounds it.
+const SHARE_LIMIT: usize = 60;
+const DATAGRAM_LIMIT: usize = 1500;
 
-/// Addresses of the other nodes.
+/// Another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of its socket.
+    pub address: SocketAddr,
+    /// Whether it sums up what all nodes tell.
+    pub aggregates: bool,
+}
+
+/// The other nodes.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    addresses: Arc<Mutex<HashMap<String, SocketAddr>>>,
+    known: Arc<Mutex<HashMap<String, Peer>>>,
 }
 
 impl Peers {
-    /// A node is reached at this address.
-    pub fn put(&self, node: &str, address: SocketAddr) {
-        self.lock().insert(node.to_owned(), address);
+    /// A node is reached so.
+    pub fn put(&self, node: &str, peer: Peer) {
+        self.lock().insert(node.to_owned(), peer);
     }
 
     /// A node is gone.
@@ -47,33 +65,55 @@
         self.lock().remove(node);
     }
 
-    fn all(&self) -> Vec<SocketAddr> {
-        let mut all: Vec<SocketAddr> = self.lock().values().copied().collect();
-        all.sort_unstable();
+    /// Puts all nodes but one into another list.
+    pub fn copy_to(&self, other: &Peers, but: &str) {
+        let known = self.lock();
+        known.iter().filter(|(name, _)| *name != but).for_each(|(name, peer)| other.put(name, *peer));
+    }
+
+    fn all(&self) -> Vec<Peer> {
+        let mut all: Vec<Peer> = self.lock().values().copied().collect();
+        all.sort_unstable_by_key(|peer| peer.address);
         all
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, SocketAddr>> {
-        self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Peer>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// What a node does for others beside telling them of its requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerDuties {
+    /// All others must be able to hear it, however many there are.
+    pub says_hello: bool,
+    /// It sums up what all nodes tell.
+    pub aggregates: bool,
+}
+
 /// Tells peers of the own requests and hears of theirs, for ever.
-pub async fn exchange_shares<D: Dialect>(shared: Arc<Shared<D>>, socket: UdpSocket, name: &str, peers: Peers) {
-    let own = NodeId::of_name(name);
-    let mut teller = Teller { own, sequence: first_sequence(), told: NodeShares::default(), told_at: Instant::now() };
+pub async fn exchange_shares<D: Dialect>(
+    shared: Arc<Shared<D>>,
+    socket: UdpSocket,
+    name: &str,
+    duties: PeerDuties,
+    peers: Peers,
+) {
+    let mut teller = Teller::new(shared, socket, NodeId::of_name(name), duties);
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next = Instant::now() + TELL_EVERY;
     loop {
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
-                if let Ok((length, _)) = received {
-                    take_report(&shared, own, &buffer[..length]);
+            received = teller.socket.recv_from(&mut buffer) => {
+                if let Ok((length, from)) = received {
+                    teller.take(&buffer[..length], from);
                 }
             }
             () = tokio::time::sleep_until(next) => {
-                let sent = teller.tell(&shared, &socket, &peers.all()).await;
-                next = Instant::now() + pause_after(sent);
+                let peers = peers.all();
+                let many = peers.len() > DIRECT_LIMIT;
+                let sent = teller.tell(&peers);
+                next = Instant::now() + pause_after(sent).max(if many { TELL_AGGREGATORS_EVERY } else { TELL_EVERY });
             }
         }
     }
@@ -91,58 +131,173 @@
     time.as_millis() as u64
 }
 
-fn take_report<D: Dialect>(shared: &Shared<D>, own: NodeId, bytes: &[u8]) {
-    let Ok(report) = v1::ServerShares::decode(bytes) else { return };
-    if report.from == own.0 {
-        return;
-    }
-    let shares = report.shares.iter().map(|share| ServerShare {
-        server: share.server,
-        requests: share.requests,
-        deferrable: share.deferrable,
-        prompt_tokens: share.prompt_tokens,
-        suspect: share.suspect,
-    });
-    let told = NodeShares { servers: shares.collect(), pressed: report.pressed };
-    let now = shared.clock.now();
-    shared.dispatcher().note_peer(now, NodeId(report.from), report.sequence, told);
-}
-
-struct Teller {
+struct Teller<D: Dialect> {
+    shared: Arc<Shared<D>>,
+    socket: UdpSocket,
     own: NodeId,
+    duties: PeerDuties,
     sequence: u64,
     told: NodeShares,
     told_at: Instant,
+    hello_at: Instant,
+    /// Number of the aggregator that is asked for the sum.
+    aggregator: usize,
+    sum_at: Instant,
 }
 
-impl Teller {
+impl<D: Dialect> Teller<D> {
+    fn new(shared: Arc<Shared<D>>, socket: UdpSocket, own: NodeId, duties: PeerDuties) -> Self {
+        let now = Instant::now();
+        Self {
+            shared,
+            socket,
+            own,
+            duties,
+            sequence: first_sequence(),
+            told: NodeShares::default(),
+            told_at: now,
+            hello_at: now,
+            aggregator: own.0 as usize,
+            sum_at: now,
+        }
+    }
+
+    /// Takes a datagram of another node.
+    fn take(&mut self, bytes: &[u8], from: SocketAddr) {
+        let Ok(report) = v1::ServerShares::decode(bytes) else { return };
+        if report.from == self.own.0 {
+            return;
+        }
+        let shares = NodeShares {
+            servers: report.shares.iter().map(share_of).collect(),
+            pressed: report.pressed,
+            waiting: report.waiting,
+        };
+        let now = self.shared.clock.now();
+        if report.sum_parts > 0 {
+            self.sum_at = Instant::now();
+            let sum = SharesSum { parts: report.sum_parts as usize, part: report.sum_part as usize, shares };
+            self.shared.dispatcher().note_sum(now, sum, &self.told);
+            return;
+        }
+        self.shared.dispatcher().note_peer(now, NodeId(report.from), report.sequence, shares);
+        if report.wants_sum {
+            self.send_sum(from);
+        }
+    }
+
+    /// Sends the sum over all nodes to one that asked for it.
+    fn send_sum(&mut self, to: SocketAddr) {
+        let sum = self.shared.dispatcher().shares_of_all(self.shared.clock.now());
+        for part in sum.into_parts(SHARE_LIMIT) {
+            self.sequence += 1;
+            let report = v1::ServerShares {
+                sum_parts: part.parts as u32,
+                sum_part: part.part as u32,
+                ..self.report(&part.shares)
+            };
+            self.send(&report, to);
+        }
+    }
+
     /// Sends a report if there is something to say; gives back its bytes.
-    async fn tell<D: Dialect>(&mut self, shared: &Shared<D>, socket: &UdpSocket, peers: &[SocketAddr]) -> usize {
-        let mut shares = shared.dispatcher().shares(shared.clock.now());
-        shares.servers.sort_by_key(|share| (!share.suspect, std::cmp::Reverse(share.requests), share.server));
-        shares.servers.truncate(SHARE_LIMIT);
+    fn tell(&mut self, peers: &[Peer]) -> usize {
+        if peers.len() <= DIRECT_LIMIT {
+            return self.tell_directly(peers);
+        }
+        let hello = self.say_hello(peers);
+        let aggregators: Vec<SocketAddr> =
+            peers.iter().filter(|peer| peer.aggregates).map(|peer| peer.address).collect();
+        hello + self.tell_aggregators(&aggregators)
+    }
+
+    fn tell_directly(&mut self, peers: &[Peer]) -> usize {
+        let shares = self.own_shares();
         let repeats = shares == self.told;
         if repeats && self.told_at.elapsed() < REPEAT_EVERY {
             return 0;
         }
+        let report = self.next_report(shares);
+        peers.iter().map(|peer| self.send(&report, peer.address)).sum()
+    }
+
+    /// Every aggregator is told, one of them is asked for the sum; an
+    /// aggregator itself hears all.
+    fn tell_aggregators(&mut self, aggregators: &[SocketAddr]) -> usize {
+        if aggregators.is_empty() {
+            return 0;
+        }
+        let shares = self.own_shares();
+        let mut report = self.next_report(shares);
+        if self.duties.aggregates {
+            return aggregators.iter().map(|aggregator| self.send(&report, *aggregator)).sum();
+        }
+        if self.sum_at.elapsed() > AGGREGATOR_SILENCE {
+            self.aggregator = self.aggregator.wrapping_add(1);
+            self.sum_at = Instant::now();
+        }
+        let asked = self.aggregator % aggregators.len();
+        let mut bytes = 0;
+        for (number, aggregator) in aggregators.iter().enumerate() {
+            report.wants_sum = number == asked;
+            bytes += self.send(&report, *aggregator);
+        }
+        bytes
+    }
+
+    fn say_hello(&mut self, peers: &[Peer]) -> usize {
+        if !self.duties.says_hello || self.hello_at.elapsed() < HELLO_EVERY {
+            return 0;
+        }
+        self.hello_at = Instant::now();
+        let others = peers.iter().filter(|peer| !peer.aggregates);
+        // What it does at servers is in the sum.
+        let hello = self.report(&NodeShares { waiting: self.told.waiting, ..NodeShares::default() });
+        others.map(|peer| self.send(&hello, peer.address)).sum()
+    }
+
+    fn own_shares(&self) -> NodeShares {
+        let mut shares = self.shared.dispatcher().shares(self.shared.clock.now());
+        shares.servers.sort_by_key(|share| (!share.suspect, std::cmp::Reverse(share.requests), share.server));
+        shares.servers.truncate(SHARE_LIMIT);
+        shares
+    }
+
+    fn next_report(&mut self, shares: NodeShares) -> v1::ServerShares {
         self.sequence += 1;
         self.told_at = Instant::now();
-        let report = v1::ServerShares {
+        self.told = shares;
+        self.report(&self.told)
+    }
+
+    fn report(&self, shares: &NodeShares) -> v1::ServerShares {
+        v1::ServerShares {
             from: self.own.0,
             sequence: self.sequence,
             shares: shares.servers.iter().map(message_of).collect(),
             pressed: shares.pressed.clone(),
-        };
-        self.told = shares;
-        let bytes = report.encode_to_vec();
-        let count = peers.len().min(PEERS_AT_ONCE);
-        let turn = (self.sequence as usize).wrapping_mul(count);
-        for position in 0..count {
-            let peer = peers[(turn.wrapping_add(position)) % peers.len()];
-            // A datagram that can't be sent now is made good by the next.
-            let _ = socket.try_send_to(&bytes, peer);
+            waiting: shares.waiting,
+            wants_sum: false,
+            sum_parts: 0,
+            sum_part: 0,
         }
-        (bytes.len() + DATAGRAM_BYTES) * count
+    }
+
+    /// Sends a datagram; one that can't be sent now is made good by the next.
+    fn send(&self, report: &v1::ServerShares, to: SocketAddr) -> usize {
+        let bytes = report.encode_to_vec();
+        let _ = self.socket.try_send_to(&bytes, to);
+        bytes.len() + DATAGRAM_BYTES
+    }
+}
+
+fn share_of(message: &v1::ServerShare) -> ServerShare {
+    ServerShare {
+        server: message.server,
+        requests: message.requests,
+        deferrable: message.deferrable,
+        prompt_tokens: message.prompt_tokens,
+        suspect: message.suspect,
     }
 }
 
