--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -143,7 +143,7 @@
         let cost = self.services.get(ask.service).copied().unwrap_or_default();
         let key = ask.prompt.affinity_key();
         let home = key.and_then(|key| self.home_of(ask.service, key));
-        let mut best: Option<(f64, u64, Placement)> = None;
+        let mut best: Option<(f64, f64, Placement)> = None;
         let mut soonest = f64::INFINITY;
         for (id, server) in self.of_service(ask.service) {
             if ask.avoid.contains(id) && self.ready_count(ask.service) > ask.avoid.len() {
@@ -158,7 +158,7 @@
             if wait > ask.wait_limit.as_secs_f64() {
                 continue;
             }
-            let order = server.spread_order(ask.spread);
+            let order = view.spread_order(ask.spread);
             let better = best.as_ref().is_none_or(|(least, least_order, _)| {
                 total < least - TIE || (total < least + TIE && order < *least_order)
             });
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -28,12 +28,17 @@
 const SUSPECT_FAILURES: f64 = 1.5;
 /// Seconds by which a server to be avoided is worse than any other.
 const AVOID_PENALTY: f64 = 100.0;
+/// Weight of a full server among equal ones.
+const LEAST_WEIGHT: f64 = 0.1;
 /// Prefixes remembered as cached at one server.
 const PREFIX_LIMIT: usize = 512;
 /// Time after which a sent prefix isn't taken to be cached any more.
 const PREFIX_LIFE: Duration = Duration::from_secs(60);
-/// Share of a service time that a fully loaded server adds to a first token.
-const LOAD_COST: f64 = 0.25;
+/// Share of a service time that a server with its last slot free adds to a
+/// first token: others may take it before this node hears of them.
+const LAST_SLOT_COST: f64 = 0.25;
+/// A server with so many free slots costs nothing of that kind.
+const AMPLE_SLOTS: f64 = 3.0;
 
 /// Load that a server tells in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,9 +132,22 @@
     /// Seconds to read the prompt behind those that were sent before.
     pub(super) fn prefill(&self, cost: &ServiceCost, uncached: u32) -> f64 {
         let ahead = f64::from(self.state.own_prefill_tokens) + f64::from(self.peers.prompt_tokens);
-        let share = self.load() / f64::from(self.state.slots);
-        // Of two servers that would answer as soon, the emptier is better.
-        cost.prefill(ahead + f64::from(uncached)) + share * cost.service_seconds() * LOAD_COST
+        cost.prefill(ahead + f64::from(uncached)) + self.scarcity() * cost.service_seconds() * LAST_SLOT_COST
+    }
+
+    /// How scarce free slots are: 0 with ample ones, 1 with the last one. With
+    /// ample slots servers are equal; the emptiest must not be the best, or all
+    /// nodes would choose it before they hear of each other.
+    fn scarcity(&self) -> f64 {
+        let ample = AMPLE_SLOTS.min(f64::from(self.state.slots));
+        ((ample - self.free_slots(0.0)) / (ample - 1.0).max(1.0)).clamp(0.0, 2.0)
+    }
+
+    /// Orders equal servers by chance, the emptier ones more often first.
+    pub(super) fn spread_order(&self, spread: u64) -> f64 {
+        let hash = stable_pair_hash(self.state.name_hash, spread);
+        let chance = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -chance.ln() / self.free_slots(0.0).max(LEAST_WEIGHT)
     }
 
     /// Seconds by which the server is worse for having failed, here or at a
@@ -229,10 +247,6 @@
         prompt.tokens() - cached.min(prompt.tokens())
     }
 
-    pub(super) fn spread_order(&self, spread: u64) -> u64 {
-        stable_pair_hash(self.name_hash, spread)
-    }
-
     pub(super) fn note_sent(&mut self, now: Instant, prompt: &Prompt, placement: &Placement) {
         if self.own == 0 {
             self.waits_since = now;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -302,3 +302,30 @@
     assert_eq!(parts.iter().map(|part| part.shares.servers.len()).sum::<usize>(), 150);
     assert!(parts.iter().all(|part| part.shares.pressed == [5] && part.shares.servers.len() < 75));
 }
+
+/// Many nodes that hear the same of all servers must not all choose the one
+/// that is emptiest at that moment.
+#[test]
+fn nodes_with_the_same_news_choose_different_servers() {
+    let names: Vec<String> = (0..30).map(|number| format!("server-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let slots = 8;
+    let mut chosen: HashMap<Arc<str>, u32> = HashMap::new();
+    for own in 0..30_u64 {
+        let mut dispatcher = dispatcher(&names);
+        let busy = |(number, name): (usize, &&str)| ServerShare {
+            server: stable_hash(name.as_bytes()),
+            // One is empty, the others have some requests.
+            requests: (number as u32).min(1),
+            ..ServerShare::default()
+        };
+        for name in &names {
+            dispatcher.note_load(at(0), name, ServerLoad { running: 0, waiting: 0, slots });
+        }
+        dispatcher.note_peer(at(0), NodeId(77), 1, told(names.iter().enumerate().map(busy).collect()));
+        let placement = placed(dispatcher.choose(at(1), &ask(&Prompt::default(), own)));
+        *chosen.entry(placement.server).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or(0);
+    assert!(most <= 5, "{chosen:?}");
+}
