Leave servers that fail at requests; an item's failures count at different servers

A server that fails answers fast and looks idle, and its answer counted as a good one. A few failures mean nothing, since some items fail everywhere. An item is given up once as many different servers failed at it as its route allows attempts, or after twice as many failures; its next run goes to another server. Tests: a_server_that_fails_at_requests_is_left_by_all_nodes, failures_of_one_server_count_less; both are about behaviour that did not exist. an_item_that_always_fails_is_given_up_after_its_attempts now fails at different servers.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod cost;
 mod deferrable;
+mod failure_rate;
 mod peers;
 mod server;
 
@@ -88,6 +89,8 @@
 pub enum Ending {
     /// With an answer.
     Answered,
+    /// The server ran it and says that it failed.
+    Failed,
     /// It was withdrawn by this side.
     Withdrawn,
     /// The server said that it is full or didn't run the request.
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -28,6 +28,9 @@
     pub prompt_tokens: u32,
     /// Whether the node hears nothing of the server any more.
     pub suspect: bool,
+    /// Share of requests that the server fails at, in percent; zero if that is
+    /// no more than what is tolerated.
+    pub failing: u32,
 }
 
 /// What a node tells of itself.
@@ -184,6 +187,7 @@
     pub(super) deferrable: u32,
     pub(super) prompt_tokens: u32,
     pub(super) suspect_at: Option<Instant>,
+    pub(super) failing: u32,
 }
 
 impl PeerShare {
@@ -191,6 +195,7 @@
         self.requests += share.requests;
         self.deferrable += share.deferrable;
         self.prompt_tokens = self.prompt_tokens.saturating_add(share.prompt_tokens);
+        self.failing = self.failing.max(share.failing);
         if share.suspect {
             self.suspect_at = self.suspect_at.max(Some(told_at));
         }
@@ -203,6 +208,7 @@
         self.deferrable += other.deferrable;
         self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
         self.suspect |= other.suspect;
+        self.failing = self.failing.max(other.failing);
     }
 
     fn take_away(&mut self, own: &ServerShare) {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -1,6 +1,7 @@
 //! What one node knows of one server.
 
 use super::cost::{Prompt, ServiceCost};
+use super::failure_rate::{cost_of, FailureRate};
 use super::peers::{PeerShare, ServerShare};
 use super::{Crowding, Ending, Placement};
 use crate::directory::ServerRecord;
@@ -86,6 +87,7 @@
     /// Failures as remembered at the time of the last one.
     failures: f64,
     failed_at: Instant,
+    failure_rate: FailureRate,
     prefixes: HashKeyMap<u64, Instant>,
     prefix_order: VecDeque<u64>,
 }
@@ -154,7 +156,8 @@
     /// node that heard of it later than this one.
     pub(super) fn penalty(&self) -> f64 {
         let suspected = self.peers.suspect_at.is_some_and(|at| at > self.state.last_heard);
-        let remembered = self.state.remembered_failures(self.now) * FAILURE_COST;
+        let failing = self.state.failure_rate.percent(self.now).max(self.peers.failing);
+        let remembered = self.state.remembered_failures(self.now) * FAILURE_COST + cost_of(failing);
         if self.now < self.state.avoid_until || self.state.is_silent(self.now) || suspected {
             AVOID_PENALTY + remembered
         } else {
@@ -191,6 +194,7 @@
             failures_in_row: 0,
             failures: 0.0,
             failed_at: Instant::default(),
+            failure_rate: FailureRate::default(),
             prefixes: HashKeyMap::default(),
             prefix_order: VecDeque::new(),
         }
@@ -214,7 +218,8 @@
     pub(super) fn share(&self, now: Instant) -> Option<ServerShare> {
         let failing = now < self.avoid_until && self.failures_in_row > 0;
         let suspect = failing || self.is_silent(now) || self.remembered_failures(now) > SUSPECT_FAILURES;
-        if self.own == 0 && !suspect {
+        let failing = self.failure_rate.percent(now);
+        if self.own == 0 && !suspect && failing == 0 {
             return None;
         }
         Some(ServerShare {
@@ -223,6 +228,7 @@
             deferrable: self.own_deferrable,
             prompt_tokens: self.own_prefill_tokens,
             suspect,
+            failing,
         })
     }
 
@@ -294,8 +300,9 @@
         self.own_change -= 1;
         self.own_prefill_tokens = self.own_prefill_tokens.saturating_sub(unread);
         match ending {
-            Ending::Answered => {
+            Ending::Answered | Ending::Failed => {
                 self.failures_in_row = 0;
+                self.failure_rate.note(now, ending == Ending::Failed);
                 self.note_heard(now);
             }
             Ending::Withdrawn => {}
--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -3,15 +3,20 @@
 //! An item may run several times; what it yields is listed once. It is given
 //! up only for a reason that its client can check: the server said that it
 //! can never be done, it failed as often as its route allows, or its time is
-//! over. A broken connection is no failure of the item: the next run goes on
+//! over. Failures count against the item only where servers fail at it that
+//! are not the same: one server may fail at everything. A broken connection is no failure of the item: the next run goes on
 //! after the last whole event.
 
 use crate::time::Instant;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Pause after the first failed run of an item; doubled at each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// After so many times the failures that its route allows, an item is given up
+/// wherever they were; its client counts three times as many as too many.
+const MOST_FAILURES_FACTOR: u32 = 2;
 
 /// How a run of an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +47,11 @@
 /// The rules for giving up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GiveUpRules {
-    /// Failures after which an item is given up.
+    /// Failures after which an item is given up, if they are of as many
+    /// servers.
     pub max_failures: u32,
+    /// Servers that could run it.
+    pub servers: usize,
     /// Time from which on any item may be given up.
     pub expires: Instant,
 }
@@ -53,6 +61,8 @@
 pub struct ItemProgress {
     state: ItemState,
     failures: u32,
+    /// Servers that failed at it.
+    failed_at: Vec<Arc<str>>,
     interruptions: u32,
     events: u64,
     last_event: Option<u64>,
@@ -64,6 +74,7 @@
         Self {
             state: ItemState::Waiting(Instant::default()),
             failures: 0,
+            failed_at: Vec::new(),
             interruptions: 0,
             events: 0,
             last_event: None,
@@ -83,6 +94,11 @@
         self.failures
     }
 
+    /// Servers that failed at it; the next run is better made elsewhere.
+    pub fn failed_at(&self) -> &[Arc<str>] {
+        &self.failed_at
+    }
+
     /// Events that are kept.
     pub fn events(&self) -> u64 {
         self.events
@@ -130,14 +146,17 @@
         true
     }
 
-    /// A run ended.
-    pub fn end_run(&mut self, now: Instant, end: RunEnd, rules: &GiveUpRules) {
+    /// A run at a server ended.
+    pub fn end_run(&mut self, now: Instant, server: &Arc<str>, end: RunEnd, rules: &GiveUpRules) {
         match end {
             RunEnd::Whole => self.state = ItemState::Completed,
             RunEnd::Impossible => self.state = ItemState::GivenUp,
             RunEnd::Failed => {
                 self.failures += 1;
-                self.wait_or_give_up(now, self.failures >= rules.max_failures, rules);
+                if !self.failed_at.contains(server) {
+                    self.failed_at.push(server.clone());
+                }
+                self.wait_or_give_up(now, self.has_failed_for_good(rules), rules);
             }
             RunEnd::Interrupted => {
                 self.interruptions += 1;
@@ -153,6 +172,12 @@
         }
     }
 
+    fn has_failed_for_good(&self, rules: &GiveUpRules) -> bool {
+        let different = (rules.max_failures as usize).min(rules.servers.max(1));
+        let often = self.failures >= rules.max_failures && self.failed_at.len() >= different;
+        often || self.failures >= rules.max_failures.saturating_mul(MOST_FAILURES_FACTOR)
+    }
+
     fn wait_or_give_up(&mut self, now: Instant, failed_for_good: bool, rules: &GiveUpRules) {
         if failed_for_good || now >= rules.expires {
             self.state = ItemState::GivenUp;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -329,3 +329,32 @@
     let most = chosen.values().max().copied().unwrap_or(0);
     assert!(most <= 5, "{chosen:?}");
 }
+
+/// A server that answers fast and fails looks idle; the node that sees it and
+/// those that it tells leave it, and come back once it may be sound again.
+#[test]
+fn a_server_that_fails_at_requests_is_left_by_all_nodes() {
+    let names = ["a", "b", "c", "d"];
+    let empty = Prompt::default();
+    let mut first = dispatcher(&names);
+    let end_at = |dispatcher: &mut Dispatcher, time: u64, server: &str, ending| {
+        let placement = Placement { server: server.into(), ..placed(dispatcher.choose(at(time), &ask(&empty, 0))) };
+        dispatcher.note_sent(at(time), &placement, &empty);
+        dispatcher.note_end(at(time), &placement, ending, true, Duration::from_millis(5));
+    };
+    // A single failure among answers means nothing: some requests always fail.
+    end_at(&mut first, 0, "a", Ending::Failed);
+    (1..4).for_each(|time| end_at(&mut first, time, "a", Ending::Answered));
+    assert!(first.shares(at(5)).servers.is_empty());
+    (10..13).for_each(|time| end_at(&mut first, time, "a", Ending::Failed));
+    let mut second = dispatcher(&names);
+    second.note_peer(at(20), NodeId(1), 1, first.shares(at(20)));
+    for dispatcher in [&first, &second] {
+        let chosen = |time: u64| {
+            let choose = |spread| placed(dispatcher.choose(at(time), &ask(&empty, spread))).server;
+            (0..200).map(choose).filter(|server| **server == *"a").count()
+        };
+        assert_eq!(chosen(21), 0);
+        assert!(chosen(40_000) > 20, "it is tried again later");
+    }
+}
--- a/crates/core/tests/item_progress.rs
+++ b/crates/core/tests/item_progress.rs
@@ -2,13 +2,18 @@
 
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
 use latchwheel_core::time::Instant;
+use std::sync::Arc;
 use std::time::Duration;
 
 fn at(seconds: u64) -> Instant {
     Instant::default() + Duration::from_secs(seconds)
 }
 
-const RULES: GiveUpRules = GiveUpRules { max_failures: 3, expires: Instant::from_micros(60_000_000) };
+fn server(number: u64) -> Arc<str> {
+    format!("server-{number}").into()
+}
+
+const RULES: GiveUpRules = GiveUpRules { max_failures: 3, servers: 9, expires: Instant::from_micros(60_000_000) };
 
 #[test]
 fn an_item_that_always_fails_is_given_up_after_its_attempts() {
@@ -16,7 +21,7 @@
     for failure in 1..=3 {
         assert!(item.may_start(at(failure * 10)));
         item.start();
-        item.end_run(at(failure * 10), RunEnd::Failed, &RULES);
+        item.end_run(at(failure * 10), &server(failure), RunEnd::Failed, &RULES);
     }
     assert_eq!(item.state(), ItemState::GivenUp);
 }
@@ -25,7 +30,7 @@
 fn an_item_that_can_not_be_done_is_given_up_at_once() {
     let mut item = ItemProgress::default();
     item.start();
-    item.end_run(at(1), RunEnd::Impossible, &RULES);
+    item.end_run(at(1), &server(1), RunEnd::Impossible, &RULES);
     assert_eq!(item.state(), ItemState::GivenUp);
 }
 
@@ -34,7 +39,7 @@
     let mut item = ItemProgress::default();
     for time in 0..20 {
         item.start();
-        item.end_run(at(time), RunEnd::Interrupted, &RULES);
+        item.end_run(at(time), &server(1), RunEnd::Interrupted, &RULES);
         assert!(matches!(item.state(), ItemState::Waiting(_)));
     }
     assert_eq!(item.failures(), 0);
@@ -53,7 +58,7 @@
 fn a_pause_follows_each_broken_run() {
     let mut item = ItemProgress::default();
     item.start();
-    item.end_run(at(1), RunEnd::Interrupted, &RULES);
+    item.end_run(at(1), &server(1), RunEnd::Interrupted, &RULES);
     assert!(!item.may_start(at(1)));
     assert!(item.may_start(at(2)));
 }
@@ -69,3 +74,27 @@
     assert!(item.push_event(Some(4), b"c"));
     assert_eq!((item.text(), item.events(), item.last_event()), (&b"a\nb\n\nc"[..], 4, Some(4)));
 }
+
+/// One server that fails at everything proves nothing of an item, until there
+/// is no other or it has failed very often.
+#[test]
+fn failures_of_one_server_count_less() {
+    let mut item = ItemProgress::default();
+    for failure in 1..=5 {
+        item.start();
+        item.end_run(at(failure), &server(1), RunEnd::Failed, &RULES);
+        assert!(matches!(item.state(), ItemState::Waiting(_)), "failure {failure}");
+    }
+    assert_eq!(item.failed_at(), [server(1)]);
+    item.start();
+    item.end_run(at(6), &server(1), RunEnd::Failed, &RULES);
+    assert_eq!(item.state(), ItemState::GivenUp);
+
+    let only_one = GiveUpRules { servers: 1, ..RULES };
+    let mut item = ItemProgress::default();
+    for failure in 1..=3 {
+        item.start();
+        item.end_run(at(failure), &server(1), RunEnd::Failed, &only_one);
+    }
+    assert_eq!(item.state(), ItemState::GivenUp);
+}
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -9,6 +9,7 @@
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
+use latchwheel_http::read_bounded;
 use latchwheel_proxy::{Dialect, Exchange, Outgoing, Shared};
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 /// Most bytes of an item's output.
 const TEXT_LIMIT: usize = 900 << 10;
 const UNPROCESSABLE: u16 = 422;
+/// Bytes and time within which the answer to a failed run is read.
+const FAILURE_LIMIT: usize = 64 << 10;
+const FAILURE_TIME: Duration = Duration::from_millis(100);
 
 /// The request of an item; `None` if it can't be formed from what was handed in.
 pub fn outgoing_of<D: Dialect>(shared: &Shared<D>, host: &str, item: &ItemBody) -> Option<Outgoing> {
@@ -57,11 +61,21 @@
     match response.status().as_u16() {
         200..=299 => collect(exchange, response, progress).await,
         UNPROCESSABLE => (RunEnd::Impossible, "impossible"),
-        500 => (RunEnd::Failed, "failed"),
+        500 => {
+            end_answer(exchange, response).await;
+            (RunEnd::Failed, "failed")
+        }
         _ => (RunEnd::Interrupted, "unexpected_status"),
     }
 }
 
+/// Reads a short answer to its end, so that its connection can be kept.
+async fn end_answer<D: Dialect>(exchange: Exchange<D>, response: Response<Incoming>) {
+    if read_bounded(response.into_body(), FAILURE_LIMIT, FAILURE_TIME).await.is_ok() {
+        exchange.finish();
+    }
+}
+
 async fn collect<D: Dialect>(
     mut exchange: Exchange<D>,
     response: Response<Incoming>,
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -239,7 +239,9 @@
         let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
         let expires = now + retention.saturating_sub(age);
         let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
-        (GiveUpRules { max_failures, expires }, route)
+        let services = route.iter().flat_map(|route| &route.targets);
+        let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
+        (GiveUpRules { max_failures, servers, expires }, route)
     }
 
     /// Breaks off the latest runs at crowded servers, by this node's share of
@@ -331,7 +333,7 @@
         let ask = Ask {
             service: &service,
             prompt: &outgoing.prompt,
-            avoid: &[],
+            avoid: self.progress[position].failed_at(),
             wait_limit: Duration::ZERO,
             reserve: self.reserve(route),
             spread: rand::random(),
@@ -361,7 +363,7 @@
         true
     }
 
-    fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &str) {
+    fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &Arc<str>) {
         let now = self.context.shared.clock.now();
         let (rules, _) = self.rules();
         if self.running.remove(&position).is_some() {
@@ -372,7 +374,7 @@
         }
         self.progress[position] = progress;
         let progress = &mut self.progress[position];
-        progress.end_run(now, end, &rules);
+        progress.end_run(now, server, end, &rules);
         let item = &self.items[position].id;
         let failures = progress.failures();
         if end != RunEnd::Whole {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -84,6 +84,8 @@
     keep: Option<Duration>,
     sent_at: Instant,
     started: bool,
+    /// The server said that it failed at the request.
+    failed: bool,
     ending: Ending,
 }
 
@@ -99,6 +101,7 @@
             keep: None,
             sent_at,
             started: false,
+            failed: false,
             ending: Ending::Withdrawn,
         }
     }
@@ -155,7 +158,7 @@
 
     /// The answer is whole: its connection may be kept.
     pub fn finish(mut self) {
-        self.ending = Ending::Answered;
+        self.ending = if self.failed { Ending::Failed } else { Ending::Answered };
         if let Some(connection) = self.connection.take() {
             self.shared.pool.put(&self.placement.server, connection, self.keep);
         }
@@ -211,6 +214,9 @@
             self.shared.dispatcher().note_load(now, &self.placement.server, load);
         }
         self.keep = keep_time(headers);
+        // At the deadline a sound server answers so too.
+        let status = response.status();
+        self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
             return Err(AttemptEnd { failure: AttemptFailure::NotRun, reason: "another_server" });
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -298,6 +298,7 @@
         deferrable: message.deferrable,
         prompt_tokens: message.prompt_tokens,
         suspect: message.suspect,
+        failing: message.failing,
     }
 }
 
@@ -308,5 +309,6 @@
         deferrable: share.deferrable,
         prompt_tokens: share.prompt_tokens,
         suspect: share.suspect,
+        failing: share.failing,
     }
 }
