--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,7 +14,7 @@
 
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
-pub use peers::{NodeShares, ServerShare, SharesSum, REPORT_LIFE};
+pub use peers::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 pub use server::{ServerLoad, ServerReport};
 
 use crate::directory::ServerRecord;
@@ -308,7 +308,7 @@
     }
 
     fn view<'a>(&self, now: Instant, state: &'a ServerState) -> ServerView<'a> {
-        ServerView { state, peers: self.peers.at(now, state.name_hash), now }
+        ServerView { state, peers: self.peers.at(now, state.key), now }
     }
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -8,18 +8,31 @@
 //! Where there are too many nodes for each to tell all others, some of them,
 //! the aggregators, are told by all and answer with the sum over all nodes.
 
-use crate::identity::{HashKeyMap, NodeId};
+use crate::identity::{stable_hash, HashKeyMap, NodeId};
 use crate::time::Instant;
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Time after which a report counts for nothing.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 
+/// A server as nodes name it to each other: a short hash of its identity. Two
+/// servers with one key would be taken to be as loaded as both together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerKey(pub u32);
+
+impl ServerKey {
+    /// The key of a server's identity.
+    pub fn of(id: &str) -> Self {
+        Self(stable_hash(id.as_bytes()) as u32)
+    }
+}
+
 /// What a node does at one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerShare {
-    /// Hash of the server's identity.
-    pub server: u64,
+    /// The server.
+    pub server: ServerKey,
     /// Requests in progress.
     pub requests: u32,
     /// Of these, requests that can give way.
@@ -48,7 +61,7 @@
 struct Report {
     at: Instant,
     sequence: u64,
-    shares: HashKeyMap<u64, ServerShare>,
+    shares: HashMap<ServerKey, ServerShare>,
     pressed: Vec<u64>,
     waiting: u32,
 }
@@ -57,7 +70,7 @@
 #[derive(Debug)]
 struct SumPart {
     at: Instant,
-    shares: HashKeyMap<u64, ServerShare>,
+    shares: HashMap<ServerKey, ServerShare>,
     pressed: Vec<u64>,
     waiting: u32,
 }
@@ -74,8 +87,8 @@
 }
 
 /// The part of a sum that holds a server.
-fn part_of(server: u64, parts: usize) -> usize {
-    (server % parts.max(1) as u64) as usize
+fn part_of(server: ServerKey, parts: usize) -> usize {
+    server.0 as usize % parts.max(1)
 }
 
 /// The last report of each other node.
@@ -105,7 +118,7 @@
             self.sum = (0..sum.parts).map(|_| None).collect();
         }
         let Some(present) = self.sum.get_mut(sum.part) else { return };
-        let mut shares: HashKeyMap<u64, ServerShare> =
+        let mut shares: HashMap<ServerKey, ServerShare> =
             sum.shares.servers.into_iter().map(|share| (share.server, share)).collect();
         for told in &own.servers {
             if let Some(share) = shares.get_mut(&told.server) {
@@ -118,7 +131,7 @@
 
     /// The sum of what other nodes told lately and of what this one does.
     pub(super) fn sum_with(&self, now: Instant, own: NodeShares) -> NodeShares {
-        let mut servers: HashKeyMap<u64, ServerShare> =
+        let mut servers: HashMap<ServerKey, ServerShare> =
             own.servers.into_iter().map(|share| (share.server, share)).collect();
         let mut pressed = own.pressed;
         let mut waiting = own.waiting;
@@ -162,7 +175,7 @@
     /// What all other nodes do at a server; it is suspect from the time of
     /// the latest report that says so. A fresh sum tells it alone: each report
     /// that it is made of must not count twice.
-    pub(super) fn at(&self, now: Instant, server: u64) -> PeerShare {
+    pub(super) fn at(&self, now: Instant, server: ServerKey) -> PeerShare {
         let part = self.sum.get(part_of(server, self.sum.len())).and_then(Option::as_ref);
         let mut result = PeerShare::default();
         if let Some(part) = part.filter(|part| now.since(part.at) < REPORT_LIFE) {
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -2,10 +2,10 @@
 
 use super::cost::{Prompt, ServiceCost};
 use super::failure_rate::{cost_of, FailureRate};
-use super::peers::{PeerShare, ServerShare};
+use super::peers::{PeerShare, ServerKey, ServerShare};
 use super::{Crowding, Ending, Placement};
 use crate::directory::ServerRecord;
-use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
+use crate::identity::{stable_pair_hash, HashKeyMap};
 use crate::time::Instant;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -71,7 +71,7 @@
     pub(super) service: Arc<str>,
     pub(super) address: Arc<str>,
     pub(super) ready: bool,
-    pub(super) name_hash: u64,
+    pub(super) key: ServerKey,
     slots: u32,
     own: u32,
     own_deferrable: u32,
@@ -147,7 +147,7 @@
 
     /// Orders equal servers by chance, the emptier ones more often first.
     pub(super) fn spread_order(&self, spread: u64) -> f64 {
-        let hash = stable_pair_hash(self.state.name_hash, spread);
+        let hash = stable_pair_hash(u64::from(self.state.key.0), spread);
         let chance = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
         -chance.ln() / self.free_slots(0.0).max(LEAST_WEIGHT)
     }
@@ -181,7 +181,7 @@
             service: record.service.clone(),
             address: record.address.clone(),
             ready: true,
-            name_hash: stable_hash(record.id.as_bytes()),
+            key: ServerKey::of(&record.id),
             slots: record.slots.max(1),
             own: 0,
             own_deferrable: 0,
@@ -223,7 +223,7 @@
             return None;
         }
         Some(ServerShare {
-            server: self.name_hash,
+            server: self.key,
             requests: self.own,
             deferrable: self.own_deferrable,
             prompt_tokens: self.own_prefill_tokens,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,9 +2,10 @@
 
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{
-    Ask, Choice, Dispatcher, Ending, NodeShares, Placement, Prompt, PromptPart, ServerLoad, ServerShare, REPORT_LIFE,
+    Ask, Choice, Dispatcher, Ending, NodeShares, Placement, Prompt, PromptPart, ServerKey, ServerLoad, ServerShare,
+    REPORT_LIFE,
 };
-use latchwheel_core::identity::{stable_hash, NodeId};
+use latchwheel_core::identity::NodeId;
 use latchwheel_core::time::Instant;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -101,8 +102,7 @@
 #[test]
 fn requests_of_other_nodes_count() {
     let mut dispatcher = dispatcher(&["a", "b"]);
-    let share =
-        |name: &str, requests| ServerShare { server: stable_hash(name.as_bytes()), requests, ..ServerShare::default() };
+    let share = |name: &str, requests| ServerShare { server: ServerKey::of(name), requests, ..ServerShare::default() };
     dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share("a", 3)]));
     dispatcher.note_peer(at(0), NodeId(2), 1, told(vec![share("a", 2)]));
     let empty = Prompt::default();
@@ -119,7 +119,7 @@
 #[test]
 fn the_report_of_a_dead_node_lapses() {
     let mut dispatcher = dispatcher(&["a"]);
-    let share = ServerShare { server: stable_hash(b"a"), requests: 4, ..ServerShare::default() };
+    let share = ServerShare { server: ServerKey::of("a"), requests: 4, ..ServerShare::default() };
     dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share]));
     assert_eq!(dispatcher.free_slots(at(1), "a", 0.0), Some(0.0));
     assert_eq!(dispatcher.free_slots(at(0) + REPORT_LIFE, "a", 0.0), Some(4.0));
@@ -240,7 +240,7 @@
 fn sending_does_not_clear_a_suspicion() {
     let mut dispatcher = dispatcher(&["a", "b"]);
     let empty = Prompt::default();
-    let share = ServerShare { server: stable_hash(b"a"), suspect: true, ..ServerShare::default() };
+    let share = ServerShare { server: ServerKey::of("a"), suspect: true, ..ServerShare::default() };
     dispatcher.note_peer(at(0), NodeId(1), 1, told(vec![share]));
     let placement = Placement {
         server: "a".into(),
@@ -280,7 +280,7 @@
 fn a_sum_over_all_nodes_counts_each_request_once() {
     let mut dispatcher = dispatcher(&["a"]);
     let empty = Prompt::default();
-    let share = |requests| ServerShare { server: stable_hash(b"a"), requests, ..ServerShare::default() };
+    let share = |requests| ServerShare { server: ServerKey::of("a"), requests, ..ServerShare::default() };
     let placement = placed(dispatcher.choose(at(0), &ask(&empty, 0)));
     dispatcher.note_sent(at(0), &placement, &empty);
     let own = dispatcher.shares(at(0));
@@ -296,7 +296,8 @@
 
 #[test]
 fn parts_of_a_sum_hold_every_server_once() {
-    let servers = (0..150).map(|number| ServerShare { server: number * 977, requests: 1, ..ServerShare::default() });
+    let servers =
+        (0..150).map(|number| ServerShare { server: ServerKey(number * 977), requests: 1, ..ServerShare::default() });
     let parts = NodeShares { servers: servers.collect(), pressed: vec![5], waiting: 3 }.into_parts(60);
     assert_eq!(parts.len(), 3);
     assert_eq!(parts.iter().map(|part| part.shares.servers.len()).sum::<usize>(), 150);
@@ -314,7 +315,7 @@
     for own in 0..30_u64 {
         let mut dispatcher = dispatcher(&names);
         let busy = |(number, name): (usize, &&str)| ServerShare {
-            server: stable_hash(name.as_bytes()),
+            server: ServerKey::of(name),
             // One is empty, the others have some requests.
             requests: (number as u32).min(1),
             ..ServerShare::default()
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use latchwheel_core::dispatch::{NodeShares, ServerShare, SharesSum, REPORT_LIFE};
+use latchwheel_core::dispatch::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
@@ -26,6 +26,9 @@
 const REPEAT_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of reports that a node sends in a second.
 const BYTES_PER_SECOND: usize = 16 << 10;
+/// Most bytes of sums that an aggregator sends in a second; beyond it some
+/// nodes hear of the others later.
+const SUM_BYTES_PER_SECOND: f64 = 512.0 * 1024.0;
 /// Bytes of a datagram beside its content.
 const DATAGRAM_BYTES: usize = 48;
 /// Up to so many peers are told directly, all of them each time.
@@ -143,6 +146,9 @@
     /// Number of the aggregator that is asked for the sum.
     aggregator: usize,
     sum_at: Instant,
+    /// Bytes of sums that may be sent now, and when that was reckoned.
+    sum_budget: f64,
+    budget_at: Instant,
 }
 
 impl<D: Dialect> Teller<D> {
@@ -159,6 +165,8 @@
             hello_at: now,
             aggregator: own.0 as usize,
             sum_at: now,
+            sum_budget: SUM_BYTES_PER_SECOND,
+            budget_at: now,
         }
     }
 
@@ -186,8 +194,15 @@
         }
     }
 
-    /// Sends the sum over all nodes to one that asked for it.
+    /// Sends the sum over all nodes to one that asked for it, if the budget
+    /// allows.
     fn send_sum(&mut self, to: SocketAddr) {
+        let gained = self.budget_at.elapsed().as_secs_f64() * SUM_BYTES_PER_SECOND;
+        self.budget_at = Instant::now();
+        self.sum_budget = (self.sum_budget + gained).min(SUM_BYTES_PER_SECOND);
+        if self.sum_budget < 0.0 {
+            return;
+        }
         let sum = self.shared.dispatcher().shares_of_all(self.shared.clock.now());
         for part in sum.into_parts(SHARE_LIMIT) {
             self.sequence += 1;
@@ -196,7 +211,7 @@
                 sum_part: part.part as u32,
                 ..self.report(&part.shares)
             };
-            self.send(&report, to);
+            self.sum_budget -= self.send(&report, to) as f64;
         }
     }
 
@@ -293,7 +308,7 @@
 
 fn share_of(message: &v1::ServerShare) -> ServerShare {
     ServerShare {
-        server: message.server,
+        server: ServerKey(message.server),
         requests: message.requests,
         deferrable: message.deferrable,
         prompt_tokens: message.prompt_tokens,
@@ -304,7 +319,7 @@
 
 fn message_of(share: &ServerShare) -> v1::ServerShare {
     v1::ServerShare {
-        server: share.server,
+        server: share.server.0,
         requests: share.requests,
         deferrable: share.deferrable,
         prompt_tokens: share.prompt_tokens,
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -17,6 +17,8 @@
     live_leases: Vec<u64>,
     fault: Option<RecordsFault>,
     lose_answers: u32,
+    /// Commits are never answered.
+    silent: bool,
     /// Watches hear of nothing, though changes are made.
     deaf: bool,
     /// Most changes that one watch tells of; no limit if there is none.
@@ -50,6 +52,11 @@
         self.lock().lose_answers = count;
     }
 
+    /// Commits are never answered from now on, or again.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
     /// Watches hear of nothing from now on, or of all again; listings and
     /// reads are sound.
     pub fn set_deaf(&self, deaf: bool) {
@@ -180,6 +187,9 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Committed, RecordsFault> {
+        if self.lock().silent {
+            std::future::pending::<()>().await;
+        }
         let mut state = self.check()?;
         let committed = state.commit(transaction);
         self.changed.send_replace(state.revision);
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -9,6 +9,9 @@
 /// Pause before the store is asked again.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time in which a registration must be taken back.
+const UNREGISTER_TIME: Duration = Duration::from_millis(300);
+
 /// A record that lasts as long as its process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -58,8 +61,9 @@
     }
 }
 
-/// Takes a registration back; where this fails, the lease ends it.
+/// Takes a registration back; where this fails or takes long, the lease ends
+/// it: a process that stops has little time.
 pub async fn unregister<S: RecordStore>(store: &S, key: &str) {
     let transaction = Transaction { removes: vec![key.to_owned()], ..Transaction::default() };
-    let _ = store.commit(&transaction).await;
+    let _ = tokio::time::timeout(UNREGISTER_TIME, store.commit(&transaction)).await;
 }
