--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -104,12 +104,14 @@
 }
 
 /// This node as it registers itself.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OwnNode {
     /// Name, unique among the nodes.
     pub name: String,
     /// What others are told.
     pub record: NodeRecord,
+    /// Most bytes of sums of load that it sends in a second.
+    pub sum_bytes_per_second: f64,
 }
 
 impl OwnNode {
@@ -157,7 +159,11 @@
         cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
         // Fronts judge by the workers that they hear whether they are cut off.
         let says_hello = own.record.role == NodeRole::Worker;
-        let duties = PeerDuties { says_hello, aggregates: own.record.is_upstream };
+        let duties = PeerDuties {
+            says_hello,
+            aggregates: own.record.is_upstream,
+            sum_bytes_per_second: own.sum_bytes_per_second,
+        };
         tokio::spawn(async move { exchange_shares(shared, socket, &name, duties, peers).await });
         Self { store, name: own.name.clone(), registration, nodes }
     }
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -45,7 +45,7 @@
     let (stop, stopped) = tokio::sync::watch::channel(false);
     tokio::spawn(spool.serve(owned, listener, stopped));
     let record = NodeRecord { role: NodeRole::Worker, address: address.to_string(), is_upstream: false };
-    let own = OwnNode { name: name.to_owned(), record };
+    let own = OwnNode { name: name.to_owned(), record, sum_bytes_per_second: 1e6 };
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let membership = Membership::join(store, &cache, contact, shared, &own, socket);
     Worker { address, _handle: handle, _membership: membership, _folder: folder, _stop: stop }
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -49,7 +49,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let record =
         NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string(), is_upstream: false };
-    let own = OwnNode { name: name.to_owned(), record };
+    let own = OwnNode { name: name.to_owned(), record, sum_bytes_per_second: 1e6 };
     (worker, Membership::join(store, &cache, contact, shared, &own, socket))
 }
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -26,9 +26,6 @@
 const REPEAT_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of reports that a node sends in a second.
 const BYTES_PER_SECOND: usize = 16 << 10;
-/// Most bytes of sums that an aggregator sends in a second; beyond it some
-/// nodes hear of the others later.
-const SUM_BYTES_PER_SECOND: f64 = 512.0 * 1024.0;
 /// Bytes of a datagram beside its content.
 const DATAGRAM_BYTES: usize = 48;
 /// Up to so many peers are told directly, all of them each time.
@@ -86,12 +83,15 @@
 }
 
 /// What a node does for others beside telling them of its requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerDuties {
     /// All others must be able to hear it, however many there are.
     pub says_hello: bool,
     /// It sums up what all nodes tell.
     pub aggregates: bool,
+    /// Most bytes of sums that it sends in a second; beyond it some nodes hear
+    /// of the others later.
+    pub sum_bytes_per_second: f64,
 }
 
 /// Tells peers of the own requests and hears of theirs, for ever.
@@ -165,7 +165,7 @@
             hello_at: now,
             aggregator: own.0 as usize,
             sum_at: now,
-            sum_budget: SUM_BYTES_PER_SECOND,
+            sum_budget: duties.sum_bytes_per_second,
             budget_at: now,
         }
     }
@@ -197,9 +197,10 @@
     /// Sends the sum over all nodes to one that asked for it, if the budget
     /// allows.
     fn send_sum(&mut self, to: SocketAddr) {
-        let gained = self.budget_at.elapsed().as_secs_f64() * SUM_BYTES_PER_SECOND;
+        let rate = self.duties.sum_bytes_per_second;
+        let gained = self.budget_at.elapsed().as_secs_f64() * rate;
         self.budget_at = Instant::now();
-        self.sum_budget = (self.sum_budget + gained).min(SUM_BYTES_PER_SECOND);
+        self.sum_budget = (self.sum_budget + gained).min(rate);
         if self.sum_budget < 0.0 {
             return;
         }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -34,7 +34,7 @@
         let shared = node(route(RequestKind::Idempotent, 2), &[server]);
         let others = Peers::default();
         peers.copy_to(&others, name);
-        let duties = PeerDuties { says_hello: false, aggregates: number < aggregators };
+        let duties = PeerDuties { says_hello: false, aggregates: number < aggregators, sum_bytes_per_second: 1e6 };
         let (telling, name) = (shared.clone(), (*name).to_owned());
         let task = tokio::spawn(async move { exchange_shares(telling, socket, &name, duties, others).await });
         nodes.push(Node { shared, task });
