Wait one second for upstreams at a start, as before; making room is a module

Change: back to one second. crates/jobs/src/making_room.rs takes what makes room for online requests out of job_run.rs.

--- a/crates/core/src/record_source.rs
+++ b/crates/core/src/record_source.rs
@@ -18,9 +18,9 @@
 /// An upstream whose calls to the store fail for longer is not sound. Shorter
 /// failures are waiting calls that were cut.
 pub const OUTAGE_LIMIT: Duration = Duration::from_millis(300);
-/// Time in which a node that starts waits for an upstream that starts too: if
-/// all nodes start at once and list everything themselves, none is soon ready.
-const START_PATIENCE: Duration = Duration::from_millis(2500);
+/// Time in which a node that starts waits for an upstream that starts too. A
+/// longer one only delays nodes whose upstream has more to tell than it can.
+const START_PATIENCE: Duration = Duration::from_millis(1000);
 /// Pause between two polls while starting.
 const START_PAUSE: Duration = Duration::from_millis(80);
 /// Pause after a failed poll, doubled at each failure in a row.
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -10,7 +10,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use futures::FutureExt;
-use latchwheel_core::dispatch::{reserve_of, Ask, Choice, Concessions};
+use latchwheel_core::dispatch::{Ask, Choice, Concessions};
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
 use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
 use latchwheel_core::time::Instant;
@@ -26,9 +26,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Pause before the store is asked again.
 pub(crate) const STORE_PAUSE: Duration = Duration::from_millis(150);
-/// Share of all slots that batch work keeps while online requests are refused:
-/// it goes on, so that it is not starved.
-const PRESSED_SHARE: f64 = 0.15;
 /// Time that a server is given for an item at most.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 /// Retention of a job whose route is not known any more.
@@ -125,9 +122,9 @@
 
 /// A run of an item, and the way to break it off.
 pub(crate) struct RunningItem {
-    server: Arc<str>,
-    order: u64,
-    give_way: Arc<Notify>,
+    pub(crate) server: Arc<str>,
+    pub(crate) order: u64,
+    pub(crate) give_way: Arc<Notify>,
 }
 
 /// A job that this worker runs.
@@ -144,7 +141,7 @@
     pub(crate) runs: FuturesUnordered<ItemRun>,
     pub(crate) running: HashMap<usize, RunningItem>,
     pub(crate) started: u64,
-    concessions: Concessions,
+    pub(crate) concessions: Concessions,
     /// When the job is due, in milliseconds since 1970.
     due_ms: u64,
     pub(crate) listing: Option<Listing>,
@@ -230,7 +227,7 @@
         JobView { total: self.items.len(), results: self.list.results.clone(), writing_since: None }
     }
 
-    fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
+    pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
         let table = self.context.shared.table();
         let route = table.find(&self.record.host, &self.record.path);
         let now = self.context.shared.clock.now();
@@ -244,60 +241,6 @@
         (GiveUpRules { max_failures, servers, expires }, route)
     }
 
-    /// Breaks off the latest runs at crowded servers, by this node's share of
-    /// the excess; they go on later after their last events.
-    fn give_way(&mut self) {
-        let now = self.context.shared.clock.now();
-        let (_, route) = self.rules();
-        let excess = route.and_then(|route| self.pressed_excess(&route));
-        if excess.is_some_and(|excess| excess > 0) {
-            if let Some(item) = self.running.values().max_by_key(|item| item.order) {
-                item.give_way.notify_one();
-            }
-        }
-        let mut by_server: HashMap<&Arc<str>, Vec<&RunningItem>> = HashMap::new();
-        for item in self.running.values() {
-            by_server.entry(&item.server).or_default().push(item);
-        }
-        for (server, mut items) in by_server {
-            let crowding = self.context.shared.dispatcher().crowding(now, server);
-            let Some(crowding) = crowding else { continue };
-            if !self.concessions.is_due(now, server) {
-                continue;
-            }
-            let count = crowding.to_break(items.len() as u32, rand::random());
-            if count > 0 {
-                self.concessions.note(now, server.clone());
-            }
-            items.sort_by_key(|item| std::cmp::Reverse(item.order));
-            items.iter().take(count as usize).for_each(|item| item.give_way.notify_one());
-        }
-    }
-
-    /// Runs that this worker may keep while online requests are refused.
-    fn pressed_limit(&self, service: &str) -> usize {
-        let slots = f64::from(self.context.shared.dispatcher().slots_of(service));
-        let workers = self.context.worker_count().max(1) as f64;
-        ((slots * PRESSED_SHARE / workers) as usize).max(1)
-    }
-
-    /// Runs of this worker beyond what it may keep while online requests of one
-    /// of the route's services are refused; `None` while none are.
-    fn pressed_excess(&self, route: &Route) -> Option<i64> {
-        let now = self.context.shared.clock.now();
-        let pressed = |service: &str| self.context.shared.dispatcher().is_pressed(now, service);
-        let limits = route.targets.iter().filter(|target| pressed(&target.service));
-        let limit = limits.map(|target| self.pressed_limit(&target.service)).min()?;
-        Some(self.context.running() as i64 - limit as i64)
-    }
-
-    /// Share of the slots that is left to online work.
-    fn reserve(&self, route: &Route) -> f64 {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let age = wall.saturating_sub(Duration::from_millis(self.record.accepted_ms));
-        reserve_of(age.as_secs_f64() / route.due.as_secs_f64().max(f64::MIN_POSITIVE))
-    }
-
     fn start_items(&mut self) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod job_listing;
 mod job_run;
 pub mod layout;
+mod making_room;
 pub mod nodes;
 mod owned_jobs;
 mod recent;
--- a/crates/jobs/src/worker_calls.rs
+++ b/crates/jobs/src/worker_calls.rs
@@ -31,7 +31,7 @@
 const REMEMBERED_JOBS: usize = 256;
 
 impl OwnedJobs {
-    /// Answers a call of another node; `None` if it is another kind of call.
+    /// Answers a call of another node; with 404 if this worker can't tell.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let bytes = read_bounded(request.into_body(), REQUEST_LIMIT, REQUEST_TIME).await.unwrap_or_default();
