A job waits for earlier ones of its own route only

Of a worker's jobs the one that is due first starts items, whatever its route. A job whose route is gone from the table, or whose servers are all away, kept its place and held up every other job of the worker. Change: the order is kept by route, and a job without a route gives up its place. Test: a_job_does_not_wait_for_jobs_of_another_route, about behaviour that did not exist.

--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -6,6 +6,7 @@
 use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
+use crate::start_order::StartRank;
 use crate::worker::WorkerContext;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -142,8 +143,8 @@
     pub(crate) running: HashMap<usize, RunningItem>,
     pub(crate) started: u64,
     pub(crate) concessions: Concessions,
-    /// When the job is due, in milliseconds since 1970.
-    due_ms: u64,
+    /// Its place among the jobs that have items to start, once it had some.
+    rank: Option<StartRank>,
     pub(crate) listing: Option<Listing>,
     pub(crate) unlisted_since: Option<Instant>,
     pub(crate) taken_at: Instant,
@@ -178,7 +179,7 @@
             running: HashMap::new(),
             started: 0,
             concessions: Concessions::default(),
-            due_ms: 0,
+            rank: None,
             listing: None,
             unlisted_since: None,
             taken_at,
@@ -244,15 +245,26 @@
     fn start_items(&mut self) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
-        let Some(route) = route else { return };
+        let Some(route) = route else {
+            self.forget_waiting();
+            return;
+        };
         if self.pressed_excess(&route).is_some_and(|excess| excess >= 0) {
             return;
         }
         self.progress.iter_mut().for_each(|progress| progress.tick(now, &rules));
         let waiting: Vec<usize> =
             (0..self.items.len()).filter(|position| self.progress[*position].may_start(now)).collect();
-        self.due_ms = self.record.accepted_ms.saturating_add(route.due.as_millis() as u64);
-        if !self.context.note_waiting(&self.job, self.due_ms, waiting.len()) {
+        let rank = StartRank {
+            route: route.name.clone(),
+            due_ms: self.record.accepted_ms.saturating_add(route.due.as_millis() as u64),
+            job: self.job.clone(),
+        };
+        if self.rank.as_ref() != Some(&rank) {
+            self.forget_waiting();
+            self.rank = Some(rank.clone());
+        }
+        if !self.context.note_waiting(&rank, waiting.len()) {
             return;
         }
         let reserve = self.reserve(&route);
@@ -336,10 +348,19 @@
     }
 }
 
+impl<S, D> JobRun<S, D> {
+    /// It has nothing to start for now.
+    fn forget_waiting(&mut self) {
+        if let Some(rank) = self.rank.take() {
+            self.context.forget_waiting(&rank);
+        }
+    }
+}
+
 impl<S, D> Drop for JobRun<S, D> {
     fn drop(&mut self) {
         self.context.owned.hide(&self.job);
-        self.context.forget_waiting(&self.job, self.due_ms);
+        self.forget_waiting();
         self.context.note_runs(0, self.running.len());
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -41,6 +41,6 @@
 pub use owned_jobs::OwnedJobs;
 pub use relay::serve_relay;
 pub use spool::Spool;
-pub use start_order::StartOrder;
+pub use start_order::{StartOrder, StartRank};
 pub use worker::{run_worker, WorkerHandle};
 pub use worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -11,7 +11,7 @@
 use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
-use crate::start_order::StartOrder;
+use crate::start_order::{StartOrder, StartRank};
 use latchwheel_core::dispatch::StartBudget;
 use latchwheel_core::routes::Route;
 use latchwheel_events::{emit, Event};
@@ -68,21 +68,21 @@
         self.starts().refill(now, room, share, 1.0 / self.worker_count().max(1) as f64);
     }
 
-    /// A job that is due then has so many items to start. Gives back whether
-    /// it may start some: those that are due earlier go first.
-    pub(crate) fn note_waiting(&self, job: &str, due_ms: u64, items: usize) -> bool
+    /// A job has so many items to start. Gives back whether it may start some:
+    /// those that are due earlier go first.
+    pub(crate) fn note_waiting(&self, rank: &StartRank, items: usize) -> bool
     where
         D: Dialect,
     {
         let mut order = self.order.lock().unwrap_or_else(PoisonError::into_inner);
-        order.set(job, due_ms, items);
+        order.set(rank, items);
         self.shared.dispatcher().set_waiting(u32::try_from(order.total()).unwrap_or(u32::MAX));
-        order.is_first(job, due_ms)
+        order.is_first(rank)
     }
 
     /// A job has nothing to start any more.
-    pub(crate) fn forget_waiting(&self, job: &str, due_ms: u64) {
-        self.order.lock().unwrap_or_else(PoisonError::into_inner).set(job, due_ms, 0);
+    pub(crate) fn forget_waiting(&self, rank: &StartRank) {
+        self.order.lock().unwrap_or_else(PoisonError::into_inner).set(rank, 0);
     }
 
     /// Takes one start; `false` if none is left for now.
--- a/crates/jobs/tests/start_order.rs
+++ b/crates/jobs/tests/start_order.rs
@@ -1,25 +1,41 @@
 //! The order in which the jobs of a worker start items.
 
-use latchwheel_jobs::StartOrder;
+use latchwheel_jobs::{StartOrder, StartRank};
+
+fn rank(route: &str, due_ms: u64, job: &str) -> StartRank {
+    StartRank { route: route.into(), due_ms, job: job.into() }
+}
 
 #[test]
 fn the_job_that_is_due_first_goes_first() {
     let mut order = StartOrder::default();
-    order.set("late", 900, 3);
-    assert!(order.is_first("late", 900));
-    order.set("early", 500, 2);
-    assert!(!order.is_first("late", 900));
-    assert!(order.is_first("early", 500));
+    let (early, late) = (rank("route", 500, "early"), rank("route", 900, "late"));
+    order.set(&late, 3);
+    assert!(order.is_first(&late));
+    order.set(&early, 2);
+    assert!(!order.is_first(&late));
+    assert!(order.is_first(&early));
     assert_eq!(order.total(), 5);
-    order.set("early", 500, 0);
-    assert!(order.is_first("late", 900));
+    order.set(&early, 0);
+    assert!(order.is_first(&late));
     assert_eq!(order.total(), 3);
 }
 
 #[test]
 fn jobs_that_are_due_at_once_take_turns_by_their_names() {
     let mut order = StartOrder::default();
-    order.set("b", 500, 1);
-    order.set("a", 500, 1);
-    assert!(order.is_first("a", 500) && !order.is_first("b", 500));
+    let (first, second) = (rank("route", 500, "a"), rank("route", 500, "b"));
+    order.set(&second, 1);
+    order.set(&first, 1);
+    assert!(order.is_first(&first) && !order.is_first(&second));
+}
+
+/// The servers of one route may be away for long.
+#[test]
+fn a_job_does_not_wait_for_jobs_of_another_route() {
+    let mut order = StartOrder::default();
+    order.set(&rank("away", 100, "stuck"), 5);
+    order.set(&rank("sound", 900, "job"), 2);
+    assert!(order.is_first(&rank("sound", 900, "job")));
+    assert!(order.is_first(&rank("away", 100, "stuck")));
 }
