Keep the work that waits on a batch route within its limit, over all nodes

Cause: a further customer's routes have a limit on the tokens that may wait; jobs were taken whatever waited. Ruled out: one counter in the record store (two more writes a job, and no job could be taken while it is away); following all open jobs at every node (at the target size a thousand jobs a second at 390 nodes). Change: the worker of a job tells its unfinished tokens by route beside its load (summed by aggregators); a front adds what it took itself until the worker has had time to tell, and as long as the store is away (core::queue_limit, core::dispatch::queues, jobs::queue_gate). What a dead node told counts for eight seconds.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -10,11 +10,13 @@
 mod deferrable;
 mod failure_rate;
 mod peers;
+mod queues;
 mod server;
 
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
 pub use peers::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
+pub use queues::{RouteKey, RouteQueue};
 pub use server::{ServerLoad, ServerReport};
 
 use crate::directory::ServerRecord;
@@ -23,7 +25,7 @@
 use cost::ServiceCost;
 use peers::PeerReports;
 use server::{ServerState, ServerView};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -111,6 +113,7 @@
     refused_at: HashMap<Arc<str>, Instant>,
     peers: PeerReports,
     waiting: u32,
+    queues: BTreeMap<RouteKey, u64>,
 }
 
 impl Dispatcher {
@@ -255,7 +258,21 @@
         let mut pressed: Vec<u64> = refused.map(|(service, _)| stable_hash(service.as_bytes())).collect();
         pressed.sort_unstable();
         let servers = self.servers.values().filter_map(|server| server.share(now)).collect();
-        NodeShares { servers, pressed, waiting: self.waiting }
+        NodeShares { servers, pressed, waiting: self.waiting, queues: self.own_queues() }
+    }
+
+    fn own_queues(&self) -> Vec<RouteQueue> {
+        self.queues.iter().map(|(route, tokens)| RouteQueue { route: *route, tokens: *tokens }).collect()
+    }
+
+    /// This node keeps so many tokens of unfinished batch work on a route.
+    pub fn set_queued_tokens(&mut self, route: RouteKey, tokens: u64) {
+        self.queues.insert(route, tokens);
+    }
+
+    /// Tokens of unfinished batch work on a route at the other nodes.
+    pub fn queued_tokens_elsewhere(&self, now: Instant, route: RouteKey) -> u64 {
+        self.peers.queued_tokens(now, route)
     }
 
     /// This node would start so many deferrable runs if there were room.
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -8,6 +8,7 @@
 //! Where there are too many nodes for each to tell all others, some of them,
 //! the aggregators, are told by all and answer with the sum over all nodes.
 
+use super::queues::{PeerQueues, RouteKey, RouteQueue};
 use crate::identity::{stable_hash, HashKeyMap, NodeId};
 use crate::time::Instant;
 use std::collections::HashMap;
@@ -55,6 +56,8 @@
     pub pressed: Vec<u64>,
     /// Deferrable runs that it would start if there were room.
     pub waiting: u32,
+    /// Unfinished batch work that it keeps, ordered by route.
+    pub queues: Vec<RouteQueue>,
 }
 
 #[derive(Debug)]
@@ -97,6 +100,7 @@
     reports: HashKeyMap<u64, Report>,
     /// The last sum, by part; empty where none is asked for.
     sum: Vec<Option<SumPart>>,
+    queues: PeerQueues,
 }
 
 impl PeerReports {
@@ -106,6 +110,7 @@
         if present.is_some_and(|present| sequence <= present.sequence && now.since(present.at) < REPORT_LIFE) {
             return;
         }
+        self.queues.note(now, from.0, &told.queues);
         let shares = told.servers.into_iter().map(|share| (share.server, share)).collect();
         self.reports.insert(from.0, Report { at: now, sequence, shares, pressed: told.pressed, waiting: told.waiting });
         self.reports.retain(|_, report| now.since(report.at) < REPORT_LIFE);
@@ -117,6 +122,7 @@
         if self.sum.len() != sum.parts {
             self.sum = (0..sum.parts).map(|_| None).collect();
         }
+        self.queues.note_sum(now, &sum.shares.queues, &own.queues);
         let Some(present) = self.sum.get_mut(sum.part) else { return };
         let mut shares: HashMap<ServerKey, ServerShare> =
             sum.shares.servers.into_iter().map(|share| (share.server, share)).collect();
@@ -144,7 +150,8 @@
         }
         pressed.sort_unstable();
         pressed.dedup();
-        NodeShares { servers: servers.into_values().collect(), pressed, waiting }
+        let queues = self.queues.sum_with(now, &own.queues);
+        NodeShares { servers: servers.into_values().collect(), pressed, waiting, queues }
     }
 
     /// Whether a node refuses requests for a service.
@@ -163,6 +170,11 @@
         }
     }
 
+    /// Tokens of unfinished batch work on a route at the other nodes.
+    pub(super) fn queued_tokens(&self, now: Instant, route: RouteKey) -> u64 {
+        self.queues.tokens(now, route)
+    }
+
     /// Deferrable runs that one node would start, as it told lately.
     pub(super) fn waiting_at(&self, now: Instant, node: NodeId) -> Option<u32> {
         self.reports.get(&node.0).filter(|report| now.since(report.at) < REPORT_LIFE).map(|report| report.waiting)
@@ -239,7 +251,12 @@
         let part = |part| SharesSum {
             parts,
             part,
-            shares: NodeShares { servers: Vec::new(), pressed: self.pressed.clone(), waiting: self.waiting },
+            shares: NodeShares {
+                servers: Vec::new(),
+                pressed: self.pressed.clone(),
+                waiting: self.waiting,
+                queues: self.queues.clone(),
+            },
         };
         let mut sums: Vec<SharesSum> = (0..parts).map(part).collect();
         for share in self.servers {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
+pub mod queue_limit;
 pub mod record_source;
 pub mod replication;
 pub mod retry;
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -70,6 +70,8 @@
     pub due: Duration,
     /// Time after a job's arrival at which its items may be given up.
     pub retention: Duration,
+    /// Tokens of unfinished items that may wait over all nodes; zero is no limit.
+    pub queued_token_limit: u64,
 }
 
 /// What the operator tells of a service.
--- /dev/null
+++ b/crates/core/tests/queue_limit.rs
@@ -0,0 +1,99 @@
+//! The limit on batch work that waits on a route, counted over all nodes.
+
+use latchwheel_core::dispatch::{Dispatcher, NodeShares, RouteKey, RouteQueue};
+use latchwheel_core::identity::NodeId;
+use latchwheel_core::queue_limit::{PendingJobs, QueueLimit, HANDOVER_TIME};
+use latchwheel_core::time::Instant;
+use std::time::Duration;
+
+fn at(ms: u64) -> Instant {
+    Instant::default() + Duration::from_secs(60) + Duration::from_millis(ms)
+}
+
+fn route() -> RouteKey {
+    RouteKey::of("lot")
+}
+
+/// What a node tells that keeps so many tokens.
+fn told(tokens: u64) -> NodeShares {
+    NodeShares { queues: vec![RouteQueue { route: route(), tokens }], ..NodeShares::default() }
+}
+
+#[test]
+fn a_job_fits_up_to_half_of_the_permitted_excess() {
+    let limit = QueueLimit { tokens: 1000, excess: 0.1 };
+    assert!(limit.fits(0, 1050));
+    assert!(limit.fits(1000, 50));
+    assert!(!limit.fits(1000, 51));
+    assert!(!limit.fits(u64::MAX, 1));
+}
+
+#[test]
+fn the_queues_of_all_other_nodes_count_together() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.note_peer(at(0), NodeId(1), 1, told(300));
+    dispatcher.note_peer(at(0), NodeId(2), 1, told(400));
+    assert_eq!(dispatcher.queued_tokens_elsewhere(at(10), route()), 700);
+    assert_eq!(dispatcher.queued_tokens_elsewhere(at(10), RouteKey::of("other")), 0);
+    dispatcher.note_peer(at(20), NodeId(1), 2, told(0));
+    assert_eq!(dispatcher.queued_tokens_elsewhere(at(30), route()), 400);
+}
+
+/// Its jobs go on elsewhere, but until another node runs them nobody tells of
+/// them.
+#[test]
+fn what_a_dead_node_kept_counts_for_some_seconds() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.note_peer(at(0), NodeId(1), 1, told(300));
+    // It starts again and doesn't know its jobs yet.
+    dispatcher.note_peer(at(1_000), NodeId(1), 2, NodeShares::default());
+    assert_eq!(dispatcher.queued_tokens_elsewhere(at(6_000), route()), 300);
+    assert_eq!(dispatcher.queued_tokens_elsewhere(at(9_000), route()), 0);
+}
+
+#[test]
+fn a_sum_over_all_nodes_counts_without_the_own_part() {
+    let mut aggregator = Dispatcher::default();
+    aggregator.note_peer(at(0), NodeId(1), 1, told(300));
+    aggregator.note_peer(at(0), NodeId(2), 1, told(400));
+    aggregator.set_queued_tokens(route(), 50);
+    let mut asking = Dispatcher::default();
+    asking.set_queued_tokens(route(), 400);
+    for part in aggregator.shares_of_all(at(10)).into_parts(60) {
+        asking.note_sum(at(20), part, &told(400));
+    }
+    assert_eq!(asking.queued_tokens_elsewhere(at(30), route()), 350);
+    // A report of one of these nodes is in the sum already.
+    asking.note_peer(at(30), NodeId(1), 1, told(300));
+    assert_eq!(asking.queued_tokens_elsewhere(at(40), route()), 350);
+}
+
+#[test]
+fn a_job_counts_where_it_was_taken_until_it_is_handed_over() {
+    let mut pending = PendingJobs::default();
+    pending.note(at(0), route(), "job", 500);
+    pending.note(at(10), route(), "job", 500);
+    assert_eq!(pending.tokens(route()), 500, "one that comes again counts once");
+    pending.tick(at(10) + HANDOVER_TIME, false);
+    assert!(pending.is_empty());
+}
+
+#[test]
+fn no_job_is_handed_over_while_the_store_is_away() {
+    let mut pending = PendingJobs::default();
+    pending.note(at(0), route(), "job", 500);
+    pending.tick(at(1_900), true);
+    pending.tick(at(3_800), true);
+    assert_eq!(pending.tokens(route()), 500);
+    pending.tick(at(3_800) + HANDOVER_TIME, false);
+    assert!(pending.is_empty());
+}
+
+#[test]
+fn a_job_that_was_not_taken_counts_no_more() {
+    let mut pending = PendingJobs::default();
+    pending.note(at(0), route(), "job", 500);
+    assert!(pending.holds("job"));
+    pending.forget("job");
+    assert_eq!(pending.tokens(route()), 0);
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -265,6 +265,19 @@
         /// Time that it took.
         after_ms: u64
     };
+    /// A batch job is refused: too much waits on its route already.
+    QueueLimitReached = 8231, Essential {
+        /// Job.
+        job: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Tokens of its items.
+        tokens: u64,
+        /// Tokens that wait on the route at all nodes, as far as they told.
+        queued: u64,
+        /// Tokens that may wait there.
+        limit: u64
+    };
     /// A batch job was ended by its client.
     JobEnded = 8202, Essential {
         /// Job.
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -168,6 +168,19 @@
         }
     }
 
+    /// Whether the job was taken before. Where that can't be told, the fault
+    /// says so: a job that may be kept must not be refused for good.
+    ///
+    /// # Errors
+    /// [`DeskFault`], except [`DeskFault::Absent`].
+    pub async fn is_known(&self, job: &str) -> Result<bool, DeskFault> {
+        match self.present(job).await {
+            Ok(_) => Ok(true),
+            Err(DeskFault::Absent) => Ok(false),
+            Err(fault) => Err(fault),
+        }
+    }
+
     async fn try_end(&self, job: &str) -> Result<bool, DeskFault> {
         let present = self.present(job).await?;
         let mut record = read_record(&present.value).ok_or(DeskFault::Unknown)?;
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -109,6 +109,7 @@
     );
     let mut run = JobRun::new(context, job, record, revision, body, list);
     let reason = run.run(&mut orders).await;
+    run.context.forget_unfinished(&run.job);
     if reason.goes_on_elsewhere() {
         run.list_before_leaving().await;
     }
@@ -196,6 +197,7 @@
             match order {
                 JobOrder::Leave(reason) => return reason,
                 JobOrder::Run => {
+                    self.tell_unfinished();
                     self.give_way();
                     self.start_items();
                 }
@@ -223,6 +225,15 @@
         }
     }
 
+    /// Tells other nodes how much of the job is unfinished.
+    fn tell_unfinished(&self) {
+        let (_, Some(route)) = self.rules() else { return };
+        let items = self.items.iter().zip(&self.progress);
+        let unfinished =
+            items.filter(|(_, progress)| matches!(progress.state(), ItemState::Waiting(_) | ItemState::Running));
+        self.context.note_unfinished(&self.job, &route, unfinished.map(|(item, _)| item.tokens).sum());
+    }
+
     /// What is shown to readers.
     pub(crate) fn view(&self) -> JobView {
         JobView { total: self.items.len(), results: self.list.results.clone(), writing_since: None }
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -131,6 +131,9 @@
     pub headers: BTreeMap<String, String>,
     /// Body of its request, in base64.
     pub body: String,
+    /// Tokens of its prompt and most tokens of its output, summed.
+    #[serde(default)]
+    pub tokens: u64,
 }
 
 /// A result as it stands in the list.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`worker`]: running them.
 //! - [`nodes`]: which nodes there are.
 //! - [`spool`]: keeping new jobs while the store is away.
+//! - [`queue_gate`]: keeping what waits within its limit.
 //! - [`relay`]: handing a new job to another front.
 //! - [`layout`]: the records.
 //!
@@ -26,11 +27,13 @@
 mod making_room;
 pub mod nodes;
 mod owned_jobs;
+pub mod queue_gate;
 mod recent;
 pub mod relay;
 mod results;
 pub mod spool;
 mod start_order;
+mod unfinished;
 pub mod worker;
 mod worker_calls;
 
@@ -39,6 +42,7 @@
 pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
 pub use nodes::{Membership, Nodes, OwnNode};
 pub use owned_jobs::OwnedJobs;
+pub use queue_gate::{QueueGate, QueueVerdict};
 pub use relay::serve_relay;
 pub use spool::Spool;
 pub use start_order::{StartOrder, StartRank};
--- /dev/null
+++ b/crates/jobs/src/queue_gate.rs
@@ -0,0 +1,104 @@
+//! Keeping the work that waits on a route within its limit, at a node that
+//! takes jobs.
+
+use latchwheel_core::dispatch::RouteKey;
+use latchwheel_core::queue_limit::{PendingJobs, QueueLimit, HANDOVER_TIME};
+use latchwheel_core::routes::Route;
+use latchwheel_proxy::{Dialect, Shared};
+use latchwheel_records::Contact;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// A store that was not known to answer for this time counts as away.
+const AWAY_AFTER: Duration = Duration::from_secs(1);
+
+/// What decided on a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueVerdict {
+    /// Whether the job fits.
+    pub fits: bool,
+    /// Tokens that wait on its route without it.
+    pub queued: u64,
+}
+
+/// Admits jobs within the limits of their routes. Clones share the count.
+#[derive(Debug)]
+pub struct QueueGate<D> {
+    shared: Arc<Shared<D>>,
+    contact: Contact,
+    excess: f64,
+    pending: Arc<Mutex<PendingJobs>>,
+}
+
+impl<D> Clone for QueueGate<D> {
+    fn clone(&self) -> Self {
+        let (shared, pending) = (self.shared.clone(), self.pending.clone());
+        Self { shared, contact: self.contact.clone(), excess: self.excess, pending }
+    }
+}
+
+impl<D: Dialect> QueueGate<D> {
+    /// No job was taken yet. `excess` is the share by which limits may be
+    /// exceeded, `contact` tells whether the store answers.
+    pub fn new(shared: Arc<Shared<D>>, contact: Contact, excess: f64) -> Self {
+        Self { shared, contact, excess, pending: Arc::default() }
+    }
+
+    /// Counts a job of so many tokens if it fits. One that was taken here just
+    /// now fits again.
+    pub fn admit(&self, route: &Route, job: &str, tokens: u64) -> QueueVerdict {
+        let now = self.shared.clock.now();
+        let key = RouteKey::of(&route.name);
+        let mut pending = self.lock();
+        pending.tick(now, self.is_store_away());
+        let elsewhere = self.shared.dispatcher().queued_tokens_elsewhere(now, key);
+        let queued = elsewhere.saturating_add(pending.tokens(key));
+        let limit = QueueLimit { tokens: route.queued_token_limit, excess: self.excess };
+        let unlimited = route.queued_token_limit == 0;
+        let fits = unlimited || pending.holds(job) || limit.fits(queued, tokens);
+        if fits && !unlimited {
+            pending.note(now, key, job, tokens);
+            self.tell(&pending, key);
+            drop(pending);
+            self.tell_later(key);
+        }
+        QueueVerdict { fits, queued }
+    }
+
+    /// The job was not taken after all.
+    pub fn withdraw(&self, route: &Route, job: &str) {
+        let mut pending = self.lock();
+        if pending.holds(job) {
+            pending.forget(job);
+            self.tell(&pending, RouteKey::of(&route.name));
+        }
+    }
+
+    fn tell(&self, pending: &PendingJobs, route: RouteKey) {
+        self.shared.dispatcher().set_queued_tokens(route, pending.tokens(route));
+    }
+
+    /// Tells others once the job does not count here any more.
+    fn tell_later(&self, route: RouteKey) {
+        let gate = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(HANDOVER_TIME).await;
+                let mut pending = gate.lock();
+                pending.tick(gate.shared.clock.now(), gate.is_store_away());
+                gate.tell(&pending, route);
+                if pending.tokens(route) == 0 {
+                    return;
+                }
+            }
+        });
+    }
+
+    fn is_store_away(&self) -> bool {
+        !self.contact.outage().is_zero() || self.contact.age().is_none_or(|age| age > AWAY_AFTER)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PendingJobs> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -12,7 +12,8 @@
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
 use crate::start_order::{StartOrder, StartRank};
-use latchwheel_core::dispatch::StartBudget;
+use crate::unfinished::UnfinishedTokens;
+use latchwheel_core::dispatch::{RouteKey, StartBudget};
 use latchwheel_core::routes::Route;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
@@ -43,6 +44,7 @@
     running: AtomicUsize,
     starts: Mutex<StartBudget>,
     order: Mutex<StartOrder>,
+    unfinished: Mutex<UnfinishedTokens>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -85,6 +87,35 @@
         self.order.lock().unwrap_or_else(PoisonError::into_inner).set(rank, 0);
     }
 
+    /// So many tokens of a job are unfinished; other nodes are told where its
+    /// route has a limit.
+    pub(crate) fn note_unfinished(&self, job: &str, route: &Route, tokens: u64)
+    where
+        D: Dialect,
+    {
+        if route.queued_token_limit == 0 {
+            return;
+        }
+        let key = RouteKey::of(&route.name);
+        let sum = self.unfinished().set(job, key, tokens);
+        self.shared.dispatcher().set_queued_tokens(key, sum);
+    }
+
+    /// This worker runs a job no longer.
+    pub(crate) fn forget_unfinished(&self, job: &str)
+    where
+        D: Dialect,
+    {
+        let left = self.unfinished().remove(job);
+        if let Some((route, sum)) = left {
+            self.shared.dispatcher().set_queued_tokens(route, sum);
+        }
+    }
+
+    fn unfinished(&self) -> MutexGuard<'_, UnfinishedTokens> {
+        self.unfinished.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes one start; `false` if none is left for now.
     pub(crate) fn take_start(&self) -> bool {
         self.starts().take()
@@ -140,6 +171,7 @@
         running: AtomicUsize::new(0),
         starts: Mutex::default(),
         order: Mutex::default(),
+        unfinished: Mutex::default(),
     });
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use latchwheel_core::dispatch::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
+use latchwheel_core::dispatch::{NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
@@ -180,6 +180,7 @@
             servers: report.shares.iter().map(share_of).collect(),
             pressed: report.pressed,
             waiting: report.waiting,
+            queues: report.queues.iter().map(queue_of).collect(),
         };
         let now = self.shared.clock.now();
         if report.sum_parts > 0 {
@@ -268,7 +269,11 @@
         self.hello_at = Instant::now();
         let others = peers.iter().filter(|peer| !peer.aggregates);
         // What it does at servers is in the sum.
-        let hello = self.report(&NodeShares { waiting: self.told.waiting, ..NodeShares::default() });
+        let hello = self.report(&NodeShares {
+            waiting: self.told.waiting,
+            queues: self.told.queues.clone(),
+            ..NodeShares::default()
+        });
         others.map(|peer| self.send(&hello, peer.address)).sum()
     }
 
@@ -293,6 +298,7 @@
             shares: shares.servers.iter().map(message_of).collect(),
             pressed: shares.pressed.clone(),
             waiting: shares.waiting,
+            queues: shares.queues.iter().map(queue_message_of).collect(),
             wants_sum: false,
             sum_parts: 0,
             sum_part: 0,
@@ -318,6 +324,14 @@
     }
 }
 
+fn queue_of(message: &v1::RouteQueue) -> RouteQueue {
+    RouteQueue { route: RouteKey(message.route), tokens: message.tokens }
+}
+
+fn queue_message_of(queue: &RouteQueue) -> v1::RouteQueue {
+    v1::RouteQueue { route: queue.route.0, tokens: queue.tokens }
+}
+
 fn message_of(share: &ServerShare) -> v1::ServerShare {
     v1::ServerShare {
         server: share.server.0,
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -240,6 +240,7 @@
         gap_target: Some(Duration::from_millis(100)),
         due: Duration::from_secs(20),
         retention: Duration::from_secs(60),
+        queued_token_limit: 0,
     }
 }
 
