Deferrable work gives way at once when a front asks; items that will be late go last

A log of all nodes showed why: each had been sent to a server with at most five of eight requests by what its node had heard, while twelve were there; ten requests of ten nodes in 0.15 s, as traffic jumps fivefold. Half of what was there was batch work, that gave way when its worker heard of it, up to half a second later. Batch work that gave way also paused for up to three seconds, as if it had failed. Change: an urgent request that takes a slot which deferrable work holds asks the server's holders (three workers by rendezvous hashing) at once, by a datagram; one run by chance breaks off, late ones and those due last first (jobs::run_registry). Workers run items first where they are holders. Deferrable work counts as room for urgent requests. A run that gave way starts again without a pause, reserves are smaller. Items that can't be in time, by measured run times (core::run_times), start after all others. Tests: deferrable_work_is_room_for_urgent_requests, the_holders_of_a_server_are_the_same_at_every_node, an_item_that_gave_way_may_start_again_at_once, a_node_asks_another_for_room, a_run_gives_way_at_once_when_it_is_asked_to (fails without the breaking), a_job_that_will_be_late..., run_times.

--- a/crates/core/src/dispatch/deferrable.rs
+++ b/crates/core/src/dispatch/deferrable.rs
@@ -14,10 +14,10 @@
 /// prints both).
 const HEARING_TIME: Duration = Duration::from_millis(450);
 /// Share of every server's slots that new work leaves to urgent requests.
-const EARLY_RESERVE: f64 = 0.35;
+const EARLY_RESERVE: f64 = 0.12;
 /// The share that work leaves which is in danger of being late: some, since a
 /// request that finds no free slot waits until work has given way.
-const LATE_RESERVE: f64 = 0.12;
+const LATE_RESERVE: f64 = 0.05;
 /// The reserve shrinks until this share of the time to the due time is over.
 const LATE_SHARE: f64 = 0.6;
 
--- /dev/null
+++ b/crates/core/src/dispatch/holders.rs
@@ -0,0 +1,20 @@
+//! Which nodes run deferrable work at a server first.
+//!
+//! Whoever wants such work to give way asks these few nodes directly, so that
+//! nobody has to know, or to ask, all nodes that might have some there. Any
+//! node may run work anywhere; what others run gives way a little later, when
+//! they hear how crowded the server is.
+
+use super::ServerKey;
+use crate::identity::{stable_pair_hash, NodeId};
+
+/// Nodes that run deferrable work at one server first.
+const HOLDERS: usize = 3;
+
+/// The nodes that rendezvous hashing names first for a server.
+pub fn holders_of(server: ServerKey, nodes: impl Iterator<Item = NodeId>) -> Vec<NodeId> {
+    let mut nodes: Vec<NodeId> = nodes.collect();
+    nodes.sort_unstable_by_key(|node| std::cmp::Reverse(stable_pair_hash(node.0, u64::from(server.0))));
+    nodes.truncate(HOLDERS);
+    nodes
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -9,12 +9,14 @@
 mod cost;
 mod deferrable;
 mod failure_rate;
+mod holders;
 mod peers;
 mod queues;
 mod server;
 
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
+pub use holders::holders_of;
 pub use peers::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 pub use queues::{RouteKey, RouteQueue};
 pub use server::{ServerLoad, ServerReport};
@@ -84,6 +86,8 @@
     pub load: f64,
     /// Whether it can give way.
     pub deferrable: bool,
+    /// Whether deferrable work at the server is to give way to it.
+    pub displaces: bool,
 }
 
 /// How an attempt at a server ended.
@@ -114,6 +118,8 @@
     peers: PeerReports,
     waiting: u32,
     queues: BTreeMap<RouteKey, u64>,
+    /// This node and all that run deferrable work, if it does itself.
+    deferring: Option<(NodeId, Vec<NodeId>)>,
 }
 
 impl Dispatcher {
@@ -132,6 +138,23 @@
             }
         }
         self.servers.retain(|_, server| server.ready || server.own() > 0);
+        self.mark_held();
+    }
+
+    /// This node runs deferrable work, and so do the others of `all`, which may
+    /// hold this one too.
+    pub fn set_deferring(&mut self, own: NodeId, all: Vec<NodeId>) {
+        self.deferring = Some((own, all));
+        self.mark_held();
+    }
+
+    /// Marks the servers at which this node runs deferrable work first.
+    fn mark_held(&mut self) {
+        let Some((own, all)) = &self.deferring else { return };
+        for server in self.servers.values_mut() {
+            let nodes = all.iter().copied().filter(|node| node != own).chain([*own]);
+            server.held = holders_of(server.key, nodes).contains(own);
+        }
     }
 
     /// Servers of a service that may get new work.
@@ -157,14 +180,17 @@
             }
             let view = self.view(now, server);
             let uncached = server.uncached(now, ask.prompt, home.as_ref() == Some(id));
-            let wait = view.wait(&cost, ask.reserve);
-            let total =
-                if ask.deferrable { view.penalty() } else { wait + view.penalty() + view.prefill(&cost, uncached) };
+            let wait = view.wait(&cost, ask);
+            let total = if ask.deferrable {
+                view.penalty() + view.cost_of_others()
+            } else {
+                wait + view.penalty() + view.prefill(&cost, uncached)
+            };
             soonest = soonest.min(wait);
             if wait > ask.wait_limit.as_secs_f64() {
                 continue;
             }
-            let order = view.spread_order(ask.spread);
+            let order = view.spread_order(ask);
             let better = best.as_ref().is_none_or(|(least, least_order, _)| {
                 total < least - TIE || (total < least + TIE && order < *least_order)
             });
@@ -176,6 +202,7 @@
                     uncached,
                     load: view.load(),
                     deferrable: ask.deferrable,
+                    displaces: !ask.deferrable && view.displaces(),
                 };
                 best = Some((total, order, placement));
             }
@@ -324,6 +351,14 @@
         self.servers.get(server).map(|server| self.view(now, server).crowding())
     }
 
+    /// Share, 0 to 1, of the deferrable runs at a server that are this node's.
+    pub fn own_share_of_deferrable(&self, now: Instant, server: &str) -> f64 {
+        let Some(state) = self.servers.get(server) else { return 1.0 };
+        let others = self.peers.at(now, state.key).deferrable;
+        let own = state.own_deferrable();
+        f64::from(own) / f64::from((own + others).max(1))
+    }
+
     fn view<'a>(&self, now: Instant, state: &'a ServerState) -> ServerView<'a> {
         ServerView { state, peers: self.peers.at(now, state.key), now }
     }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -3,7 +3,7 @@
 use super::cost::{Prompt, ServiceCost};
 use super::failure_rate::{cost_of, FailureRate};
 use super::peers::{PeerShare, ServerKey, ServerShare};
-use super::{Crowding, Ending, Placement};
+use super::{Ask, Crowding, Ending, Placement};
 use crate::directory::ServerRecord;
 use crate::identity::{stable_pair_hash, HashKeyMap};
 use crate::time::Instant;
@@ -41,6 +41,14 @@
 /// A server with so many free slots costs nothing of that kind.
 const AMPLE_SLOTS: f64 = 3.0;
 
+/// Slots that stay free where deferrable work holds all others: some urgent
+/// requests are seen late.
+const FREE_CUSHION: f64 = 2.0;
+
+/// Seconds by which a server is worse for deferrable work where others are asked
+/// first to give way.
+const NOT_HELD_COST: f64 = 0.05;
+
 /// Load that a server tells in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -71,6 +79,8 @@
     pub(super) service: Arc<str>,
     pub(super) address: Arc<str>,
     pub(super) ready: bool,
+    /// Whether this node runs deferrable work there first.
+    pub(super) held: bool,
     pub(super) key: ServerKey,
     slots: u32,
     own: u32,
@@ -117,14 +127,32 @@
         (f64::from(self.state.slots) * (1.0 - reserve)).max(1.0) - self.load()
     }
 
+    /// Slots that an urgent request finds, if a share of all stays free:
+    /// deferrable work gives way to it.
+    fn free_for_urgent(&self, reserve: f64) -> f64 {
+        let deferrable = f64::from(self.state.own_deferrable + self.peers.deferrable);
+        self.free_slots(reserve) + deferrable.min(self.load())
+    }
+
+    /// Whether an urgent request that is sent now needs a slot that deferrable
+    /// work holds, or takes one of the last free ones. The more of the slots are
+    /// held by such work, the longer a request would wait for one to be free by
+    /// itself, and the earlier that work gives way.
+    pub(super) fn displaces(&self) -> bool {
+        let deferrable = f64::from(self.state.own_deferrable + self.peers.deferrable);
+        self.free_slots(0.0) < FREE_CUSHION * deferrable / f64::from(self.state.slots)
+    }
+
     /// How crowded the server is by deferrable work.
     pub(super) fn crowding(&self) -> Crowding {
         Crowding::new(self.free_slots(0.0), self.state.own_deferrable + self.peers.deferrable)
     }
 
-    /// Seconds until a slot is free, if a share of the slots stays free.
-    pub(super) fn wait(&self, cost: &ServiceCost, reserve: f64) -> f64 {
-        let over = 1.0 - self.free_slots(reserve);
+    /// Seconds until a request finds a slot free. To an urgent one deferrable
+    /// work gives way; the other kind leaves a share of the slots free.
+    pub(super) fn wait(&self, cost: &ServiceCost, ask: &Ask<'_>) -> f64 {
+        let free = if ask.deferrable { self.free_slots(ask.reserve) } else { self.free_for_urgent(ask.reserve) };
+        let over = 1.0 - free;
         if over <= 0.0 {
             return 0.0;
         }
@@ -142,14 +170,16 @@
     /// nodes would choose it before they hear of each other.
     fn scarcity(&self) -> f64 {
         let ample = AMPLE_SLOTS.min(f64::from(self.state.slots));
-        ((ample - self.free_slots(0.0)) / (ample - 1.0).max(1.0)).clamp(0.0, 2.0)
+        ((ample - self.free_for_urgent(0.0)) / (ample - 1.0).max(1.0)).clamp(0.0, 2.0)
     }
 
     /// Orders equal servers by chance, the emptier ones more often first.
-    pub(super) fn spread_order(&self, spread: u64) -> f64 {
-        let hash = stable_pair_hash(u64::from(self.state.key.0), spread);
+    pub(super) fn spread_order(&self, ask: &Ask<'_>) -> f64 {
+        let free = self.free_slots(0.0).max(LEAST_WEIGHT);
+        let weight = if ask.deferrable { free } else { free + self.free_for_urgent(0.0).max(0.0) };
+        let hash = stable_pair_hash(u64::from(self.state.key.0), ask.spread);
         let chance = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -chance.ln() / self.free_slots(0.0).max(LEAST_WEIGHT)
+        -chance.ln() / weight
     }
 
     /// Seconds by which the server is worse for having failed, here or at a
@@ -165,6 +195,16 @@
         }
     }
 
+    /// Seconds by which a server is worse for deferrable work that other nodes
+    /// run there first.
+    pub(super) fn cost_of_others(&self) -> f64 {
+        if self.state.held {
+            0.0
+        } else {
+            NOT_HELD_COST
+        }
+    }
+
     pub(super) fn report(&self, id: &Arc<str>) -> ServerReport {
         ServerReport {
             id: id.clone(),
@@ -181,6 +221,7 @@
             service: record.service.clone(),
             address: record.address.clone(),
             ready: true,
+            held: true,
             key: ServerKey::of(&record.id),
             slots: record.slots.max(1),
             own: 0,
@@ -210,6 +251,10 @@
         self.own
     }
 
+    pub(super) fn own_deferrable(&self) -> u32 {
+        self.own_deferrable
+    }
+
     pub(super) fn slots(&self) -> u32 {
         self.slots
     }
--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -29,6 +29,8 @@
     Impossible,
     /// It was broken off, or did not start.
     Interrupted,
+    /// It gave way to an urgent request: nothing is wrong with it.
+    GaveWay,
 }
 
 /// Where an item stands.
@@ -156,11 +158,12 @@
                 if !self.failed_at.contains(server) {
                     self.failed_at.push(server.clone());
                 }
-                self.wait_or_give_up(now, self.has_failed_for_good(rules), rules);
+                self.wait_or_give_up(now, self.has_failed_for_good(rules), rules, self.pause());
             }
+            RunEnd::GaveWay => self.wait_or_give_up(now, false, rules, Duration::ZERO),
             RunEnd::Interrupted => {
                 self.interruptions += 1;
-                self.wait_or_give_up(now, false, rules);
+                self.wait_or_give_up(now, false, rules, self.pause());
             }
         }
     }
@@ -178,13 +181,17 @@
         often || self.failures >= rules.max_failures.saturating_mul(MOST_FAILURES_FACTOR)
     }
 
-    fn wait_or_give_up(&mut self, now: Instant, failed_for_good: bool, rules: &GiveUpRules) {
+    /// Pause after a failed run.
+    fn pause(&self) -> Duration {
+        let tries = (self.failures + self.interruptions).saturating_sub(1).min(8);
+        (FIRST_PAUSE * 2_u32.pow(tries)).min(LONGEST_PAUSE)
+    }
+
+    fn wait_or_give_up(&mut self, now: Instant, failed_for_good: bool, rules: &GiveUpRules, pause: Duration) {
         if failed_for_good || now >= rules.expires {
             self.state = ItemState::GivenUp;
             return;
         }
-        let tries = (self.failures + self.interruptions).saturating_sub(1).min(8);
-        let pause = FIRST_PAUSE * 2_u32.pow(tries);
-        self.state = ItemState::Waiting(now + pause.min(LONGEST_PAUSE));
+        self.state = ItemState::Waiting(now + pause);
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod retry;
 pub mod routes;
 pub mod routing;
+pub mod run_times;
 pub mod scheduler;
 pub mod table;
 pub mod time;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,8 +2,8 @@
 
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{
-    Ask, Choice, Dispatcher, Ending, NodeShares, Placement, Prompt, PromptPart, ServerKey, ServerLoad, ServerShare,
-    REPORT_LIFE,
+    holders_of, Ask, Choice, Dispatcher, Ending, NodeShares, Placement, Prompt, PromptPart, ServerKey, ServerLoad,
+    ServerShare, REPORT_LIFE,
 };
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::time::Instant;
@@ -145,6 +145,7 @@
             uncached: 0,
             load: 0.0,
             deferrable: false,
+            displaces: false,
         };
         dispatcher.note_sent(at(0), &placement, &empty);
     }
@@ -210,6 +211,7 @@
         uncached: 0,
         load: 0.0,
         deferrable: false,
+        displaces: false,
     };
     for ending in [Ending::Broken, Ending::Answered, Ending::Broken, Ending::Answered] {
         dispatcher.note_sent(at(0), &placement, &empty);
@@ -249,6 +251,7 @@
         uncached: 0,
         load: 0.0,
         deferrable: false,
+        displaces: false,
     };
     dispatcher.note_sent(at(1), &placement, &empty);
     // The other server is the busier one.
@@ -360,3 +363,43 @@
         assert!(chosen(40_000) > 20, "it is tried again later");
     }
 }
+
+/// Deferrable work gives way at once, so that an urgent request may go to a
+/// server that is full of it; it says whether a run has to give way.
+#[test]
+fn deferrable_work_is_room_for_urgent_requests() {
+    let share = |server: &str, requests, deferrable| ServerShare {
+        server: ServerKey::of(server),
+        requests,
+        deferrable,
+        ..ServerShare::default()
+    };
+    let empty = Prompt::default();
+    let mut full = dispatcher(&["a", "b"]);
+    full.note_peer(at(0), NodeId(1), 1, told(vec![share("a", 4, 4), share("b", 4, 0)]));
+    let placement = placed(full.choose(at(1), &ask(&empty, 0)));
+    assert_eq!((&*placement.server, placement.displaces), ("a", true));
+    assert_eq!(placement.expected_wait, Duration::ZERO);
+    let deferrable = Ask { wait_limit: Duration::ZERO, deferrable: true, ..ask(&empty, 0) };
+    assert!(matches!(full.choose(at(1), &deferrable), Choice::Full(_)), "it doesn't make room for its like");
+
+    let mut ample = dispatcher(&["a"]);
+    ample.note_peer(at(0), NodeId(1), 1, told(vec![share("a", 1, 1)]));
+    assert!(!placed(ample.choose(at(1), &ask(&empty, 0))).displaces);
+}
+
+/// Whoever wants room asks the same few nodes that run work there first.
+#[test]
+fn the_holders_of_a_server_are_the_same_at_every_node() {
+    let nodes: Vec<NodeId> = (1..=10).map(NodeId).collect();
+    let mut work: HashMap<NodeId, u32> = HashMap::new();
+    for server in 0..300 {
+        let key = ServerKey::of(&format!("server-{server}"));
+        let holders = holders_of(key, nodes.iter().copied());
+        assert_eq!(holders, holders_of(key, nodes.iter().rev().copied()));
+        assert_eq!(holders.len(), 3);
+        holders.into_iter().for_each(|node| *work.entry(node).or_default() += 1);
+    }
+    assert!(work.len() == 10 && work.values().all(|servers| (45..=135).contains(servers)), "{work:?}");
+    assert_eq!(holders_of(ServerKey::of("a"), [NodeId(7)].into_iter()), [NodeId(7)]);
+}
--- a/crates/core/tests/item_progress.rs
+++ b/crates/core/tests/item_progress.rs
@@ -98,3 +98,18 @@
     }
     assert_eq!(item.state(), ItemState::GivenUp);
 }
+
+/// Nothing is wrong with it: it may go on at once, however often that was.
+#[test]
+fn an_item_that_gave_way_may_start_again_at_once() {
+    let mut item = ItemProgress::default();
+    for _ in 0..30 {
+        assert!(item.may_start(at(1)));
+        item.start();
+        item.end_run(at(1), &server(1), RunEnd::GaveWay, &RULES);
+    }
+    assert_eq!(item.failures(), 0);
+    item.start();
+    item.end_run(at(1), &server(1), RunEnd::Interrupted, &RULES);
+    assert!(item.may_start(at(2)), "the pause after a broken run is the first one");
+}
--- /dev/null
+++ b/crates/core/tests/run_times.rs
@@ -0,0 +1,27 @@
+//! How long items of batch jobs take, as measured.
+
+use latchwheel_core::run_times::RunTimes;
+use std::time::Duration;
+
+#[test]
+fn nothing_is_expected_before_a_measurement() {
+    assert_eq!(RunTimes::default().remaining(0), Duration::ZERO);
+}
+
+#[test]
+fn an_item_that_was_begun_takes_less() {
+    let mut times = RunTimes::default();
+    times.note_whole(200, 200, Duration::from_secs(4));
+    assert_eq!(times.remaining(0), Duration::from_secs(4));
+    assert_eq!(times.remaining(150), Duration::from_secs(1));
+    assert_eq!(times.remaining(500), Duration::ZERO);
+}
+
+/// The last of several runs yields only a part of the events.
+#[test]
+fn the_pace_is_that_of_the_last_run() {
+    let mut times = RunTimes::default();
+    times.note_whole(200, 50, Duration::from_secs(1));
+    times.note_whole(200, 0, Duration::from_secs(9));
+    assert_eq!(times.remaining(0), Duration::from_secs(4));
+}
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -6,6 +6,7 @@
 use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
+use crate::run_registry::RunRank;
 use crate::start_order::StartRank;
 use crate::worker::WorkerContext;
 use futures::future::BoxFuture;
@@ -126,6 +127,11 @@
 pub(crate) struct RunningItem {
     pub(crate) server: Arc<str>,
     pub(crate) order: u64,
+    /// Place in the worker's registry of runs.
+    rank: RunRank,
+    started_at: Instant,
+    /// Events that were kept before.
+    events_before: u64,
     pub(crate) give_way: Arc<Notify>,
 }
 
@@ -243,10 +249,8 @@
         let table = self.context.shared.table();
         let route = table.find(&self.record.host, &self.record.path);
         let now = self.context.shared.clock.now();
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let age = wall.saturating_sub(Duration::from_millis(self.record.accepted_ms));
         let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
-        let expires = now + retention.saturating_sub(age);
+        let expires = now + retention.saturating_sub(self.age());
         let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
         let services = route.iter().flat_map(|route| &route.targets);
         let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
@@ -264,10 +268,10 @@
             return;
         }
         self.progress.iter_mut().for_each(|progress| progress.tick(now, &rules));
-        let waiting: Vec<usize> =
-            (0..self.items.len()).filter(|position| self.progress[*position].may_start(now)).collect();
+        let (late, waiting) = self.items_to_start(now, &route);
         let rank = StartRank {
             route: route.name.clone(),
+            late,
             due_ms: self.record.accepted_ms.saturating_add(route.due.as_millis() as u64),
             job: self.job.clone(),
         };
@@ -284,14 +288,42 @@
             if !self.context.take_start() {
                 return;
             }
-            if !self.start_item(now, position, &rules, &route) {
+            if !self.start_item(now, position, &rules, &route, &rank) {
                 return;
             }
         }
     }
 
+    /// Items that may start, and whether they will be late: those that can be in
+    /// time, or all if none can.
+    fn items_to_start(&self, now: Instant, route: &Route) -> (bool, Vec<usize>) {
+        let times = self.context.run_times(route);
+        let left = route.due.saturating_sub(self.age());
+        let may_start = |position: &usize| self.progress[*position].may_start(now);
+        let waiting: Vec<usize> = (0..self.items.len()).filter(may_start).collect();
+        let in_time = |position: &usize| times.remaining(self.progress[*position].events()) <= left;
+        let timely: Vec<usize> = waiting.iter().copied().filter(in_time).collect();
+        if left.is_zero() || timely.is_empty() {
+            return (true, waiting);
+        }
+        (false, timely)
+    }
+
+    /// Time since the job was accepted.
+    pub(crate) fn age(&self) -> Duration {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        wall.saturating_sub(Duration::from_millis(self.record.accepted_ms))
+    }
+
     /// Starts an item; `false` if no server has room.
-    fn start_item(&mut self, now: Instant, position: usize, rules: &GiveUpRules, route: &Route) -> bool {
+    fn start_item(
+        &mut self,
+        now: Instant,
+        position: usize,
+        rules: &GiveUpRules,
+        route: &Route,
+        rank: &StartRank,
+    ) -> bool {
         let shared = &self.context.shared;
         let item = &self.items[position];
         let Some(outgoing) = outgoing_of(shared, &self.record.host, item) else { return true };
@@ -321,8 +353,16 @@
         let progress = self.progress[position].clone();
         let give_way = Arc::new(Notify::new());
         self.started += 1;
-        let running =
-            RunningItem { server: exchange.server().clone(), order: self.started, give_way: give_way.clone() };
+        let server = exchange.server().clone();
+        let rank = self.context.runs.add(&server, rank, give_way.clone());
+        let running = RunningItem {
+            server,
+            order: self.started,
+            rank,
+            started_at: now,
+            events_before: progress.events(),
+            give_way: give_way.clone(),
+        };
         self.running.insert(position, running);
         self.context.note_runs(1, 0);
         self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
@@ -331,9 +371,14 @@
 
     fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &Arc<str>) {
         let now = self.context.shared.clock.now();
-        let (rules, _) = self.rules();
-        if self.running.remove(&position).is_some() {
+        let (rules, route) = self.rules();
+        if let Some(run) = self.running.remove(&position) {
+            self.context.runs.remove(&run.server, run.rank);
             self.context.note_runs(0, 1);
+            if let Some(route) = route.filter(|_| end == RunEnd::Whole) {
+                let of_run = progress.events().saturating_sub(run.events_before);
+                self.context.note_whole(&route, progress.events(), of_run, now.since(run.started_at));
+            }
         }
         if self.listed[position] {
             return;
@@ -371,6 +416,9 @@
 impl<S, D> Drop for JobRun<S, D> {
     fn drop(&mut self) {
         self.context.owned.hide(&self.job);
+        for run in self.running.values() {
+            self.context.runs.remove(&run.server, run.rank);
+        }
         self.forget_waiting();
         self.context.note_runs(0, self.running.len());
     }
@@ -400,7 +448,7 @@
     let server = exchange.server().clone();
     let (end, reason) = tokio::select! {
         ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
-        () = give_way.notified() => (RunEnd::Interrupted, "gave_way"),
+        () = give_way.notified() => (RunEnd::GaveWay, "gave_way"),
     };
     (position, progress, end, reason, server)
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,6 +31,7 @@
 mod recent;
 pub mod relay;
 mod results;
+mod run_registry;
 pub mod spool;
 mod start_order;
 mod unfinished;
--- a/crates/jobs/src/making_room.rs
+++ b/crates/jobs/src/making_room.rs
@@ -7,7 +7,6 @@
 use latchwheel_records::RecordStore;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Share of all slots that batch work keeps while online requests are refused:
 /// it goes on, so that it is not starved.
@@ -63,8 +62,6 @@
 
     /// Share of the slots that is left to online work.
     pub(crate) fn reserve(&self, route: &Route) -> f64 {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let age = wall.saturating_sub(Duration::from_millis(self.record.accepted_ms));
-        reserve_of(age.as_secs_f64() / route.due.as_secs_f64().max(f64::MIN_POSITIVE))
+        reserve_of(self.age().as_secs_f64() / route.due.as_secs_f64().max(f64::MIN_POSITIVE))
     }
 }
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -155,7 +155,20 @@
         let nodes = Nodes::new(hears);
         let registration = tokio::spawn(keep_registered(store.clone(), contact, own.registration()));
         let name = own.name.clone();
-        let follower = Follower { own: name.clone(), peers: peers.clone(), nodes: nodes.clone() };
+        let (sharing, own_id) = (shared.clone(), NodeId::of_name(&name));
+        let runs_items = own.record.role == NodeRole::Worker;
+        let workers_changed = move |workers: &BTreeSet<String>| {
+            if runs_items {
+                let workers = workers.iter().map(|worker| NodeId::of_name(worker)).collect();
+                sharing.dispatcher().set_deferring(own_id, workers);
+            }
+        };
+        let follower = Follower {
+            own: name.clone(),
+            peers: peers.clone(),
+            nodes: nodes.clone(),
+            workers_changed: Box::new(workers_changed),
+        };
         cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
         // Fronts judge by the workers that they hear whether they are cut off.
         let says_hello = own.record.role == NodeRole::Worker;
@@ -175,10 +188,14 @@
     }
 }
 
+/// Takes the names of the other workers.
+type WorkersChanged = Box<dyn Fn(&BTreeSet<String>) + Send>;
+
 struct Follower {
     own: String,
     peers: Peers,
     nodes: Nodes,
+    workers_changed: WorkersChanged,
 }
 
 impl Follower {
@@ -188,8 +205,9 @@
         match followed {
             Followed::All(listing) => listing.records.iter().for_each(|record| self.note(record)),
             Followed::Changed(changes) => changes.changes.iter().for_each(|change| self.take_change(change)),
-            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => {}
+            Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => return,
         }
+        (self.workers_changed)(&self.nodes.worker_names());
     }
 
     fn take_change(&self, change: &Change) {
@@ -210,7 +228,8 @@
         let Some(present) = NodeRecord::read(&record.value) else { return };
         let Ok(address) = present.address.parse() else { return };
         if node != self.own {
-            self.peers.put(node, Peer { address, aggregates: present.is_upstream });
+            let defers = present.role == NodeRole::Worker;
+            self.peers.put(node, Peer { address, aggregates: present.is_upstream, defers });
             if self.nodes.put(node, present.role, address) {
                 emit("", &Event::NodeSeen { peer: node, address: &present.address });
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -11,10 +11,12 @@
 use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
+use crate::run_registry::RunRegistry;
 use crate::start_order::{StartOrder, StartRank};
 use crate::unfinished::UnfinishedTokens;
 use latchwheel_core::dispatch::{RouteKey, StartBudget};
 use latchwheel_core::routes::Route;
+use latchwheel_core::run_times::RunTimes;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
@@ -28,6 +30,9 @@
 
 /// Time between looks at jobs that may be removed.
 const EXPIRY_LOOK: Duration = Duration::from_secs(2);
+/// Runs that all workers together break off for each slot that is wanted: a few
+/// too many cost less than a request that waits.
+const EAGERNESS: f64 = 1.0;
 /// Least time between two looks at the jobs.
 const FOLLOW_PACE: Duration = Duration::from_millis(300);
 
@@ -45,6 +50,9 @@
     starts: Mutex<StartBudget>,
     order: Mutex<StartOrder>,
     unfinished: Mutex<UnfinishedTokens>,
+    pub(crate) runs: RunRegistry,
+    /// How long items take, by route.
+    times: Mutex<HashMap<Arc<str>, RunTimes>>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -112,6 +120,20 @@
         }
     }
 
+    /// How long items of a route take.
+    pub(crate) fn run_times(&self, route: &Route) -> RunTimes {
+        self.times().get(&route.name).copied().unwrap_or_default()
+    }
+
+    /// An item of a route is whole.
+    pub(crate) fn note_whole(&self, route: &Route, events: u64, of_run: u64, time: Duration) {
+        self.times().entry(route.name.clone()).or_default().note_whole(events, of_run, time);
+    }
+
+    fn times(&self) -> MutexGuard<'_, HashMap<Arc<str>, RunTimes>> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn unfinished(&self) -> MutexGuard<'_, UnfinishedTokens> {
         self.unfinished.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -172,7 +194,10 @@
         starts: Mutex::default(),
         order: Mutex::default(),
         unfinished: Mutex::default(),
+        runs: RunRegistry::default(),
+        times: Mutex::default(),
     });
+    tokio::spawn(make_room(context.clone()));
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
         left_sender.send_replace(true);
@@ -180,6 +205,20 @@
     WorkerHandle { leave, left }
 }
 
+/// Breaks off runs where other nodes ask for room, by this worker's share of
+/// the runs there.
+async fn make_room<S: RecordStore, D: Dialect>(context: Arc<WorkerContext<S, D>>) {
+    let Some(mut wanted) = context.shared.take_room_wanted() else { return };
+    while let Some(key) = wanted.recv().await {
+        let Some(server) = context.runs.server(key) else { continue };
+        let now = context.shared.clock.now();
+        let share = context.shared.dispatcher().own_share_of_deferrable(now, &server);
+        if rand::random::<f64>() < share * EAGERNESS {
+            context.runs.break_first(key);
+        }
+    }
+}
+
 struct Job {
     record: JobRecord,
     revision: u64,
--- a/crates/jobs/tests/start_order.rs
+++ b/crates/jobs/tests/start_order.rs
@@ -3,7 +3,7 @@
 use latchwheel_jobs::{StartOrder, StartRank};
 
 fn rank(route: &str, due_ms: u64, job: &str) -> StartRank {
-    StartRank { route: route.into(), due_ms, job: job.into() }
+    StartRank { route: route.into(), late: false, due_ms, job: job.into() }
 }
 
 #[test]
@@ -39,3 +39,16 @@
     assert!(order.is_first(&rank("sound", 900, "job")));
     assert!(order.is_first(&rank("away", 100, "stuck")));
 }
+
+/// Where there is more work than room, those that can be in time go first.
+#[test]
+fn a_job_that_will_be_late_goes_after_those_that_can_be_in_time() {
+    let mut order = StartOrder::default();
+    let late = StartRank { late: true, ..rank("route", 100, "late") };
+    let timely = rank("route", 900, "timely");
+    order.set(&late, 80);
+    assert!(order.is_first(&late));
+    order.set(&timely, 3);
+    assert!(order.is_first(&timely) && !order.is_first(&late));
+    assert_eq!(order.total(), 13, "late items count for less");
+}
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -1,10 +1,13 @@
 //! Nodes that run jobs at servers and list the results.
 
+use latchwheel_core::dispatch::ServerKey;
 use latchwheel_core::routes::RequestKind;
+use latchwheel_jobs::layout::node_key;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
     WorkerHandle,
 };
+use latchwheel_protocol::{v1, Message};
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, RecordStore, RecordsFault, WatchCache};
@@ -17,6 +20,8 @@
 mod support;
 
 const JOB: &str = "job-1";
+/// Runs that are asked to give way, one after the other.
+const STALLED_RUNS: usize = 12;
 
 fn body(items: usize) -> JobBody {
     let items = (0..items).map(|number| ItemBody {
@@ -211,3 +216,35 @@
     assert!(desk.take(JOB, HOST, "/path/x", body(2), until).await.unwrap().resent);
     assert!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.is_err());
 }
+
+/// A front asks for the slot of a run: the run breaks off at once, and goes on
+/// after its last event. By itself a run that yields nothing breaks off after
+/// seconds, so that so many runs would take far longer than the test waits.
+#[tokio::test]
+async fn a_run_gives_way_at_once_when_it_is_asked_to() {
+    let mut acts = vec![Act::StallAfterFirst; STALLED_RUNS];
+    acts.push(Act::StreamTo(3));
+    let server = TestServer::start("server", acts).await;
+    let store = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let (_worker, membership) = start_worker(&store, shared, "worker").await;
+    take(&store, 1).await;
+    let end = Instant::now() + Duration::from_secs(20);
+    while server.seen().is_empty() {
+        assert!(Instant::now() < end, "the item does not start");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let record = store.get(&node_key("worker")).await.unwrap().unwrap();
+    let address = NodeRecord::read(&record.value).unwrap().address;
+    let front = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let wanted = vec![ServerKey::of(&server.record().id).0];
+    let request = v1::ServerShares { from: 1, room_wanted: wanted, ..v1::ServerShares::default() };
+    // A datagram may come before the run is under way: it is sent until it helps.
+    while server.seen().len() <= STALLED_RUNS {
+        assert!(Instant::now() < end, "the run does not give way");
+        front.send_to(&request.encode_to_vec(), &address).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(results(&store, 1).await[0].text.lines().last(), Some("part 3"));
+    membership.leave().await;
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use latchwheel_core::attempts::AttemptFailure;
-use latchwheel_core::dispatch::{Ending, Placement, Prompt};
+use latchwheel_core::dispatch::{Ending, Placement, Prompt, ServerKey};
 use latchwheel_core::time::Instant;
 use latchwheel_http::{full, read_bounded};
 use std::sync::Arc;
@@ -94,6 +94,9 @@
     pub fn reserve(shared: &Arc<Shared<D>>, placement: Placement, outgoing: &Outgoing) -> Self {
         let sent_at = shared.clock.now();
         shared.dispatcher().note_sent(sent_at, &placement, &outgoing.prompt);
+        if placement.displaces {
+            shared.room_asked.put(ServerKey::of(&placement.server));
+        }
         Self {
             shared: shared.clone(),
             placement,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod dialect;
 mod exchange;
 mod forward;
+mod handoff;
 mod peers;
 mod pool;
 mod resumable;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,9 @@
 
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use latchwheel_core::dispatch::{NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
+use latchwheel_core::dispatch::{
+    holders_of, NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE,
+};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
@@ -46,6 +48,8 @@
     pub address: SocketAddr,
     /// Whether it sums up what all nodes tell.
     pub aggregates: bool,
+    /// Whether it runs deferrable work.
+    pub defers: bool,
 }
 
 /// The other nodes.
@@ -71,6 +75,15 @@
         known.iter().filter(|(name, _)| *name != but).for_each(|(name, peer)| other.put(name, *peer));
     }
 
+    /// Nodes whose deferrable work runs at a server first.
+    fn holders(&self, server: ServerKey) -> Vec<SocketAddr> {
+        let known = self.lock();
+        let workers = known.iter().filter(|(_, peer)| peer.defers).map(|(name, _)| NodeId::of_name(name));
+        let holders = holders_of(server, workers);
+        let addresses = known.iter().filter(|(name, _)| holders.contains(&NodeId::of_name(name)));
+        addresses.map(|(_, peer)| peer.address).collect()
+    }
+
     fn all(&self) -> Vec<Peer> {
         let mut all: Vec<Peer> = self.lock().values().copied().collect();
         all.sort_unstable_by_key(|peer| peer.address);
@@ -105,8 +118,10 @@
     let mut teller = Teller::new(shared, socket, NodeId::of_name(name), duties);
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next = Instant::now() + TELL_EVERY;
+    let mut room_asked = teller.shared.room_asked.take_receiver();
     loop {
         tokio::select! {
+            Some(server) = next_of(&mut room_asked) => teller.ask_for_room(server, &peers.holders(server)),
             received = teller.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
                     teller.take(&buffer[..length], from);
@@ -122,6 +137,14 @@
     }
 }
 
+/// The next value of a queue; never, if there is no queue.
+async fn next_of<T>(queue: &mut Option<tokio::sync::mpsc::Receiver<T>>) -> Option<T> {
+    match queue {
+        Some(queue) => queue.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The pause that keeps the rate within its bound.
 fn pause_after(bytes: usize) -> Duration {
     let bounded = Duration::from_secs_f64(bytes as f64 / BYTES_PER_SECOND as f64);
@@ -176,6 +199,10 @@
         if report.from == self.own.0 {
             return;
         }
+        if !report.room_wanted.is_empty() {
+            report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
+            return;
+        }
         let shares = NodeShares {
             servers: report.shares.iter().map(share_of).collect(),
             pressed: report.pressed,
@@ -217,6 +244,14 @@
         }
     }
 
+    /// Asks the nodes whose deferrable work runs at a server to give way there.
+    fn ask_for_room(&mut self, server: ServerKey, holders: &[SocketAddr]) {
+        let request = v1::ServerShares { from: self.own.0, room_wanted: vec![server.0], ..v1::ServerShares::default() };
+        holders.iter().for_each(|holder| {
+            self.send(&request, *holder);
+        });
+    }
+
     /// Sends a report if there is something to say; gives back its bytes.
     fn tell(&mut self, peers: &[Peer]) -> usize {
         if peers.len() <= DIRECT_LIMIT {
@@ -302,6 +337,7 @@
             wants_sum: false,
             sum_parts: 0,
             sum_part: 0,
+            room_wanted: Vec::new(),
         }
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,9 +1,10 @@
 //! What all requests of a process share.
 
 use crate::dialect::Dialect;
+use crate::handoff::Handoff;
 use crate::pool::Pool;
 use latchwheel_clock::Clock;
-use latchwheel_core::dispatch::Dispatcher;
+use latchwheel_core::dispatch::{Dispatcher, ServerKey};
 use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,6 +24,10 @@
     refusing_streams: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
+    /// Servers at which deferrable work of other nodes is to give way.
+    pub(crate) room_asked: Handoff<ServerKey>,
+    /// Servers at which other nodes ask this one's work to give way.
+    pub(crate) room_wanted: Handoff<ServerKey>,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -39,6 +44,8 @@
             refusing_streams: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
+            room_asked: Handoff::default(),
+            room_wanted: Handoff::default(),
         })
     }
 
@@ -64,6 +71,12 @@
         lock(&self.dispatcher)
     }
 
+    /// Servers at which other nodes ask this one's deferrable work to give way,
+    /// one run for each; `None` if they were taken before.
+    pub fn take_room_wanted(&self) -> Option<tokio::sync::mpsc::Receiver<ServerKey>> {
+        self.room_wanted.take_receiver()
+    }
+
     /// Closes connections to servers that are not among these.
     pub fn keep_connections_to(&self, ready: &std::collections::HashSet<Arc<str>>) {
         self.pool.retain(ready);
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -1,8 +1,8 @@
 //! Nodes that tell each other of their requests by datagrams.
 
-use latchwheel_core::dispatch::{Ask, Choice, Prompt};
+use latchwheel_core::dispatch::{Ask, Choice, Placement, Prompt, ServerKey};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_proxy::{exchange_shares, Peer, PeerDuties, Peers, Shared};
+use latchwheel_proxy::{exchange_shares, Exchange, Outgoing, Peer, PeerDuties, Peers, Shared};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{node, route, TestDialect, TestServer};
@@ -22,12 +22,15 @@
     let peers = Peers::default();
     for (number, name) in names.iter().enumerate() {
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        peers.put(name, Peer { address: socket.local_addr().unwrap(), aggregates: number < aggregators });
+        peers.put(
+            name,
+            Peer { address: socket.local_addr().unwrap(), aggregates: number < aggregators, defers: *name == "worker" },
+        );
         sockets.push(socket);
     }
     for number in 0..silent {
         let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1 + number as u16));
-        peers.put(&format!("silent-{number}"), Peer { address, aggregates: false });
+        peers.put(&format!("silent-{number}"), Peer { address, aggregates: false, defers: false });
     }
     let mut nodes = Vec::new();
     for (number, (name, socket)) in names.iter().zip(sockets).enumerate() {
@@ -103,3 +106,38 @@
         until(|| free(node, &server) == before - 19.0, "the other aggregator goes on").await;
     }
 }
+
+/// A request that takes a slot which deferrable work holds asks the node that
+/// runs that work, without waiting for the next report.
+#[tokio::test]
+async fn a_node_asks_another_for_room() {
+    let server = TestServer::start("server", Vec::new()).await;
+    let nodes = start(&server, &["worker", "front"], 0, 0).await;
+    let mut wanted = nodes[0].shared.take_room_wanted().unwrap();
+    let prompt = Prompt::default();
+    let ask = Ask {
+        service: &server.record().service,
+        prompt: &prompt,
+        avoid: &[],
+        wait_limit: Duration::from_secs(60),
+        reserve: 0.0,
+        spread: 0,
+        deferrable: false,
+    };
+    let choice = nodes[1].shared.dispatcher().choose(nodes[1].shared.clock.now(), &ask);
+    let Choice::Send(placement) = choice else { panic!("no server") };
+    let outgoing = Outgoing {
+        method: hyper::Method::POST,
+        uri: "/path/x".parse().unwrap(),
+        headers: hyper::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        id: hyper::header::HeaderValue::from_static("id"),
+        prompt: Prompt::default(),
+    };
+    let calm = Exchange::reserve(&nodes[1].shared, placement.clone(), &outgoing);
+    let pressing = Exchange::reserve(&nodes[1].shared, Placement { displaces: true, ..placement }, &outgoing);
+    let key = tokio::time::timeout(Duration::from_secs(20), wanted.recv()).await.unwrap();
+    assert_eq!(key, Some(ServerKey::of(&server.record().id)));
+    assert!(wanted.try_recv().is_err(), "only one of the two asks");
+    drop((calm, pressing));
+}
