List results together by the time that a job has left; send requests for room surely

A socket that was never waited for refuses the first datagram, and such a message has no next one. Ruled out: skipping the list of a new job (a worker that starts again within seconds of taking a job would show nothing where it had shown results). Change: results are collected for a sixth of the time left, 0.6 to 2.5 s; requests for room wait until the socket can send. Test: a_node_asks_another_for_room, 60 of 60 fail before, 0 of 60 after.

--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -16,8 +16,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Results that end within this time are listed together.
-const LIST_EVERY: Duration = Duration::from_millis(600);
+/// Results that end within a part of the time that the job has left are listed
+/// together: the fewer parts, the fewer calls. Once it is due they are listed
+/// soon.
+const LIST_SHARE: u32 = 6;
+const LIST_SOONEST: Duration = Duration::from_millis(600);
+/// What is not listed is lost with its worker, and would have to run again.
+const LIST_LATEST: Duration = Duration::from_millis(2500);
 /// Most bytes of results listed together.
 const LIST_BYTES: usize = 600 << 10;
 /// Time in which results are listed before a job is left.
@@ -48,12 +53,19 @@
             return;
         }
         let since = *self.unlisted_since.get_or_insert(now);
-        if ready.len() < self.open_count() && now.since(since) < LIST_EVERY {
+        if ready.len() < self.open_count() && now.since(since) < self.list_pause() {
             return;
         }
         self.list(ready);
     }
 
+    /// Time for which results are collected.
+    fn list_pause(&self) -> Duration {
+        let (_, route) = self.rules();
+        let left = route.map_or(Duration::ZERO, |route| route.due.saturating_sub(self.age()));
+        (left / LIST_SHARE).clamp(LIST_SOONEST, LIST_LATEST)
+    }
+
     /// Lists what is ready before the job goes to another worker, which lists
     /// nothing for a while.
     pub(crate) async fn list_before_leaving(&mut self) {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -121,7 +121,9 @@
     let mut room_asked = teller.shared.room_asked.take_receiver();
     loop {
         tokio::select! {
-            Some(server) = next_of(&mut room_asked) => teller.ask_for_room(server, &peers.holders(server)),
+            Some(server) = next_of(&mut room_asked) => {
+                teller.ask_for_room(server, &peers.holders(server)).await;
+            }
             received = teller.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
                     teller.take(&buffer[..length], from);
@@ -245,11 +247,14 @@
     }
 
     /// Asks the nodes whose deferrable work runs at a server to give way there.
-    fn ask_for_room(&mut self, server: ServerKey, holders: &[SocketAddr]) {
+    /// Unlike a report, such a message is not made good by the next one: it
+    /// waits until the socket can send.
+    async fn ask_for_room(&mut self, server: ServerKey, holders: &[SocketAddr]) {
         let request = v1::ServerShares { from: self.own.0, room_wanted: vec![server.0], ..v1::ServerShares::default() };
-        holders.iter().for_each(|holder| {
-            self.send(&request, *holder);
-        });
+        let bytes = request.encode_to_vec();
+        for holder in holders {
+            let _ = self.socket.send_to(&bytes, *holder).await;
+        }
     }
 
     /// Sends a report if there is something to say; gives back its bytes.
