Split starting items and the worker's context off; log whether a request displaces

Change: jobs::item_starts and jobs::worker_context, moved without changes; RequestSent (E8100) has displaces.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -169,6 +169,8 @@
         uncached_tokens: u32,
         /// Load that is believed of the server.
         load: f64,
+        /// Whether deferrable work there is asked to give way.
+        displaces: bool,
         /// Version of the routing table.
         table_version: u64,
         /// Time that the request has left.
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -1,29 +1,27 @@
 //! Running one job: its items, and the list of their results.
 
 use crate::desk::read_body;
-use crate::item_run::{outgoing_of, run_item};
+use crate::item_starts::RunningItem;
 use crate::job_listing::{poll_listing, Listing};
 use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
-use crate::run_registry::RunRank;
 use crate::start_order::StartRank;
-use crate::worker::WorkerContext;
+use crate::worker_context::WorkerContext;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
-use futures::FutureExt;
-use latchwheel_core::dispatch::{Ask, Choice, Concessions};
+use latchwheel_core::dispatch::Concessions;
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
 use latchwheel_core::retry::doubled_pause;
 use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event, ItemEnd};
-use latchwheel_proxy::{Dialect, Exchange, Outgoing};
+use latchwheel_proxy::Dialect;
 use latchwheel_records::{RecordStore, RecordsFault};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 
 /// Time between looks at what may start or be listed.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -31,8 +29,6 @@
 pub(crate) const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// The pause is doubled at each failure, up to this one: a worker has many jobs.
 pub(crate) const LONGEST_STORE_PAUSE: Duration = Duration::from_millis(1200);
-/// Time that a server is given for an item at most.
-const ITEM_TIME: Duration = Duration::from_secs(60);
 /// Retention of a job whose route is not known any more.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
 
@@ -128,18 +124,6 @@
     Ok((body, list))
 }
 
-/// A run of an item, and the way to break it off.
-pub(crate) struct RunningItem {
-    pub(crate) server: Arc<str>,
-    pub(crate) order: u64,
-    /// Place in the worker's registry of runs.
-    rank: RunRank,
-    started_at: Instant,
-    /// Events that were kept before.
-    events_before: u64,
-    pub(crate) give_way: Arc<Notify>,
-}
-
 /// A job that this worker runs.
 pub(crate) struct JobRun<S, D> {
     pub(crate) context: Arc<WorkerContext<S, D>>,
@@ -156,7 +140,7 @@
     pub(crate) started: u64,
     pub(crate) concessions: Concessions,
     /// Its place among the jobs that have items to start, once it had some.
-    rank: Option<StartRank>,
+    pub(crate) rank: Option<StartRank>,
     pub(crate) listing: Option<Listing>,
     pub(crate) unlisted_since: Option<Instant>,
     pub(crate) taken_at: Instant,
@@ -262,118 +246,12 @@
         (GiveUpRules { max_failures, servers, expires }, route)
     }
 
-    fn start_items(&mut self) {
-        let now = self.context.shared.clock.now();
-        let (rules, route) = self.rules();
-        let Some(route) = route else {
-            self.forget_waiting();
-            return;
-        };
-        if self.pressed_excess(&route).is_some_and(|excess| excess >= 0) {
-            return;
-        }
-        self.progress.iter_mut().for_each(|progress| progress.tick(now, &rules));
-        let (late, waiting) = self.items_to_start(now, &route);
-        let rank = StartRank {
-            route: route.name.clone(),
-            late,
-            due_ms: self.record.accepted_ms.saturating_add(route.due.as_millis() as u64),
-            job: self.job.clone(),
-        };
-        if self.rank.as_ref() != Some(&rank) {
-            self.forget_waiting();
-            self.rank = Some(rank.clone());
-        }
-        if !self.context.note_waiting(&rank, waiting.len()) {
-            return;
-        }
-        let reserve = self.reserve(&route);
-        self.context.refill_starts(now, &route, reserve);
-        for position in waiting {
-            if !self.context.take_start() {
-                return;
-            }
-            if !self.start_item(now, position, &rules, &route, &rank) {
-                return;
-            }
-        }
-    }
-
-    /// Items that may start, and whether they will be late: those that can be in
-    /// time, or all if none can.
-    fn items_to_start(&self, now: Instant, route: &Route) -> (bool, Vec<usize>) {
-        let times = self.context.run_times(route);
-        let left = route.due.saturating_sub(self.age());
-        let may_start = |position: &usize| self.progress[*position].may_start(now);
-        let waiting: Vec<usize> = (0..self.items.len()).filter(may_start).collect();
-        let in_time = |position: &usize| times.remaining(self.progress[*position].events()) <= left;
-        let timely: Vec<usize> = waiting.iter().copied().filter(in_time).collect();
-        if left.is_zero() || timely.is_empty() {
-            return (true, waiting);
-        }
-        (false, timely)
-    }
-
     /// Time since the job was accepted.
     pub(crate) fn age(&self) -> Duration {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         wall.saturating_sub(Duration::from_millis(self.record.accepted_ms))
     }
 
-    /// Starts an item; `false` if no server has room.
-    fn start_item(
-        &mut self,
-        now: Instant,
-        position: usize,
-        rules: &GiveUpRules,
-        route: &Route,
-        rank: &StartRank,
-    ) -> bool {
-        let shared = &self.context.shared;
-        let item = &self.items[position];
-        let Some(outgoing) = outgoing_of(shared, &self.record.host, item) else { return true };
-        let Some(service) = shared.next_service(route) else { return false };
-        let ask = Ask {
-            service: &service,
-            prompt: &outgoing.prompt,
-            avoid: self.progress[position].failed_at(),
-            wait_limit: Duration::ZERO,
-            reserve: self.reserve(route),
-            spread: rand::random(),
-            deferrable: true,
-        };
-        let choice = shared.dispatcher().choose(now, &ask);
-        let Choice::Send(placement) = choice else { return false };
-        let event = Event::ItemSent {
-            job: &self.job,
-            item: &item.id,
-            server: &placement.server,
-            load: placement.load,
-            events_kept: self.progress[position].events(),
-        };
-        emit(&self.job, &event);
-        let exchange = Exchange::reserve(shared, placement, &outgoing);
-        let left = rules.expires.since(now).min(ITEM_TIME);
-        self.progress[position].start();
-        let progress = self.progress[position].clone();
-        let give_way = Arc::new(Notify::new());
-        self.started += 1;
-        let server = exchange.server().clone();
-        let rank = self.context.runs.add(&server, rank, give_way.clone());
-        let running = RunningItem {
-            server,
-            order: self.started,
-            rank,
-            started_at: now,
-            events_before: progress.events(),
-            give_way: give_way.clone(),
-        };
-        self.running.insert(position, running);
-        self.context.note_runs(1, 0);
-        self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
-        true
-    }
-
     fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &Arc<str>) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
@@ -409,15 +287,6 @@
     }
 }
 
-impl<S, D> JobRun<S, D> {
-    /// It has nothing to start for now.
-    fn forget_waiting(&mut self) {
-        if let Some(rank) = self.rank.take() {
-            self.context.forget_waiting(&rank);
-        }
-    }
-}
-
 impl<S, D> Drop for JobRun<S, D> {
     fn drop(&mut self) {
         self.context.owned.hide(&self.job);
@@ -441,19 +310,3 @@
         TAKEOVER_GRACE
     }
 }
-
-async fn run_owned<D: Dialect>(
-    position: usize,
-    exchange: Exchange<D>,
-    outgoing: Outgoing,
-    left: Duration,
-    mut progress: ItemProgress,
-    give_way: Arc<Notify>,
-) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
-    let server = exchange.server().clone();
-    let (end, reason) = tokio::select! {
-        ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
-        () = give_way.notified() => (RunEnd::GaveWay, "gave_way"),
-    };
-    (position, progress, end, reason, server)
-}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod expiry;
 mod handed;
 mod item_run;
+mod item_starts;
 mod job_listing;
 mod job_run;
 pub mod layout;
@@ -37,6 +38,7 @@
 mod unfinished;
 pub mod worker;
 mod worker_calls;
+mod worker_context;
 
 pub use desk::{DeskFault, JobDesk, ResultPage};
 pub use item_run::outgoing_of;
--- a/crates/jobs/src/making_room.rs
+++ b/crates/jobs/src/making_room.rs
@@ -1,6 +1,7 @@
 //! How the runs of a job make room for online requests.
 
-use crate::job_run::{JobRun, RunningItem};
+use crate::item_starts::RunningItem;
+use crate::job_run::JobRun;
 use latchwheel_core::dispatch::reserve_of;
 use latchwheel_core::routes::Route;
 use latchwheel_proxy::Dialect;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -11,18 +11,12 @@
 use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
-use crate::run_registry::RunRegistry;
-use crate::start_order::{StartOrder, StartRank};
-use crate::unfinished::UnfinishedTokens;
-use latchwheel_core::dispatch::{RouteKey, StartBudget};
-use latchwheel_core::routes::Route;
-use latchwheel_core::run_times::RunTimes;
+use crate::worker_context::WorkerContext;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
 use std::collections::{BTreeSet, HashMap};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -30,129 +24,9 @@
 
 /// Time between looks at jobs that may be removed.
 const EXPIRY_LOOK: Duration = Duration::from_secs(2);
-/// Runs that all workers together break off for each slot that is wanted: a few
-/// too many cost less than a request that waits.
-const EAGERNESS: f64 = 1.0;
 /// Least time between two looks at the jobs.
 const FOLLOW_PACE: Duration = Duration::from_millis(450);
 
-/// What the jobs of a worker share.
-#[derive(Debug)]
-pub struct WorkerContext<S, D> {
-    /// The record store.
-    pub store: Arc<S>,
-    /// Servers, routes and connections.
-    pub shared: Arc<Shared<D>>,
-    pub(crate) name: String,
-    pub(crate) owned: Arc<OwnedJobs>,
-    workers: AtomicUsize,
-    running: AtomicUsize,
-    starts: Mutex<StartBudget>,
-    order: Mutex<StartOrder>,
-    unfinished: Mutex<UnfinishedTokens>,
-    pub(crate) runs: RunRegistry,
-    /// How long items take, by route.
-    times: Mutex<HashMap<Arc<str>, RunTimes>>,
-}
-
-impl<S, D> WorkerContext<S, D> {
-    /// Counts a run of an item as in progress, or as ended.
-    pub(crate) fn note_runs(&self, started: usize, ended: usize) {
-        self.running.fetch_add(started, Ordering::Relaxed);
-        self.running.fetch_sub(ended, Ordering::Relaxed);
-    }
-
-    /// Runs of items in progress at this worker.
-    pub(crate) fn running(&self) -> usize {
-        self.running.load(Ordering::Relaxed)
-    }
-
-    /// Renews how many runs this worker may start now.
-    pub(crate) fn refill_starts(&self, now: latchwheel_core::time::Instant, route: &Route, reserve: f64)
-    where
-        D: Dialect,
-    {
-        let services = route.targets.iter().map(|target| &target.service);
-        let room = services.map(|service| self.shared.dispatcher().room(now, service, reserve)).sum();
-        let share = self.shared.dispatcher().share_of_waiting(now);
-        self.starts().refill(now, room, share, 1.0 / self.worker_count().max(1) as f64);
-    }
-
-    /// A job has so many items to start. Gives back whether it may start some:
-    /// those that are due earlier go first.
-    pub(crate) fn note_waiting(&self, rank: &StartRank, items: usize) -> bool
-    where
-        D: Dialect,
-    {
-        let mut order = self.order.lock().unwrap_or_else(PoisonError::into_inner);
-        order.set(rank, items);
-        self.shared.dispatcher().set_waiting(u32::try_from(order.total()).unwrap_or(u32::MAX));
-        order.is_first(rank)
-    }
-
-    /// A job has nothing to start any more.
-    pub(crate) fn forget_waiting(&self, rank: &StartRank) {
-        self.order.lock().unwrap_or_else(PoisonError::into_inner).set(rank, 0);
-    }
-
-    /// So many tokens of a job are unfinished; other nodes are told where its
-    /// route has a limit.
-    pub(crate) fn note_unfinished(&self, job: &str, route: &Route, tokens: u64)
-    where
-        D: Dialect,
-    {
-        if route.queued_token_limit == 0 {
-            return;
-        }
-        let key = RouteKey::of(&route.name);
-        let sum = self.unfinished().set(job, key, tokens);
-        self.shared.dispatcher().set_queued_tokens(key, sum);
-    }
-
-    /// This worker runs a job no longer.
-    pub(crate) fn forget_unfinished(&self, job: &str)
-    where
-        D: Dialect,
-    {
-        let left = self.unfinished().remove(job);
-        if let Some((route, sum)) = left {
-            self.shared.dispatcher().set_queued_tokens(route, sum);
-        }
-    }
-
-    /// How long items of a route take.
-    pub(crate) fn run_times(&self, route: &Route) -> RunTimes {
-        self.times().get(&route.name).copied().unwrap_or_default()
-    }
-
-    /// An item of a route is whole.
-    pub(crate) fn note_whole(&self, route: &Route, events: u64, of_run: u64, time: Duration) {
-        self.times().entry(route.name.clone()).or_default().note_whole(events, of_run, time);
-    }
-
-    fn times(&self) -> MutexGuard<'_, HashMap<Arc<str>, RunTimes>> {
-        self.times.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn unfinished(&self) -> MutexGuard<'_, UnfinishedTokens> {
-        self.unfinished.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Takes one start; `false` if none is left for now.
-    pub(crate) fn take_start(&self) -> bool {
-        self.starts().take()
-    }
-
-    fn starts(&self) -> MutexGuard<'_, StartBudget> {
-        self.starts.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Workers that are believed to live.
-    pub(crate) fn worker_count(&self) -> usize {
-        self.workers.load(Ordering::Relaxed)
-    }
-}
-
 /// Tells a worker to leave.
 #[derive(Clone, Debug)]
 pub struct WorkerHandle {
@@ -184,19 +58,7 @@
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
     let (name, cache) = (name.to_owned(), cache.clone());
-    let context = Arc::new(WorkerContext {
-        store,
-        shared,
-        name: name.clone(),
-        owned,
-        workers: AtomicUsize::new(0),
-        running: AtomicUsize::new(0),
-        starts: Mutex::default(),
-        order: Mutex::default(),
-        unfinished: Mutex::default(),
-        runs: RunRegistry::default(),
-        times: Mutex::default(),
-    });
+    let context = Arc::new(WorkerContext::new(store, shared, owned, &name));
     tokio::spawn(make_room(context.clone()));
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
@@ -205,15 +67,15 @@
     WorkerHandle { leave, left }
 }
 
-/// Breaks off runs where other nodes ask for room, by this worker's share of
-/// the runs there.
+/// Breaks off runs where other nodes ask for room. All workers with runs there
+/// are asked: each breaks one off with the chance of its share, one in all.
 async fn make_room<S: RecordStore, D: Dialect>(context: Arc<WorkerContext<S, D>>) {
     let Some(mut wanted) = context.shared.take_room_wanted() else { return };
     while let Some(key) = wanted.recv().await {
         let Some(server) = context.runs.server(key) else { continue };
         let now = context.shared.clock.now();
         let share = context.shared.dispatcher().own_share_of_deferrable(now, &server);
-        if rand::random::<f64>() < share * EAGERNESS {
+        if rand::random::<f64>() < share {
             context.runs.break_first(key);
         }
     }
@@ -339,7 +201,7 @@
     }
 
     fn log_workers(&self) {
-        self.context.workers.store(self.workers.len(), Ordering::Relaxed);
+        self.context.set_worker_count(self.workers.len());
         let workers = self.workers.iter().map(String::as_str).collect::<Vec<_>>().join(",");
         emit("", &Event::WorkersChanged { workers: &workers });
     }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -338,6 +338,7 @@
             expected_wait_ms: placement.expected_wait.as_millis() as u64,
             uncached_tokens: placement.uncached,
             load: placement.load,
+            displaces: placement.displaces,
             table_version: self.table_version,
             left_ms: left.as_millis() as u64,
         };
