A job's count ends with its handover; a quiet node does not take the store for away

Cause: found in reading the change. Tests: jobs/tests/queue_gate.rs (fails without), a_job_on_disks_counts_for_longer.

--- a/crates/core/src/queue_limit.rs
+++ b/crates/core/src/queue_limit.rs
@@ -13,6 +13,9 @@
 
 /// Time in which the node that runs a new job hears of it and tells others.
 pub const HANDOVER_TIME: Duration = Duration::from_secs(2);
+/// Time for which a job that is kept on disks counts where it was taken: the
+/// store has to come back first.
+const SPOOLED_TIME: Duration = Duration::from_secs(10);
 /// Part of the permitted excess that a node makes use of: figures are late, and
 /// a job that would have fitted must not be refused.
 const USED_EXCESS: f64 = 0.5;
@@ -54,6 +57,13 @@
         self.jobs.insert(job.to_owned(), pending);
     }
 
+    /// A job is kept on disks, since the store did not take it in time.
+    pub fn note_spooled(&mut self, now: Instant, job: &str) {
+        if let Some(pending) = self.jobs.get_mut(job) {
+            pending.until = now + SPOOLED_TIME;
+        }
+    }
+
     /// A job was not taken after all.
     pub fn forget(&mut self, job: &str) {
         self.jobs.remove(job);
--- a/crates/core/tests/queue_limit.rs
+++ b/crates/core/tests/queue_limit.rs
@@ -97,3 +97,16 @@
     pending.forget("job");
     assert_eq!(pending.tokens(route()), 0);
 }
+
+/// The store has to come back before anybody can run it.
+#[test]
+fn a_job_on_disks_counts_for_longer() {
+    let mut pending = PendingJobs::default();
+    pending.note(at(0), route(), "job", 500);
+    pending.note_spooled(at(100), "job");
+    pending.note_spooled(at(100), "unknown");
+    pending.tick(at(9_000), false);
+    assert_eq!(pending.tokens(route()), 500);
+    pending.tick(at(10_100), false);
+    assert!(pending.is_empty());
+}
--- a/crates/jobs/src/queue_gate.rs
+++ b/crates/jobs/src/queue_gate.rs
@@ -9,8 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// A store that was not known to answer for this time counts as away.
-const AWAY_AFTER: Duration = Duration::from_secs(1);
+/// A store that was not known to answer for this time counts as away: some nodes
+/// call it only every five seconds.
+const AWAY_AFTER: Duration = Duration::from_secs(6);
 
 /// What decided on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,11 +61,16 @@
             pending.note(now, key, job, tokens);
             self.tell(&pending, key);
             drop(pending);
-            self.tell_later(key);
+            self.tell_later(key, job.to_owned());
         }
         QueueVerdict { fits, queued }
     }
 
+    /// The job is kept on disks, since the store did not take it in time.
+    pub fn note_spooled(&self, job: &str) {
+        self.lock().note_spooled(self.shared.clock.now(), job);
+    }
+
     /// The job was not taken after all.
     pub fn withdraw(&self, route: &Route, job: &str) {
         let mut pending = self.lock();
@@ -78,8 +84,9 @@
         self.shared.dispatcher().set_queued_tokens(route, pending.tokens(route));
     }
 
-    /// Tells others once the job does not count here any more.
-    fn tell_later(&self, route: RouteKey) {
+    /// Tells others once the job does not count here any more: one task for each
+    /// job, which ends with it.
+    fn tell_later(&self, route: RouteKey, job: String) {
         let gate = self.clone();
         tokio::spawn(async move {
             loop {
@@ -87,7 +94,7 @@
                 let mut pending = gate.lock();
                 pending.tick(gate.shared.clock.now(), gate.is_store_away());
                 gate.tell(&pending, route);
-                if pending.tokens(route) == 0 {
+                if !pending.holds(&job) {
                     return;
                 }
             }
--- /dev/null
+++ b/crates/jobs/tests/queue_gate.rs
@@ -0,0 +1,56 @@
+//! Admitting jobs within the limit of their route.
+
+use latchwheel_core::routes::{RequestKind, Route};
+use latchwheel_jobs::QueueGate;
+use latchwheel_records::Contact;
+use std::time::{Duration, Instant};
+use support::{node, route};
+
+#[path = "../../proxy/tests/support/mod.rs"]
+mod support;
+
+/// More than the later ones that are handed over at any time.
+const JOBS: usize = 100;
+
+fn limited() -> Route {
+    Route { queued_token_limit: 1000, ..route(RequestKind::Batch, 3) }
+}
+
+fn gate() -> QueueGate<support::TestDialect> {
+    let contact = Contact::default();
+    contact.note_answer(tokio::time::Instant::now());
+    QueueGate::new(node(limited(), &[]), contact, 0.1)
+}
+
+#[tokio::test]
+async fn a_job_is_admitted_while_it_fits_and_again_when_it_comes_again() {
+    let (gate, route) = (gate(), limited());
+    assert!(gate.admit(&route, "first", 1000).fits);
+    let verdict = gate.admit(&route, "second", 100);
+    assert!(!verdict.fits);
+    assert_eq!(verdict.queued, 1000);
+    assert!(gate.admit(&route, "first", 1000).fits);
+    gate.withdraw(&route, "first");
+    assert!(gate.admit(&route, "second", 100).fits);
+    let unlimited = Route { queued_token_limit: 0, ..route };
+    assert!(gate.admit(&unlimited, "third", u64::MAX).fits);
+}
+
+/// Jobs come all the time; what was started for one of them ends with it.
+#[tokio::test]
+async fn a_job_that_is_handed_over_leaves_nothing_behind() {
+    let (gate, route) = (gate(), limited());
+    let alive = || tokio::runtime::Handle::current().metrics().num_alive_tasks();
+    let before = alive();
+    for number in 0..JOBS {
+        assert!(gate.admit(&route, &format!("job-{number}"), 1).fits);
+    }
+    let end = Instant::now() + Duration::from_secs(20);
+    let mut later = 0;
+    while alive() >= before + JOBS {
+        assert!(Instant::now() < end, "{} tasks", alive() - before);
+        later += 1;
+        gate.admit(&route, &format!("later-{}", later / 10), 1);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
