--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -12,7 +12,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// The same for a node that has upstreams: these see the store's return, and
 /// there are few of them.
-const LONGEST_PAUSE_BEHIND_UPSTREAMS: Duration = Duration::from_millis(1600);
+const LONGEST_PAUSE_BEHIND_UPSTREAMS: Duration = Duration::from_millis(800);
 
 /// What happens to a followed prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
