Count the grace of vanished registrations from the store's return

A look each half second was also put off by every change that came before it. Change: records::Contact knows the sending of the first call that was answered after an outage; upstreams tell it, and the directory counts 2.5 s from then, at its own deadline.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -8,16 +8,22 @@
 //! - A registration that vanishes means a server that is leaving, but only
 //!   while the record store is sound: an outage can make registrations lapse
 //!   although their servers serve on. Such a server is kept until the store
-//!   has been sound for a while ([`LAPSE_GRACE`]), in which a live one writes
-//!   its registration again.
+//!   has answered for [`LAPSE_GRACE`], in which a live one writes its
+//!   registration again.
+//!
+//! The grace counts from the time at which the store is known to answer again,
+//! not from the time at which this node noticed: no pause of a node and no
+//! upstream on the way lengthens it.
 
 use crate::time::Instant;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Heartbeats after which a live server has registered itself again.
-const LAPSE_HEARTBEATS: u32 = 2;
+/// Time after the return of the record store in which a live server registers
+/// itself again: about two seconds by the platform's word, and half a second
+/// until its registration is heard of at every node.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 /// Identities of ended servers that are remembered, so that a late heartbeat
 /// doesn't bring them back.
 const ENDED_LIMIT: usize = 4096;
@@ -54,6 +60,15 @@
     Unconfirmed(Arc<str>),
 }
 
+/// What is known of the record store.
+#[derive(Clone, Copy, Debug)]
+enum StoreState {
+    /// It does not answer, or never did.
+    Away,
+    /// It has answered since that time.
+    Answering(Instant),
+}
+
 #[derive(Debug)]
 struct Entry {
     record: ServerRecord,
@@ -65,24 +80,25 @@
 pub struct Directory {
     entries: HashMap<Arc<str>, Entry>,
     ended: HashMap<Arc<str>, u64>,
-    lapse_grace: Duration,
-    unsound_until: Option<Instant>,
+    store: StoreState,
+}
+
+impl Default for Directory {
+    fn default() -> Self {
+        Self { entries: HashMap::new(), ended: HashMap::new(), store: StoreState::Away }
+    }
 }
 
 impl Directory {
-    /// An empty directory; servers register anew every `heartbeat`.
-    pub fn new(heartbeat: Duration) -> Self {
-        Self {
-            entries: HashMap::new(),
-            ended: HashMap::new(),
-            lapse_grace: heartbeat * LAPSE_HEARTBEATS,
-            unsound_until: None,
-        }
+    /// The record store does not answer.
+    pub fn note_away(&mut self) {
+        self.store = StoreState::Away;
     }
 
-    /// The record store did not answer just now.
-    pub fn note_outage(&mut self, now: Instant) {
-        self.unsound_until = Some(now + self.lapse_grace);
+    /// The record store is known to answer since that time: an outage before
+    /// it may have made registrations lapse.
+    pub fn note_answering(&mut self, since: Instant) {
+        self.store = StoreState::Answering(since);
     }
 
     /// A server's registration was seen.
@@ -115,7 +131,7 @@
     /// A server's registration has vanished.
     pub fn note_vanished(&mut self, now: Instant, id: &str) -> Option<DirectoryChange> {
         let entry = self.entries.get_mut(id)?;
-        if self.unsound_until.is_some_and(|until| now < until) && !entry.record.draining {
+        if may_have_lapsed(self.store, now) && !entry.record.draining {
             entry.vanished = true;
             return Some(DirectoryChange::Unconfirmed(entry.record.id.clone()));
         }
@@ -132,11 +148,17 @@
         changes
     }
 
+    /// When a server is to be given up whose vanished registration does not
+    /// return; `None` while there is none, or while the store is away.
+    pub fn next_end(&self) -> Option<Instant> {
+        let StoreState::Answering(since) = self.store else { return None };
+        self.entries.values().any(|entry| entry.vanished).then(|| since + LAPSE_GRACE)
+    }
+
     /// Time passes: ends servers whose vanished registration did not return.
     pub fn tick(&mut self, now: Instant) -> Vec<DirectoryChange> {
-        match self.unsound_until {
-            Some(until) if now >= until => self.unsound_until = None,
-            _ => return Vec::new(),
+        if may_have_lapsed(self.store, now) {
+            return Vec::new();
         }
         let vanished: Vec<Arc<str>> =
             self.entries.values().filter(|entry| entry.vanished).map(|entry| entry.record.id.clone()).collect();
@@ -157,3 +179,11 @@
         Some(DirectoryChange::Gone(entry.record.id))
     }
 }
+
+/// Whether a registration that is missing may belong to a live server.
+fn may_have_lapsed(store: StoreState, now: Instant) -> bool {
+    match store {
+        StoreState::Away => true,
+        StoreState::Answering(since) => now < since + LAPSE_GRACE,
+    }
+}
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -52,7 +52,7 @@
     let mut failures = 0;
     loop {
         let sent_at = Instant::now();
-        let fault = match store.list(prefix).await {
+        let (fault, due_at) = match store.list(prefix).await {
             Ok(listing) => {
                 contact.note_answer(sent_at);
                 failures = 0;
@@ -60,21 +60,22 @@
                 take(Told::Listing(listing));
                 watch_store(store, contact, prefix, revision, pace, &mut take).await
             }
-            Err(fault) => fault,
+            Err(fault) => (fault, sent_at),
         };
         // A cut watch may have missed what is in no history any more: the
         // prefix is listed anew, at once if only the history is lost.
         if fault == RecordsFault::HistoryLost {
             continue;
         }
-        contact.note_failure();
+        contact.note_failure(due_at);
         take(Told::Failed(fault));
         tokio::time::sleep(doubled_pause(FIRST_PAUSE, longest, failures)).await;
         failures += 1;
     }
 }
 
-/// Watches a prefix from a revision on until a watch fails.
+/// Watches a prefix from a revision on until a watch fails. Gives back why, and
+/// from when on it should have been answered.
 async fn watch_store<S: RecordStore>(
     store: &S,
     contact: &Contact,
@@ -82,14 +83,15 @@
     mut revision: u64,
     pace: Duration,
     take: &mut impl FnMut(Told),
-) -> RecordsFault {
+) -> (RecordsFault, Instant) {
     loop {
         let started = Instant::now();
         let changes = match store.watch(prefix, revision, WATCH_WAIT).await {
             Ok(changes) => changes,
-            Err(fault) => return fault,
+            // It may have been cut while it waited for changes.
+            Err(fault) => return (fault, Instant::now().min(started + WATCH_WAIT)),
         };
-        contact.note_answer(Instant::now());
+        contact.note_held(started);
         revision = revision.max(changes.revision);
         let some = !changes.changes.is_empty();
         take(Told::Changes(changes));
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -44,7 +44,7 @@
             }
             Ok(None) => lease = None,
             Err(_) => {
-                contact.note_failure();
+                contact.note_failure(sent_at);
                 tokio::time::sleep(STORE_PAUSE).await;
             }
         }
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -209,8 +209,9 @@
         });
         v1::RecordsAnswer {
             prefixes: known.collect(),
-            age_ms: self.contact.age().map_or(u32::MAX, |age| age.as_millis().min(u128::from(u32::MAX)) as u32),
-            outage_ms: self.contact.outage().as_millis().min(u128::from(u32::MAX)) as u32,
+            age_ms: self.contact.age().map_or(u32::MAX, whole_milliseconds),
+            outage_ms: whole_milliseconds(self.contact.outage()),
+            answering_ms: self.contact.answering_for().map_or(0, whole_milliseconds),
         }
     }
 
@@ -285,6 +286,9 @@
             complete: answer.prefixes.len() == asked.positions.len(),
         };
         let sound = state.is_sound();
+        if sound {
+            self.contact.note_told(Duration::from_millis(u64::from(answer.answering_ms)));
+        }
         for told in answer.prefixes {
             if sound || !self.knows(&told.prefix) {
                 self.take_news(told, sound);
@@ -318,6 +322,10 @@
     emit("", &Event::RecordSourceChanged { source, upstream, answered, age_ms, outage_ms });
 }
 
+fn whole_milliseconds(time: Duration) -> u32 {
+    time.as_millis().min(u128::from(u32::MAX)) as u32
+}
+
 fn status_only(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
