Put every call to the record store behind a circuit breaker

Cause: while the store was away each of N nodes went on calling it: a renewal each 200 ms, a list of each followed prefix each 0.8 s, each open job and each file of the spool by itself. Followers go on as soon as any call is answered. A call that the store answers with 400, 403 or 413 is Rejected and shows that it is there.

--- /dev/null
+++ b/crates/core/src/circuit_breaker.rs
@@ -0,0 +1,158 @@
+//! When a node may call the record store, and when it may only probe it.
+//!
+//! While the store is away every call to it is wasted, and many nodes that ask
+//! again and again load it just when it returns. The breaker of a node opens
+//! when its own calls have failed for a while, or when an upstream tells that
+//! its calls do. While it is open, calls are refused without being sent, but
+//! for a probe now and then. An answer closes it.
+//!
+//! Invariant: while nobody is known to have an answer, all nodes together probe
+//! about as often as [`ProbePolicy::calls_per_second`] allows, but each node at
+//! least once in [`LONGEST_SHARED_PAUSE`], so that none depends on another.
+
+use crate::retry::doubled_pause;
+use crate::time::Instant;
+use std::time::Duration;
+
+/// Calls that fail for less long are waiting calls that were cut; the breaker
+/// stays closed.
+pub const FAILURE_TIME: Duration = Duration::from_millis(200);
+/// Time between two probes of a node that others rely on, and the shortest one
+/// of any other.
+const LEAST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time between two probes of a node that is turned away while others
+/// have answers: it must be back in touch well within the bounds on
+/// configuration (2 s and more).
+const LONGEST_OWN_PAUSE: Duration = Duration::from_millis(1600);
+/// Longest time between two probes of a node that hears of no answer: with
+/// [`SPREAD`] it is back in touch within four seconds of the store's return,
+/// also where no upstream is left to tell of it. The strictest bound on news is
+/// three seconds of contact and two for the change itself.
+pub const LONGEST_SHARED_PAUSE: Duration = Duration::from_secs(3);
+/// Time between two probes of a node that knows no other node yet.
+const ALONE_PAUSE: Duration = Duration::from_secs(1);
+/// Probes are spread over a pause by this share of it, so that nodes that
+/// failed together don't probe together.
+const SPREAD: f64 = 0.5;
+
+/// How often the store is probed while it is away.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProbePolicy {
+    /// Probes that all nodes together may make in a second.
+    pub calls_per_second: f64,
+    /// Nodes that are known, this one among them.
+    pub nodes: usize,
+    /// Other nodes learn of the store's return from this one.
+    pub relied_on: bool,
+}
+
+/// Whether others have answers from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Elsewhere {
+    Unknown,
+    Answering,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Calls are made; they fail since that time, if they do.
+    Closed(Option<Instant>),
+    /// Calls are refused until the next probe.
+    Open { next_probe: Instant, failed_probes: u32 },
+}
+
+/// Decides which calls to the record store are made.
+#[derive(Clone, Debug)]
+pub struct CircuitBreaker {
+    policy: ProbePolicy,
+    elsewhere: Elsewhere,
+    state: State,
+}
+
+impl CircuitBreaker {
+    /// A closed one.
+    pub fn new(policy: ProbePolicy) -> Self {
+        Self { policy, elsewhere: Elsewhere::Unknown, state: State::Closed(None) }
+    }
+
+    /// So many nodes are known now, this one among them.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.policy.nodes = nodes;
+    }
+
+    /// Whether calls are refused.
+    pub fn is_open(&self) -> bool {
+        matches!(self.state, State::Open { .. })
+    }
+
+    /// Whether a call may be made now. `draw` is a random number from 0 to 1.
+    pub fn may_call(&mut self, now: Instant, draw: f64) -> bool {
+        let State::Open { next_probe, failed_probes } = self.state else { return true };
+        if now < next_probe {
+            return false;
+        }
+        let pause = spread(self.pause(failed_probes), draw);
+        self.state = State::Open { next_probe: now + pause, failed_probes: failed_probes + 1 };
+        true
+    }
+
+    /// The store answered.
+    pub fn note_answer(&mut self) {
+        self.state = State::Closed(None);
+    }
+
+    /// A call failed that should have been answered from `due_at` on.
+    pub fn note_failure(&mut self, now: Instant, due_at: Instant, draw: f64) {
+        let State::Closed(failing_since) = self.state else { return };
+        let since = failing_since.map_or(due_at, |since| since.min(due_at));
+        self.state = State::Closed(Some(since));
+        if now.since(since) >= FAILURE_TIME {
+            self.open(now, draw);
+        }
+    }
+
+    /// An upstream tells that the store doesn't answer it.
+    pub fn note_told_away(&mut self, now: Instant, draw: f64) {
+        self.elsewhere = Elsewhere::Unknown;
+        if !self.is_open() {
+            self.open(now, draw);
+        }
+    }
+
+    /// An upstream tells that the store answers it, or another node: the next
+    /// call is made.
+    pub fn note_told_answering(&mut self, now: Instant) {
+        let news = self.elsewhere != Elsewhere::Answering;
+        self.elsewhere = Elsewhere::Answering;
+        if let State::Open { next_probe, .. } = self.state {
+            if news {
+                self.state = State::Open { next_probe: next_probe.min(now), failed_probes: 0 };
+            }
+        }
+    }
+
+    fn open(&mut self, now: Instant, draw: f64) {
+        // Any moment of the pause is as good as another for the first probe.
+        let next_probe = now + self.pause(0).mul_f64(draw.clamp(0.0, 1.0));
+        self.state = State::Open { next_probe, failed_probes: 0 };
+    }
+
+    fn pause(&self, failed_probes: u32) -> Duration {
+        if self.policy.relied_on {
+            return LEAST_PAUSE;
+        }
+        if self.elsewhere == Elsewhere::Answering {
+            return doubled_pause(LEAST_PAUSE, LONGEST_OWN_PAUSE, failed_probes);
+        }
+        if self.policy.nodes < 2 {
+            return ALONE_PAUSE;
+        }
+        let shared = self.policy.nodes as f64 / self.policy.calls_per_second.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(shared.min(LONGEST_SHARED_PAUSE.as_secs_f64())).max(LEAST_PAUSE)
+    }
+}
+
+/// A pause that differs by chance but is the given one on average.
+fn spread(pause: Duration, draw: f64) -> Duration {
+    pause.mul_f64(1.0 + SPREAD * (draw.clamp(0.0, 1.0) - 0.5))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! seeded generator.
 
 pub mod attempts;
+pub mod circuit_breaker;
 pub mod code;
 pub mod configuration;
 pub mod directory;
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -322,7 +322,7 @@
 
 fn desk_fault(fault: RecordsFault) -> DeskFault {
     match fault {
-        RecordsFault::Refused => DeskFault::Refused,
+        RecordsFault::Refused | RecordsFault::Rejected => DeskFault::Refused,
         RecordsFault::Unknown | RecordsFault::HistoryLost | RecordsFault::BadAnswer => DeskFault::Unknown,
     }
 }
--- a/crates/jobs/src/handed.rs
+++ b/crates/jobs/src/handed.rs
@@ -83,7 +83,7 @@
                     None => Err(DeskFault::Unknown),
                 };
             }
-            Ok(Committed::NoLease) | Err(RecordsFault::Refused) => {}
+            Ok(Committed::NoLease) | Err(RecordsFault::Refused | RecordsFault::Rejected) => {}
             Err(_) => fault = DeskFault::Unknown,
         }
         let pause = doubled_pause(PAUSE, LONGEST_PAUSE, failures);
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -78,6 +78,11 @@
         self.hears.as_ref().and_then(|hears| hears(node))
     }
 
+    /// Number of the other nodes.
+    pub(crate) fn count(&self) -> usize {
+        self.lock().len()
+    }
+
     /// Names of all workers.
     pub fn worker_names(&self) -> BTreeSet<String> {
         let known = self.lock();
@@ -153,7 +158,7 @@
         let hearing = shared.clone();
         let hears = move |node: &str| hearing.dispatcher().waiting_at(hearing.clock.now(), NodeId::of_name(node));
         let nodes = Nodes::new(hears);
-        let registration = tokio::spawn(keep_registered(store.clone(), contact, own.registration()));
+        let registration = tokio::spawn(keep_registered(store.clone(), own.registration()));
         let name = own.name.clone();
         let (sharing, own_id) = (shared.clone(), NodeId::of_name(&name));
         let runs_items = own.record.role == NodeRole::Worker;
@@ -168,6 +173,7 @@
             peers: peers.clone(),
             nodes: nodes.clone(),
             workers_changed: Box::new(workers_changed),
+            contact,
         };
         cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
         // Fronts judge by the workers that they hear whether they are cut off.
@@ -196,6 +202,8 @@
     peers: Peers,
     nodes: Nodes,
     workers_changed: WorkersChanged,
+    /// Is told how many nodes there are.
+    contact: Contact,
 }
 
 impl Follower {
@@ -208,6 +216,7 @@
             Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => return,
         }
         (self.workers_changed)(&self.nodes.worker_names());
+        self.contact.set_nodes(self.nodes.count() + 1);
     }
 
     fn take_change(&self, change: &Change) {
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -8,7 +8,7 @@
     ResultPage, Spool, WorkerHandle,
 };
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{Contact, RecordStore, RecordsFault, Transaction, WatchCache, Write};
+use latchwheel_records::{Contact, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,14 +26,14 @@
 struct Worker {
     address: SocketAddr,
     _handle: WorkerHandle,
-    _membership: Membership<MemoryStore>,
+    _membership: Membership<GuardedStore<MemoryStore>>,
     _folder: tempfile::TempDir,
     _stop: tokio::sync::watch::Sender<bool>,
 }
 
 async fn start_worker(store: &MemoryStore, server: &TestServer, name: &str) -> Worker {
-    let store = Arc::new(store.clone());
     let contact = Contact::default();
+    let store = Arc::new(GuardedStore::new(store.clone(), contact.clone()));
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
     let owned = OwnedJobs::new(contact.clone());
     let shared = node(route(RequestKind::Batch, 3), &[server]);
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -10,7 +10,7 @@
 use latchwheel_protocol::{v1, Message};
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
-use latchwheel_records::{Contact, RecordStore, RecordsFault, WatchCache};
+use latchwheel_records::{Contact, GuardedStore, RecordStore, RecordsFault, WatchCache};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{node, route, Act, TestDialect, TestServer, HOST};
@@ -37,7 +37,7 @@
     store: &MemoryStore,
     shared: Arc<Shared<TestDialect>>,
     name: &str,
-) -> (WorkerHandle, Membership<MemoryStore>) {
+) -> (WorkerHandle, Membership<GuardedStore<MemoryStore>>) {
     start_worker_keeping(store, shared, name, Duration::from_secs(3600)).await
 }
 
@@ -46,9 +46,9 @@
     shared: Arc<Shared<TestDialect>>,
     name: &str,
     keep: Duration,
-) -> (WorkerHandle, Membership<MemoryStore>) {
-    let store = Arc::new(store.clone());
+) -> (WorkerHandle, Membership<GuardedStore<MemoryStore>>) {
     let contact = Contact::default();
+    let store = Arc::new(GuardedStore::new(store.clone(), contact.clone()));
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
     let worker = run_worker(store.clone(), &cache, shared.clone(), OwnedJobs::new(contact.clone()), name, keep);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -1,15 +1,20 @@
-//! When the record store was last known to answer this process.
+//! When the record store was last known to answer this process, and whether it
+//! may be called now.
 
+use latchwheel_core::circuit_breaker::{CircuitBreaker, ProbePolicy};
+use latchwheel_core::time::Instant as CoreInstant;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Calls that fail for less long are waiting calls that were cut: no lease of
 /// a live process runs out in that time.
 pub(crate) const SHORT_FAILURE: Duration = Duration::from_millis(300);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    breaker: CircuitBreaker,
     answered: Option<Instant>,
     /// When the last answer came.
     heard: Option<Instant>,
@@ -47,19 +52,79 @@
 }
 
 /// When the record store was last known to answer. Clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct Contact(Arc<Mutex<State>>);
+#[derive(Clone, Debug)]
+pub struct Contact {
+    state: Arc<Mutex<State>>,
+    /// Origin of the breaker's times.
+    started: Instant,
+    /// Counts how often the store was regained.
+    regained: Arc<watch::Sender<u64>>,
+}
+
+/// The contact of a process that others rely on.
+impl Default for Contact {
+    fn default() -> Self {
+        Self::new(ProbePolicy { calls_per_second: 1.0, nodes: 1, relied_on: true })
+    }
+}
 
 impl Contact {
+    /// The contact of a process that probes the store so while it is away.
+    pub fn new(policy: ProbePolicy) -> Self {
+        let state = State {
+            breaker: CircuitBreaker::new(policy),
+            answered: None,
+            heard: None,
+            failing_since: None,
+            answering_since: None,
+            told: None,
+        };
+        Self { state: Arc::new(Mutex::new(state)), started: Instant::now(), regained: Arc::new(watch::channel(0).0) }
+    }
+
+    /// So many nodes are known, this one among them.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.lock().breaker.set_nodes(nodes);
+    }
+
+    /// Whether a call may be made now; the caller makes it.
+    pub fn may_call(&self) -> bool {
+        let now = self.core_time(Instant::now());
+        self.lock().breaker.may_call(now, rand::random())
+    }
+
+    /// Completes when the store answers again after calls to it were held back,
+    /// or when an upstream tells that it answers others.
+    pub async fn regained(&self) {
+        let mut regained = self.regained.subscribe();
+        // The sender lives as long as this contact.
+        let _ = regained.changed().await;
+    }
+
+    fn core_time(&self, at: Instant) -> CoreInstant {
+        CoreInstant::default() + at.saturating_duration_since(self.started)
+    }
+
+    fn note_span(&self, start: Instant, end: Instant) {
+        let mut state = self.lock();
+        let was_open = state.breaker.is_open();
+        state.note_span(start, end);
+        state.breaker.note_answer();
+        drop(state);
+        if was_open {
+            self.regained.send_modify(|count| *count = count.wrapping_add(1));
+        }
+    }
+
     /// The store answered a call that was sent at that time.
     pub fn note_answer(&self, sent_at: Instant) {
-        self.lock().note_span(sent_at, sent_at);
+        self.note_span(sent_at, sent_at);
     }
 
     /// The store held a call from that time until it answered now: it was
     /// there all the while.
     pub fn note_held(&self, sent_at: Instant) {
-        self.lock().note_span(sent_at, Instant::now());
+        self.note_span(sent_at, Instant::now());
     }
 
     /// A call to the store failed that should have been answered from that
@@ -68,13 +133,28 @@
         let mut state = self.lock();
         let since = state.failing_since.map_or(due_at, |since| since.min(due_at));
         state.failing_since = Some(since);
+        let (now, due_at) = (self.core_time(Instant::now()), self.core_time(due_at));
+        state.breaker.note_failure(now, due_at, rand::random());
     }
 
     /// An upstream that can be relied on has had answers for that time.
     pub fn note_told(&self, answering_for: Duration) {
         let heard = Instant::now();
         let answering_since = heard.checked_sub(answering_for).unwrap_or(heard);
-        self.lock().told = Some(ToldContact { heard, answering_since });
+        let mut state = self.lock();
+        state.told = Some(ToldContact { heard, answering_since });
+        let was_open = state.breaker.is_open();
+        state.breaker.note_told_answering(self.core_time(heard));
+        drop(state);
+        if was_open {
+            self.regained.send_modify(|count| *count = count.wrapping_add(1));
+        }
+    }
+
+    /// Upstreams tell that the store does not answer them either.
+    pub fn note_told_away(&self) {
+        let now = self.core_time(Instant::now());
+        self.lock().breaker.note_told_away(now, rand::random());
     }
 
     /// Time since the store was last known to answer; `None` if it never did.
@@ -98,6 +178,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -8,12 +8,14 @@
 mod cached_prefix;
 mod contact;
 mod follow;
+mod guarded_store;
 pub mod memory;
 mod registration;
 mod watch_cache;
 
 pub use contact::Contact;
 pub use follow::Followed;
+pub use guarded_store::GuardedStore;
 pub use registration::{keep_registered, unregister, Registration};
 pub use watch_cache::{WatchCache, CACHE_PATH};
 
@@ -112,6 +114,8 @@
 pub enum RecordsFault {
     /// The store did not do it, and won't.
     Refused,
+    /// The store answers, but it does not take such a call; nothing was done.
+    Rejected,
     /// It can't be told; a change may yet be made if its condition holds.
     Unknown,
     /// The history that a watch asked for is gone.
@@ -125,11 +129,17 @@
     pub fn word(self) -> &'static str {
         match self {
             RecordsFault::Refused => "refused",
+            RecordsFault::Rejected => "rejected",
             RecordsFault::Unknown => "no_answer",
             RecordsFault::HistoryLost => "history_lost",
             RecordsFault::BadAnswer => "bad_answer",
         }
     }
+
+    /// Whether the store is there nevertheless.
+    pub fn shows_contact(self) -> bool {
+        matches!(self, RecordsFault::Rejected | RecordsFault::HistoryLost)
+    }
 }
 
 /// A record store. Reads are linearizable.
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -1,6 +1,6 @@
 //! Registration of this process in the store, under a lease.
 
-use crate::{Committed, Contact, RecordStore, RecordsFault, Transaction, Write};
+use crate::{Committed, RecordStore, RecordsFault, Transaction, Write};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 
 /// Keeps a record in the store for as long as the process lives; never
 /// completes. A lease that ended is taken anew.
-pub async fn keep_registered<S: RecordStore>(store: Arc<S>, contact: Contact, registration: Registration) {
+pub async fn keep_registered<S: RecordStore>(store: Arc<S>, registration: Registration) {
     let mut lease = None;
     loop {
         let sent_at = Instant::now();
@@ -38,15 +38,11 @@
         };
         match registered {
             Ok(Some(present)) => {
-                contact.note_answer(sent_at);
                 lease = Some(present);
                 tokio::time::sleep_until(sent_at + registration.renew_every).await;
             }
             Ok(None) => lease = None,
-            Err(_) => {
-                contact.note_failure(sent_at);
-                tokio::time::sleep(STORE_PAUSE).await;
-            }
+            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
         }
     }
 }
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -224,7 +224,7 @@
             }
             let take = |told: Told| self.take(&prefix, told);
             tokio::select! {
-                () = follow_store(&*self.store, &self.contact, &prefix, pace, !self.upstreams.is_empty(), take) => {}
+                () = follow_store(&*self.store, &self.contact, &prefix, pace, take) => {}
                 _ = source.wait_for(|source| *source != RecordSource::Store) => {}
             }
         }
--- a/crates/records/tests/follow.rs
+++ b/crates/records/tests/follow.rs
@@ -4,7 +4,7 @@
 use latchwheel_core::record_source::RecordSource;
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{
-    unregister, Change, Contact, Followed, RecordStore, RecordsFault, Transaction, WatchCache, Write,
+    unregister, Change, Contact, Followed, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write,
 };
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -17,14 +17,17 @@
     store.commit(&Transaction { writes: vec![write], ..Transaction::default() }).await.unwrap();
 }
 
+type Store = GuardedStore<MemoryStore>;
 type Told = Arc<Mutex<Vec<Followed>>>;
 
 /// A node's cache with all that its follower was told; without upstreams it
 /// watches the store.
-fn node(store: &MemoryStore, upstreams: Vec<String>) -> (Arc<WatchCache<MemoryStore>>, Told) {
+fn node(store: &MemoryStore, upstreams: Vec<String>) -> (Arc<WatchCache<Store>>, Told) {
     let told = Told::default();
     let seen = told.clone();
-    let cache = WatchCache::new(Arc::new(store.clone()), Contact::default(), upstreams, 0);
+    let contact = Contact::default();
+    let store = Arc::new(GuardedStore::new(store.clone(), contact.clone()));
+    let cache = WatchCache::new(store, contact, upstreams, 0);
     cache.follow(PREFIX, PACE, move |followed| seen.lock().unwrap().push(followed));
     (cache, told)
 }
@@ -97,7 +100,7 @@
 
 /// A node's cache that others can poll.
 struct Upstream {
-    cache: Arc<WatchCache<MemoryStore>>,
+    cache: Arc<WatchCache<Store>>,
     address: String,
     task: tokio::task::JoinHandle<()>,
     _stop: tokio::sync::watch::Sender<bool>,
