Let nodes ask the next upstream, and take its word, before they ask the store

Cause: a node turned to the store as soon as its upstream could not be relied on, so that an outage of the store made all nodes list every followed prefix just when none could be answered, and again every 0.8 s. Ruled out: no turning to the store at all (no upstream may be needed). Change: two upstreams must fail in a row; where they tell that the store does not answer them, the circuit breaker opens by their word unless the store answered this node meanwhile. Polls rest at an upstream until it can be relied on again, so that its return is heard of at once. What an upstream tells of its outage covers prefixes whose watch is not restored yet.

--- a/crates/core/src/record_source.rs
+++ b/crates/core/src/record_source.rs
@@ -4,11 +4,14 @@
 //! the number of nodes. A few nodes watch the store; all others poll one of
 //! these, their *upstream*. An upstream tells how long ago the store was last
 //! known to answer it. A node whose upstream is silent, cut off from the store
-//! or behind turns to the store at once, and to the next upstream after a
-//! pause: no upstream is ever needed, and none is chosen by agreement.
+//! or behind asks the next one at once, and turns to the store if that can't be
+//! relied on either: no upstream is ever needed, and none is chosen by
+//! agreement. Where the store is away for all, their word for it keeps the node
+//! from asking the store as well, and an upstream holds the node's polls until
+//! the store is back.
 //!
 //! Invariant: while the source is an upstream, what the node believes is no
-//! older than [`AGE_LIMIT`] and the time of one poll.
+//! older than [`AGE_LIMIT`] and the time of two polls.
 
 use crate::retry::doubled_pause;
 use crate::time::Instant;
@@ -24,6 +27,8 @@
 const START_PATIENCE: Duration = Duration::from_millis(1000);
 /// Pause between two polls while starting.
 const START_PAUSE: Duration = Duration::from_millis(80);
+/// Upstreams that must fail in a row before a node turns to the store.
+const FAILURES_BEFORE_STORE: u32 = 2;
 /// Pause after a failed poll, doubled at each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
@@ -53,8 +58,24 @@
 impl UpstreamState {
     /// Whether what it tells can be relied on.
     pub fn is_sound(&self) -> bool {
-        self.complete && self.age <= AGE_LIMIT && self.outage <= OUTAGE_LIMIT
+        self.complete && !self.store_is_away()
     }
+
+    /// Whether the store doesn't answer it.
+    pub fn store_is_away(&self) -> bool {
+        self.age > AGE_LIMIT || self.outage > OUTAGE_LIMIT
+    }
+}
+
+/// How an upstream is to treat a poll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollWait {
+    /// Answer at once.
+    Nothing,
+    /// Answer when there is news.
+    News,
+    /// Answer when it can be relied on.
+    Soundness,
 }
 
 /// The choice between the store and a number of upstreams.
@@ -86,14 +107,30 @@
         (self.upstreams > 0).then_some(self.turn)
     }
 
+    /// What the next poll waits for. Once no upstream could be relied on, the
+    /// polls rest at upstreams until one can.
+    pub fn poll_wait(&self) -> PollWait {
+        match (self.source, self.failures) {
+            (RecordSource::Upstream, 0) => PollWait::News,
+            (RecordSource::Store, failures) if failures as usize >= self.upstreams => PollWait::Soundness,
+            _ => PollWait::Nothing,
+        }
+    }
+
     /// An upstream answered. Gives back the pause before the next poll.
     pub fn note_answer(&mut self, now: Instant, state: &UpstreamState) -> Duration {
-        if !state.is_sound() {
-            return self.note_failure(now);
+        if state.is_sound() {
+            self.source = RecordSource::Upstream;
+            self.failures = 0;
+            return Duration::ZERO;
+        }
+        let held = self.poll_wait() == PollWait::Soundness && state.complete;
+        let pause = self.note_failure(now);
+        if held {
+            Duration::ZERO
+        } else {
+            pause
         }
-        self.source = RecordSource::Upstream;
-        self.failures = 0;
-        Duration::ZERO
     }
 
     /// An upstream gave no answer. Gives back the pause before the next poll.
@@ -102,9 +139,17 @@
         if self.source == RecordSource::Undecided && now.since(self.started) < START_PATIENCE {
             return START_PAUSE;
         }
+        self.failures = self.failures.saturating_add(1);
+        let others = self.upstreams > 1;
+        if self.source == RecordSource::Upstream && others && self.failures < FAILURES_BEFORE_STORE {
+            return Duration::ZERO;
+        }
         self.source = RecordSource::Store;
-        let pause = doubled_pause(FIRST_PAUSE, LONGEST_PAUSE, self.failures);
-        self.failures += 1;
-        pause
+        // Every upstream is asked once before there is a pause.
+        let rounds = self.failures.saturating_sub(self.upstreams as u32);
+        if rounds == 0 {
+            return Duration::ZERO;
+        }
+        doubled_pause(FIRST_PAUSE, LONGEST_PAUSE, rounds - 1)
     }
 }
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -93,12 +93,20 @@
         self.lock().breaker.may_call(now, rand::random())
     }
 
-    /// Completes when the store answers again after calls to it were held back,
-    /// or when an upstream tells that it answers others.
+    /// Completes when the store answers again after calls to it failed, or when
+    /// an upstream tells that it answers others.
     pub async fn regained(&self) {
-        let mut regained = self.regained.subscribe();
         // The sender lives as long as this contact.
-        let _ = regained.changed().await;
+        let _ = self.regains().changed().await;
+    }
+
+    /// Changes whenever the store is regained.
+    pub(crate) fn regains(&self) -> watch::Receiver<u64> {
+        self.regained.subscribe()
+    }
+
+    fn note_regained(&self) {
+        self.regained.send_modify(|count| *count = count.wrapping_add(1));
     }
 
     fn core_time(&self, at: Instant) -> CoreInstant {
@@ -107,12 +115,12 @@
 
     fn note_span(&self, start: Instant, end: Instant) {
         let mut state = self.lock();
-        let was_open = state.breaker.is_open();
+        let failed = state.breaker.is_open() || state.failing_since.is_some();
         state.note_span(start, end);
         state.breaker.note_answer();
         drop(state);
-        if was_open {
-            self.regained.send_modify(|count| *count = count.wrapping_add(1));
+        if failed {
+            self.note_regained();
         }
     }
 
@@ -147,14 +155,19 @@
         state.breaker.note_told_answering(self.core_time(heard));
         drop(state);
         if was_open {
-            self.regained.send_modify(|count| *count = count.wrapping_add(1));
+            self.note_regained();
         }
     }
 
-    /// Upstreams tell that the store does not answer them either.
-    pub fn note_told_away(&self) {
+    /// Upstreams tell that the store has not answered them for that time. If it
+    /// answered this process meanwhile, the trouble is theirs alone.
+    pub fn note_told_away(&self, for_time: Duration) {
         let now = self.core_time(Instant::now());
-        self.lock().breaker.note_told_away(now, rand::random());
+        let mut state = self.lock();
+        let answers_here = state.heard.is_some_and(|heard| heard.elapsed() < for_time);
+        if !answers_here {
+            state.breaker.note_told_away(now, rand::random());
+        }
     }
 
     /// Time since the store was last known to answer; `None` if it never did.
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use latchwheel_clock::Clock;
-use latchwheel_core::record_source::{RecordSource, SourceChoice, UpstreamState};
+use latchwheel_core::record_source::{PollWait, RecordSource, SourceChoice, UpstreamState};
 use latchwheel_events::{emit, Event};
 use latchwheel_http::{empty, full, read_bounded, serve, Body, Client, Version};
 use latchwheel_protocol::{v1, Message};
@@ -170,10 +170,8 @@
         }
         self.follow_asked(&asked);
         let wait = Duration::from_millis(u64::from(asked.wait_ms)).min(LONGEST_WAIT);
-        let mut changed = self.changed.subscribe();
-        let news = async { while !self.has_news(&asked) && changed.changed().await.is_ok() {} };
         // Without news the answer says only how fresh the asker's state is.
-        let _ = tokio::time::timeout(wait, news).await;
+        let _ = tokio::time::timeout(wait, self.ready_to_answer(&asked)).await;
         Response::new(full(Bytes::from(self.news(&asked).encode_to_vec())))
     }
 
@@ -193,6 +191,36 @@
         }
     }
 
+    /// Completes when there is what a poll waits for.
+    async fn ready_to_answer(&self, asked: &v1::RecordsRequest) {
+        let mut changed = self.changed.subscribe();
+        let mut regained = self.contact.regains();
+        let is_ready = || if asked.until_sound { self.state_for(asked).is_sound() } else { self.has_news(asked) };
+        while !is_ready() {
+            let goes_on = tokio::select! {
+                changed = changed.changed() => changed.is_ok(),
+                regained = regained.changed() => regained.is_ok(),
+            };
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    /// How far a node that asks for these prefixes can rely on this one.
+    fn state_for(&self, asked: &v1::RecordsRequest) -> UpstreamState {
+        let entries = lock(&self.entries);
+        let asked_for: Vec<Option<&Entry>> =
+            asked.positions.iter().map(|position| entries.get(&position.prefix)).collect();
+        let unfollowed = asked_for.iter().flatten().filter_map(|entry| entry.lost_since).min();
+        let unfollowed = unfollowed.map(|since| since.elapsed()).unwrap_or_default();
+        UpstreamState {
+            age: self.contact.age().unwrap_or(Duration::MAX),
+            outage: self.contact.outage().max(unfollowed),
+            complete: asked_for.iter().all(|entry| entry.is_some_and(|entry| entry.cached.is_known())),
+        }
+    }
+
     fn has_news(&self, asked: &v1::RecordsRequest) -> bool {
         let entries = lock(&self.entries);
         asked
@@ -202,6 +230,7 @@
     }
 
     fn news(&self, asked: &v1::RecordsRequest) -> v1::RecordsAnswer {
+        let state = self.state_for(asked);
         let entries = lock(&self.entries);
         let known = asked.positions.iter().filter_map(|position| {
             let entry = entries.get(&position.prefix).filter(|entry| entry.cached.is_known())?;
@@ -209,8 +238,8 @@
         });
         v1::RecordsAnswer {
             prefixes: known.collect(),
-            age_ms: self.contact.age().map_or(u32::MAX, whole_milliseconds),
-            outage_ms: whole_milliseconds(self.contact.outage()),
+            age_ms: whole_milliseconds(state.age),
+            outage_ms: whole_milliseconds(state.outage),
             answering_ms: self.contact.answering_for().map_or(0, whole_milliseconds),
         }
     }
@@ -231,7 +260,11 @@
     }
 
     fn take(&self, prefix: &str, told: Told) {
-        let changed = lock(&self.entries).get_mut(prefix).is_some_and(|entry| entry.take(told));
+        // A prefix that is followed again is news to nodes that wait for it.
+        let changed = lock(&self.entries).get_mut(prefix).is_some_and(|entry| {
+            let was_lost = entry.lost_since.is_some();
+            entry.take(told) || (was_lost && entry.lost_since.is_none())
+        });
         if changed {
             self.note_change();
         }
@@ -245,10 +278,13 @@
         let client = Client::http1();
         loop {
             let started = Instant::now();
-            let upstream = lock(&self.choice).upstream().and_then(|number| self.upstreams.get(number));
+            let (upstream, wait) = {
+                let choice = lock(&self.choice);
+                (choice.upstream().and_then(|number| self.upstreams.get(number)), choice.poll_wait())
+            };
             let Some(upstream) = upstream else { return };
             let polled = tokio::select! {
-                polled = self.poll(&client, upstream) => polled,
+                polled = self.poll(&client, upstream, wait) => polled,
                 () = self.follows_more.notified() => continue,
             };
             let pause = {
@@ -266,6 +302,9 @@
 
     fn set_source(&self, upstream: &str, polled: Option<UpstreamState>) {
         let source = lock(&self.choice).source();
+        if let (RecordSource::Store, Some(state)) = (source, polled.filter(UpstreamState::store_is_away)) {
+            self.contact.note_told_away(state.age.max(state.outage));
+        }
         let changed = self.source.send_if_modified(|present| std::mem::replace(present, source) != source);
         if changed {
             log_source(source, upstream, polled);
@@ -274,9 +313,9 @@
 
     /// Polls an upstream once, and takes over what it tells if that can be
     /// relied on, or if nothing is known here. `None` if it gave no answer.
-    async fn poll(&self, client: &Client, upstream: &str) -> Option<UpstreamState> {
-        let wait = if self.source() == RecordSource::Upstream { POLL_WAIT } else { Duration::ZERO };
-        let asked = self.positions(wait);
+    async fn poll(&self, client: &Client, upstream: &str, wait_for: PollWait) -> Option<UpstreamState> {
+        let wait = if wait_for == PollWait::Nothing { Duration::ZERO } else { POLL_WAIT };
+        let asked = self.request(wait, wait_for == PollWait::Soundness);
         let body = Bytes::from(asked.encode_to_vec());
         let answer = client.call(Method::POST, upstream, CACHE_PATH, body, wait + POLL_MARGIN).await.ok()?;
         let answer = v1::RecordsAnswer::decode(answer).ok()?;
@@ -297,12 +336,12 @@
         Some(state)
     }
 
-    fn positions(&self, wait: Duration) -> v1::RecordsRequest {
+    fn request(&self, wait: Duration, until_sound: bool) -> v1::RecordsRequest {
         let entries = lock(&self.entries);
         let positions = entries
             .iter()
             .map(|(prefix, entry)| v1::RecordsPosition { prefix: prefix.clone(), revision: entry.cached.revision() });
-        v1::RecordsRequest { positions: positions.collect(), wait_ms: wait.as_millis() as u32 }
+        v1::RecordsRequest { positions: positions.collect(), wait_ms: wait.as_millis() as u32, until_sound }
     }
 
     fn take_news(&self, told: v1::PrefixRecords, sound: bool) {
--- a/crates/records/tests/contact.rs
+++ b/crates/records/tests/contact.rs
@@ -1,6 +1,7 @@
 //! Since when the record store is known to answer, by calls that are late, lost
 //! and repeated.
 
+use latchwheel_core::circuit_breaker::ProbePolicy;
 use latchwheel_records::Contact;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -96,3 +97,22 @@
         }
     }
 }
+
+/// Upstreams that are cut off from the store don't keep a node from it that is
+/// answered.
+#[tokio::test(start_paused = true)]
+async fn the_word_of_upstreams_counts_less_than_own_answers() {
+    let contact = Contact::new(ProbePolicy { calls_per_second: 1.0, nodes: 300, relied_on: false });
+    contact.note_answer(Instant::now());
+    sleep(Duration::from_millis(700)).await;
+    contact.note_told_away(Duration::from_secs(1));
+    assert!(contact.may_call() && contact.may_call(), "it was answered since");
+    contact.note_told_away(Duration::from_millis(500));
+    let mut allowed = 0;
+    for _ in 0..100 {
+        allowed += u32::from(contact.may_call());
+    }
+    assert!(allowed <= 1, "{allowed} calls at one moment while the store is away");
+    contact.note_answer(Instant::now());
+    assert!(contact.may_call() && contact.may_call());
+}
