--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -54,7 +54,7 @@
         tokio::time::sleep_until((begun + Duration::from_secs_f64(at)).into()).await;
         match step {
             Step::Begin(fault) => outcomes.push(begin(scenario, processes, nodes, &fault).await),
-            Step::End(fault) => end(scenario, processes, &fault).await,
+            Step::End(fault) => end(scenario, processes, nodes, &fault).await,
         }
         nodes.send_replace(processes.callers());
     }
@@ -106,12 +106,14 @@
     outcome
 }
 
-async fn end(scenario: &Scenario, processes: &mut Processes, fault: &Fault) {
+async fn end(scenario: &Scenario, processes: &mut Processes, nodes: &watch::Sender<Vec<String>>, fault: &Fault) {
     let number = fault.target % processes.nodes.len().max(1);
     match fault.kind {
         FaultKind::KillNode | FaultKind::LoseDisk | FaultKind::StopNode => {
-            if let Err(fault) = processes.start_node(number).await {
-                eprintln!("a node was not started again: {fault:#}");
+            match processes.start_node(number).await {
+                // Until then it refuses what it gets: it knows no table yet.
+                Ok(()) => processes.announce_when_ready(number, nodes.clone()),
+                Err(fault) => eprintln!("a node was not started again: {fault:#}"),
             }
         }
         FaultKind::PauseNode => processes.signal_node(number, libc::SIGCONT),
--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -10,6 +10,7 @@
 use latchwheel_http::Client;
 use latchwheel_node::Addresses;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tempfile::TempDir;
@@ -36,6 +37,8 @@
     /// Data folder, if it has a disk.
     pub data: Option<PathBuf>,
     child: Option<Child>,
+    /// Whether it said, since its last start, that it takes requests.
+    ready: Arc<AtomicBool>,
     relay: Arc<Relay>,
     peers_port: u16,
 }
@@ -118,7 +121,17 @@
         );
         std::fs::write(&settings, text)?;
         let addresses = Addresses { callers: String::new(), admin: String::new(), peers: String::new() };
-        self.nodes.push(NodeProcess { name, zone, addresses, settings, data, child: None, relay, peers_port });
+        self.nodes.push(NodeProcess {
+            name,
+            zone,
+            addresses,
+            settings,
+            data,
+            child: None,
+            ready: Arc::default(),
+            relay,
+            peers_port,
+        });
         Ok(())
     }
 
@@ -135,6 +148,7 @@
         })?;
         node.addresses = serde_json::from_str(&line)?;
         node.child = Some(child);
+        node.ready = Arc::default();
         debug_assert!(node.addresses.peers.ends_with(&node.peers_port.to_string()));
         Ok(())
     }
@@ -190,12 +204,36 @@
         LinkState { rules: cuts.chain([own, others]).collect() }
     }
 
-    /// Callers' addresses of the nodes that run.
+    /// Callers' addresses of the nodes that run and have been ready since their
+    /// last start, as a balancer before them would know them.
     pub fn callers(&self) -> Vec<String> {
-        let running = self.nodes.iter().filter(|node| node.child.is_some());
+        let running = self.nodes.iter().filter(|node| node.child.is_some() && node.ready.load(Ordering::Relaxed));
         running.map(|node| node.addresses.callers.clone()).collect()
     }
 
+    /// Tells callers of a node that was started again, once it is ready.
+    pub fn announce_when_ready(&self, number: usize, callers: watch::Sender<Vec<String>>) {
+        let node = &self.nodes[number];
+        let (address, ready) = (node.addresses.callers.clone(), node.ready.clone());
+        tokio::spawn(async move {
+            let client = Client::http1();
+            // A node that is stopped before it gets ready has another mark at its
+            // next start; the task ends with the last holder of this one.
+            while Arc::strong_count(&ready) > 1 {
+                if is_ready(&client, &address).await {
+                    ready.store(true, Ordering::Relaxed);
+                    callers.send_modify(|callers| {
+                        if !callers.contains(&address) {
+                            callers.push(address);
+                        }
+                    });
+                    return;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        });
+    }
+
     /// Operators' address of a node.
     pub fn admin(&self, number: usize) -> &str {
         &self.nodes[number].addresses.admin
@@ -205,16 +243,13 @@
         let client = Client::http1();
         let begun = tokio::time::Instant::now();
         for node in &self.nodes {
-            while client
-                .call(Method::GET, &node.addresses.callers, "/readyz", bytes::Bytes::new(), CALL_TIME)
-                .await
-                .is_err()
-            {
+            while !is_ready(&client, &node.addresses.callers).await {
                 if begun.elapsed() > START_TIME {
                     bail!("{} does not get ready", node.name);
                 }
                 tokio::time::sleep(POLL).await;
             }
+            node.ready.store(true, Ordering::Relaxed);
         }
         Ok(())
     }
@@ -230,6 +265,10 @@
     }
 }
 
+async fn is_ready(client: &Client, address: &str) -> bool {
+    client.call(Method::GET, address, "/readyz", bytes::Bytes::new(), CALL_TIME).await.is_ok()
+}
+
 fn zone_address(zone: usize) -> String {
     format!("127.0.{}.1", zone + 1)
 }
