Keep workers whose registration lapsed in an outage until they can be back

Cause: after an outage in which leases run out, the first list of the nodes lacks all workers that have not registered themselves anew. Change: core::live_workers keeps a vanished worker until the store has answered for two seconds, by the same grace as servers (core::lapse_grace). Tests: core/tests/live_workers.rs, core/tests/directory.rs.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -15,6 +15,7 @@
 //! not from the time at which this node noticed: no pause of a node and no
 //! upstream on the way lengthens it.
 
+use crate::lapse_grace::LapseGrace;
 use crate::time::Instant;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -60,15 +61,6 @@
     Unconfirmed(Arc<str>),
 }
 
-/// What is known of the record store.
-#[derive(Clone, Copy, Debug)]
-enum StoreState {
-    /// It does not answer, or never did.
-    Away,
-    /// It has answered since that time.
-    Answering(Instant),
-}
-
 #[derive(Debug)]
 struct Entry {
     record: ServerRecord,
@@ -80,25 +72,19 @@
 pub struct Directory {
     entries: HashMap<Arc<str>, Entry>,
     ended: HashMap<Arc<str>, u64>,
-    store: StoreState,
+    lapse: LapseGrace,
 }
 
 impl Default for Directory {
     fn default() -> Self {
-        Self { entries: HashMap::new(), ended: HashMap::new(), store: StoreState::Away }
+        Self { entries: HashMap::new(), ended: HashMap::new(), lapse: LapseGrace::new(LAPSE_GRACE) }
     }
 }
 
 impl Directory {
-    /// The record store does not answer.
-    pub fn note_away(&mut self) {
-        self.store = StoreState::Away;
-    }
-
-    /// The record store is known to answer since that time: an outage before
-    /// it may have made registrations lapse.
-    pub fn note_answering(&mut self, since: Instant) {
-        self.store = StoreState::Answering(since);
+    /// The record store does not answer, or has answered for that time.
+    pub fn note_store(&mut self, now: Instant, answering_for: Option<Duration>) {
+        self.lapse.note_store(now, answering_for);
     }
 
     /// A server's registration was seen.
@@ -131,7 +117,7 @@
     /// A server's registration has vanished.
     pub fn note_vanished(&mut self, now: Instant, id: &str) -> Option<DirectoryChange> {
         let entry = self.entries.get_mut(id)?;
-        if may_have_lapsed(self.store, now) && !entry.record.draining {
+        if self.lapse.may_have_lapsed(now) && !entry.record.draining {
             entry.vanished = true;
             return Some(DirectoryChange::Unconfirmed(entry.record.id.clone()));
         }
@@ -151,13 +137,13 @@
     /// When a server is to be given up whose vanished registration does not
     /// return; `None` while there is none, or while the store is away.
     pub fn next_end(&self) -> Option<Instant> {
-        let StoreState::Answering(since) = self.store else { return None };
-        self.entries.values().any(|entry| entry.vanished).then(|| since + LAPSE_GRACE)
+        let vanished = self.entries.values().any(|entry| entry.vanished);
+        self.lapse.end().filter(|_| vanished)
     }
 
     /// Time passes: ends servers whose vanished registration did not return.
     pub fn tick(&mut self, now: Instant) -> Vec<DirectoryChange> {
-        if may_have_lapsed(self.store, now) {
+        if self.lapse.may_have_lapsed(now) {
             return Vec::new();
         }
         let vanished: Vec<Arc<str>> =
@@ -179,11 +165,3 @@
         Some(DirectoryChange::Gone(entry.record.id))
     }
 }
-
-/// Whether a registration that is missing may belong to a live server.
-fn may_have_lapsed(store: StoreState, now: Instant) -> bool {
-    match store {
-        StoreState::Away => true,
-        StoreState::Answering(since) => now < since + LAPSE_GRACE,
-    }
-}
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -23,7 +23,7 @@
 /// A directory whose store has answered for long.
 fn sound() -> Directory {
     let mut directory = Directory::default();
-    directory.note_answering(Instant::default());
+    directory.note_store(at(10_000.0), Some(Duration::from_secs(10_000)));
     directory
 }
 
@@ -74,10 +74,10 @@
     directory.note_record(record("alive", false, 1));
     directory.note_record(record("dead", false, 1));
     directory.note_record(record("leaving", true, 1));
-    directory.note_away();
+    directory.note_store(at(9.0), None);
     assert_eq!(directory.note_vanished(at(9.0), "alive"), Some(DirectoryChange::Unconfirmed("alive".into())));
     assert!(directory.tick(at(9.9)).is_empty(), "nothing is ended while the store is away");
-    directory.note_answering(at(10.0));
+    directory.note_store(at(10.0), Some(Duration::ZERO));
     let changes = directory.replace_all(at(10.5), Vec::new());
     assert!(changes.contains(&DirectoryChange::Unconfirmed("alive".into())));
     assert!(changes.contains(&DirectoryChange::Gone("leaving".into())));
@@ -97,9 +97,9 @@
     let mut directory = sound();
     directory.note_record(record("a", false, 1));
     directory.note_record(record("b", false, 1));
-    directory.note_away();
+    directory.note_store(at(9.0), None);
     // The news comes 2.3 s late.
-    directory.note_answering(at(20.0));
+    directory.note_store(at(22.3), Some(Duration::from_millis(2_300)));
     assert_eq!(directory.note_vanished(at(22.3), "a"), Some(DirectoryChange::Unconfirmed("a".into())));
     assert_eq!(directory.note_vanished(at(22.6), "b"), Some(DirectoryChange::Gone("b".into())));
     assert_eq!(directory.tick(at(22.6)), [DirectoryChange::Gone("a".into())]);
--- /dev/null
+++ b/crates/core/tests/live_workers.rs
@@ -0,0 +1,49 @@
+//! Which workers count as alive around outages of the record store.
+
+use latchwheel_core::live_workers::{LiveWorkers, RETURN_GRACE};
+use latchwheel_core::time::Instant;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn at(seconds: f64) -> Instant {
+    Instant::default() + Duration::from_secs_f64(seconds)
+}
+
+fn names(workers: &LiveWorkers) -> Vec<&str> {
+    workers.names().iter().map(String::as_str).collect()
+}
+
+/// Three workers before a store that has answered for long.
+fn three() -> LiveWorkers {
+    let mut workers = LiveWorkers::default();
+    workers.note_store(at(100.0), Some(Duration::from_secs(100)));
+    ["a", "b", "c"].into_iter().for_each(|worker| assert!(workers.note_registered(worker)));
+    workers
+}
+
+#[test]
+fn a_worker_whose_lease_ends_is_given_up_at_once() {
+    let mut workers = three();
+    assert!(workers.note_missing(at(101.0), "b"));
+    assert_eq!(names(&workers), ["a", "c"]);
+    assert!(!workers.note_missing(at(101.0), "b"), "it is no news twice");
+}
+
+/// All leases ran out in an outage: jobs stay where they run until each live
+/// worker has had time to return, and then only the dead one is given up.
+#[test]
+fn leases_that_ran_out_in_an_outage_move_no_job() {
+    let mut workers = three();
+    workers.note_store(at(110.0), None);
+    assert!(!workers.note_missing(at(111.0), "c"));
+    workers.note_store(at(120.0), Some(Duration::from_millis(100)));
+    assert!(!workers.note_all(at(120.0), &BTreeSet::from(["a"])));
+    assert_eq!(names(&workers), ["a", "b", "c"]);
+    assert!(!workers.note_registered("b"), "it never was away");
+    assert_eq!(workers.next_end(), Some(at(119.9) + RETURN_GRACE));
+    assert!(!workers.tick(at(121.0)));
+    assert!(workers.tick(at(122.0)));
+    assert_eq!(names(&workers), ["a", "b"]);
+    assert_eq!(workers.next_end(), None);
+    assert!(workers.note_registered("c"), "it may come back later");
+}
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// When the store was last known to answer this worker.
+    pub(crate) fn contact(&self) -> &Contact {
+        &self.contact
+    }
+
     /// Shows a job that this worker runs from now on.
     pub(crate) fn show(&self, job: &str, items: Arc<Vec<ItemBody>>, view: JobView) {
         lock(&self.running).insert(job.to_owned(), Shown { view: watch::channel(view).0, items });
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
 use crate::worker_context::WorkerContext;
+use latchwheel_core::live_workers::LiveWorkers;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
@@ -90,7 +91,7 @@
 struct Division<S, D> {
     context: Arc<WorkerContext<S, D>>,
     name: String,
-    workers: BTreeSet<String>,
+    workers: LiveWorkers,
     jobs: HashMap<String, Job>,
     closed: ClosedJobs,
     keep: Duration,
@@ -107,8 +108,14 @@
     let following = cache.follow(WORK_PREFIX, FOLLOW_PACE, move |followed| {
         let _ = sender.send(followed);
     });
-    let mut division =
-        Division { context, name, workers: BTreeSet::new(), jobs: HashMap::new(), closed: ClosedJobs::default(), keep };
+    let mut division = Division {
+        context,
+        name,
+        workers: LiveWorkers::default(),
+        jobs: HashMap::new(),
+        closed: ClosedJobs::default(),
+        keep,
+    };
     let mut next_expiry = Instant::now() + EXPIRY_LOOK;
     loop {
         tokio::select! {
@@ -117,6 +124,7 @@
                 None => break,
             },
             _ = leaves.wait_for(Option::is_some) => break,
+            () = division.worker_lapses() => division.tick(),
             () = tokio::time::sleep_until(next_expiry) => {
                 division.expire();
                 next_expiry = Instant::now() + EXPIRY_LOOK;
@@ -134,7 +142,28 @@
 }
 
 impl<S: RecordStore, D: Dialect> Division<S, D> {
+    /// Completes when a worker is to be given up that did not return after an
+    /// outage of the store; never, if there is none.
+    async fn worker_lapses(&self) {
+        match self.workers.next_end() {
+            Some(end) => tokio::time::sleep(end.since(self.now())).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.workers.tick(self.now()) {
+            self.log_workers();
+        }
+    }
+
+    fn now(&self) -> latchwheel_core::time::Instant {
+        self.context.shared.clock.now()
+    }
+
     fn take(&mut self, followed: Followed) {
+        let answering_for = self.context.owned.contact().answering_for().filter(|_| !followed.is_loss());
+        self.workers.note_store(self.now(), answering_for);
         match followed {
             Followed::All(listing) => self.replace_all(listing.records),
             Followed::Changed(changes) => changes.changes.into_iter().for_each(|change| self.take_change(change)),
@@ -150,14 +179,15 @@
     }
 
     fn replace_all(&mut self, records: Vec<Record>) {
-        let before = std::mem::take(&mut self.workers);
+        let registered: BTreeSet<&str> = records.iter().filter_map(|record| node_of_key(&record.key)).collect();
+        let given_up = self.workers.note_all(self.now(), &registered);
         let present: BTreeSet<&str> = records.iter().filter_map(|record| job_of_key(&record.key)).collect();
         let missing: Vec<String> = self.jobs.keys().filter(|job| !present.contains(job.as_str())).cloned().collect();
         for job in missing {
             self.drop_job(&job, LeaveReason::RecordGone);
         }
         records.into_iter().for_each(|record| self.note_record(record));
-        if before != self.workers {
+        if given_up {
             self.log_workers();
         }
     }
@@ -165,7 +195,7 @@
     fn note_record(&mut self, record: Record) {
         if let Some(node) = node_of_key(&record.key) {
             let is_worker = NodeRecord::read(&record.value).is_some_and(|node| node.role == NodeRole::Worker);
-            if is_worker && self.workers.insert(node.to_owned()) {
+            if is_worker && self.workers.note_registered(node) {
                 self.log_workers();
             }
         }
@@ -184,7 +214,7 @@
 
     fn note_removed(&mut self, key: &str) {
         if let Some(node) = node_of_key(key) {
-            if self.workers.remove(node) {
+            if self.workers.note_missing(self.now(), node) {
                 self.log_workers();
             }
         }
@@ -201,8 +231,8 @@
     }
 
     fn log_workers(&self) {
-        self.context.set_worker_count(self.workers.len());
-        let workers = self.workers.iter().map(String::as_str).collect::<Vec<_>>().join(",");
+        self.context.set_worker_count(self.workers.names().len());
+        let workers = self.workers.names().iter().map(String::as_str).collect::<Vec<_>>().join(",");
         emit("", &Event::WorkersChanged { workers: &workers });
     }
 
@@ -211,7 +241,7 @@
     fn expire(&self) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         for (job, record, revision) in self.closed.due(now.as_millis() as u64, self.keep) {
-            if owner_of(&job, &record.assigned, &self.workers) != Some(self.name.as_str()) {
+            if owner_of(&job, &record.assigned, self.workers.names()) != Some(self.name.as_str()) {
                 continue;
             }
             let store = self.context.store.clone();
@@ -227,7 +257,7 @@
     fn act(&mut self) {
         let mut elsewhere = HashMap::new();
         for (name, job) in &mut self.jobs {
-            let owner = owner_of(name, &job.record.assigned, &self.workers);
+            let owner = owner_of(name, &job.record.assigned, self.workers.names());
             let ours = owner == Some(self.name.as_str());
             if let Some(owner) = owner.filter(|_| !ours) {
                 elsewhere.insert(name.clone(), owner.to_owned());
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -28,6 +28,13 @@
     Regained(Duration),
 }
 
+impl Followed {
+    /// Whether nothing is heard of changes.
+    pub fn is_loss(&self) -> bool {
+        matches!(self, Followed::Lost(_) | Followed::StillLost)
+    }
+}
+
 /// What a source told of a prefix.
 pub(crate) enum Told {
     Listing(Listing),
