Count calls to the store by kind; log nodes and workers that come together once

Cause: at the start or restart of 295 nodes each logged a line for each other one (87,000 lines in all) and each worker the names of all workers at each change; that is processor time just when all restart. Change: NodesSeen (was NodeSeen) tells how many came together; the workers' names are logged once for all changes that came together. Metric latchwheel_store_calls by kind and outcome, held_back among them.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -378,12 +378,16 @@
         /// Their names.
         workers: &'a str
     };
-    /// Another node is registered.
-    NodeSeen = 8221, Essential {
-        /// Its name.
+    /// Further nodes are registered, or registered at other addresses.
+    NodesSeen = 8221, Essential {
+        /// Number of these.
+        added: usize,
+        /// Name of one of them.
         peer: &'a str,
         /// Its address.
-        address: &'a str
+        address: &'a str,
+        /// All other nodes that are known now.
+        known: usize
     };
     /// Another node's registration is gone.
     NodeGone = 8222, Essential {
--- a/crates/events/src/metrics.rs
+++ b/crates/events/src/metrics.rs
@@ -41,6 +41,12 @@
     code: u32,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StoreCall {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
 fn seconds() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
 }
@@ -63,6 +69,7 @@
     dependency_up: ByName<Gauge>,
     server_load: ByName<Gauge<f64, AtomicU64>>,
     table_version: Gauge,
+    store_calls: Family<StoreCall, Counter>,
     lines_dropped: Counter,
 }
 
@@ -99,6 +106,8 @@
         registry.register("server_load", "Requests believed to run or wait at a server", server_load.clone());
         let table_version = Gauge::default();
         registry.register("table_version", "Version of the routing table in force", table_version.clone());
+        let store_calls = Family::default();
+        registry.register("store_calls", "Calls to the record store, by kind and outcome", store_calls.clone());
         let lines_dropped = Counter::default();
         registry.register("lines_dropped", "Lines of the log that were dropped", lines_dropped.clone());
         Self {
@@ -116,6 +125,7 @@
             dependency_up,
             server_load,
             table_version,
+            store_calls,
             lines_dropped,
         }
     }
@@ -172,6 +182,11 @@
     }
 }
 
+/// Counts a call to the record store, or one that was held back.
+pub fn note_store_call(kind: &'static str, outcome: &'static str) {
+    metrics().store_calls.get_or_create(&StoreCall { kind, outcome }).inc();
+}
+
 /// Counts lines of the log that were dropped.
 pub(crate) fn note_dropped(lines: u64) {
     metrics().lines_dropped.inc_by(lines);
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -210,38 +210,45 @@
     /// A node whose registration vanished is forgotten; one that vanished in
     /// an outage of the store registers itself anew.
     fn take(&self, followed: Followed) {
-        match followed {
-            Followed::All(listing) => listing.records.iter().for_each(|record| self.note(record)),
-            Followed::Changed(changes) => changes.changes.iter().for_each(|change| self.take_change(change)),
+        let seen: Vec<(String, SocketAddr)> = match followed {
+            Followed::All(listing) => listing.records.iter().filter_map(|record| self.note(record)).collect(),
+            Followed::Changed(changes) => {
+                changes.changes.iter().filter_map(|change| self.take_change(change)).collect()
+            }
             Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => return,
+        };
+        // One line for all that came together: after a restart of every node
+        // a line for each would be as many lines as nodes at each node.
+        if let Some((peer, address)) = seen.first() {
+            let (address, known) = (address.to_string(), self.nodes.count());
+            emit("", &Event::NodesSeen { added: seen.len(), peer, address: &address, known });
         }
         (self.workers_changed)(&self.nodes.worker_names());
         self.contact.set_nodes(self.nodes.count() + 1);
     }
 
-    fn take_change(&self, change: &Change) {
+    /// Gives back a node that is news.
+    fn take_change(&self, change: &Change) -> Option<(String, SocketAddr)> {
         match change {
             Change::Written(record) => self.note(record),
             Change::Removed { key, .. } => {
-                if let Some(node) = node_of_key(key) {
-                    self.peers.remove(node);
-                    self.nodes.remove(node);
-                    emit("", &Event::NodeGone { peer: node });
-                }
+                let node = node_of_key(key)?;
+                self.peers.remove(node);
+                self.nodes.remove(node);
+                emit("", &Event::NodeGone { peer: node });
+                None
             }
         }
     }
 
-    fn note(&self, record: &Record) {
-        let Some(node) = node_of_key(&record.key) else { return };
-        let Some(present) = NodeRecord::read(&record.value) else { return };
-        let Ok(address) = present.address.parse() else { return };
-        if node != self.own {
-            let defers = present.role == NodeRole::Worker;
-            self.peers.put(node, Peer { address, aggregates: present.is_upstream, defers });
-            if self.nodes.put(node, present.role, address) {
-                emit("", &Event::NodeSeen { peer: node, address: &present.address });
-            }
-        }
+    /// Gives back the node if it is news.
+    fn note(&self, record: &Record) -> Option<(String, SocketAddr)> {
+        let node = node_of_key(&record.key).filter(|node| *node != self.own)?;
+        let present = NodeRecord::read(&record.value)?;
+        let address = present.address.parse().ok()?;
+        let defers = present.role == NodeRole::Worker;
+        self.peers.put(node, Peer { address, aggregates: present.is_upstream, defers });
+        let news = self.nodes.put(node, present.role, address);
+        news.then(|| (node.to_owned(), address))
     }
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -92,6 +92,7 @@
     context: Arc<WorkerContext<S, D>>,
     name: String,
     workers: LiveWorkers,
+    workers_changed: bool,
     jobs: HashMap<String, Job>,
     closed: ClosedJobs,
     keep: Duration,
@@ -112,6 +113,7 @@
         context,
         name,
         workers: LiveWorkers::default(),
+        workers_changed: false,
         jobs: HashMap::new(),
         closed: ClosedJobs::default(),
         keep,
@@ -152,9 +154,7 @@
     }
 
     fn tick(&mut self) {
-        if self.workers.tick(self.now()) {
-            self.log_workers();
-        }
+        self.workers_changed |= self.workers.tick(self.now());
     }
 
     fn now(&self) -> latchwheel_core::time::Instant {
@@ -180,23 +180,20 @@
 
     fn replace_all(&mut self, records: Vec<Record>) {
         let registered: BTreeSet<&str> = records.iter().filter_map(|record| node_of_key(&record.key)).collect();
-        let given_up = self.workers.note_all(self.now(), &registered);
+        self.workers_changed |= self.workers.note_all(self.now(), &registered);
         let present: BTreeSet<&str> = records.iter().filter_map(|record| job_of_key(&record.key)).collect();
         let missing: Vec<String> = self.jobs.keys().filter(|job| !present.contains(job.as_str())).cloned().collect();
         for job in missing {
             self.drop_job(&job, LeaveReason::RecordGone);
         }
         records.into_iter().for_each(|record| self.note_record(record));
-        if given_up {
-            self.log_workers();
-        }
     }
 
     fn note_record(&mut self, record: Record) {
         if let Some(node) = node_of_key(&record.key) {
             let is_worker = NodeRecord::read(&record.value).is_some_and(|node| node.role == NodeRole::Worker);
-            if is_worker && self.workers.note_registered(node) {
-                self.log_workers();
+            if is_worker {
+                self.workers_changed |= self.workers.note_registered(node);
             }
         }
         let Some(job) = job_of_key(&record.key) else { return };
@@ -214,9 +211,7 @@
 
     fn note_removed(&mut self, key: &str) {
         if let Some(node) = node_of_key(key) {
-            if self.workers.note_missing(self.now(), node) {
-                self.log_workers();
-            }
+            self.workers_changed |= self.workers.note_missing(self.now(), node);
         }
         if let Some(job) = job_of_key(key) {
             self.closed.forget(job);
@@ -230,7 +225,11 @@
         }
     }
 
-    fn log_workers(&self) {
+    /// Tells of all changes of the workers that came together.
+    fn log_workers(&mut self) {
+        if !std::mem::take(&mut self.workers_changed) {
+            return;
+        }
         self.context.set_worker_count(self.workers.names().len());
         let workers = self.workers.names().iter().map(String::as_str).collect::<Vec<_>>().join(",");
         emit("", &Event::WorkersChanged { workers: &workers });
@@ -255,6 +254,7 @@
 
     /// Starts the jobs that fall to this worker, and leaves the others.
     fn act(&mut self) {
+        self.log_workers();
         let mut elsewhere = HashMap::new();
         for (name, job) in &mut self.jobs {
             let owner = owner_of(name, &job.record.assigned, self.workers.names());
--- a/crates/records/src/guarded_store.rs
+++ b/crates/records/src/guarded_store.rs
@@ -5,10 +5,15 @@
 //! breaker holds back fails as one that the store refused: nothing was done.
 
 use crate::{Changes, Committed, Contact, Listing, Record, RecordStore, RecordsFault, Transaction};
+use latchwheel_events::note_store_call;
 use std::future::Future;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Outcomes of calls in the metrics, beside the words of faults.
+const DONE: &str = "done";
+const HELD_BACK: &str = "held_back";
+
 /// A record store behind a circuit breaker.
 #[derive(Debug)]
 pub struct GuardedStore<S> {
@@ -22,12 +27,15 @@
         Self { store, contact }
     }
 
-    async fn call<T>(&self, call: impl Future<Output = Result<T, RecordsFault>>) -> Result<T, RecordsFault> {
-        if !self.contact.may_call() {
-            return Err(RecordsFault::Refused);
-        }
+    async fn call<T>(
+        &self,
+        kind: &'static str,
+        call: impl Future<Output = Result<T, RecordsFault>>,
+    ) -> Result<T, RecordsFault> {
+        self.check_in(kind)?;
         let sent_at = Instant::now();
         let outcome = call.await;
+        count(kind, &outcome);
         match &outcome {
             Err(fault) if !fault.shows_contact() => self.contact.note_failure(sent_at),
             _ => self.contact.note_answer(sent_at),
@@ -36,21 +44,35 @@
     }
 }
 
+impl<S> GuardedStore<S> {
+    /// Fails if the call is held back.
+    fn check_in(&self, kind: &'static str) -> Result<(), RecordsFault> {
+        if self.contact.may_call() {
+            return Ok(());
+        }
+        note_store_call(kind, HELD_BACK);
+        Err(RecordsFault::Refused)
+    }
+}
+
+fn count<T>(kind: &'static str, outcome: &Result<T, RecordsFault>) {
+    note_store_call(kind, outcome.as_ref().err().map_or(DONE, |fault| fault.word()));
+}
+
 impl<S: RecordStore> RecordStore for GuardedStore<S> {
     async fn get(&self, key: &str) -> Result<Option<Record>, RecordsFault> {
-        self.call(self.store.get(key)).await
+        self.call("get", self.store.get(key)).await
     }
 
     async fn list_after(&self, prefix: &str, after: &str) -> Result<Listing, RecordsFault> {
-        self.call(self.store.list_after(prefix, after)).await
+        self.call("list", self.store.list_after(prefix, after)).await
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, RecordsFault> {
-        if !self.contact.may_call() {
-            return Err(RecordsFault::Refused);
-        }
+        self.check_in("watch")?;
         let sent_at = Instant::now();
         let outcome = self.store.watch(prefix, after, wait).await;
+        count("watch", &outcome);
         match &outcome {
             Ok(_) => self.contact.note_held(sent_at),
             Err(fault) if fault.shows_contact() => self.contact.note_answer(sent_at),
@@ -61,15 +83,15 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Committed, RecordsFault> {
-        self.call(self.store.commit(transaction)).await
+        self.call("commit", self.store.commit(transaction)).await
     }
 
     async fn grant(&self, length: Duration) -> Result<u64, RecordsFault> {
-        self.call(self.store.grant(length)).await
+        self.call("grant", self.store.grant(length)).await
     }
 
     async fn renew(&self, lease: u64) -> Result<bool, RecordsFault> {
-        self.call(self.store.renew(lease)).await
+        self.call("renew", self.store.renew(lease)).await
     }
 
     fn value_limit(&self) -> usize {
