Work per request does not grow with nodes or servers squared

Cause, by reading: each request for room hashed the names of all known nodes twice under a lock; the choice of a server counted all servers again for each server while one was avoided, and hashed each server's name for each prefix. Change: peers keep the nodes with deferrable work by their hash; the count is taken once; a server's hash is kept. Tests: dispatch and peers as they were.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -174,8 +174,10 @@
         let home = key.and_then(|key| self.home_of(ask.service, key));
         let mut best: Option<(f64, f64, Placement)> = None;
         let mut soonest = f64::INFINITY;
+        // Where all others were asked before, one of them is asked again.
+        let avoids = !ask.avoid.is_empty() && self.ready_count(ask.service) > ask.avoid.len();
         for (id, server) in self.of_service(ask.service) {
-            if ask.avoid.contains(id) && self.ready_count(ask.service) > ask.avoid.len() {
+            if avoids && ask.avoid.contains(id) {
                 continue;
             }
             let view = self.view(now, server);
@@ -369,8 +371,8 @@
 
     /// The server where prompts with this prefix are kept.
     fn home_of(&self, service: &str, key: u64) -> Option<Arc<str>> {
-        let weight = |id: &Arc<str>| stable_pair_hash(stable_hash(id.as_bytes()), key);
-        self.of_service(service).map(|(id, _)| id).max_by_key(|id| weight(id)).cloned()
+        let home = self.of_service(service).max_by_key(|(_, server)| stable_pair_hash(server.id_hash, key));
+        home.map(|(id, _)| id.clone())
     }
 }
 
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -5,7 +5,7 @@
 use super::peers::{PeerShare, ServerKey, ServerShare};
 use super::{Ask, Crowding, Ending, Placement};
 use crate::directory::ServerRecord;
-use crate::identity::{stable_pair_hash, HashKeyMap};
+use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
 use crate::time::Instant;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -82,6 +82,8 @@
     /// Whether this node runs deferrable work there first.
     pub(super) held: bool,
     pub(super) key: ServerKey,
+    /// Hash of its identity, for the homes of prefixes.
+    pub(super) id_hash: u64,
     slots: u32,
     own: u32,
     own_deferrable: u32,
@@ -223,6 +225,7 @@
             ready: true,
             held: true,
             key: ServerKey::of(&record.id),
+            id_hash: stable_hash(record.id.as_bytes()),
             slots: record.slots.max(1),
             own: 0,
             own_deferrable: 0,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -55,42 +55,56 @@
 /// The other nodes.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    known: Arc<Mutex<HashMap<String, Peer>>>,
+    known: Arc<Mutex<KnownPeers>>,
+}
+
+#[derive(Debug, Default)]
+struct KnownPeers {
+    by_name: HashMap<String, Peer>,
+    /// Addresses of those that run deferrable work.
+    deferring: HashMap<NodeId, SocketAddr>,
 }
 
 impl Peers {
     /// A node is reached so.
     pub fn put(&self, node: &str, peer: Peer) {
-        self.lock().insert(node.to_owned(), peer);
+        let mut known = self.lock();
+        known.by_name.insert(node.to_owned(), peer);
+        if peer.defers {
+            known.deferring.insert(NodeId::of_name(node), peer.address);
+        } else {
+            known.deferring.remove(&NodeId::of_name(node));
+        }
     }
 
     /// A node is gone.
     pub fn remove(&self, node: &str) {
-        self.lock().remove(node);
+        let mut known = self.lock();
+        known.by_name.remove(node);
+        known.deferring.remove(&NodeId::of_name(node));
     }
 
     /// Puts all nodes but one into another list.
     pub fn copy_to(&self, other: &Peers, but: &str) {
         let known = self.lock();
-        known.iter().filter(|(name, _)| *name != but).for_each(|(name, peer)| other.put(name, *peer));
+        known.by_name.iter().filter(|(name, _)| *name != but).for_each(|(name, peer)| other.put(name, *peer));
     }
 
-    /// Nodes whose deferrable work runs at a server first.
+    /// Nodes whose deferrable work runs at a server first. What it costs grows
+    /// with the nodes that run such work only.
     fn holders(&self, server: ServerKey) -> Vec<SocketAddr> {
         let known = self.lock();
-        let workers = known.iter().filter(|(_, peer)| peer.defers).map(|(name, _)| NodeId::of_name(name));
-        let holders = holders_of(server, workers);
-        let addresses = known.iter().filter(|(name, _)| holders.contains(&NodeId::of_name(name)));
-        addresses.map(|(_, peer)| peer.address).collect()
+        let holders = holders_of(server, known.deferring.keys().copied());
+        holders.iter().filter_map(|holder| known.deferring.get(holder)).copied().collect()
     }
 
     fn all(&self) -> Vec<Peer> {
-        let mut all: Vec<Peer> = self.lock().values().copied().collect();
+        let mut all: Vec<Peer> = self.lock().by_name.values().copied().collect();
         all.sort_unstable_by_key(|peer| peer.address);
         all
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Peer>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, KnownPeers> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
