Fewer calls to the store at its return, at starts and in calm times

At a start every node polled an upstream each 80 ms until that had its first lists. Change: after the return a node gives its upstreams 0.6 s before it lists by itself; polls at a start rest at the upstream; a registration that fails pauses up to half of its renewal time; fronts' leases are 60 s (nothing waits for their end) and workers renew each 1.3 s of 4.5: what their upstream tells shows as well how old their knowledge is (Contact::age), so that renewals need not. Tests: records (contact, follow), core record_source, jobs.

--- a/crates/core/src/circuit_breaker.rs
+++ b/crates/core/src/circuit_breaker.rs
@@ -119,16 +119,16 @@
         }
     }
 
-    /// An upstream tells that the store answers it, or another node: the next
-    /// call is made.
-    pub fn note_told_answering(&mut self, now: Instant) {
+    /// An upstream tells that the store answers it, or another node. If that is
+    /// news, the next call is made; tells whether calls were held back until now.
+    pub fn note_told_answering(&mut self, now: Instant) -> bool {
         let news = self.elsewhere != Elsewhere::Answering;
         self.elsewhere = Elsewhere::Answering;
-        if let State::Open { next_probe, .. } = self.state {
-            if news {
-                self.state = State::Open { next_probe: next_probe.min(now), failed_probes: 0 };
-            }
+        let State::Open { next_probe, .. } = self.state else { return false };
+        if news {
+            self.state = State::Open { next_probe: next_probe.min(now), failed_probes: 0 };
         }
+        news
     }
 
     fn open(&mut self, now: Instant, draw: f64) {
--- a/crates/core/src/record_source.rs
+++ b/crates/core/src/record_source.rs
@@ -112,6 +112,8 @@
     pub fn poll_wait(&self) -> PollWait {
         match (self.source, self.failures) {
             (RecordSource::Upstream, 0) => PollWait::News,
+            // An upstream that starts too answers once it has its first lists.
+            (RecordSource::Undecided, failures) if failures > 0 => PollWait::Soundness,
             (RecordSource::Store, failures) if failures as usize >= self.upstreams => PollWait::Soundness,
             _ => PollWait::Nothing,
         }
@@ -136,10 +138,10 @@
     /// An upstream gave no answer. Gives back the pause before the next poll.
     pub fn note_failure(&mut self, now: Instant) -> Duration {
         self.turn = (self.turn + 1) % self.upstreams.max(1);
+        self.failures = self.failures.saturating_add(1);
         if self.source == RecordSource::Undecided && now.since(self.started) < START_PATIENCE {
             return START_PAUSE;
         }
-        self.failures = self.failures.saturating_add(1);
         let others = self.upstreams > 1;
         if self.source == RecordSource::Upstream && others && self.failures < FAILURES_BEFORE_STORE {
             return Duration::ZERO;
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -17,14 +17,15 @@
 /// Least time between two looks at the registrations.
 const FOLLOW_PACE: Duration = Duration::from_millis(1500);
 
-/// Lease of a node whose end others wait for, and the time between renewals.
+/// Lease of a node whose end others wait for, and the time between renewals:
+/// two may be lost, and a third be late.
 const SHORT_LEASE: Duration = Duration::from_millis(4500);
-const SHORT_RENEWAL: Duration = Duration::from_millis(700);
+const SHORT_RENEWAL: Duration = Duration::from_millis(1300);
 /// Time between renewals of a node by which others judge the store.
 const UPSTREAM_RENEWAL: Duration = Duration::from_millis(400);
 /// Lease of any other node, and the time between renewals.
-const LONG_LEASE: Duration = Duration::from_secs(15);
-const LONG_RENEWAL: Duration = Duration::from_secs(5);
+const LONG_LEASE: Duration = Duration::from_secs(60);
+const LONG_RENEWAL: Duration = Duration::from_secs(20);
 
 /// What a node told of itself lately, if it was heard: the runs that wait there.
 type Hears = Arc<dyn Fn(&str) -> Option<u32> + Send + Sync>;
@@ -158,7 +159,7 @@
         let hearing = shared.clone();
         let hears = move |node: &str| hearing.dispatcher().waiting_at(hearing.clock.now(), NodeId::of_name(node));
         let nodes = Nodes::new(hears);
-        let registration = tokio::spawn(keep_registered(store.clone(), own.registration()));
+        let registration = tokio::spawn(keep_registered(store.clone(), contact.clone(), own.registration()));
         let name = own.name.clone();
         let (sharing, own_id) = (shared.clone(), NodeId::of_name(&name));
         let runs_items = own.record.role == NodeRole::Worker;
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -19,7 +19,8 @@
 /// Time that a worker lets pass before it lists results of a job that another
 /// worker may have shown: more than [`CONTACT_LIMIT`] and the delay of a watch.
 pub(crate) const TAKEOVER_GRACE: Duration = Duration::from_millis(2500);
-/// The store must have answered within this time.
+/// The store must have answered this worker, or the upstream that it follows the
+/// jobs through, within this time.
 const CONTACT_LIMIT: Duration = Duration::from_millis(1200);
 /// A part whose writing takes longer may be in the store already.
 const WRITING_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/jobs/src/queue_gate.rs
+++ b/crates/jobs/src/queue_gate.rs
@@ -7,11 +7,6 @@
 use latchwheel_proxy::{Dialect, Shared};
 use latchwheel_records::Contact;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
-
-/// A store that was not known to answer for this time counts as away: some nodes
-/// call it only every five seconds.
-const AWAY_AFTER: Duration = Duration::from_secs(6);
 
 /// What decided on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,7 +100,7 @@
     }
 
     fn is_store_away(&self) -> bool {
-        !self.contact.outage().is_zero() || self.contact.age().is_none_or(|age| age > AWAY_AFTER)
+        self.contact.answering_for().is_none()
     }
 
     fn lock(&self) -> MutexGuard<'_, PendingJobs> {
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ToldContact {
     heard: Instant,
+    /// When the store was last known to answer the upstream.
+    answered: Instant,
     answering_since: Instant,
 }
 
@@ -37,6 +39,8 @@
 const UNOBSERVED_LIMIT: Duration = Duration::from_secs(1);
 /// Time for which an upstream's word counts.
 const TOLD_LIFE: Duration = Duration::from_secs(2);
+/// Time for which an own answer counts: a watch is held for four seconds.
+const OWN_LIFE: Duration = Duration::from_secs(5);
 
 impl State {
     /// The store was there from `start` to `end`.
@@ -145,16 +149,16 @@
         state.breaker.note_failure(now, due_at, rand::random());
     }
 
-    /// An upstream that can be relied on has had answers for that time.
-    pub fn note_told(&self, answering_for: Duration) {
+    /// The store answered an upstream that can be relied on so long ago, and has
+    /// answered it for that time.
+    pub fn note_told(&self, age: Duration, answering_for: Duration) {
         let heard = Instant::now();
-        let answering_since = heard.checked_sub(answering_for).unwrap_or(heard);
+        let before = |time: Duration| heard.checked_sub(time).unwrap_or(heard);
         let mut state = self.lock();
-        state.told = Some(ToldContact { heard, answering_since });
-        let was_open = state.breaker.is_open();
-        state.breaker.note_told_answering(self.core_time(heard));
+        state.told = Some(ToldContact { heard, answered: before(age), answering_since: before(answering_for) });
+        let was_held_back = state.breaker.note_told_answering(self.core_time(heard));
         drop(state);
-        if was_open {
+        if was_held_back {
             self.note_regained();
         }
     }
@@ -170,11 +174,20 @@
         }
     }
 
-    /// Time since the store was last known to answer; `None` if it never did.
-    pub fn age(&self) -> Option<Duration> {
+    /// Time since the store was last known to answer this process; `None` if it
+    /// never did.
+    pub fn own_age(&self) -> Option<Duration> {
         self.lock().answered.map(|at| at.elapsed())
     }
 
+    /// Time since the store was last known to answer this process or an upstream
+    /// that told of it; `None` if it never did. What this process follows is as
+    /// old as that at most.
+    pub fn age(&self) -> Option<Duration> {
+        let state = self.lock();
+        state.answered.max(state.told.map(|told| told.answered)).map(|at| at.elapsed())
+    }
+
     /// Time since which calls fail; zero if they don't.
     pub fn outage(&self) -> Duration {
         self.lock().failing_since.map(|since| since.elapsed()).unwrap_or_default()
@@ -185,7 +198,8 @@
     /// answer now.
     pub fn answering_for(&self) -> Option<Duration> {
         let state = self.lock();
-        let own = state.answering_since.filter(|_| state.failing_since.is_none());
+        let answers_here = state.heard.is_some_and(|heard| heard.elapsed() <= OWN_LIFE);
+        let own = state.answering_since.filter(|_| answers_here && state.failing_since.is_none());
         let told = state.told.filter(|told| told.heard.elapsed() <= TOLD_LIFE).map(|told| told.answering_since);
         [own, told].into_iter().flatten().min().map(|since| since.elapsed())
     }
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -44,13 +44,14 @@
 
 /// Follows a prefix of the store for ever; `take` is told what it says.
 /// Between two watches at least `pace` passes, so that frequent changes come
-/// together. After a failure the store is asked again once it is known to
-/// answer, and after a pause anyway.
+/// together. After a failure the store is asked again once it has been known to
+/// answer for `patience`, and after a pause anyway.
 pub(crate) async fn follow_store<S: RecordStore>(
     store: &S,
     contact: &Contact,
     prefix: &str,
     pace: Duration,
+    patience: Duration,
     mut take: impl FnMut(Told) + Send,
 ) {
     let mut failures = 0;
@@ -71,7 +72,7 @@
         }
         take(Told::Failed(fault));
         tokio::select! {
-            () = contact.regained() => {}
+            () = contact.regained() => tokio::time::sleep(patience).await,
             () = tokio::time::sleep(doubled_pause(FIRST_PAUSE, LONGEST_PAUSE, failures)) => {}
         }
         failures += 1;
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -1,12 +1,14 @@
 //! Registration of this process in the store, under a lease.
 
-use crate::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use crate::{Committed, Contact, RecordStore, RecordsFault, Transaction, Write};
 use bytes::Bytes;
+use latchwheel_core::retry::doubled_pause;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Pause before the store is asked again.
+/// Pause before the store is asked again, doubled at each failure in a row up to
+/// half of the time between renewals: whose lease is long is in no hurry.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time in which a registration must be taken back.
@@ -28,8 +30,10 @@
 
 /// Keeps a record in the store for as long as the process lives; never
 /// completes. A lease that ended is taken anew.
-pub async fn keep_registered<S: RecordStore>(store: Arc<S>, registration: Registration) {
+pub async fn keep_registered<S: RecordStore>(store: Arc<S>, contact: Contact, registration: Registration) {
+    let longest_pause = (registration.renew_every / 2).max(STORE_PAUSE);
     let mut lease = None;
+    let mut failures = 0;
     loop {
         let sent_at = Instant::now();
         let registered = match lease {
@@ -39,10 +43,17 @@
         match registered {
             Ok(Some(present)) => {
                 lease = Some(present);
+                failures = 0;
                 tokio::time::sleep_until(sent_at + registration.renew_every).await;
             }
             Ok(None) => lease = None,
-            Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+            Err(_) => {
+                tokio::select! {
+                    () = contact.regained() => {}
+                    () = tokio::time::sleep(doubled_pause(STORE_PAUSE, longest_pause, failures)) => {}
+                }
+                failures += 1;
+            }
         }
     }
 }
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -36,6 +36,10 @@
 const POLL_PACE: Duration = Duration::from_millis(100);
 /// Pace of a prefix that is followed because another node asked for it.
 const ASKED_PACE: Duration = Duration::from_millis(450);
+/// Time after the store's return in which a node waits for an upstream that
+/// knows all again, before it lists everything by itself: such a node probes each
+/// 250 ms, lists, and answers the polls that rest there.
+const RETURN_PATIENCE: Duration = Duration::from_millis(600);
 /// Most prefixes that are followed because another node asked.
 const ASKED_LIMIT: usize = 8;
 /// Bounds on a poll.
@@ -215,7 +219,7 @@
         let unfollowed = asked_for.iter().flatten().filter_map(|entry| entry.lost_since).min();
         let unfollowed = unfollowed.map(|since| since.elapsed()).unwrap_or_default();
         UpstreamState {
-            age: self.contact.age().unwrap_or(Duration::MAX),
+            age: self.contact.own_age().unwrap_or(Duration::MAX),
             outage: self.contact.outage().max(unfollowed),
             complete: asked_for.iter().all(|entry| entry.is_some_and(|entry| entry.cached.is_known())),
         }
@@ -247,13 +251,14 @@
     /// Watches the store for a prefix whenever the store is the source.
     async fn watch_store(self: Arc<Self>, prefix: String, pace: Duration) {
         let mut source = self.source.subscribe();
+        let patience = if self.upstreams.is_empty() { Duration::ZERO } else { RETURN_PATIENCE };
         loop {
             if source.wait_for(|source| *source == RecordSource::Store).await.is_err() {
                 return;
             }
             let take = |told: Told| self.take(&prefix, told);
             tokio::select! {
-                () = follow_store(&*self.store, &self.contact, &prefix, pace, take) => {}
+                () = follow_store(&*self.store, &self.contact, &prefix, pace, patience, take) => {}
                 _ = source.wait_for(|source| *source != RecordSource::Store) => {}
             }
         }
@@ -326,7 +331,7 @@
         };
         let sound = state.is_sound();
         if sound {
-            self.contact.note_told(Duration::from_millis(u64::from(answer.answering_ms)));
+            self.contact.note_told(state.age, Duration::from_millis(u64::from(answer.answering_ms)));
         }
         for told in answer.prefixes {
             if sound || !self.knows(&told.prefix) {
