--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -144,6 +144,17 @@
         /// Identity of the server.
         server: &'a str
     };
+    /// Many servers changed together, as at a start: their number by change.
+    ServersChanged = 8035, Essential {
+        /// Servers that take work.
+        ready: usize,
+        /// Servers that take no new work.
+        draining: usize,
+        /// Servers whose registration is gone.
+        gone: usize,
+        /// Servers whose registration vanished in an outage; they are kept for now.
+        unconfirmed: usize
+    };
     /// Readiness changed.
     Readiness = 8034, Essential {
         /// Whether the node is ready.
