Let requests wait a moment for the first list of servers after a start

A client that is told to come back in 250 ms meets another node that starts. Ruled out: a longer time to come back (a single node that starts again is ready in 0.1 s, and another one is ready at once); slow upstreams (they listed 0.01 s after their start, the last of them 0.43 s after the first machine). Change: within 1.2 s of the start a request waits up to 0.8 s; its time counts from its arrival. After that it is refused at once, as before.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -47,9 +47,13 @@
     pub(crate) asked: Vec<Arc<str>>,
 }
 
-/// Forwards a request to a server of its route and gives back the answer.
-pub async fn forward<D: Dialect>(shared: Arc<Shared<D>>, request: Request<Incoming>) -> Response<Body> {
-    let received = shared.clock.now();
+/// Forwards a request that was received at that time to a server of its route
+/// and gives back the answer.
+pub async fn forward<D: Dialect>(
+    shared: Arc<Shared<D>>,
+    request: Request<Incoming>,
+    received: Instant,
+) -> Response<Body> {
     let guard = shared.enter();
     let mut response = match accept(&shared, request, received).await {
         Ok(context) => run(context, guard).await,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,6 +8,30 @@
 use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Time after the start in which requests wait for the first list of servers:
+/// where 295 nodes start together all have it within 0.7 s; after that the record
+/// store is likely to be away.
+const START_TIME: Duration = Duration::from_millis(1200);
+/// Longest time that a request waits for it: whoever is told to come back later
+/// than that is no worse off.
+const LONGEST_START_WAIT: Duration = Duration::from_millis(800);
+
+/// Whether the process knows what it needs to serve.
+#[derive(Debug)]
+struct Start {
+    at: Instant,
+    known: watch::Sender<bool>,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Self { at: Instant::now(), known: watch::Sender::new(false) }
+    }
+}
 
 /// What all requests of a process share.
 #[derive(Debug)]
@@ -24,6 +48,7 @@
     refusing_streams: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
+    start: Start,
     /// Servers at which deferrable work of other nodes is to give way.
     pub(crate) room_asked: Handoff<ServerKey>,
     /// Servers at which other nodes ask this one's work to give way.
@@ -44,6 +69,7 @@
             refusing_streams: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
+            start: Start::default(),
             room_asked: Handoff::default(),
             room_wanted: Handoff::default(),
         })
@@ -66,6 +92,25 @@
         Some(previous)
     }
 
+    /// The servers are known from now on.
+    pub fn note_servers_known(&self) {
+        self.start.known.send_replace(true);
+    }
+
+    /// Waits a moment for the first list of servers where the process has just
+    /// started. A request that is refused then would only come again, to a node
+    /// that may start as well.
+    pub async fn wait_for_start(&self) {
+        let mut known = self.start.known.subscribe();
+        let end = self.start.at + START_TIME;
+        if *known.borrow() || Instant::now() >= end {
+            return;
+        }
+        let end = end.min(Instant::now() + LONGEST_START_WAIT);
+        // Whether it is known now shows in the table and the servers.
+        let _ = tokio::time::timeout_at(end, known.wait_for(|known| *known)).await;
+    }
+
     /// The dispatcher, for one decision.
     pub fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         lock(&self.dispatcher)
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -38,7 +38,10 @@
     let address = listener.local_addr().unwrap().to_string();
     let (stop, stopped) = watch::channel(false);
     let serving = shared.clone();
-    tokio::spawn(serve(listener, Version::Http1, stopped, move |request| forward(serving.clone(), request)));
+    tokio::spawn(serve(listener, Version::Http1, stopped, move |request| {
+        let received = serving.clock.now();
+        forward(serving.clone(), request, received)
+    }));
     Node { address, shared, _stop: stop }
 }
 
@@ -245,7 +248,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = watch::channel(false);
-        let handler = move |request| forward(shared.clone(), request);
+        let handler = move |request| {
+            let received = shared.clock.now();
+            forward(shared.clone(), request, received)
+        };
         tokio::spawn(serve_resting(listener, Version::Http1, stopped, move || rest, handler));
         let mut connection = tokio::net::TcpStream::connect(address).await.unwrap();
         let request = format!("GET /path/a HTTP/1.1\r\nhost: {HOST}\r\nt-id: 1\r\n\r\n");
