--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -10,14 +10,24 @@
 
 /// Calls that fail for less long are waiting calls that were cut: no lease of
 /// a live process runs out in that time.
-pub(crate) const SHORT_FAILURE: Duration = Duration::from_millis(300);
+const SHORT_FAILURE: Duration = Duration::from_millis(300);
+/// Time without a call in which an outage may have gone unnoticed. Nodes that
+/// others rely on renew their leases more often than that.
+const UNOBSERVED_LIMIT: Duration = Duration::from_secs(1);
+/// Time for which an upstream's word counts.
+const TOLD_LIFE: Duration = Duration::from_secs(2);
+/// Time for which an own answer counts: a watch is held for four seconds.
+const OWN_LIFE: Duration = Duration::from_secs(5);
 
 #[derive(Debug)]
 struct State {
     breaker: CircuitBreaker,
+    /// Until when the store is known to have been there: the sending of the last
+    /// call that it answered, or the end of a watch.
     answered: Option<Instant>,
     /// When the last answer came.
     heard: Option<Instant>,
+    /// Since when calls fail, if they do.
     failing_since: Option<Instant>,
     /// When the first call was sent that the store answered after its last
     /// outage.
@@ -28,20 +38,14 @@
 /// What an upstream told of its own contact with the store.
 #[derive(Clone, Copy, Debug)]
 struct ToldContact {
+    /// When it told this.
     heard: Instant,
     /// When the store was last known to answer the upstream.
     answered: Instant,
+    /// Since when it has answered the upstream without an outage.
     answering_since: Instant,
 }
 
-/// Time without a call in which an outage may have gone unnoticed. Nodes that
-/// others rely on renew their leases more often than that.
-const UNOBSERVED_LIMIT: Duration = Duration::from_secs(1);
-/// Time for which an upstream's word counts.
-const TOLD_LIFE: Duration = Duration::from_secs(2);
-/// Time for which an own answer counts: a watch is held for four seconds.
-const OWN_LIFE: Duration = Duration::from_secs(5);
-
 impl State {
     /// The store was there from `start` to `end`.
     fn note_span(&mut self, start: Instant, end: Instant) {
--- a/crates/records/src/guarded_store.rs
+++ b/crates/records/src/guarded_store.rs
@@ -42,9 +42,7 @@
         }
         outcome
     }
-}
 
-impl<S> GuardedStore<S> {
     /// Fails if the call is held back.
     fn check_in(&self, kind: &'static str) -> Result<(), RecordsFault> {
         if self.contact.may_call() {
