A worker that took a job over isn't sure of what is missing at first

A worker that takes a job over reads the list at once, while the former one may list its last results for up to two seconds; until its own first listing it told readers for sure that there was nothing. Change: during the takeover's grace a worker is not sure, and reads the list once more at its end; contact is its own again, with renewals each 0.7 s. Test: jobs/tests/results.rs, fails first.

--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -145,7 +145,7 @@
         };
         emit(&self.job, &Event::ListingFailed { job: &self.job, first, reason });
         if matches!(committed, Ok(Committed::Differs(_))) {
-            self.reload().await;
+            self.settled |= self.reload().await && self.context.shared.clock.now() >= self.lists_from;
             return;
         }
         let pause = doubled_pause(STORE_PAUSE, LONGEST_STORE_PAUSE, failures);
@@ -153,10 +153,12 @@
         self.listing = Some(Listing { items: ready, transaction, failures: failures + 1, outcome });
     }
 
-    /// Reads the list and the job's record anew.
-    async fn reload(&mut self) {
+    /// Reads the list and the job's record anew; tells whether the list was read.
+    pub(crate) async fn reload(&mut self) -> bool {
         let store = self.context.store.clone();
-        if let Ok(list) = ResultList::load(&*store, &self.job).await {
+        let list = ResultList::load(&*store, &self.job).await;
+        let read = list.is_ok();
+        if let Ok(list) = list {
             self.list = list;
             self.note_list();
             self.show_list();
@@ -167,10 +169,11 @@
                 self.revision = present.revision;
             }
         }
+        read
     }
 
     /// Shows the list as it is in the store to readers.
-    fn show_list(&self) {
+    pub(crate) fn show_list(&self) {
         let view = self.view();
         self.context.owned.update(&self.job, |shown| *shown = view);
     }
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -146,6 +146,8 @@
     pub(crate) taken_at: Instant,
     /// Results are listed from this time on.
     pub(crate) lists_from: Instant,
+    /// Whether no other worker can list any more.
+    pub(crate) settled: bool,
 }
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -160,7 +162,7 @@
         let positions = body.items.iter().enumerate().map(|(position, item)| (item.id.clone(), position)).collect();
         let count = body.items.len();
         let taken_at = context.shared.clock.now();
-        let lists_from = taken_at + grace_of(&context.name, &record, &list);
+        let grace = grace_of(&context.name, &record, &list);
         let mut run = Self {
             context,
             job,
@@ -179,7 +181,8 @@
             listing: None,
             unlisted_since: None,
             taken_at,
-            lists_from,
+            lists_from: taken_at + grace,
+            settled: grace.is_zero(),
         };
         run.note_list();
         run.context.owned.show(&run.job, run.items.clone(), run.view());
@@ -201,6 +204,7 @@
                 }
                 JobOrder::Wind => {}
             }
+            self.settle().await;
             self.begin_listing();
             if self.listing.is_none() && self.listed.iter().all(|listed| *listed) {
                 return LeaveReason::Finished;
@@ -231,7 +235,22 @@
 
     /// What is shown to readers.
     pub(crate) fn view(&self) -> JobView {
-        JobView { total: self.items.len(), results: self.list.results.clone(), writing_since: None }
+        JobView {
+            total: self.items.len(),
+            results: self.list.results.clone(),
+            writing_since: None,
+            settled: self.settled,
+        }
+    }
+
+    /// After a takeover the list is read once more when the former worker can
+    /// list nothing any more; a store that is away is asked again at the next look.
+    async fn settle(&mut self) {
+        if self.settled || self.context.shared.clock.now() < self.lists_from {
+            return;
+        }
+        self.settled = self.reload().await;
+        self.show_list();
     }
 
     pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -18,9 +18,10 @@
 const FOLLOW_PACE: Duration = Duration::from_millis(1500);
 
 /// Lease of a node whose end others wait for, and the time between renewals:
-/// two may be lost, and a third be late.
+/// readers are told that there is no result yet only by a worker that the store
+/// answered within 1.2 s (`jobs::owned_jobs`).
 const SHORT_LEASE: Duration = Duration::from_millis(4500);
-const SHORT_RENEWAL: Duration = Duration::from_millis(1300);
+const SHORT_RENEWAL: Duration = Duration::from_millis(700);
 /// Time between renewals of a node by which others judge the store.
 const UPSTREAM_RENEWAL: Duration = Duration::from_millis(400);
 /// Lease of any other node, and the time between renewals.
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -5,7 +5,9 @@
 //! that there is nothing at a position only if it knows: it has heard from the
 //! store lately, and no part of the list is on its way with an unknown end.
 //! Another worker that takes the job over waits before it lists anything
-//! ([`TAKEOVER_GRACE`]); by then this one has heard of it or is silent.
+//! ([`TAKEOVER_GRACE`]); by then this one has heard of it or is silent. Until
+//! then it doesn't say for sure that there is nothing either, and then reads the
+//! list once more: this one may have listed its last results meanwhile.
 
 use crate::layout::{ItemBody, ListedResult};
 use crate::recent::Recent;
@@ -19,8 +21,9 @@
 /// Time that a worker lets pass before it lists results of a job that another
 /// worker may have shown: more than [`CONTACT_LIMIT`] and the delay of a watch.
 pub(crate) const TAKEOVER_GRACE: Duration = Duration::from_millis(2500);
-/// The store must have answered this worker, or the upstream that it follows the
-/// jobs through, within this time.
+/// The store must have answered this worker within this time. An upstream's word
+/// is not enough: it says nothing of this worker's own lease, after whose end
+/// another worker lists results.
 const CONTACT_LIMIT: Duration = Duration::from_millis(1200);
 /// A part whose writing takes longer may be in the store already.
 const WRITING_LIMIT: Duration = Duration::from_millis(400);
@@ -36,6 +39,9 @@
     pub(crate) results: Vec<Arc<ListedResult>>,
     /// Since when a part is being written.
     pub(crate) writing_since: Option<Instant>,
+    /// Whether no other worker can have listed more: one that the job was taken
+    /// over from may list what it has a moment later.
+    pub(crate) settled: bool,
 }
 
 impl JobView {
@@ -141,8 +147,8 @@
 
     /// Whether nothing can be listed that the view doesn't show.
     fn is_sure(&self, view: &JobView) -> bool {
-        let hears = self.contact.age().is_some_and(|age| age <= CONTACT_LIMIT);
-        hears && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
+        let hears = self.contact.own_age().is_some_and(|age| age <= CONTACT_LIMIT);
+        hears && view.settled && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
     }
 
     /// Body of an item, in base64; `None` if this worker doesn't run the job.
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -181,6 +181,25 @@
     assert!(started.elapsed() >= Duration::from_millis(2400), "{:?}", started.elapsed());
 }
 
+/// The former worker may list its last results after another has taken the job
+/// over and read the list: that one doesn't hide them.
+#[tokio::test]
+async fn a_takeover_hides_nothing_that_the_former_worker_listed_last() {
+    let server = TestServer::start("server", vec![Act::Silence; 8]).await;
+    let store = MemoryStore::default();
+    take(&desk(&store, "former", nowhere().await), JOB, 2).await;
+    let worker = start_worker(&store, &server, "worker").await;
+    while server.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    write_part(&store, 0, "item-1").await;
+    let reader = desk(&store, "worker", worker.address);
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        assert_eq!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
+    }
+}
+
 /// Workers that join take no job from the one that runs it.
 #[tokio::test]
 async fn a_worker_that_joins_takes_no_job_from_another() {
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -40,8 +40,6 @@
 struct ToldContact {
     /// When it told this.
     heard: Instant,
-    /// When the store was last known to answer the upstream.
-    answered: Instant,
     /// Since when it has answered the upstream without an outage.
     answering_since: Instant,
 }
@@ -153,13 +151,12 @@
         state.breaker.note_failure(now, due_at, rand::random());
     }
 
-    /// The store answered an upstream that can be relied on so long ago, and has
-    /// answered it for that time.
-    pub fn note_told(&self, age: Duration, answering_for: Duration) {
+    /// The store has answered an upstream that can be relied on for that time.
+    pub fn note_told(&self, answering_for: Duration) {
         let heard = Instant::now();
-        let before = |time: Duration| heard.checked_sub(time).unwrap_or(heard);
+        let answering_since = heard.checked_sub(answering_for).unwrap_or(heard);
         let mut state = self.lock();
-        state.told = Some(ToldContact { heard, answered: before(age), answering_since: before(answering_for) });
+        state.told = Some(ToldContact { heard, answering_since });
         let was_held_back = state.breaker.note_told_answering(self.core_time(heard));
         drop(state);
         if was_held_back {
@@ -184,14 +181,6 @@
         self.lock().answered.map(|at| at.elapsed())
     }
 
-    /// Time since the store was last known to answer this process or an upstream
-    /// that told of it; `None` if it never did. What this process follows is as
-    /// old as that at most.
-    pub fn age(&self) -> Option<Duration> {
-        let state = self.lock();
-        state.answered.max(state.told.map(|told| told.answered)).map(|at| at.elapsed())
-    }
-
     /// Time since which calls fail; zero if they don't.
     pub fn outage(&self) -> Duration {
         self.lock().failing_since.map(|since| since.elapsed()).unwrap_or_default()
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -331,7 +331,7 @@
         };
         let sound = state.is_sound();
         if sound {
-            self.contact.note_told(state.age, Duration::from_millis(u64::from(answer.answering_ms)));
+            self.contact.note_told(Duration::from_millis(u64::from(answer.answering_ms)));
         }
         for told in answer.prefixes {
             if sound || !self.knows(&told.prefix) {
--- a/crates/records/tests/contact.rs
+++ b/crates/records/tests/contact.rs
@@ -48,7 +48,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_upstream_tells_of_an_earlier_return() {
     let contact = Contact::default();
-    contact.note_told(Duration::ZERO, Duration::from_secs(30));
+    contact.note_told(Duration::from_secs(30));
     assert_eq!(contact.answering_for(), Some(Duration::from_secs(30)));
     contact.note_answer(Instant::now());
     assert_eq!(contact.answering_for(), Some(Duration::from_secs(30)));
