--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -20,10 +20,10 @@
 /// Results that end within a part of the time that the job has left are listed
 /// together: the fewer parts, the fewer calls. Once it is due they are listed
 /// soon.
-const LIST_SHARE: u32 = 3;
+const LIST_SHARE: u32 = 6;
 const LIST_SOONEST: Duration = Duration::from_millis(600);
 /// What is not listed is lost with its worker, and would have to run again.
-const LIST_LATEST: Duration = Duration::from_millis(4000);
+const LIST_LATEST: Duration = Duration::from_millis(2500);
 /// Most bytes of results listed together.
 const LIST_BYTES: usize = 600 << 10;
 /// Time in which results are listed before a job is left.
