A lost answer alone holds no calls back

A call whose answer is lost ends after 1.5 s; it counted as 1.5 s of failure whatever was answered meanwhile, so that each lost answer opened the breaker. Change: a failure counts from the last answer on, and two in a row at least open the breaker.

--- a/crates/core/src/circuit_breaker.rs
+++ b/crates/core/src/circuit_breaker.rs
@@ -17,6 +17,9 @@
 /// Calls that fail for less long are waiting calls that were cut; the breaker
 /// stays closed.
 pub const FAILURE_TIME: Duration = Duration::from_millis(200);
+/// Failures in a row that open it at least: the answer to a single call may be
+/// lost while the store is there.
+const LEAST_FAILURES: u32 = 2;
 /// Time between two probes of a node that others rely on, and the shortest one
 /// of any other.
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
@@ -55,12 +58,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// Calls are made; they fail since that time, if they do.
-    Closed(Option<Instant>),
+    /// Calls are made; so many in a row have failed, since that time if any.
+    Closed { failures: u32, since: Instant },
     /// Calls are refused until the next probe.
     Open { next_probe: Instant, failed_probes: u32 },
 }
 
+/// Calls are made and none has failed since the last answer.
+const ANSWERED: State = State::Closed { failures: 0, since: Instant::from_micros(0) };
+
 /// Decides which calls to the record store are made.
 #[derive(Clone, Debug)]
 pub struct CircuitBreaker {
@@ -72,7 +78,7 @@
 impl CircuitBreaker {
     /// A closed one.
     pub fn new(policy: ProbePolicy) -> Self {
-        Self { policy, elsewhere: Elsewhere::Unknown, state: State::Closed(None) }
+        Self { policy, elsewhere: Elsewhere::Unknown, state: ANSWERED }
     }
 
     /// So many nodes are known now, this one among them.
@@ -98,15 +104,16 @@
 
     /// The store answered.
     pub fn note_answer(&mut self) {
-        self.state = State::Closed(None);
+        self.state = ANSWERED;
     }
 
     /// A call failed that should have been answered from `due_at` on.
     pub fn note_failure(&mut self, now: Instant, due_at: Instant, draw: f64) {
-        let State::Closed(failing_since) = self.state else { return };
-        let since = failing_since.map_or(due_at, |since| since.min(due_at));
-        self.state = State::Closed(Some(since));
-        if now.since(since) >= FAILURE_TIME {
+        let State::Closed { failures, since } = self.state else { return };
+        let since = if failures == 0 { due_at } else { since.min(due_at) };
+        let failures = failures.saturating_add(1);
+        self.state = State::Closed { failures, since };
+        if failures >= LEAST_FAILURES && now.since(since) >= FAILURE_TIME {
             self.open(now, draw);
         }
     }
--- a/crates/records/tests/contact.rs
+++ b/crates/records/tests/contact.rs
@@ -116,3 +116,20 @@
     contact.note_answer(Instant::now());
     assert!(contact.may_call() && contact.may_call());
 }
+
+/// The answers to some calls are lost while others come: nothing is held back.
+#[tokio::test(start_paused = true)]
+async fn lost_answers_alone_hold_nothing_back() {
+    let contact = Contact::new(ProbePolicy { calls_per_second: 1.0, nodes: 300, relied_on: false });
+    for _ in 0..20 {
+        let sent_at = Instant::now();
+        for _ in 0..10 {
+            sleep(Duration::from_millis(150)).await;
+            contact.note_answer(Instant::now());
+        }
+        contact.note_failure(sent_at);
+        contact.note_failure(sent_at);
+        assert!(contact.may_call() && contact.may_call());
+        contact.note_answer(Instant::now());
+    }
+}
