--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -145,8 +145,11 @@
     /// time on.
     pub fn note_failure(&self, due_at: Instant) {
         let mut state = self.lock();
-        // What was answered meanwhile shows that the store was there.
-        let due_at = state.heard.map_or(due_at, |heard| heard.max(due_at));
+        // What was answered meanwhile shows that the store was there: only the
+        // answer to this call is lost.
+        if state.heard.is_some_and(|heard| heard > due_at) {
+            return;
+        }
         let since = state.failing_since.map_or(due_at, |since| since.min(due_at));
         state.failing_since = Some(since);
         let (now, due_at) = (self.core_time(Instant::now()), self.core_time(due_at));
