Scenarios keep a node's port until its first start

The driver chose ports that the system gave, gave them back, and started the nodes seconds later; 16 scenarios at once and all their connections take ports meanwhile. Ruled out: a port left by an earlier scenario (each has a folder and ports of its own). Change: the sockets are held until the node's first start. At a later start the port may still be gone, as before.

--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 
@@ -41,6 +41,9 @@
     ready: Arc<AtomicBool>,
     relay: Arc<Relay>,
     peers_port: u16,
+    /// Keeps the port until the first start: other processes take ports of the
+    /// system's choice meanwhile.
+    reserved: Option<ReservedPort>,
 }
 
 /// All processes of a run.
@@ -94,7 +97,8 @@
         let data = (number < scenario.nodes.with_disk).then(|| self.folder.path().join(&name));
         let zone_address = zone_address(zone);
         // The node's own port is chosen here, since its link must know it.
-        let peers_port = free_port(&zone_address).await?;
+        let reserved = free_port(&zone_address).await?;
+        let peers_port = reserved.port;
         let link = TcpListener::bind((zone_address.as_str(), 0)).await?;
         let advertise = link.local_addr()?;
         let target = format!("{zone_address}:{peers_port}").parse()?;
@@ -131,6 +135,7 @@
             ready: Arc::default(),
             relay,
             peers_port,
+            reserved: Some(reserved),
         });
         Ok(())
     }
@@ -142,6 +147,7 @@
     pub async fn start_node(&mut self, number: usize) -> Result<()> {
         let node = &mut self.nodes[number];
         let log = self.folder.path().join(format!("{}.err", node.name));
+        node.reserved = None;
         let mut child = spawn("latchwheel", &["node", "--settings"], &node.settings, Some(&log))?;
         let line = first_line(&mut child).await.wrap_err_with(|| {
             format!("{} did not start: {}", node.name, std::fs::read_to_string(&log).unwrap_or_default())
@@ -273,13 +279,20 @@
     format!("127.0.{}.1", zone + 1)
 }
 
-/// A port that is free for TCP and UDP now.
-async fn free_port(address: &str) -> Result<u16> {
+/// A port of the system's choice that nobody else gets until this is dropped.
+#[derive(Debug)]
+struct ReservedPort {
+    port: u16,
+    _sockets: (TcpListener, UdpSocket),
+}
+
+/// Reserves a port for TCP and UDP.
+async fn free_port(address: &str) -> Result<ReservedPort> {
     for _ in 0..50 {
         let listener = TcpListener::bind((address, 0)).await?;
         let port = listener.local_addr()?.port();
-        if tokio::net::UdpSocket::bind((address, port)).await.is_ok() {
-            return Ok(port);
+        if let Ok(socket) = UdpSocket::bind((address, port)).await {
+            return Ok(ReservedPort { port, _sockets: (listener, socket) });
         }
     }
     Err(eyre!("no port is free on {address}"))
