Scenarios start a node again whose port is still held for a moment

Cause: run::engine-refuses.toml failed once more (address already in use, beside four busy processes) with the port reserved: a reserved socket is also held by whatever process is being forked just then, until it execs. Change: a start that fails so is made again, 20 times at most.

--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -22,6 +22,9 @@
 const START_TIME: Duration = Duration::from_secs(20);
 const CALL_TIME: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(50);
+/// Starts of a node whose port is in use; it is free again within moments.
+const START_ATTEMPTS: usize = 20;
+const PORT_IN_USE: &str = "Address already in use";
 
 /// One node of a run.
 #[derive(Debug)]
@@ -148,10 +151,21 @@
         let node = &mut self.nodes[number];
         let log = self.folder.path().join(format!("{}.err", node.name));
         node.reserved = None;
-        let mut child = spawn("latchwheel", &["node", "--settings"], &node.settings, Some(&log))?;
-        let line = first_line(&mut child).await.wrap_err_with(|| {
-            format!("{} did not start: {}", node.name, std::fs::read_to_string(&log).unwrap_or_default())
-        })?;
+        let mut attempts = 1;
+        let (child, line) = loop {
+            let mut child = spawn("latchwheel", &["node", "--settings"], &node.settings, Some(&log))?;
+            let fault = match first_line(&mut child).await {
+                Ok(line) => break (child, line),
+                Err(fault) => fault,
+            };
+            let told = std::fs::read_to_string(&log).unwrap_or_default();
+            // A process that is being forked elsewhere holds the port until it execs.
+            if attempts >= START_ATTEMPTS || !told.contains(PORT_IN_USE) {
+                return Err(fault.wrap_err(format!("{} did not start: {told}", node.name)));
+            }
+            attempts += 1;
+            tokio::time::sleep(POLL).await;
+        };
         node.addresses = serde_json::from_str(&line)?;
         node.child = Some(child);
         node.ready = Arc::default();
