--- /dev/null
+++ b/crates/core/src/permits/home.rs
@@ -0,0 +1,122 @@
+//! The home of tenants: it keeps their buckets and grants permits.
+
+use super::LimitMargin;
+use crate::identity::{HashKeyMap, NodeId};
+use crate::tenants::{RateLimit, TenantKey};
+use crate::time::Instant;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A home that is not heard for this time is taken to be away: homes tell each
+/// other of themselves each 150 ms, and datagrams may be lost.
+const HOME_SILENCE: Duration = Duration::from_millis(500);
+/// A node counts as heard for this time: those that say the same again do so each
+/// 600 ms.
+const HEARD_TIME: Duration = Duration::from_millis(1500);
+/// A node of which no home hears may be one that has just started: permits are
+/// granted ahead only as long as this part of a bucket is left.
+const LEFT_FOR_URGENT: f64 = 0.3;
+/// Longest time that a caller is told to wait.
+const LONGEST_COME_BACK: Duration = Duration::from_secs(5);
+/// Time between two looks for buckets that are full again.
+const PRUNE_EVERY: Duration = Duration::from_secs(2);
+
+/// What a home answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Permits, for those that wait first.
+    pub granted: u32,
+    /// Time after which there is one for the first that got none.
+    pub come_back: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    /// Requests that were told to come back and for which there was no permit yet.
+    promised: f64,
+    at: Instant,
+}
+
+/// The buckets of the tenants whose home this node is.
+#[derive(Debug)]
+pub struct PermitHome {
+    margin: LimitMargin,
+    started: Instant,
+    buckets: HashMap<TenantKey, Bucket>,
+    /// When each node was heard last.
+    heard: HashKeyMap<u64, Instant>,
+    pruned_at: Instant,
+}
+
+impl PermitHome {
+    /// A home that starts `now`.
+    pub fn new(now: Instant, margin: LimitMargin) -> Self {
+        Self { margin, started: now, buckets: HashMap::new(), heard: HashKeyMap::default(), pruned_at: now }
+    }
+
+    /// Another node was heard.
+    pub fn note_heard(&mut self, now: Instant, node: NodeId) {
+        self.heard.insert(node.0, now);
+    }
+
+    /// Since when this home is the one that grants, given those that come before it
+    /// for the tenant and the number of the other nodes; `None` if it is not.
+    pub fn may_grant(&self, now: Instant, before: &[NodeId], other_nodes: usize) -> Option<Instant> {
+        let hears = |at: &&Instant| now.since(**at) < HEARD_TIME;
+        if self.heard.values().filter(hears).count() * 2 < other_nodes {
+            return None;
+        }
+        let heard_last = before.iter().filter_map(|home| self.heard.get(&home.0)).max();
+        match heard_last {
+            Some(at) if now.since(*at) < HOME_SILENCE => None,
+            Some(at) => Some((*at).max(self.started)),
+            None => Some(self.started),
+        }
+    }
+
+    /// Grants permits of a tenant for `urgent` requests that wait and up to `ahead`
+    /// more. This home grants since `since`; what was granted before is not known.
+    pub fn grant(
+        &mut self,
+        now: Instant,
+        tenant: TenantKey,
+        limit: &RateLimit,
+        since: Instant,
+        urgent: u32,
+        ahead: u32,
+    ) -> Grant {
+        self.prune(now);
+        let (capacity, at_start) = (self.margin.capacity(limit), self.margin.at_start(limit));
+        let rate = limit.per_second.max(f64::MIN_POSITIVE);
+        let bucket = self.buckets.entry(tenant).or_insert(Bucket { level: at_start, promised: 0.0, at: since });
+        if bucket.at < since {
+            // Another home granted in between.
+            *bucket = Bucket { level: at_start, promised: 0.0, at: since };
+        }
+        let gained = now.since(bucket.at).as_secs_f64() * rate;
+        bucket.level = (bucket.level + gained).min(capacity);
+        bucket.promised = (bucket.promised - gained).max(0.0);
+        bucket.at = now;
+        let for_urgent = urgent.min(bucket.level as u32);
+        bucket.level -= f64::from(for_urgent);
+        let spare = (bucket.level - capacity * LEFT_FOR_URGENT).max(0.0) as u32;
+        let for_ahead = if for_urgent == urgent { ahead.min(spare) } else { 0 };
+        bucket.level -= f64::from(for_ahead);
+        let wait = (1.0 - bucket.level + bucket.promised).max(0.0) / rate;
+        let longest = LONGEST_COME_BACK.as_secs_f64();
+        bucket.promised = (bucket.promised + f64::from(urgent - for_urgent)).min(rate * longest);
+        Grant { granted: for_urgent + for_ahead, come_back: Duration::from_secs_f64(wait.min(longest)) }
+    }
+
+    /// Forgets buckets that are full again, and nodes that are not heard any more.
+    fn prune(&mut self, now: Instant) {
+        if now.since(self.pruned_at) < PRUNE_EVERY {
+            return;
+        }
+        self.pruned_at = now;
+        let window = self.margin.window;
+        self.buckets.retain(|_, bucket| now.since(bucket.at) < window * 4);
+        self.heard.retain(|_, at| now.since(*at) < window * 4);
+    }
+}
--- /dev/null
+++ b/crates/core/src/permits/mod.rs
@@ -0,0 +1,78 @@
+//! Rate limits of tenants over all nodes, by permits.
+//!
+//! A tenant's limit is one token bucket, kept by one node at a time: its *home*.
+//! Any node that has a request of the tenant asks the home for a permit, some
+//! ahead where many requests come. A permit is used by one request, within
+//! [`PERMIT_LIFE`]. Few nodes are homes; rendezvous hashing orders them for each
+//! tenant, so that nothing is agreed upon and each carries an even part.
+//!
+//! Invariants:
+//! - A home grants no more than its bucket holds.
+//! - A home grants only while it hears most nodes, and none of the homes that come
+//!   before it ([`PermitHome::may_grant`]): two homes of one tenant grant at once
+//!   only where these two can't hear each other and each hears most nodes.
+//! - What may go wrong beyond that (a home that restarts knows nothing, a permit is
+//!   used up to its life later, a node that reaches no home uses a small part of its
+//!   own) is taken from the margin that the operator allows ([`LimitMargin`]).
+
+mod holder;
+mod home;
+
+pub use holder::{Answered, PermitAsk, PermitHolder, Waited};
+pub use home::{Grant, PermitHome};
+
+use crate::identity::{stable_pair_hash, NodeId};
+use crate::tenants::{RateLimit, TenantKey};
+use std::time::Duration;
+
+/// Time in which a permit must be used, counted from the sending of the call that
+/// it was granted to. What is allowed in a window grows by the rate in this time.
+pub const PERMIT_LIFE: Duration = Duration::from_millis(300);
+
+/// By how much a limit may be exceeded in any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitMargin {
+    /// Length of the window.
+    pub window: Duration,
+    /// Share of what the limit allows in a window.
+    pub share: f64,
+    /// Requests beside that share.
+    pub requests: f64,
+}
+
+impl Default for LimitMargin {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), share: 0.0, requests: 0.0 }
+    }
+}
+
+/// Parts of the margin: a bucket takes a half for itself; a fourth is for each home
+/// that starts anew; the rest is for nodes that reach no home.
+const BUCKET_PART: f64 = 0.5;
+const START_PART: f64 = 0.25;
+
+impl LimitMargin {
+    /// Requests by which a limit may be exceeded in a window.
+    fn of(&self, limit: &RateLimit) -> f64 {
+        let allowed = limit.per_second * self.window.as_secs_f64() + limit.burst;
+        allowed * self.share + self.requests
+    }
+
+    /// Permits that a bucket holds at most.
+    fn capacity(&self, limit: &RateLimit) -> f64 {
+        let late = limit.per_second * PERMIT_LIFE.as_secs_f64();
+        (limit.burst + self.of(limit) * BUCKET_PART - late).max(1.0)
+    }
+
+    /// Permits that a home has which knows nothing of those granted before.
+    fn at_start(&self, limit: &RateLimit) -> f64 {
+        (self.of(limit) * START_PART).min(self.capacity(limit))
+    }
+}
+
+/// The homes of a tenant, the one that grants first.
+pub fn homes_of(tenant: TenantKey, homes: &[NodeId]) -> Vec<NodeId> {
+    let mut ordered = homes.to_vec();
+    ordered.sort_unstable_by_key(|home| (stable_pair_hash(home.0, tenant.0), *home));
+    ordered
+}
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -4,6 +4,7 @@
 //! rise: a table is never replaced by one that is not newer, so that no
 //! request is handled by a configuration older than one already in force.
 
+use crate::tenants::{Tenant, Tenants, UnknownKey};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,8 +59,10 @@
     pub timeout: Duration,
     /// Time within which an answer is in time.
     pub latency_target: Duration,
-    /// Rank; zero goes first.
+    /// Rank; zero goes first. A tenant's own rank goes before it.
     pub priority: u32,
+    /// Whether callers need no key.
+    pub public: bool,
     /// Services that take the requests; at least one.
     pub targets: Vec<WeightedService>,
     /// Most servers to which one request may be sent.
@@ -116,6 +119,8 @@
     pub limits: ClientLimits,
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceDefinition>,
+    /// Who may ask.
+    pub tenants: Tenants,
     by_host: HashMap<String, Vec<Arc<Route>>>,
 }
 
@@ -125,6 +130,7 @@
         version: u64,
         limits: ClientLimits,
         services: HashMap<Arc<str>, ServiceDefinition>,
+        tenants: Tenants,
         routes: impl IntoIterator<Item = Route>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
@@ -134,7 +140,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, limits, services, by_host }
+        Self { version, limits, services, tenants, by_host }
     }
 
     /// The route of a request: of those of its host, the one with the longest
@@ -149,6 +155,28 @@
         self.by_host.values().flatten().find(|route| &*route.name == name).cloned()
     }
 
+    /// The tenant that a caller with this key acts for: none where the table
+    /// knows no tenants, or where the key is not needed and not known.
+    ///
+    /// # Errors
+    /// [`UnknownKey`] if the key is needed and no tenant has it.
+    pub fn caller(&self, key: Option<&str>, public: bool) -> Result<Option<Arc<Tenant>>, UnknownKey> {
+        if self.tenants.is_empty() {
+            return Ok(None);
+        }
+        match key.and_then(|key| self.tenants.of_caller(key)) {
+            Some(tenant) => Ok(Some(tenant.clone())),
+            None if public => Ok(None),
+            None => Err(UnknownKey),
+        }
+    }
+
+    /// Whether batch jobs of a host need no key.
+    pub fn has_public_jobs(&self, host: &str) -> bool {
+        let mut routes = self.by_host.get(host).into_iter().flatten();
+        routes.any(|route| route.kind == RequestKind::Batch && route.public)
+    }
+
     /// Whether any route knows the host.
     pub fn knows_host(&self, host: &str) -> bool {
         self.by_host.contains_key(host)
--- a/crates/core/tests/routes.rs
+++ b/crates/core/tests/routes.rs
@@ -3,6 +3,7 @@
 use latchwheel_core::routes::{
     ClientLimits, RequestKind, Route, RoutingTable, ServiceDefinition, WeightedService, WeightedTurns,
 };
+use latchwheel_core::tenants::Tenants;
 use proptest::prelude::*;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,6 +18,7 @@
         timeout: Duration::from_secs(4),
         latency_target: Duration::from_millis(300),
         priority: 0,
+        public: false,
         targets: targets
             .iter()
             .map(|(service, weight)| WeightedService { service: (*service).into(), weight: *weight })
@@ -30,7 +32,13 @@
 }
 
 fn table(routes: Vec<Route>) -> RoutingTable {
-    RoutingTable::new(1, ClientLimits::default(), HashMap::<Arc<str>, ServiceDefinition>::new(), routes)
+    RoutingTable::new(
+        1,
+        ClientLimits::default(),
+        HashMap::<Arc<str>, ServiceDefinition>::new(),
+        Tenants::default(),
+        routes,
+    )
 }
 
 #[test]
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,8 +1,8 @@
 //! Taking, ending and reading jobs, at any node.
 
 use crate::assignment::assign;
-use crate::handed::{write_job, Handed};
-use crate::layout::{body_key, job_key, JobBody, JobRecord, JobState, ListedResult};
+use crate::handed::{write_job, Handed, Submission};
+use crate::layout::{body_key, is_open_to, job_key, JobBody, JobRecord, JobState, JobSummary, ListedResult};
 use crate::nodes::Nodes;
 use crate::owned_jobs::page;
 use crate::recent::Recent;
@@ -62,18 +62,25 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    total: usize,
+    summary: JobSummary,
     list: ResultList,
 }
 
 impl Known {
     /// Whether what follows a position is known: a result, or that none comes.
     fn answers(&self, from: usize) -> bool {
-        self.list.results.len() > from || self.list.results.len() >= self.total
+        self.list.results.len() > from || self.list.results.len() >= self.summary.items
     }
 }
 
-/// Takes, ends and reads jobs.
+#[derive(Debug)]
+struct KnownBody {
+    owner: Option<String>,
+    body: JobBody,
+}
+
+/// Takes, ends and reads jobs. A job is absent for callers of other tenants than
+/// the one that handed it in.
 #[derive(Debug)]
 pub struct JobDesk<S> {
     store: Arc<S>,
@@ -81,7 +88,7 @@
     workers: WorkerCalls,
     copies: usize,
     known: Mutex<Recent<Known>>,
-    bodies: Mutex<Recent<Arc<JobBody>>>,
+    bodies: Mutex<Recent<Arc<KnownBody>>>,
 }
 
 impl<S: RecordStore> JobDesk<S> {
@@ -106,14 +113,13 @@
     pub async fn take(
         &self,
         job: &str,
-        host: &str,
-        path: &str,
+        submission: &Submission<'_>,
         body: JobBody,
         until: Instant,
     ) -> Result<Taken, DeskFault> {
         let workers = self.nodes.worker_names();
         let assigned = assign(job, &workers, |worker| self.nodes.waiting_at(worker));
-        let handed = Arc::new(Handed::new(host, path, body, assigned.as_deref()));
+        let handed = Arc::new(Handed::new(submission, body, assigned.as_deref()));
         let cut_off = async {
             tokio::time::sleep(STORE_PATIENCE + CUT_OFF_PATIENCE).await;
             if self.nodes.hears_any_worker() {
@@ -158,9 +164,9 @@
     ///
     /// # Errors
     /// [`DeskFault`].
-    pub async fn end(&self, job: &str, until: Instant) -> Result<(), DeskFault> {
+    pub async fn end(&self, job: &str, caller: Option<&str>, until: Instant) -> Result<(), DeskFault> {
         loop {
-            match self.try_end(job).await {
+            match self.try_end(job, caller).await {
                 Ok(true) => return Ok(()),
                 Ok(false) => {}
                 Err(DeskFault::Absent) => return Err(DeskFault::Absent),
@@ -183,9 +189,12 @@
         }
     }
 
-    async fn try_end(&self, job: &str) -> Result<bool, DeskFault> {
+    async fn try_end(&self, job: &str, caller: Option<&str>) -> Result<bool, DeskFault> {
         let present = self.present(job).await?;
         let mut record = read_record(&present.value).ok_or(DeskFault::Unknown)?;
+        if !record.is_open_to(caller) {
+            return Err(DeskFault::Absent);
+        }
         if record.state == JobState::Ended {
             return Ok(true);
         }
@@ -207,22 +216,29 @@
     pub async fn read(
         &self,
         job: &str,
+        caller: Option<&str>,
         from: usize,
         byte_limit: usize,
         wait: Duration,
     ) -> Result<ResultPage, DeskFault> {
         let until = Instant::now() + wait;
         let remembered = lock(&self.known).get(job).cloned();
+        if remembered.as_ref().is_some_and(|known| !is_open_to(known.summary.tenant.as_deref(), caller)) {
+            return Err(DeskFault::Absent);
+        }
         if let Some(known) = remembered.as_ref().filter(|known| known.answers(from)) {
             return Ok(page_of(known, from, byte_limit));
         }
-        if let Some(told) = self.workers.results(job, from, byte_limit, wait).await {
+        if let Some(told) = self.workers.results(job, caller, from, byte_limit, wait).await {
             return Ok(ResultPage { total: told.total, results: told.results });
         }
         let mut known = match remembered {
             Some(known) => known,
             None => self.load(job).await?,
         };
+        if !is_open_to(known.summary.tenant.as_deref(), caller) {
+            return Err(DeskFault::Absent);
+        }
         if !known.answers(from) {
             let left = until.saturating_duration_since(Instant::now());
             if let Err(fault) = known.list.extend(&*self.store, job, from, left).await {
@@ -238,11 +254,14 @@
 
     async fn load(&self, job: &str) -> Result<Known, DeskFault> {
         let list = ResultList::load(&*self.store, job).await.map_err(desk_fault)?;
-        let total = match list.total {
-            Some(total) => total,
-            None => self.record(job).await?.items,
+        let summary = match list.summary.clone() {
+            Some(summary) => summary,
+            None => {
+                let record = self.record(job).await?;
+                JobSummary { items: record.items, tenant: record.tenant }
+            }
         };
-        Ok(Known { total, list })
+        Ok(Known { summary, list })
     }
 
     fn remember(&self, job: &str, known: Known) {
@@ -275,21 +294,25 @@
     ///
     /// # Errors
     /// [`DeskFault`].
-    pub async fn item_body(&self, job: &str, item: &str) -> Result<String, DeskFault> {
-        if let Some(body) = self.workers.item_body(job, item).await {
+    pub async fn item_body(&self, job: &str, caller: Option<&str>, item: &str) -> Result<String, DeskFault> {
+        if let Some(body) = self.workers.item_body(job, caller, item).await {
             return Ok(body);
         }
         let remembered = lock(&self.bodies).get(job).cloned();
-        let body = match remembered {
-            Some(body) => body,
+        let known = match remembered {
+            Some(known) => known,
             None => {
                 let record = self.record(job).await?;
-                let body = Arc::new(read_body(&*self.store, job, &record).await.map_err(desk_fault)?);
-                lock(&self.bodies).put(job, body.clone());
-                body
+                let body = read_body(&*self.store, job, &record).await.map_err(desk_fault)?;
+                let known = Arc::new(KnownBody { owner: record.tenant, body });
+                lock(&self.bodies).put(job, known.clone());
+                known
             }
         };
-        let found = body.items.iter().find(|present| present.id == item);
+        if !is_open_to(known.owner.as_deref(), caller) {
+            return Err(DeskFault::Absent);
+        }
+        let found = known.body.items.iter().find(|present| present.id == item);
         found.map(|item| item.body.clone()).ok_or(DeskFault::Absent)
     }
 }
@@ -317,7 +340,7 @@
 }
 
 fn page_of(known: &Known, from: usize, byte_limit: usize) -> ResultPage {
-    ResultPage { total: known.total, results: page(&known.list.results, from, byte_limit) }
+    ResultPage { total: known.summary.items, results: page(&known.list.results, from, byte_limit) }
 }
 
 fn desk_fault(fault: RecordsFault) -> DeskFault {
--- a/crates/jobs/src/handed.rs
+++ b/crates/jobs/src/handed.rs
@@ -1,7 +1,7 @@
 //! A job as it was handed in, and how it is written to the store.
 
 use crate::desk::{read_record, write_record, DeskFault, Taken, LONGEST_PAUSE, PAUSE};
-use crate::layout::{body_key, closed_key, job_key, total_key, JobBody, JobRecord, JobState};
+use crate::layout::{body_key, closed_key, job_key, total_key, JobBody, JobRecord, JobState, JobSummary};
 use bytes::Bytes;
 use latchwheel_core::identity::stable_hash;
 use latchwheel_core::retry::doubled_pause;
@@ -21,16 +21,30 @@
     accepted_ms: u64,
     #[serde(default)]
     assigned: String,
+    #[serde(default)]
+    tenant: Option<String>,
     body: JobBody,
 }
 
+/// How a job was handed in, apart from its items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Submission<'a> {
+    /// Host that its client named.
+    pub host: &'a str,
+    /// Path that it was handed in at.
+    pub path: &'a str,
+    /// Tenant that hands it in, if the table knows tenants.
+    pub tenant: Option<&'a str>,
+}
+
 impl Handed {
     /// A job that `assigned` is to run, if any worker is known.
-    pub(crate) fn new(host: &str, path: &str, body: JobBody, assigned: Option<&str>) -> Self {
+    pub(crate) fn new(submission: &Submission<'_>, body: JobBody, assigned: Option<&str>) -> Self {
         let accepted = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
-            host: host.to_owned(),
-            path: path.to_owned(),
+            host: submission.host.to_owned(),
+            path: submission.path.to_owned(),
+            tenant: submission.tenant.map(str::to_owned),
             accepted_ms: accepted.as_millis() as u64,
             assigned: assigned.unwrap_or_default().to_owned(),
             body,
@@ -55,9 +69,11 @@
         body_hash: stable_hash(&bytes),
         accepted_ms: handed.accepted_ms,
         assigned: handed.assigned.clone(),
+        tenant: handed.tenant.clone(),
     };
-    let total = serde_json::to_vec(&record.items).unwrap_or_default();
-    writes.push(Write { key: total_key(job), value: total.into(), lease: 0 });
+    let summary = JobSummary { items: record.items, tenant: record.tenant.clone() };
+    let summary = serde_json::to_vec(&summary).unwrap_or_default();
+    writes.push(Write { key: total_key(job), value: summary.into(), lease: 0 });
     writes.push(Write { key: job_key(job), value: write_record(&record), lease: 0 });
     Transaction { expected: vec![(job_key(job), 0), (closed_key(job), 0)], writes, removes: Vec::new() }
 }
@@ -78,7 +94,9 @@
             Ok(Committed::Done(_)) => return Ok(Taken { resent: false, disks: 0 }),
             Ok(Committed::Differs(present)) => {
                 return match present.first().and_then(|present| read_record(&present.value)) {
-                    Some(present) if present.body_hash == body_hash => Ok(Taken { resent: true, disks: 0 }),
+                    Some(present) if present.body_hash == body_hash && present.tenant == handed.tenant => {
+                        Ok(Taken { resent: true, disks: 0 })
+                    }
                     Some(_) => Err(DeskFault::Conflict),
                     None => Err(DeskFault::Unknown),
                 };
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -10,7 +10,7 @@
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
 use latchwheel_http::read_bounded;
-use latchwheel_proxy::{Dialect, Exchange, Outgoing, Shared};
+use latchwheel_proxy::{put_tenant, Dialect, Exchange, Outgoing, Shared};
 use std::time::Duration;
 
 /// Silence after which an item is sent to another server.
@@ -22,8 +22,14 @@
 const FAILURE_LIMIT: usize = 64 << 10;
 const FAILURE_TIME: Duration = Duration::from_millis(100);
 
-/// The request of an item; `None` if it can't be formed from what was handed in.
-pub fn outgoing_of<D: Dialect>(shared: &Shared<D>, host: &str, item: &ItemBody) -> Option<Outgoing> {
+/// The request of an item that is run for a tenant; `None` if it can't be formed
+/// from what was handed in.
+pub fn outgoing_of<D: Dialect>(
+    shared: &Shared<D>,
+    host: &str,
+    tenant: Option<&str>,
+    item: &ItemBody,
+) -> Option<Outgoing> {
     let names = shared.dialect.names();
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
@@ -34,6 +40,7 @@
     let id = HeaderValue::from_str(&item.id).ok()?;
     headers.insert(names.request_id.clone(), id.clone());
     headers.insert(HOST, HeaderValue::from_str(host).ok()?);
+    put_tenant(&mut headers, names, tenant);
     let prompt = shared.dialect.prompt(&headers);
     Some(Outgoing {
         method: Method::POST,
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -96,7 +96,9 @@
     ) -> bool {
         let shared = &self.context.shared;
         let item = &self.items[position];
-        let Some(outgoing) = outgoing_of(shared, &self.record.host, item) else { return true };
+        let Some(outgoing) = outgoing_of(shared, &self.record.host, self.record.tenant.as_deref(), item) else {
+            return true;
+        };
         let Some(service) = shared.next_service(route) else { return false };
         let ask = Ask {
             service: &service,
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -239,6 +239,7 @@
             total: self.items.len(),
             results: self.list.results.clone(),
             writing_since: None,
+            tenant: self.record.tenant.clone(),
             settled: self.settled,
         }
     }
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -8,7 +8,7 @@
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
-//! | `latchwheel/result/JOB/total` | number of the job's items, so that one list tells all that readers need |
+//! | `latchwheel/result/JOB/total` | [`JobSummary`], so that one list tells all that readers need |
 //!
 //! Invariants: the parts of the list are written in order, each only where it
 //! is absent, so that whoever appends knows all parts before; nothing of a
@@ -71,7 +71,7 @@
     format!("latchwheel/result/{job}/{part:06}")
 }
 
-/// Key of the number of a job's items.
+/// Key of a job's summary.
 pub fn total_key(job: &str) -> String {
     format!("latchwheel/result/{job}/{TOTAL}")
 }
@@ -111,6 +111,32 @@
     /// Worker that is to run it; empty if none was known.
     #[serde(default)]
     pub assigned: String,
+    /// Tenant that handed it in, if the table knew tenants then.
+    #[serde(default)]
+    pub tenant: Option<String>,
+}
+
+impl JobRecord {
+    /// Whether a caller of this tenant may know of the job.
+    pub fn is_open_to(&self, caller: Option<&str>) -> bool {
+        is_open_to(self.tenant.as_deref(), caller)
+    }
+}
+
+/// Whether a caller of this tenant may know of a job of that owner. A job without
+/// an owner was handed in while callers needed no key.
+pub(crate) fn is_open_to(owner: Option<&str>, caller: Option<&str>) -> bool {
+    owner.is_none_or(|owner| caller == Some(owner))
+}
+
+/// What readers need to know of a job beside its results.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSummary {
+    /// Number of items.
+    pub items: usize,
+    /// Tenant that handed it in.
+    #[serde(default)]
+    pub tenant: Option<String>,
 }
 
 /// The items of a job.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -41,6 +41,7 @@
 mod worker_context;
 
 pub use desk::{DeskFault, JobDesk, ResultPage};
+pub use handed::Submission;
 pub use item_run::outgoing_of;
 pub use layout::{ItemBody, JobBody, ListedResult, NodeRecord, NodeRole};
 pub use nodes::{Membership, Nodes, OwnNode};
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -9,7 +9,7 @@
 //! then it doesn't say for sure that there is nothing either, and then reads the
 //! list once more: this one may have listed its last results meanwhile.
 
-use crate::layout::{ItemBody, ListedResult};
+use crate::layout::{is_open_to, ItemBody, ListedResult};
 use crate::recent::Recent;
 use latchwheel_records::Contact;
 use std::collections::HashMap;
@@ -39,6 +39,8 @@
     pub(crate) results: Vec<Arc<ListedResult>>,
     /// Since when a part is being written.
     pub(crate) writing_since: Option<Instant>,
+    /// Tenant that handed it in.
+    pub(crate) tenant: Option<String>,
     /// Whether no other worker can have listed more: one that the job was taken
     /// over from may list what it has a moment later.
     pub(crate) settled: bool,
@@ -48,6 +50,10 @@
     fn is_complete(&self) -> bool {
         self.results.len() >= self.total
     }
+
+    fn is_open_to(&self, caller: Option<&str>) -> bool {
+        is_open_to(self.tenant.as_deref(), caller)
+    }
 }
 
 struct Shown {
@@ -125,13 +131,23 @@
     }
 
     /// Results from a position on; waits up to `wait` until there is one.
-    /// `None` if this worker can't tell.
-    pub(crate) async fn read(&self, job: &str, from: usize, byte_limit: usize, wait: Duration) -> Option<OwnedPage> {
+    /// `None` if this worker can't tell, or may not tell this caller's tenant.
+    pub(crate) async fn read(
+        &self,
+        job: &str,
+        caller: Option<&str>,
+        from: usize,
+        byte_limit: usize,
+        wait: Duration,
+    ) -> Option<OwnedPage> {
         let running = lock(&self.running).get(job).map(|shown| shown.view.subscribe());
         let Some(mut view) = running else {
-            let finished = lock(&self.finished).get(job).cloned()?;
+            let finished = lock(&self.finished).get(job).filter(|view| view.is_open_to(caller)).cloned()?;
             return Some(page_of(&finished, from, byte_limit));
         };
+        if !view.borrow().is_open_to(caller) {
+            return None;
+        }
         let news = view.wait_for(|view| view.results.len() > from || view.is_complete());
         // Of a job that is left meanwhile another worker can tell.
         if let Ok(Err(_)) = tokio::time::timeout(wait, news).await {
@@ -151,9 +167,13 @@
         hears && view.settled && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
     }
 
-    /// Body of an item, in base64; `None` if this worker doesn't run the job.
-    pub(crate) fn item_body(&self, job: &str, item: &str) -> Option<String> {
-        let items = lock(&self.running).get(job).map(|shown| shown.items.clone())?;
+    /// Body of an item, in base64; `None` if this worker doesn't run the job or
+    /// may not tell this caller's tenant.
+    pub(crate) fn item_body(&self, job: &str, caller: Option<&str>, item: &str) -> Option<String> {
+        let running = lock(&self.running);
+        let shown = running.get(job).filter(|shown| shown.view.borrow().is_open_to(caller))?;
+        let items = shown.items.clone();
+        drop(running);
         items.iter().find(|present| present.id == item).map(|present| present.body.clone())
     }
 }
--- a/crates/jobs/src/results.rs
+++ b/crates/jobs/src/results.rs
@@ -1,6 +1,6 @@
 //! The list of a job's results as one process knows it.
 
-use crate::layout::{result_key, result_prefix, ListedResult, TOTAL};
+use crate::layout::{result_key, result_prefix, JobSummary, ListedResult, TOTAL};
 use latchwheel_records::{Change, Changes, Record, RecordStore, RecordsFault};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,8 +10,8 @@
 pub(crate) struct ResultList {
     pub(crate) results: Vec<Arc<ListedResult>>,
     pub(crate) parts: usize,
-    /// Number of the job's items, if it is on record.
-    pub(crate) total: Option<usize>,
+    /// What is known of the job, if it is on record.
+    pub(crate) summary: Option<JobSummary>,
     pub(crate) revision: u64,
 }
 
@@ -70,7 +70,7 @@
     pub(crate) fn append(&mut self, job: &str, record: &Record) -> Result<(), RecordsFault> {
         let name = record.key.strip_prefix(&result_prefix(job)).ok_or(RecordsFault::BadAnswer)?;
         if name == TOTAL {
-            self.total = Some(serde_json::from_slice(&record.value).map_err(|_| RecordsFault::BadAnswer)?);
+            self.summary = Some(serde_json::from_slice(&record.value).map_err(|_| RecordsFault::BadAnswer)?);
             return Ok(());
         }
         let number: usize = name.parse().map_err(|_| RecordsFault::BadAnswer)?;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -14,7 +14,7 @@
 use crate::worker_context::WorkerContext;
 use latchwheel_core::live_workers::LiveWorkers;
 use latchwheel_events::{emit, Event};
-use latchwheel_proxy::{Dialect, Shared};
+use latchwheel_proxy::{sleep_or_never, Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -147,10 +147,7 @@
     /// Completes when a worker is to be given up that did not return after an
     /// outage of the store; never, if there is none.
     async fn worker_lapses(&self) {
-        match self.workers.next_end() {
-            Some(end) => tokio::time::sleep(end.since(self.now())).await,
-            None => std::future::pending().await,
-        }
+        sleep_or_never(self.workers.next_end().map(|end| end.since(self.now()))).await;
     }
 
     fn tick(&mut self) {
--- a/crates/jobs/src/worker_calls.rs
+++ b/crates/jobs/src/worker_calls.rs
@@ -51,7 +51,7 @@
         let wait = Duration::from_millis(u64::from(asked.wait_ms)).min(LONGEST_WAIT);
         let from = usize::try_from(asked.from).ok()?;
         let byte_limit = usize::try_from(asked.byte_limit).ok()?;
-        let page = self.read(&asked.job, from, byte_limit, wait).await?;
+        let page = self.read(&asked.job, tenant_of(&asked.tenant), from, byte_limit, wait).await?;
         let results = page.results.iter().map(|result| v1::JobResult {
             item: result.item.clone(),
             completed: result.completed,
@@ -63,11 +63,16 @@
 
     fn answer_item_body(&self, bytes: Bytes) -> Option<Bytes> {
         let asked = v1::ItemBodyRequest::decode(bytes).ok()?;
-        let body = self.item_body(&asked.job, &asked.item)?;
+        let body = self.item_body(&asked.job, tenant_of(&asked.tenant), &asked.item)?;
         Some(v1::ItemBodyAnswer { body }.encode_to_vec().into())
     }
 }
 
+/// The tenant that a call is made for; an empty name says none.
+fn tenant_of(name: &str) -> Option<&str> {
+    (!name.is_empty()).then_some(name)
+}
+
 fn not_here() -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = StatusCode::NOT_FOUND;
@@ -95,39 +100,38 @@
     }
 
     /// Results of a job from a position on, if a worker is sure of them.
-    pub(crate) async fn results(&self, job: &str, from: usize, byte_limit: usize, wait: Duration) -> Option<OwnedPage> {
-        let mut answer = self.ask_for_results(job, from, byte_limit, wait).await?;
-        if !answer.runs_at.is_empty() {
-            lock(&self.owners).put(job, answer.runs_at);
-            answer = self.ask_for_results(job, from, byte_limit, wait).await?;
-            if !answer.runs_at.is_empty() {
-                return None;
-            }
-        }
-        let results = answer.results.into_iter();
-        let results = results.map(|told| ListedResult { item: told.item, completed: told.completed, text: told.text });
-        Some(OwnedPage { total: usize::try_from(answer.total).ok()?, results: results.map(Arc::new).collect() })
-    }
-
-    async fn ask_for_results(
+    pub(crate) async fn results(
         &self,
         job: &str,
+        caller: Option<&str>,
         from: usize,
         byte_limit: usize,
         wait: Duration,
-    ) -> Option<v1::ResultsAnswer> {
+    ) -> Option<OwnedPage> {
         let asked = v1::ResultsRequest {
             job: job.to_owned(),
+            tenant: caller.unwrap_or_default().to_owned(),
             from: from as u64,
             wait_ms: wait.as_millis() as u32,
             byte_limit: byte_limit as u64,
         };
-        self.ask(job, RESULTS_PATH, &asked, wait).await
+        let mut answer: v1::ResultsAnswer = self.ask(job, RESULTS_PATH, &asked, wait).await?;
+        if !answer.runs_at.is_empty() {
+            lock(&self.owners).put(job, answer.runs_at);
+            answer = self.ask(job, RESULTS_PATH, &asked, wait).await?;
+            if !answer.runs_at.is_empty() {
+                return None;
+            }
+        }
+        let results = answer.results.into_iter();
+        let results = results.map(|told| ListedResult { item: told.item, completed: told.completed, text: told.text });
+        Some(OwnedPage { total: usize::try_from(answer.total).ok()?, results: results.map(Arc::new).collect() })
     }
 
     /// Body of an item in base64, if a worker runs its job.
-    pub(crate) async fn item_body(&self, job: &str, item: &str) -> Option<String> {
-        let asked = v1::ItemBodyRequest { job: job.to_owned(), item: item.to_owned() };
+    pub(crate) async fn item_body(&self, job: &str, caller: Option<&str>, item: &str) -> Option<String> {
+        let tenant = caller.unwrap_or_default().to_owned();
+        let asked = v1::ItemBodyRequest { job: job.to_owned(), item: item.to_owned(), tenant };
         let answer: v1::ItemBodyAnswer = self.ask(job, ITEM_BODY_PATH, &asked, Duration::ZERO).await?;
         Some(answer.body)
     }
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -1,6 +1,8 @@
 //! Taking, ending and reading jobs while the store fails in every way.
 
-use latchwheel_jobs::{serve_relay, DeskFault, ItemBody, JobBody, JobDesk, NodeRole, Nodes, OwnedJobs, Spool};
+use latchwheel_jobs::{
+    serve_relay, DeskFault, ItemBody, JobBody, JobDesk, NodeRole, Nodes, OwnedJobs, Spool, Submission,
+};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, RecordStore, RecordsFault};
 use std::path::Path;
@@ -11,6 +13,7 @@
 
 const JOB: &str = "job-1";
 const HOST: &str = "host.example";
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
 
 fn body(items: usize) -> JobBody {
     let items = (0..items).map(|number| ItemBody {
@@ -71,14 +74,14 @@
 async fn a_job_is_taken_once_however_often_it_is_sent() {
     let store = MemoryStore::default();
     let desk = desk(&store, Nodes::default());
-    assert!(!desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
-    assert!(desk.take(JOB, HOST, "/path/x", body(3), soon()).await.unwrap().resent);
-    let other = desk.take(JOB, HOST, "/path/x", body(4), soon()).await;
+    assert!(!desk.take(JOB, &SUBMISSION, body(3), soon()).await.unwrap().resent);
+    assert!(desk.take(JOB, &SUBMISSION, body(3), soon()).await.unwrap().resent);
+    let other = desk.take(JOB, &SUBMISSION, body(4), soon()).await;
     assert_eq!(other, Err(DeskFault::Conflict));
-    assert_eq!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 3);
-    assert_eq!(desk.item_body(JOB, "item-1").await.as_deref(), Ok("YWJj"));
-    assert_eq!(desk.item_body(JOB, "item-9").await, Err(DeskFault::Absent));
-    assert_eq!(desk.item_body("job-2", "item-1").await, Err(DeskFault::Absent));
+    assert_eq!(desk.read(JOB, None, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 3);
+    assert_eq!(desk.item_body(JOB, None, "item-1").await.as_deref(), Ok("YWJj"));
+    assert_eq!(desk.item_body(JOB, None, "item-9").await, Err(DeskFault::Absent));
+    assert_eq!(desk.item_body("job-2", None, "item-1").await, Err(DeskFault::Absent));
 }
 
 /// The answer was lost, but the job was written: the next try finds it.
@@ -87,7 +90,7 @@
     let store = MemoryStore::default();
     store.lose_answers(1);
     let desk = desk(&store, Nodes::default());
-    assert!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await.is_ok());
+    assert!(desk.take(JOB, &SUBMISSION, body(1), soon()).await.is_ok());
 }
 
 /// Only a store that said no promises that nothing runs.
@@ -96,19 +99,19 @@
     let store = MemoryStore::default();
     let desk = desk(&store, Nodes::default());
     store.set_fault(Some(RecordsFault::Unknown));
-    assert_eq!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await, Err(DeskFault::Unknown));
+    assert_eq!(desk.take(JOB, &SUBMISSION, body(1), soon()).await, Err(DeskFault::Unknown));
 }
 
 #[tokio::test]
 async fn an_end_lasts_and_may_be_repeated() {
     let store = MemoryStore::default();
     let desk = desk(&store, Nodes::default());
-    assert_eq!(desk.end(JOB, soon()).await, Err(DeskFault::Absent));
-    desk.take(JOB, HOST, "/path/x", body(1), soon()).await.unwrap();
+    assert_eq!(desk.end(JOB, None, soon()).await, Err(DeskFault::Absent));
+    desk.take(JOB, &SUBMISSION, body(1), soon()).await.unwrap();
     store.lose_answers(1);
-    assert_eq!(desk.end(JOB, soon()).await, Ok(()));
-    assert_eq!(desk.end(JOB, soon()).await, Ok(()));
-    assert!(desk.take(JOB, HOST, "/path/x", body(1), soon()).await.unwrap().resent);
+    assert_eq!(desk.end(JOB, None, soon()).await, Ok(()));
+    assert_eq!(desk.end(JOB, None, soon()).await, Ok(()));
+    assert!(desk.take(JOB, &SUBMISSION, body(1), soon()).await.unwrap().resent);
 }
 
 /// The store is away: two disks make the job last. All disks go dark while
@@ -130,9 +133,9 @@
     until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
 
     store.set_fault(Some(RecordsFault::Refused));
-    let taken = desk.take(JOB, HOST, "/path/x", body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
+    let taken = desk.take(JOB, &SUBMISSION, body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
     assert_eq!(taken.disks, 2);
-    assert_eq!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Refused));
+    assert_eq!(desk.read(JOB, None, 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Refused));
 
     // The machines go dark before the store is back: what is on their disks
     // is kept aside meanwhile.
@@ -150,14 +153,14 @@
     // The accepting node still tries to write the job; one that died doesn't.
     let absent = store.get("latchwheel/active/job/job-9").await.unwrap();
     assert_eq!(absent, None);
-    assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Unknown));
+    assert_eq!(other_node.read("job-9", None, 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Unknown));
 
     // One disk comes back with what it kept.
     std::fs::rename(kept.path().join("0"), folders[0].path().join("spool/job-9.job")).unwrap();
     let address = free_address().await;
     let _back = disk(&store, "worker-0", &address, folders[0].path()).await;
     until(|| async { store.get("latchwheel/active/job/job-9").await.unwrap().is_some() }).await;
-    assert_eq!(other_node.read("job-9", 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
+    assert_eq!(other_node.read("job-9", None, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
 }
 
 /// Copies on several disks end up as one job.
@@ -173,12 +176,12 @@
     let desk = desk(&store, workers(&addresses));
     until(|| async { folders.iter().all(|folder| folder.path().join("spool/on-record").exists()) }).await;
     store.set_fault(Some(RecordsFault::Refused));
-    desk.take(JOB, HOST, "/path/x", body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
+    desk.take(JOB, &SUBMISSION, body(2), Instant::now() + Duration::from_secs(10)).await.unwrap();
     store.set_fault(None);
     let file = format!("spool/{JOB}.job");
     until(|| async { folders.iter().all(|folder| !folder.path().join(&file).exists()) }).await;
     assert_eq!(store.list("latchwheel/active/job/").await.unwrap().records.len(), 1);
-    assert!(desk.take(JOB, HOST, "/path/x", body(2), soon()).await.unwrap().resent);
+    assert!(desk.take(JOB, &SUBMISSION, body(2), soon()).await.unwrap().resent);
 }
 
 /// A front that reaches neither the store nor a worker hands the job to one
@@ -198,9 +201,9 @@
     nodes.put("front", NodeRole::Front, address);
     let cut_off = desk(&unreachable, nodes);
     let until = Instant::now() + Duration::from_secs(10);
-    assert!(cut_off.take(JOB, HOST, "/path/x", body(2), until).await.is_ok());
-    assert_eq!(other.read(JOB, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
-    let conflict = cut_off.take(JOB, HOST, "/path/x", body(3), until).await;
+    assert!(cut_off.take(JOB, &SUBMISSION, body(2), until).await.is_ok());
+    assert_eq!(other.read(JOB, None, 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
+    let conflict = cut_off.take(JOB, &SUBMISSION, body(3), until).await;
     assert_eq!(conflict, Err(DeskFault::Conflict));
 }
 
@@ -215,7 +218,7 @@
     until(|| async { folder.path().join("spool/on-record").exists() }).await;
     store.set_fault(Some(RecordsFault::Refused));
     let desk = JobDesk::new(Arc::new(store.clone()), workers(std::slice::from_ref(&address)), 1);
-    desk.take(JOB, HOST, "/path/x", body(1), Instant::now() + Duration::from_secs(10)).await.unwrap();
+    desk.take(JOB, &SUBMISSION, body(1), Instant::now() + Duration::from_secs(10)).await.unwrap();
     disk_before.task.abort();
     let spooled = folder.path().join(format!("spool/{JOB}.job"));
     for number in 0..JOBS {
@@ -247,7 +250,7 @@
     store.set_fault(Some(RecordsFault::Refused));
     let desk = JobDesk::new(Arc::new(store.clone()), workers(&addresses), 3);
     let until_time = Instant::now() + Duration::from_secs(10);
-    assert_eq!(desk.take(JOB, HOST, "/path/x", body(2), until_time).await.unwrap().disks, 3);
+    assert_eq!(desk.take(JOB, &SUBMISSION, body(2), until_time).await.unwrap().disks, 3);
     let file = format!("spool/{JOB}.job");
     let holding = folders.iter().filter(|folder| folder.path().join(&file).exists()).count();
     assert!((3..=5).contains(&holding), "{holding} of {DISKS} disks hold it");
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -5,7 +5,7 @@
 use latchwheel_jobs::layout::result_key;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
-    ResultPage, Spool, WorkerHandle,
+    ResultPage, Spool, Submission, WorkerHandle,
 };
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write};
@@ -18,6 +18,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
 const JOB: &str = "job-1";
 const PAGE: usize = 1 << 20;
 const LIMIT: Duration = Duration::from_secs(30);
@@ -74,14 +75,14 @@
 }
 
 async fn take(desk: &JobDesk<MemoryStore>, job: &str, items: usize) {
-    desk.take(job, HOST, "/path/x", body(items), Instant::now() + LIMIT).await.unwrap();
+    desk.take(job, &SUBMISSION, body(items), Instant::now() + LIMIT).await.unwrap();
 }
 
 /// Reads until there are that many results from the start on.
 async fn read_until(desk: &JobDesk<MemoryStore>, job: &str, count: usize) -> ResultPage {
     let end = Instant::now() + LIMIT;
     loop {
-        match desk.read(job, 0, PAGE, Duration::from_millis(100)).await {
+        match desk.read(job, None, 0, PAGE, Duration::from_millis(100)).await {
             Ok(page) if page.results.len() >= count => return page,
             other => assert!(Instant::now() < end, "{other:?}"),
         }
@@ -102,11 +103,11 @@
     let store = MemoryStore::default();
     let desk = desk(&store, "worker", nowhere().await);
     take(&desk, JOB, 2).await;
-    assert!(desk.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
+    assert!(desk.read(JOB, None, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
     store.set_deaf(true);
     write_part(&store, 0, "item-1").await;
     for wait in [Duration::from_millis(30), Duration::ZERO] {
-        assert_eq!(desk.read(JOB, 0, PAGE, wait).await.unwrap().results.len(), 1, "{wait:?}");
+        assert_eq!(desk.read(JOB, None, 0, PAGE, wait).await.unwrap().results.len(), 1, "{wait:?}");
     }
 }
 
@@ -117,11 +118,11 @@
     store.limit_watches(1);
     let desk = desk(&store, "worker", nowhere().await);
     take(&desk, JOB, 4).await;
-    assert!(desk.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
+    assert!(desk.read(JOB, None, 0, PAGE, Duration::ZERO).await.unwrap().results.is_empty());
     for part in 0..3 {
         write_part(&store, part, &format!("item-{part}")).await;
     }
-    assert_eq!(desk.read(JOB, 2, PAGE, Duration::from_millis(30)).await.unwrap().results.len(), 1);
+    assert_eq!(desk.read(JOB, None, 2, PAGE, Duration::from_millis(30)).await.unwrap().results.len(), 1);
 }
 
 /// Results and bodies come from the worker: the reader's store answers nobody.
@@ -137,9 +138,9 @@
     let page = read_until(&reader, JOB, 1).await;
     assert_eq!(page.total, 2);
     assert_eq!(page.results[0].text, "part 1\npart 2");
-    assert_eq!(reader.item_body(JOB, "item-1").await.as_deref(), Ok("YWJj"));
+    assert_eq!(reader.item_body(JOB, None, "item-1").await.as_deref(), Ok("YWJj"));
     let calls = store.calls();
-    assert!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.is_ok());
+    assert!(reader.read(JOB, None, 0, PAGE, Duration::ZERO).await.is_ok());
     assert!(store.calls() - calls < 10, "the worker asks nobody either");
 }
 
@@ -163,7 +164,7 @@
     write_part(&sound, 0, "item-1").await;
     read_until(&reader, JOB, 1).await;
     for _ in 0..20 {
-        assert_eq!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
+        assert_eq!(reader.read(JOB, None, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
     }
 }
 
@@ -196,7 +197,7 @@
     let reader = desk(&store, "worker", worker.address);
     let end = Instant::now() + Duration::from_secs(4);
     while Instant::now() < end {
-        assert_eq!(reader.read(JOB, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
+        assert_eq!(reader.read(JOB, None, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
     }
 }
 
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -5,7 +5,7 @@
 use latchwheel_jobs::layout::node_key;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
-    WorkerHandle,
+    Submission, WorkerHandle,
 };
 use latchwheel_protocol::{v1, Message};
 use latchwheel_proxy::Shared;
@@ -19,6 +19,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
 const JOB: &str = "job-1";
 /// Runs that are asked to give way, one after the other.
 const STALLED_RUNS: usize = 12;
@@ -63,7 +64,7 @@
     let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let end = Instant::now() + Duration::from_secs(30);
     loop {
-        let page = desk.read(JOB, 0, 1 << 20, Duration::from_millis(200)).await;
+        let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(200)).await;
         let results = page.map(|page| page.results).unwrap_or_default();
         if results.len() >= count {
             return results;
@@ -75,7 +76,7 @@
 async fn take(store: &MemoryStore, items: usize) {
     let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let until = Instant::now() + Duration::from_secs(5);
-    desk.take(JOB, HOST, "/path/x", body(items), until).await.unwrap();
+    desk.take(JOB, &SUBMISSION, body(items), until).await.unwrap();
 }
 
 #[tokio::test]
@@ -172,7 +173,7 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
     let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
-    desk.end(JOB, Instant::now() + Duration::from_secs(5)).await.unwrap();
+    desk.end(JOB, None, Instant::now() + Duration::from_secs(5)).await.unwrap();
     let end = Instant::now() + Duration::from_secs(20);
     while server.abandoned() < 3 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -213,8 +214,8 @@
     assert_eq!(server.seen().len(), 2);
     let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
     let until = Instant::now() + Duration::from_secs(5);
-    assert!(desk.take(JOB, HOST, "/path/x", body(2), until).await.unwrap().resent);
-    assert!(desk.read(JOB, 0, 1 << 20, Duration::ZERO).await.is_err());
+    assert!(desk.take(JOB, &SUBMISSION, body(2), until).await.unwrap().resent);
+    assert!(desk.read(JOB, None, 0, 1 << 20, Duration::ZERO).await.is_err());
 }
 
 /// A front asks for the slot of a run: the run breaks off at once, and goes on
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -16,6 +16,8 @@
     pub not_run: HeaderName,
     /// Number of the last event that the asker has.
     pub last_event: HeaderName,
+    /// Name of the tenant that a request is run for.
+    pub tenant: HeaderName,
 }
 
 /// A site's way of telling things in headers.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! The way of a request: route, server, attempts, answer.
 
 use crate::answer::{error_answer, COME_BACK};
+use crate::caller::{bearer_key, put_tenant};
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::resumable::{stream_body, Streaming};
@@ -8,12 +9,13 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::{Ask, Choice, Ending, Placement};
 use latchwheel_core::routes::{RequestKind, Route};
+use latchwheel_core::tenants::{Tenant, UnknownKey};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
 use latchwheel_http::{full, read_bounded, Body, BodyFault};
@@ -44,6 +46,8 @@
     pub(crate) until: Instant,
     pub(crate) outgoing: Outgoing,
     pub(crate) attempts: Attempts,
+    /// Tenant that it is run for.
+    pub(crate) tenant: Option<Arc<Tenant>>,
     pub(crate) asked: Vec<Arc<str>>,
 }
 
@@ -70,12 +74,14 @@
     id: String,
     route: Option<Arc<Route>>,
     code: ResultCode,
+    come_back: Option<Duration>,
 }
 
 impl Refusal {
     fn answer<D: Dialect>(&self, shared: &Shared<D>, received: Instant) -> Response<Body> {
         let route = self.route.as_ref().map_or("", |route| &*route.name);
-        let come_back = if self.code == ResultCode::Leaving { OTHER_NODE_COME_BACK } else { COME_BACK };
+        let leaving = self.code == ResultCode::Leaving;
+        let come_back = self.come_back.unwrap_or(if leaving { OTHER_NODE_COME_BACK } else { COME_BACK });
         log_refusal(shared, &self.id, route, self.code, received, come_back);
         error_answer(self.code, Some(come_back))
     }
@@ -90,7 +96,7 @@
     let (mut head, body) = request.into_parts();
     let id_header = head.headers.get(&names.request_id).cloned();
     let id = id_header.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
-    let refuse = |code, route| Refusal { id: id.clone(), route, code };
+    let refuse = |code, route| Refusal { id: id.clone(), route, code, come_back: None };
     let table = shared.table();
     if table.version == 0 {
         return Err(refuse(ResultCode::NotReady, None));
@@ -98,6 +104,9 @@
     let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
     let host = host_of(&head.headers, &head.uri);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
+    let tenant = table
+        .caller(bearer_key(&head.headers), route.public)
+        .map_err(|UnknownKey| refuse(ResultCode::Unauthorized, Some(route.clone())))?;
     if shared.refuses_streams() && matches!(route.kind, RequestKind::Stream { .. }) {
         return Err(refuse(ResultCode::Leaving, Some(route)));
     }
@@ -115,6 +124,17 @@
     let prompt = shared.dialect.prompt(&head.headers);
     Outgoing::strip(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
+    if !table.tenants.is_empty() {
+        head.headers.remove(AUTHORIZATION);
+    }
+    put_tenant(&mut head.headers, names, tenant.as_ref().map(|tenant| &*tenant.name));
+    if let Some(tenant) = &tenant {
+        let admitted = shared.permits.admit(tenant).await;
+        admitted.map_err(|come_back| {
+            let (id, route, come_back) = (id.clone(), Some(route.clone()), Some(come_back));
+            Refusal { id, route, code: ResultCode::RateLimited, come_back }
+        })?;
+    }
     let service = shared.next_service(&route).ok_or_else(|| refuse(ResultCode::NoServer, Some(route.clone())))?;
     Ok(Context {
         shared: shared.clone(),
@@ -133,6 +153,7 @@
         },
         attempts: Attempts::new(route.kind, route.max_attempts),
         route,
+        tenant,
         asked: Vec::new(),
     })
 }
@@ -327,6 +348,9 @@
     /// Gives the request up with the code, or with one that says that it may
     /// have run.
     pub(crate) fn refuse(&self, not_run: ResultCode, come_back: Option<Duration>) -> Response<Body> {
+        if let Some(tenant) = self.tenant.as_ref().filter(|_| self.asked.is_empty()) {
+            self.shared.permits.give_back(tenant);
+        }
         let code = self.attempts.verdict(not_run);
         let come_back_time = come_back.unwrap_or(COME_BACK);
         log_refusal(&self.shared, &self.id, &self.route.name, code, self.received, come_back_time);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,20 +7,25 @@
 //! uses are told by its [`Dialect`].
 
 mod answer;
-
+mod caller;
 mod dialect;
 mod exchange;
 mod forward;
 mod handoff;
 mod peers;
+mod permits;
 mod pool;
 mod resumable;
 mod shared;
+mod waiting;
 
 pub use answer::{come_back_header, error_answer};
+pub use caller::{bearer_key, put_tenant};
 pub use dialect::{Dialect, HeaderNames};
 pub use exchange::{AttemptEnd, Exchange, Outgoing};
 pub use forward::{forward, host_of};
 pub use latchwheel_clock::Clock;
 pub use peers::{exchange_shares, Peer, PeerDuties, Peers};
+pub use permits::Permits;
 pub use shared::Shared;
+pub use waiting::sleep_or_never;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -6,11 +6,14 @@
 //! answer is left for the next one.
 
 use crate::dialect::Dialect;
+use crate::permits::{request_of, Permits};
 use crate::shared::Shared;
+use crate::waiting::sleep_or_never;
 use latchwheel_core::dispatch::{
     holders_of, NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE,
 };
 use latchwheel_core::identity::NodeId;
+use latchwheel_core::permits::PermitAsk;
 use latchwheel_protocol::{v1, Message};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -37,6 +40,8 @@
 /// Where there are many nodes, one that others must be able to hear tells them
 /// this often that it lives.
 const HELLO_EVERY: Duration = Duration::from_millis(1000);
+/// Least time between two looks at permits without news.
+const LEAST_PERMIT_PAUSE: Duration = Duration::from_millis(5);
 /// Most servers in one datagram; its size bounds it.
 const SHARE_LIMIT: usize = 60;
 const DATAGRAM_LIMIT: usize = 1500;
@@ -63,6 +68,8 @@
     by_name: HashMap<String, Peer>,
     /// Addresses of those that run deferrable work.
     deferring: HashMap<NodeId, SocketAddr>,
+    /// Addresses of those that sum up: they keep the tenants' limits too.
+    homes: HashMap<NodeId, SocketAddr>,
 }
 
 impl Peers {
@@ -70,18 +77,18 @@
     pub fn put(&self, node: &str, peer: Peer) {
         let mut known = self.lock();
         known.by_name.insert(node.to_owned(), peer);
-        if peer.defers {
-            known.deferring.insert(NodeId::of_name(node), peer.address);
-        } else {
-            known.deferring.remove(&NodeId::of_name(node));
-        }
+        let id = NodeId::of_name(node);
+        set_member(&mut known.deferring, id, peer.defers.then_some(peer.address));
+        set_member(&mut known.homes, id, peer.aggregates.then_some(peer.address));
     }
 
     /// A node is gone.
     pub fn remove(&self, node: &str) {
         let mut known = self.lock();
         known.by_name.remove(node);
-        known.deferring.remove(&NodeId::of_name(node));
+        let id = NodeId::of_name(node);
+        set_member(&mut known.deferring, id, None);
+        set_member(&mut known.homes, id, None);
     }
 
     /// Puts all nodes but one into another list.
@@ -98,6 +105,19 @@
         holders.iter().filter_map(|holder| known.deferring.get(holder)).copied().collect()
     }
 
+    /// The other nodes that keep tenants' limits.
+    fn homes(&self) -> Vec<NodeId> {
+        self.lock().homes.keys().copied().collect()
+    }
+
+    fn home_address(&self, home: NodeId) -> Option<SocketAddr> {
+        self.lock().homes.get(&home).copied()
+    }
+
+    fn count(&self) -> usize {
+        self.lock().by_name.len()
+    }
+
     fn all(&self) -> Vec<Peer> {
         let mut all: Vec<Peer> = self.lock().by_name.values().copied().collect();
         all.sort_unstable_by_key(|peer| peer.address);
@@ -109,6 +129,13 @@
     }
 }
 
+fn set_member(members: &mut HashMap<NodeId, SocketAddr>, node: NodeId, address: Option<SocketAddr>) {
+    match address {
+        Some(address) => drop(members.insert(node, address)),
+        None => drop(members.remove(&node)),
+    }
+}
+
 /// What a node does for others beside telling them of its requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerDuties {
@@ -140,9 +167,10 @@
             }
             received = teller.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
-                    teller.take(&buffer[..length], from);
+                    teller.take(&buffer[..length], from, &peers);
                 }
             }
+            () = permits_due(&teller.shared.permits) => teller.ask_for_permits(&peers),
             () = tokio::time::sleep_until(next) => {
                 let peers = peers.all();
                 let many = peers.len() > DIRECT_LIMIT;
@@ -153,6 +181,15 @@
     }
 }
 
+/// Completes when calls for permits may have to be made.
+async fn permits_due(permits: &Permits) {
+    let due = permits.next_due().map(|due| due.max(LEAST_PERMIT_PAUSE));
+    tokio::select! {
+        () = permits.wanted.notified() => {}
+        () = sleep_or_never(due) => {}
+    }
+}
+
 /// The next value of a queue; never, if there is no queue.
 async fn next_of<T>(queue: &mut Option<tokio::sync::mpsc::Receiver<T>>) -> Option<T> {
     match queue {
@@ -210,11 +247,22 @@
     }
 
     /// Takes a datagram of another node.
-    fn take(&mut self, bytes: &[u8], from: SocketAddr) {
+    fn take(&mut self, bytes: &[u8], from: SocketAddr, peers: &Peers) {
         let Ok(report) = v1::ServerShares::decode(bytes) else { return };
         if report.from == self.own.0 {
             return;
         }
+        if !report.permit_requests.is_empty() {
+            self.grant_permits(&report.permit_requests, from, peers);
+            return;
+        }
+        if !report.permit_grants.is_empty() {
+            self.shared.permits.take_grants(&report.permit_grants);
+            return;
+        }
+        if self.duties.aggregates {
+            self.shared.permits.note_heard(NodeId(report.from));
+        }
         if !report.room_wanted.is_empty() {
             report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
             return;
@@ -260,6 +308,34 @@
         }
     }
 
+    /// All nodes that keep tenants' limits.
+    fn homes(&self, peers: &Peers) -> Vec<NodeId> {
+        let mut homes = peers.homes();
+        if self.duties.aggregates {
+            homes.push(self.own);
+        }
+        homes
+    }
+
+    /// Asks the homes of tenants for permits that requests wait for. A call that
+    /// is lost is made again.
+    fn ask_for_permits(&mut self, peers: &Peers) {
+        let homes = self.homes(peers);
+        let table = self.shared.table();
+        let calls = self.shared.permits.calls(self.own, &homes, peers.count(), &table.tenants);
+        for (home, requests) in by_home(&calls) {
+            let Some(address) = peers.home_address(home) else { continue };
+            let message = v1::ServerShares { from: self.own.0, permit_requests: requests, ..Default::default() };
+            self.send(&message, address);
+        }
+    }
+
+    fn grant_permits(&self, requests: &[v1::PermitRequest], to: SocketAddr, peers: &Peers) {
+        let table = self.shared.table();
+        let grants = self.shared.permits.answer(self.own, &self.homes(peers), peers.count(), &table.tenants, requests);
+        self.send(&v1::ServerShares { from: self.own.0, permit_grants: grants, ..Default::default() }, to);
+    }
+
     /// Asks the nodes whose deferrable work runs at a server to give way there.
     /// Unlike a report, such a message is not made good by the next one: it
     /// waits until the socket can send.
@@ -285,7 +361,8 @@
     fn tell_directly(&mut self, peers: &[Peer]) -> usize {
         let shares = self.own_shares();
         let repeats = shares == self.told;
-        if repeats && self.told_at.elapsed() < REPEAT_EVERY {
+        let repeat_every = if self.duties.aggregates { TELL_AGGREGATORS_EVERY } else { REPEAT_EVERY };
+        if repeats && self.told_at.elapsed() < repeat_every {
             return 0;
         }
         let report = self.next_report(shares);
@@ -356,7 +433,8 @@
             wants_sum: false,
             sum_parts: 0,
             sum_part: 0,
-            room_wanted: Vec::new(),
+            table_version: self.shared.table().version,
+            ..v1::ServerShares::default()
         }
     }
 
@@ -368,6 +446,15 @@
     }
 }
 
+/// Calls for permits, put together for each home.
+fn by_home(calls: &[PermitAsk]) -> HashMap<NodeId, Vec<v1::PermitRequest>> {
+    let mut homes: HashMap<NodeId, Vec<v1::PermitRequest>> = HashMap::new();
+    for call in calls {
+        homes.entry(call.home).or_default().push(request_of(call));
+    }
+    homes
+}
+
 fn share_of(message: &v1::ServerShare) -> ServerShare {
     ServerShare {
         server: ServerKey(message.server),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,9 +2,11 @@
 
 use crate::dialect::Dialect;
 use crate::handoff::Handoff;
+use crate::permits::Permits;
 use crate::pool::Pool;
 use latchwheel_clock::Clock;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
+use latchwheel_core::permits::LimitMargin;
 use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -41,6 +43,8 @@
     /// The clock.
     pub clock: Clock,
     pub(crate) pool: Pool,
+    /// Permits of tenants whose requests are limited.
+    pub permits: Permits,
     dispatcher: Mutex<Dispatcher>,
     table: Mutex<Arc<RoutingTable>>,
     turns: Mutex<WeightedTurns>,
@@ -58,8 +62,14 @@
 impl<D: Dialect> Shared<D> {
     /// Nothing is known yet: the table has version zero.
     pub fn new(dialect: D, clock: Clock) -> Arc<Self> {
+        Self::with_margin(dialect, clock, LimitMargin::default())
+    }
+
+    /// The same where limits of tenants may be exceeded by a margin.
+    pub fn with_margin(dialect: D, clock: Clock, margin: LimitMargin) -> Arc<Self> {
         Arc::new(Self {
             dialect,
+            permits: Permits::new(clock, margin),
             clock,
             pool: Pool::default(),
             dispatcher: Mutex::default(),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{Prompt, ServerLoad};
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable, WeightedService};
+use latchwheel_core::tenants::Tenants;
 use latchwheel_proxy::{Clock, Dialect, HeaderNames, Shared};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -29,6 +30,7 @@
             expected_server: HeaderName::from_static("t-server"),
             not_run: HeaderName::from_static("t-not-run"),
             last_event: HeaderName::from_static("t-last-event"),
+            tenant: HeaderName::from_static("t-tenant"),
         })
     }
 }
@@ -235,6 +237,7 @@
         timeout: Duration::from_secs(20),
         latency_target: Duration::from_millis(100),
         priority: 0,
+        public: false,
         targets: vec![WeightedService { service: SERVICE.into(), weight: 1.0 }],
         max_attempts,
         gap_target: Some(Duration::from_millis(100)),
@@ -247,7 +250,7 @@
 /// A node that knows these servers and the route.
 pub fn node(route: Route, servers: &[&TestServer]) -> Arc<Shared<TestDialect>> {
     let shared = Shared::new(TestDialect::default(), Clock::start());
-    let table = RoutingTable::new(1, ClientLimits::default(), HashMap::new(), [route]);
+    let table = RoutingTable::new(1, ClientLimits::default(), HashMap::new(), Tenants::default(), [route]);
     assert_eq!(shared.put_in_force(table), Some(0));
     let records: Vec<ServerRecord> = servers.iter().map(|server| server.record()).collect();
     shared.dispatcher().set_ready(records.iter());
