--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -26,8 +26,9 @@
 use crate::time::Instant;
 use cost::ServiceCost;
 use peers::PeerReports;
+use queues::OwnQueues;
 use server::{ServerState, ServerView};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,7 +118,7 @@
     refused_at: HashMap<Arc<str>, Instant>,
     peers: PeerReports,
     waiting: u32,
-    queues: BTreeMap<RouteKey, u64>,
+    queues: OwnQueues,
     /// This node and all that run deferrable work, if it does itself.
     deferring: Option<(NodeId, Vec<NodeId>)>,
 }
@@ -287,16 +288,12 @@
         let mut pressed: Vec<u64> = refused.map(|(service, _)| stable_hash(service.as_bytes())).collect();
         pressed.sort_unstable();
         let servers = self.servers.values().filter_map(|server| server.share(now)).collect();
-        NodeShares { servers, pressed, waiting: self.waiting, queues: self.own_queues() }
-    }
-
-    fn own_queues(&self) -> Vec<RouteQueue> {
-        self.queues.iter().map(|(route, tokens)| RouteQueue { route: *route, tokens: *tokens }).collect()
+        NodeShares { servers, pressed, waiting: self.waiting, queues: self.queues.told() }
     }
 
     /// This node keeps so many tokens of unfinished batch work on a route.
-    pub fn set_queued_tokens(&mut self, route: RouteKey, tokens: u64) {
-        self.queues.insert(route, tokens);
+    pub fn set_queued_tokens(&mut self, now: Instant, route: RouteKey, tokens: u64) {
+        self.queues.set(now, route, tokens);
     }
 
     /// Tokens of unfinished batch work on a route at the other nodes.
--- a/crates/core/src/dispatch/queues.rs
+++ b/crates/core/src/dispatch/queues.rs
@@ -6,7 +6,7 @@
 //! that has just started tells nothing of a route before it knows its jobs; a
 //! finished queue is told as zero.
 
-use crate::identity::{stable_hash, HashKeyMap};
+use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
 use crate::time::Instant;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -15,7 +15,8 @@
 /// and the jobs are loaded elsewhere by then.
 const QUEUE_MEMORY: Duration = Duration::from_secs(8);
 
-/// A route as nodes name it to each other: a hash of its name.
+/// A route, or a tenant's part of it, as nodes name it to each other: a hash of
+/// the names.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RouteKey(pub u64);
 
@@ -24,6 +25,13 @@
     pub fn of(name: &str) -> Self {
         Self(stable_hash(name.as_bytes()))
     }
+
+    /// The key of a tenant's part of a route, or of the whole route where the table
+    /// knows no tenants.
+    pub fn of_tenant(route: &str, tenant: Option<&str>) -> Self {
+        let route = Self::of(route);
+        tenant.map_or(route, |tenant| Self(stable_pair_hash(route.0, stable_hash(tenant.as_bytes()))))
+    }
 }
 
 /// Unfinished batch work on a route.
@@ -35,6 +43,23 @@
     pub tokens: u64,
 }
 
+/// Queues of this node. One that is empty is told as such for a while and then
+/// forgotten, so that what is told does not grow with the tenants of all times.
+#[derive(Debug, Default)]
+pub(super) struct OwnQueues(BTreeMap<RouteKey, (Instant, u64)>);
+
+impl OwnQueues {
+    pub(super) fn set(&mut self, now: Instant, route: RouteKey, tokens: u64) {
+        self.0.insert(route, (now, tokens));
+        self.0.retain(|_, (at, tokens)| *tokens > 0 || now.since(*at) < QUEUE_MEMORY);
+    }
+
+    /// The queues to tell, ordered by route.
+    pub(super) fn told(&self) -> Vec<RouteQueue> {
+        self.0.iter().map(|(route, (_, tokens))| RouteQueue { route: *route, tokens: *tokens }).collect()
+    }
+}
+
 /// Queues of one teller, each with the time at which it was told.
 #[derive(Debug, Default)]
 pub(super) struct ToldQueues(HashMap<RouteKey, (Instant, u64)>);
--- a/crates/core/src/permits/holder.rs
+++ b/crates/core/src/permits/holder.rs
@@ -4,7 +4,7 @@
 use crate::identity::NodeId;
 use crate::tenants::{RateLimit, Tenant, TenantKey};
 use crate::time::Instant;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A call without an answer is made again after this time: a home answers within
@@ -164,8 +164,8 @@
 /// The permits that a node holds and asks for.
 #[derive(Debug, Default)]
 pub struct PermitHolder {
-    tenants: HashMap<TenantKey, Held>,
-    silent_until: HashMap<NodeId, Instant>,
+    tenants: BTreeMap<TenantKey, Held>,
+    silent_until: BTreeMap<NodeId, Instant>,
     last_number: u64,
 }
 
--- a/crates/core/src/permits/home.rs
+++ b/crates/core/src/permits/home.rs
@@ -7,14 +7,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// A home that is not heard for this time is taken to be away: homes tell each
-/// other of themselves each 150 ms, and datagrams may be lost.
-const HOME_SILENCE: Duration = Duration::from_millis(500);
-/// A node counts as heard for this time: those that say the same again do so each
-/// 600 ms.
-const HEARD_TIME: Duration = Duration::from_millis(1500);
-/// A node of which no home hears may be one that has just started: permits are
-/// granted ahead only as long as this part of a bucket is left.
+/// A node counts as heard for this time: every node tells the homes of itself each
+/// 150 ms, and datagrams may be lost.
+const HEARD_TIME: Duration = Duration::from_millis(450);
+/// A home that is not heard for this time is taken to be away. Longer than
+/// [`HEARD_TIME`]: one that is cut off grants no more by then.
+const HOME_SILENCE: Duration = Duration::from_millis(600);
+/// A process that did nothing for this time may have been replaced meanwhile.
+const LONGEST_PAUSE: Duration = Duration::from_millis(450);
+/// Permits are granted ahead only as long as this part of a bucket is left.
 const LEFT_FOR_URGENT: f64 = 0.3;
 /// Longest time that a caller is told to wait.
 const LONGEST_COME_BACK: Duration = Duration::from_secs(5);
@@ -42,7 +43,9 @@
 #[derive(Debug)]
 pub struct PermitHome {
     margin: LimitMargin,
-    started: Instant,
+    /// Since when it hears most nodes without a break.
+    hears_most_since: Option<Instant>,
+    ticked_at: Instant,
     buckets: HashMap<TenantKey, Bucket>,
     /// When each node was heard last.
     heard: HashKeyMap<u64, Instant>,
@@ -52,7 +55,14 @@
 impl PermitHome {
     /// A home that starts `now`.
     pub fn new(now: Instant, margin: LimitMargin) -> Self {
-        Self { margin, started: now, buckets: HashMap::new(), heard: HashKeyMap::default(), pruned_at: now }
+        Self {
+            margin,
+            hears_most_since: None,
+            ticked_at: now,
+            buckets: HashMap::new(),
+            heard: HashKeyMap::default(),
+            pruned_at: now,
+        }
     }
 
     /// Another node was heard.
@@ -60,18 +70,27 @@
         self.heard.insert(node.0, now);
     }
 
-    /// Since when this home is the one that grants, given those that come before it
-    /// for the tenant and the number of the other nodes; `None` if it is not.
-    pub fn may_grant(&self, now: Instant, before: &[NodeId], other_nodes: usize) -> Option<Instant> {
-        let hears = |at: &&Instant| now.since(**at) < HEARD_TIME;
-        if self.heard.values().filter(hears).count() * 2 < other_nodes {
-            return None;
+    /// Time passes; to be told several times in [`HEARD_TIME`]. `other_nodes` is the
+    /// number of the other nodes.
+    pub fn tick(&mut self, now: Instant, other_nodes: usize) {
+        let paused = now.since(self.ticked_at) > LONGEST_PAUSE;
+        self.ticked_at = now;
+        let heard = self.heard.values().filter(|at| now.since(**at) < HEARD_TIME).count();
+        if paused || heard * 2 < other_nodes {
+            self.hears_most_since = None;
+        } else {
+            self.hears_most_since.get_or_insert(now);
         }
-        let heard_last = before.iter().filter_map(|home| self.heard.get(&home.0)).max();
-        match heard_last {
+    }
+
+    /// Since when this home is the one that grants, given those that come before it
+    /// for the tenant; `None` if it is not.
+    pub fn may_grant(&self, now: Instant, before: &[NodeId]) -> Option<Instant> {
+        let since = self.hears_most_since.filter(|_| now.since(self.ticked_at) <= LONGEST_PAUSE)?;
+        match before.iter().filter_map(|home| self.heard.get(&home.0)).max() {
             Some(at) if now.since(*at) < HOME_SILENCE => None,
-            Some(at) => Some((*at).max(self.started)),
-            None => Some(self.started),
+            Some(at) => Some(since.max(*at)),
+            None => Some(since),
         }
     }
 
--- a/crates/core/src/permits/mod.rs
+++ b/crates/core/src/permits/mod.rs
@@ -46,10 +46,11 @@
     }
 }
 
-/// Parts of the margin: a bucket takes a half for itself; a fourth is for each home
-/// that starts anew; the rest is for nodes that reach no home.
-const BUCKET_PART: f64 = 0.5;
-const START_PART: f64 = 0.25;
+/// Parts of the margin: one for the bucket, one for each home that starts anew (up to
+/// four in a window where the homes restart in turn); the rest is for nodes that reach
+/// no home. By the seeded schedules: with 0.5 and 0.25 one in 24 broke the limit.
+const BUCKET_PART: f64 = 0.4;
+const START_PART: f64 = 0.1;
 
 impl LimitMargin {
     /// Requests by which a limit may be exceeded in a window.
--- /dev/null
+++ b/crates/core/tests/permits.rs
@@ -0,0 +1,396 @@
+//! Limits of tenants over many nodes: seeded schedules with lost and late
+//! messages, cuts, restarts and changed limits, judged in every sliding window.
+
+use latchwheel_core::identity::NodeId;
+use latchwheel_core::permits::{homes_of, LimitMargin, PermitAsk, PermitHolder, PermitHome, Waited};
+use latchwheel_core::tenants::{RateLimit, Tenant, TenantKey};
+use latchwheel_core::time::Instant;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+const HOMES: usize = 3;
+const STEP: Duration = Duration::from_millis(2);
+const REPORT_EVERY: Duration = Duration::from_millis(150);
+const MARGIN: LimitMargin = LimitMargin { window: Duration::from_secs(5), share: 0.1, requests: 20.0 };
+
+/// What goes wrong in a schedule.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trouble {
+    /// Share of messages that are lost.
+    lost: f64,
+    /// Share of messages that come up to 60 ms late.
+    late: f64,
+    /// Homes restart, each at a random moment.
+    restarts: bool,
+    /// Share of nodes that reach nobody from second 4 to 9.
+    cut: f64,
+    /// Planted fault: a home grants without hearing the others.
+    grants_blindly: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Message {
+    Report,
+    Ask(PermitAsk),
+    Grant { tenant: TenantKey, number: u64, granted: u32, come_back: Duration },
+    NotHome { tenant: TenantKey, number: u64 },
+}
+
+struct Node {
+    id: NodeId,
+    holder: PermitHolder,
+    home: PermitHome,
+    down_until: Instant,
+    cut: bool,
+}
+
+/// What the requests of one tenant met.
+#[derive(Clone, Debug, Default)]
+struct Outcome {
+    ran: Vec<Instant>,
+    refused: usize,
+}
+
+struct Schedule {
+    random: SmallRng,
+    now: Instant,
+    nodes: Vec<Node>,
+    tenants: Vec<Arc<Tenant>>,
+    /// Requests a second of each tenant at each node.
+    arrivals: Vec<Vec<f64>>,
+    on_the_way: BTreeMap<(Instant, u64), (usize, usize, Message)>,
+    sent: u64,
+    trouble: Trouble,
+    outcomes: Vec<Outcome>,
+    /// Whether requests come yet: the nodes start before.
+    opened: bool,
+}
+
+fn tenant(number: usize, limit: RateLimit) -> Arc<Tenant> {
+    let name = format!("tenant-{number}");
+    Arc::new(Tenant { key: TenantKey::of(&name), name: name.into(), priority: None, limit })
+}
+
+impl Schedule {
+    /// Tenants ask `load` times their limit, at a few nodes each.
+    fn new(seed: u64, nodes: usize, tenants: usize, load: f64, trouble: Trouble) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let now = Instant::from_micros(60_000_000);
+        let node = |number: usize| Node {
+            id: NodeId::of_name(&format!("node-{number}")),
+            holder: PermitHolder::default(),
+            home: PermitHome::new(now, MARGIN),
+            down_until: now,
+            cut: false,
+        };
+        let tenants: Vec<_> = (0..tenants)
+            .map(|number| {
+                let per_second = if number == 0 { 200.0 } else { random.random_range(4.0..25.0) };
+                tenant(number, RateLimit { per_second, burst: per_second })
+            })
+            .collect();
+        let arrivals = tenants.iter().map(|tenant| {
+            let spread = random.random_range(1..=8).min(nodes);
+            let mut rates = vec![0.0; nodes];
+            for _ in 0..spread {
+                rates[random.random_range(0..nodes)] += tenant.limit.per_second * load / spread as f64;
+            }
+            rates
+        });
+        let arrivals = arrivals.collect();
+        let outcomes = vec![Outcome::default(); tenants.len()];
+        let nodes = (0..nodes).map(node).collect();
+        let on_the_way = BTreeMap::new();
+        Self { random, now, nodes, tenants, arrivals, on_the_way, sent: 0, trouble, outcomes, opened: false }
+    }
+
+    fn home_ids(&self) -> Vec<NodeId> {
+        self.nodes[..HOMES].iter().map(|node| node.id).collect()
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.random.random_bool(self.trouble.lost) || self.nodes[from].cut || self.nodes[to].cut {
+            return;
+        }
+        let late = self.random.random_bool(self.trouble.late);
+        let delay = self.random.random_range(200..1500) + if late { self.random.random_range(0..60_000) } else { 0 };
+        self.sent += 1;
+        let at = self.now + Duration::from_micros(delay);
+        self.on_the_way.insert((at, self.sent), (from, to, message));
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        let mut next_report = self.now;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.deliver();
+            if self.now >= next_report {
+                next_report = self.now + REPORT_EVERY;
+                self.report();
+            }
+            self.arrive();
+            for node in 0..self.nodes.len() {
+                self.look(node);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for from in 0..self.nodes.len() {
+            if self.nodes[from].down_until > self.now {
+                continue;
+            }
+            for to in (0..HOMES).filter(|to| *to != from) {
+                self.send(from, to, Message::Report);
+            }
+            if from < HOMES {
+                let others = self.nodes.len() - 1;
+                self.nodes[from].home.tick(self.now, others);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        if !self.opened {
+            return;
+        }
+        for number in 0..self.tenants.len() {
+            for node in 0..self.nodes.len() {
+                let mean = self.arrivals[number][node] * STEP.as_secs_f64();
+                let comes = mean > 0.0 && self.random.random_bool(mean.min(1.0));
+                if !comes || self.nodes[node].down_until > self.now {
+                    continue;
+                }
+                let tenant = self.tenants[number].clone();
+                if self.nodes[node].holder.take(self.now, &tenant) {
+                    self.outcomes[number].ran.push(self.now);
+                }
+            }
+        }
+    }
+
+    fn number_of(&self, key: TenantKey) -> usize {
+        self.tenants.iter().position(|tenant| tenant.key == key).unwrap()
+    }
+
+    fn settle(&mut self, waited: Waited) {
+        let number = self.number_of(waited.tenant);
+        let go = waited.answered.go as usize;
+        self.outcomes[number].ran.extend(std::iter::repeat_n(self.now, go));
+        self.outcomes[number].refused += waited.answered.refused as usize;
+    }
+
+    fn look(&mut self, node: usize) {
+        if self.nodes[node].down_until > self.now {
+            return;
+        }
+        let (homes, count) = (self.home_ids(), self.nodes.len());
+        let overdue = self.nodes[node].holder.overdue(self.now, count);
+        overdue.into_iter().for_each(|waited| self.settle(waited));
+        for ask in self.nodes[node].holder.calls(self.now, &homes) {
+            let home = homes.iter().position(|home| *home == ask.home).unwrap();
+            if home == node {
+                let answer = self.grant(node, &ask);
+                self.take(node, answer);
+            } else {
+                self.send(node, home, Message::Ask(ask));
+            }
+        }
+    }
+
+    fn grant(&mut self, node: usize, ask: &PermitAsk) -> Message {
+        let (homes, now) = (self.home_ids(), self.now);
+        let limit = self.tenants[self.number_of(ask.tenant)].limit;
+        let ordered = homes_of(ask.tenant, &homes);
+        let state = &mut self.nodes[node];
+        let place = ordered.iter().position(|home| *home == state.id).unwrap();
+        let since = match state.home.may_grant(now, &ordered[..place]) {
+            Some(since) => since,
+            None if self.trouble.grants_blindly => Instant::from_micros(0),
+            None => return Message::NotHome { tenant: ask.tenant, number: ask.number },
+        };
+        let grant = state.home.grant(now, ask.tenant, &limit, since, ask.urgent, ask.ahead);
+        let (tenant, number) = (ask.tenant, ask.number);
+        Message::Grant { tenant, number, granted: grant.granted, come_back: grant.come_back }
+    }
+
+    fn take(&mut self, node: usize, message: Message) {
+        match message {
+            Message::Grant { tenant, number, granted, come_back } => {
+                let answered = self.nodes[node].holder.note_grant(self.now, tenant, number, granted, come_back);
+                self.settle(Waited { tenant, answered });
+            }
+            Message::NotHome { tenant, number } => {
+                self.nodes[node].holder.note_not_home(self.now, tenant, number);
+            }
+            Message::Report | Message::Ask(_) => {}
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.on_the_way.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (from, to, message) = entry.remove();
+            if self.nodes[to].down_until > self.now || self.nodes[to].cut {
+                continue;
+            }
+            match message {
+                Message::Report => {
+                    let heard = self.nodes[from].id;
+                    self.nodes[to].home.note_heard(self.now, heard);
+                }
+                Message::Ask(ask) => {
+                    let answer = self.grant(to, &ask);
+                    self.send(to, from, answer);
+                }
+                answer => self.take(to, answer),
+            }
+        }
+    }
+
+    fn restart(&mut self, node: usize, down: Duration) {
+        let up = self.now + down;
+        let state = &mut self.nodes[node];
+        (state.holder, state.home, state.down_until) = (PermitHolder::default(), PermitHome::new(up, MARGIN), up);
+    }
+
+    /// Most requests that ran in a window, as a share of what is allowed.
+    fn worst_window(&self, number: usize, limit: RateLimit) -> f64 {
+        let mut ran = self.outcomes[number].ran.clone();
+        ran.sort_unstable();
+        let window = MARGIN.window;
+        let allowed = (limit.per_second * window.as_secs_f64() + limit.burst) * (1.0 + MARGIN.share) + MARGIN.requests;
+        let mut first = 0;
+        let mut most = 0;
+        for (last, at) in ran.iter().enumerate() {
+            while at.since(ran[first]) >= window {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most as f64 / allowed
+    }
+}
+
+fn play(seed: u64, nodes: usize, tenants: usize, load: f64, trouble: Trouble) -> Schedule {
+    let mut schedule = Schedule::new(seed, nodes, tenants, load, trouble);
+    schedule.run(Duration::from_secs(3));
+    schedule.opened = true;
+    schedule.run(Duration::from_secs(4));
+    let cut = (trouble.cut * nodes as f64) as usize;
+    for _ in 0..cut {
+        let node = schedule.random.random_range(0..nodes);
+        schedule.nodes[node].cut = true;
+    }
+    for second in 0..5 {
+        if trouble.restarts {
+            schedule.restart(second % HOMES, Duration::from_millis(700));
+        }
+        schedule.run(Duration::from_secs(1));
+    }
+    schedule.nodes.iter_mut().for_each(|node| node.cut = false);
+    schedule.run(Duration::from_secs(4));
+    schedule
+}
+
+fn worst(schedule: &Schedule) -> f64 {
+    let tenants = schedule.tenants.iter().enumerate();
+    tenants.map(|(number, tenant)| schedule.worst_window(number, tenant.limit)).fold(0.0, f64::max)
+}
+
+#[test]
+fn calm_tenants_below_their_limit_are_never_refused() {
+    for seed in 0..3 {
+        let schedule = play(seed, 60, 72, 0.62, Trouble { lost: 0.002, ..Trouble::default() });
+        let refused: usize = schedule.outcomes.iter().map(|outcome| outcome.refused).sum();
+        let ran: usize = schedule.outcomes.iter().map(|outcome| outcome.ran.len()).sum();
+        assert!(refused * 1000 < ran, "seed {seed}: {refused} of {ran} refused");
+    }
+}
+
+#[test]
+fn a_tenant_at_its_limit_gets_nearly_all_of_it() {
+    for seed in 0..3 {
+        let schedule = play(seed, 60, 72, 3.0, Trouble::default());
+        for (number, tenant) in schedule.tenants.iter().enumerate() {
+            let ran = schedule.outcomes[number].ran.len() as f64;
+            // The burst is not owed in whole so soon after a start.
+            let owed = tenant.limit.per_second * 13.0;
+            assert!(ran > 0.97 * owed, "seed {seed}, tenant {number}: {ran} of {owed}");
+        }
+    }
+}
+
+#[test]
+fn no_window_holds_more_than_the_limit_allows() {
+    let troubles = [
+        Trouble::default(),
+        Trouble { lost: 0.05, late: 0.1, ..Trouble::default() },
+        Trouble { restarts: true, lost: 0.01, ..Trouble::default() },
+        Trouble { cut: 0.35, lost: 0.01, ..Trouble::default() },
+        Trouble { cut: 0.35, restarts: true, lost: 0.05, late: 0.1, ..Trouble::default() },
+    ];
+    for trouble in troubles {
+        for seed in 0..6 {
+            let share = worst(&play(seed, 60, 30, 4.0, trouble));
+            assert!(share <= 1.0, "seed {seed}, {trouble:?}: {share}");
+        }
+    }
+}
+
+#[test]
+fn the_schedule_catches_homes_that_grant_at_once() {
+    let trouble = Trouble { grants_blindly: true, lost: 0.2, restarts: true, ..Trouble::default() };
+    let share = (0..4).map(|seed| worst(&play(seed, 60, 30, 6.0, trouble))).fold(0.0, f64::max);
+    assert!(share > 1.0, "{share}");
+}
+
+#[test]
+fn what_a_home_keeps_grows_with_the_tenants_that_ask_only() {
+    let now = Instant::from_micros(60_000_000);
+    let mut home = PermitHome::new(now, MARGIN);
+    let limit = RateLimit { per_second: 10.0, burst: 10.0 };
+    let mut granted: HashMap<u64, u32> = HashMap::new();
+    for number in 0..7_900_u64 {
+        let grant = home.grant(now + Duration::from_secs(10), TenantKey(number), &limit, now, 50, 0);
+        granted.insert(number, grant.granted);
+        assert!(grant.come_back > Duration::ZERO);
+    }
+    // Burst, and four tenths of the margin of 26, less the rate in a permit's life.
+    assert!(granted.values().all(|granted| *granted == 17));
+}
+
+#[test]
+fn a_lowered_limit_holds_at_once() {
+    let now = Instant::from_micros(60_000_000);
+    let mut home = PermitHome::new(now, MARGIN);
+    let (high, low) = (RateLimit { per_second: 100.0, burst: 100.0 }, RateLimit { per_second: 1.0, burst: 1.0 });
+    let later = now + Duration::from_secs(10);
+    assert_eq!(home.grant(later, TenantKey(1), &high, now, 10, 0).granted, 10);
+    let after = home.grant(later, TenantKey(1), &low, now, 100, 0).granted;
+    assert!(after <= 11, "{after}");
+    let second = later + Duration::from_secs(5);
+    assert_eq!(home.grant(second, TenantKey(1), &low, now, 100, 0).granted, 5);
+}
+
+#[test]
+fn come_back_times_spread_the_callers() {
+    let now = Instant::from_micros(60_000_000);
+    let mut home = PermitHome::new(now, MARGIN);
+    let limit = RateLimit { per_second: 10.0, burst: 10.0 };
+    let mut times = Vec::new();
+    for _ in 0..40 {
+        let grant = home.grant(now, TenantKey(1), &limit, now, 1, 0);
+        if grant.granted == 0 {
+            times.push(grant.come_back);
+        }
+    }
+    assert!(times.windows(2).all(|pair| pair[0] <= pair[1]), "{times:?}");
+    assert!(times.last().unwrap() > &Duration::from_secs(2), "{times:?}");
+}
--- a/crates/core/tests/queue_limit.rs
+++ b/crates/core/tests/queue_limit.rs
@@ -56,9 +56,9 @@
     let mut aggregator = Dispatcher::default();
     aggregator.note_peer(at(0), NodeId(1), 1, told(300));
     aggregator.note_peer(at(0), NodeId(2), 1, told(400));
-    aggregator.set_queued_tokens(route(), 50);
+    aggregator.set_queued_tokens(at(0), route(), 50);
     let mut asking = Dispatcher::default();
-    asking.set_queued_tokens(route(), 400);
+    asking.set_queued_tokens(at(0), route(), 400);
     for part in aggregator.shares_of_all(at(10)).into_parts(60) {
         asking.note_sum(at(20), part, &told(400));
     }
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -230,7 +230,8 @@
         let items = self.items.iter().zip(&self.progress);
         let unfinished =
             items.filter(|(_, progress)| matches!(progress.state(), ItemState::Waiting(_) | ItemState::Running));
-        self.context.note_unfinished(&self.job, &route, unfinished.map(|(item, _)| item.tokens).sum());
+        let tokens = unfinished.map(|(item, _)| item.tokens).sum();
+        self.context.note_unfinished(&self.job, &route, self.record.tenant.as_deref(), tokens);
     }
 
     /// What is shown to readers.
--- a/crates/jobs/src/queue_gate.rs
+++ b/crates/jobs/src/queue_gate.rs
@@ -40,11 +40,11 @@
         Self { shared, contact, excess, pending: Arc::default() }
     }
 
-    /// Counts a job of so many tokens if it fits. One that was taken here just
+    /// Counts a job of so many tokens if it fits with what its tenant has waiting. One that was taken here just
     /// now fits again.
-    pub fn admit(&self, route: &Route, job: &str, tokens: u64) -> QueueVerdict {
+    pub fn admit(&self, route: &Route, tenant: Option<&str>, job: &str, tokens: u64) -> QueueVerdict {
         let now = self.shared.clock.now();
-        let key = RouteKey::of(&route.name);
+        let key = RouteKey::of_tenant(&route.name, tenant);
         let mut pending = self.lock();
         pending.tick(now, self.is_store_away());
         let elsewhere = self.shared.dispatcher().queued_tokens_elsewhere(now, key);
@@ -70,16 +70,16 @@
     }
 
     /// The job was not taken after all.
-    pub fn withdraw(&self, route: &Route, job: &str) {
+    pub fn withdraw(&self, route: &Route, tenant: Option<&str>, job: &str) {
         let mut pending = self.lock();
         if pending.holds(job) {
             pending.forget(job);
-            self.tell(&pending, RouteKey::of(&route.name));
+            self.tell(&pending, RouteKey::of_tenant(&route.name, tenant));
         }
     }
 
     fn tell(&self, pending: &PendingJobs, route: RouteKey) {
-        self.shared.dispatcher().set_queued_tokens(route, pending.tokens(route));
+        self.shared.dispatcher().set_queued_tokens(self.shared.clock.now(), route, pending.tokens(route));
     }
 
     /// Tells others once the job does not count here any more: one task for each
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -96,16 +96,16 @@
 
     /// So many tokens of a job are unfinished; other nodes are told where its
     /// route has a limit.
-    pub(crate) fn note_unfinished(&self, job: &str, route: &Route, tokens: u64)
+    pub(crate) fn note_unfinished(&self, job: &str, route: &Route, tenant: Option<&str>, tokens: u64)
     where
         D: Dialect,
     {
         if route.queued_token_limit == 0 {
             return;
         }
-        let key = RouteKey::of(&route.name);
+        let key = RouteKey::of_tenant(&route.name, tenant);
         let sum = self.unfinished().set(job, key, tokens);
-        self.shared.dispatcher().set_queued_tokens(key, sum);
+        self.shared.dispatcher().set_queued_tokens(self.shared.clock.now(), key, sum);
     }
 
     /// This worker runs a job no longer.
@@ -115,7 +115,7 @@
     {
         let left = self.unfinished().remove(job);
         if let Some((route, sum)) = left {
-            self.shared.dispatcher().set_queued_tokens(route, sum);
+            self.shared.dispatcher().set_queued_tokens(self.shared.clock.now(), route, sum);
         }
     }
 
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -70,6 +70,30 @@
     JobDesk::new(Arc::new(store.clone()), nodes, 2)
 }
 
+#[tokio::test]
+async fn a_job_is_absent_for_other_tenants() {
+    let store = MemoryStore::default();
+    let (taking, reading) = (desk(&store, Nodes::default()), desk(&store, Nodes::default()));
+    let red = Submission { tenant: Some("red"), ..SUBMISSION };
+    taking.take(JOB, &red, body(2), soon()).await.unwrap();
+    for other in [None, Some("blue")] {
+        for desk in [&taking, &reading] {
+            assert_eq!(desk.read(JOB, other, 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Absent));
+            assert_eq!(desk.item_body(JOB, other, "item-1").await, Err(DeskFault::Absent));
+            assert_eq!(desk.end(JOB, other, soon()).await, Err(DeskFault::Absent));
+        }
+    }
+    let blue = Submission { tenant: Some("blue"), ..SUBMISSION };
+    assert_eq!(reading.take(JOB, &blue, body(2), soon()).await, Err(DeskFault::Conflict));
+    assert!(reading.take(JOB, &red, body(2), soon()).await.unwrap().resent);
+    assert_eq!(reading.read(JOB, Some("red"), 0, 1 << 20, Duration::ZERO).await.unwrap().total, 2);
+    // What is remembered of the job is not shown to others either.
+    assert_eq!(reading.read(JOB, Some("blue"), 0, 1 << 20, Duration::ZERO).await, Err(DeskFault::Absent));
+    assert_eq!(reading.item_body(JOB, Some("red"), "item-1").await.as_deref(), Ok("YWJj"));
+    assert_eq!(reading.item_body(JOB, Some("blue"), "item-1").await, Err(DeskFault::Absent));
+    assert_eq!(taking.end(JOB, Some("red"), soon()).await, Ok(()));
+}
+
 #[tokio::test]
 async fn a_job_is_taken_once_however_often_it_is_sent() {
     let store = MemoryStore::default();
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -194,6 +194,9 @@
             }
             () = permits_due(&teller.shared.permits) => teller.ask_for_permits(&peers),
             () = tokio::time::sleep_until(next) => {
+                if duties.aggregates {
+                    teller.shared.permits.tick_home(peers.count());
+                }
                 let peers = peers.all();
                 let many = peers.len() > DIRECT_LIMIT;
                 let sent = teller.tell(&peers);
@@ -240,6 +243,7 @@
     sequence: u64,
     told: NodeShares,
     told_at: Instant,
+    said_again_at: Instant,
     hello_at: Instant,
     /// Number of the aggregator that is asked for the sum.
     aggregator: usize,
@@ -260,6 +264,7 @@
             sequence: first_sequence(),
             told: NodeShares::default(),
             told_at: now,
+            said_again_at: now,
             hello_at: now,
             aggregator: own.0 as usize,
             sum_at: now,
@@ -283,7 +288,7 @@
             return;
         }
         if self.duties.aggregates {
-            self.shared.permits.note_heard(NodeId(report.from));
+            self.shared.permits.note_heard(NodeId(report.from), peers.count());
         }
         if !report.room_wanted.is_empty() {
             report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
@@ -354,7 +359,7 @@
 
     fn grant_permits(&self, requests: &[v1::PermitRequest], to: SocketAddr, peers: &Peers) {
         let table = self.shared.table();
-        let grants = self.shared.permits.answer(self.own, &self.homes(peers), peers.count(), &table.tenants, requests);
+        let grants = self.shared.permits.answer(self.own, &self.homes(peers), &table.tenants, requests);
         self.send(&v1::ServerShares { from: self.own.0, permit_grants: grants, ..Default::default() }, to);
     }
 
@@ -382,15 +387,26 @@
 
     fn tell_directly(&mut self, peers: &[Peer]) -> usize {
         let shares = self.own_shares();
-        let repeats = shares == self.told;
-        let repeat_every = if self.duties.aggregates { TELL_AGGREGATORS_EVERY } else { REPEAT_EVERY };
-        if repeats && self.told_at.elapsed() < repeat_every {
-            return 0;
+        let repeats = shares == self.told && self.told_at.elapsed() < REPEAT_EVERY;
+        if repeats {
+            return self.say_again(peers);
         }
         let report = self.next_report(shares);
         peers.iter().map(|peer| self.send(&report, peer.address)).sum()
     }
 
+    /// Homes of limited tenants must hear nodes more often than there is news.
+    fn say_again(&mut self, peers: &[Peer]) -> usize {
+        let limited = !self.shared.table().tenants.is_empty();
+        if !limited || self.said_again_at.elapsed() < TELL_AGGREGATORS_EVERY {
+            return 0;
+        }
+        self.said_again_at = Instant::now();
+        let report = self.report(&self.told);
+        let homes = peers.iter().filter(|peer| peer.aggregates);
+        homes.map(|peer| self.send(&report, peer.address)).sum()
+    }
+
     /// Every aggregator is told, one of them is asked for the sum; an
     /// aggregator itself hears all.
     fn tell_aggregators(&mut self, aggregators: &[SocketAddr]) -> usize {
--- a/crates/proxy/src/permits.rs
+++ b/crates/proxy/src/permits.rs
@@ -16,6 +16,8 @@
 /// A request is refused after this time at the latest, also where nobody
 /// exchanges messages with other nodes.
 const LATEST: Duration = Duration::from_millis(1000);
+/// Time between two looks of a home at whom it hears.
+const HOME_TICK: Duration = Duration::from_millis(50);
 /// What such a request is told.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -26,6 +28,7 @@
 struct State {
     holder: PermitHolder,
     home: PermitHome,
+    ticked_at: Instant,
     waiters: HashMap<TenantKey, VecDeque<oneshot::Sender<Outcome>>>,
 }
 
@@ -41,8 +44,9 @@
 impl Permits {
     /// No permits yet; limits may be exceeded by this margin.
     pub fn new(clock: Clock, margin: LimitMargin) -> Self {
-        let home = PermitHome::new(clock.now(), margin);
-        let state = State { holder: PermitHolder::default(), home, waiters: HashMap::new() };
+        let now = clock.now();
+        let home = PermitHome::new(now, margin);
+        let state = State { holder: PermitHolder::default(), home, ticked_at: now, waiters: HashMap::new() };
         Self { clock, state: Mutex::new(state), wanted: Notify::new() }
     }
 
@@ -81,9 +85,18 @@
         }
     }
 
-    /// Another node was heard.
-    pub(crate) fn note_heard(&self, node: NodeId) {
-        self.lock().home.note_heard(self.clock.now(), node);
+    /// Another node was heard; `nodes` is the number of all other nodes.
+    pub(crate) fn note_heard(&self, node: NodeId, nodes: usize) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.home.note_heard(now, node);
+        state.tick_home(now, nodes);
+    }
+
+    /// Time passes at a home; `nodes` is the number of all other nodes.
+    pub(crate) fn tick_home(&self, nodes: usize) {
+        let now = self.clock.now();
+        self.lock().tick_home(now, nodes);
     }
 
     /// Calls that are to be made now; those to this node itself are answered at
@@ -97,7 +110,7 @@
         let calls = state.holder.calls(now, homes);
         let (to_self, to_others): (Vec<_>, Vec<_>) = calls.into_iter().partition(|ask| ask.home == own);
         for ask in to_self {
-            let grant = state.answer(now, own, homes, nodes, tenants, &request_of(&ask));
+            let grant = state.answer(now, own, homes, tenants, &request_of(&ask));
             state.take_grant(now, &grant);
         }
         to_others
@@ -108,13 +121,12 @@
         &self,
         own: NodeId,
         homes: &[NodeId],
-        nodes: usize,
         tenants: &Tenants,
         requests: &[v1::PermitRequest],
     ) -> Vec<v1::PermitGrant> {
         let now = self.clock.now();
         let mut state = self.lock();
-        requests.iter().map(|request| state.answer(now, own, homes, nodes, tenants, request)).collect()
+        requests.iter().map(|request| state.answer(now, own, homes, tenants, request)).collect()
     }
 
     /// Takes a home's answers.
@@ -138,19 +150,25 @@
 }
 
 impl State {
+    fn tick_home(&mut self, now: Instant, nodes: usize) {
+        if now.since(self.ticked_at) >= HOME_TICK {
+            self.ticked_at = now;
+            self.home.tick(now, nodes);
+        }
+    }
+
     fn answer(
         &mut self,
         now: Instant,
         own: NodeId,
         homes: &[NodeId],
-        nodes: usize,
         tenants: &Tenants,
         request: &v1::PermitRequest,
     ) -> v1::PermitGrant {
         let key = TenantKey(request.tenant);
         let ordered = homes_of(key, homes);
         let place = ordered.iter().position(|home| *home == own);
-        let since = place.and_then(|place| self.home.may_grant(now, &ordered[..place], nodes));
+        let since = place.and_then(|place| self.home.may_grant(now, &ordered[..place]));
         let (Some(since), Some(tenant)) = (since, tenants.get(key)) else {
             let (tenant, number) = (request.tenant, request.number);
             return v1::PermitGrant { tenant, number, not_home: true, ..v1::PermitGrant::default() };
