--- /dev/null
+++ b/crates/core/src/dispatch/keeper.rs
@@ -0,0 +1,215 @@
+//! Keepers: nodes that know what runs at some servers at any moment.
+//!
+//! What nodes hear of each other by reports is a few hundred milliseconds old, too
+//! old where nearly all slots are taken: requests queue at one server while another
+//! is free. So each server has a keeper, one of the nodes that sum up loads, named by
+//! rendezvous hashing. A node asks a keeper for a server and is advised one that the
+//! keeper counts as taken from then on; nodes tell the keeper at once when a request
+//! has ended.
+//!
+//! A keeper only advises. What it counts is replaced by what nodes tell of
+//! themselves, and a node that gets no answer chooses by what it knows itself. So
+//! nothing is agreed upon, nothing leaks, and two keepers of one server do no harm.
+
+use super::{Dispatcher, Prompt, ServerKey, ServerShare, ServerView};
+use crate::identity::{stable_hash, stable_pair_hash, NodeId};
+use crate::time::Instant;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Seconds by which a server is worse where deferrable work has to give way first:
+/// its worker is asked by a datagram and closes a connection.
+const DISPLACE_COST: f64 = 0.004;
+
+/// A request that asks a keeper for a server.
+#[derive(Debug)]
+pub struct KeeperAsk<'a> {
+    /// Node that asks.
+    pub from: NodeId,
+    /// Hash of the service's name.
+    pub service: u64,
+    /// The prompt.
+    pub prompt: &'a Prompt,
+    /// Servers that were asked before.
+    pub avoid: &'a [ServerKey],
+    /// Longest wait for a slot that is worth taking.
+    pub wait_limit: Duration,
+    /// Whether the work can wait and give way.
+    pub deferrable: bool,
+    /// Share of every server's slots that must stay free, 0 to 1.
+    pub reserve: f64,
+    /// Any number; spreads requests among equal servers.
+    pub spread: u64,
+}
+
+/// A keeper's answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Advice {
+    /// Send it to this server.
+    Send {
+        /// The server.
+        server: ServerKey,
+        /// Prompt tokens that are expected to be read anew.
+        uncached: u32,
+        /// Expected wait for a slot.
+        wait: Duration,
+        /// Node that is to break off a deferrable run there.
+        displaces: Option<NodeId>,
+    },
+    /// The least wait at a server is longer than what is worth taking.
+    Full(Duration),
+    /// This node keeps no server of the service.
+    KeepsNone,
+}
+
+/// The servers of which a node is the keeper, and what it has to tell keepers.
+#[derive(Debug, Default)]
+pub(super) struct Keeping {
+    kept: HashMap<u64, Vec<Arc<str>>>,
+    /// Servers at which something changed that their keepers were not told.
+    changed: BTreeSet<ServerKey>,
+}
+
+impl Keeping {
+    pub(super) fn note_change(&mut self, server: ServerKey) {
+        self.changed.insert(server);
+    }
+}
+
+/// A server that a keeper chose.
+struct KeptChoice {
+    id: Arc<str>,
+    /// Seconds until a slot is free.
+    wait: f64,
+    /// Prompt tokens to read anew.
+    uncached: u32,
+    /// Whether a deferrable run is to give way.
+    displaces: bool,
+}
+
+/// The keeper of a server among these nodes.
+pub fn keeper_of(server: ServerKey, keepers: &[NodeId]) -> Option<NodeId> {
+    keepers.iter().copied().max_by_key(|keeper| stable_pair_hash(keeper.0, u64::from(server.0)))
+}
+
+impl Dispatcher {
+    /// This node is the keeper of the servers that fall to it among `keepers`.
+    pub fn set_kept(&mut self, own: NodeId, keepers: &[NodeId]) {
+        self.keeping.kept.clear();
+        for (id, server) in self.servers.iter().filter(|(_, server)| server.ready) {
+            if keeper_of(server.key, keepers) == Some(own) {
+                let service = stable_hash(server.service.as_bytes());
+                self.keeping.kept.entry(service).or_default().push(id.clone());
+            }
+        }
+        for kept in self.keeping.kept.values_mut() {
+            kept.sort_unstable();
+        }
+    }
+
+    /// The keepers with the free slots of their servers, as this node believes.
+    pub fn room_of_keepers(&self, now: Instant, keepers: &[NodeId]) -> Vec<(NodeId, f64)> {
+        let mut rooms: Vec<(NodeId, f64)> = keepers.iter().map(|keeper| (*keeper, 0.0)).collect();
+        for server in self.servers.values().filter(|server| server.ready) {
+            let Some(keeper) = keeper_of(server.key, keepers) else { continue };
+            let free = self.view(now, server).free_for_urgent(0.0).max(0.0);
+            rooms.iter_mut().filter(|(node, _)| *node == keeper).for_each(|(_, room)| *room += free);
+        }
+        rooms
+    }
+
+    /// Advises a server to another node, and counts the request there from now on.
+    pub fn advise(&mut self, now: Instant, ask: &KeeperAsk<'_>) -> Advice {
+        let Some(chosen) = self.choose_kept(now, ask) else { return Advice::KeepsNone };
+        let KeptChoice { id, wait, uncached, displaces } = chosen;
+        if wait > ask.wait_limit.as_secs_f64() {
+            return Advice::Full(Duration::from_secs_f64(wait.min(3600.0)));
+        }
+        let Some(server) = self.servers.get_mut(&id) else { return Advice::KeepsNone };
+        server.note_prefixes(now, ask.prompt);
+        let key = server.key;
+        let advised = ServerShare {
+            server: key,
+            requests: 1,
+            deferrable: u32::from(ask.deferrable),
+            prompt_tokens: uncached,
+            ..ServerShare::default()
+        };
+        let displaces = if displaces { self.peers.take_deferrable(now, key) } else { None };
+        self.peers.note_advised(now, ask.from, &advised);
+        Advice::Send { server: key, uncached, wait: Duration::from_secs_f64(wait.min(3600.0)), displaces }
+    }
+
+    /// The kept server with the soonest first token.
+    fn choose_kept(&self, now: Instant, ask: &KeeperAsk<'_>) -> Option<KeptChoice> {
+        let kept = self.keeping.kept.get(&ask.service)?;
+        let first = self.servers.get(kept.first()?)?;
+        let cost = self.services.get(&first.service).copied().unwrap_or_default();
+        let key = ask.prompt.affinity_key();
+        let home = key.and_then(|key| self.home_of(&first.service, key));
+        let mut best: Option<(f64, f64, KeptChoice)> = None;
+        for id in kept {
+            let Some(server) = self.servers.get(id).filter(|server| server.ready) else { continue };
+            let avoided = ask.avoid.contains(&server.key) && kept.len() > ask.avoid.len();
+            if avoided {
+                continue;
+            }
+            let view = self.view(now, server);
+            let wait = view.exact_wait(&cost, ask.deferrable, ask.reserve);
+            let displaces = !ask.deferrable && view.is_held_by_deferrable();
+            let uncached = server.uncached(now, ask.prompt, home.as_ref() == Some(id));
+            let displacing = if displaces { DISPLACE_COST } else { 0.0 };
+            let total = wait + view.penalty() + view.reading(&cost, uncached) + displacing;
+            let order = spread_order(&view, ask.spread);
+            let better = best.as_ref().is_none_or(|(least, least_order, _)| {
+                total < least - super::TIE || (total < least + super::TIE && order < *least_order)
+            });
+            if better {
+                best = Some((total, order, KeptChoice { id: id.clone(), wait, uncached, displaces }));
+            }
+        }
+        best.map(|(_, _, chosen)| chosen)
+    }
+
+    /// What another node tells of servers at which something changed.
+    pub fn note_peer_changes(&mut self, now: Instant, from: NodeId, sequence: u64, changed: Vec<ServerShare>) {
+        self.peers.note_changes(now, from, sequence, changed);
+    }
+
+    /// What this node does at the servers where something changed since this was
+    /// asked last, for their keepers.
+    pub fn take_changes(&mut self, now: Instant) -> Vec<ServerShare> {
+        let changed = std::mem::take(&mut self.keeping.changed);
+        let shares = changed.into_iter().map(|key| {
+            let state = self.ids.get(&key).and_then(|id| self.servers.get(id));
+            let nothing = ServerShare { server: key, ..ServerShare::default() };
+            state.and_then(|state| state.share(now)).unwrap_or(nothing)
+        });
+        shares.collect()
+    }
+
+    /// Whether there is something to tell keepers.
+    pub fn has_changes(&self) -> bool {
+        !self.keeping.changed.is_empty()
+    }
+
+    /// The keeper of the server where prompts with this prefix are kept.
+    pub fn keeper_of_prompt(&self, service: &str, prompt: &Prompt, keepers: &[NodeId]) -> Option<NodeId> {
+        let home = self.home_of(service, prompt.affinity_key()?)?;
+        keeper_of(self.servers.get(&home)?.key, keepers)
+    }
+
+    /// Seconds to read the part of a prompt that other requests share.
+    pub fn shared_reading(&self, service: &str, prompt: &Prompt) -> f64 {
+        let cost = self.services.get(service).copied().unwrap_or_default();
+        cost.prefill(f64::from(prompt.shared_tokens()))
+    }
+}
+
+/// Orders equal servers: the emptier ones first, then by chance.
+fn spread_order(view: &ServerView<'_>, spread: u64) -> f64 {
+    let hash = stable_pair_hash(u64::from(view.state.key.0), spread);
+    let chance = hash as f64 / u64::MAX as f64;
+    chance - view.exact_free(0.0, false)
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod deferrable;
 mod failure_rate;
 mod holders;
+mod keeper;
 mod peers;
 mod queues;
 mod server;
@@ -17,6 +18,7 @@
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
 pub use holders::holders_of;
+pub use keeper::{keeper_of, Advice, KeeperAsk};
 pub use peers::{NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 pub use queues::{RouteKey, RouteQueue};
 pub use server::{ServerLoad, ServerReport};
@@ -25,6 +27,7 @@
 use crate::identity::{stable_hash, stable_pair_hash, NodeId};
 use crate::time::Instant;
 use cost::ServiceCost;
+use keeper::Keeping;
 use peers::PeerReports;
 use queues::OwnQueues;
 use server::{ServerState, ServerView};
@@ -121,6 +124,9 @@
     queues: OwnQueues,
     /// This node and all that run deferrable work, if it does itself.
     deferring: Option<(NodeId, Vec<NodeId>)>,
+    /// Identities of servers by their names among nodes.
+    ids: HashMap<ServerKey, Arc<str>>,
+    keeping: Keeping,
 }
 
 impl Dispatcher {
@@ -139,6 +145,7 @@
             }
         }
         self.servers.retain(|_, server| server.ready || server.own() > 0);
+        self.ids = self.servers.iter().map(|(id, server)| (server.key, id.clone())).collect();
         self.mark_held();
     }
 
@@ -217,10 +224,36 @@
         }
     }
 
+    /// The place at a server that a keeper advised; `None` if this node knows that
+    /// the server takes no work, or something bad of it.
+    pub fn place_at(
+        &self,
+        now: Instant,
+        server: ServerKey,
+        uncached: u32,
+        wait: Duration,
+        deferrable: bool,
+    ) -> Option<Placement> {
+        let id = self.ids.get(&server)?;
+        let state = self.servers.get(id).filter(|state| state.ready)?;
+        let view = self.view(now, state);
+        (!view.is_avoided()).then(|| Placement {
+            server: id.clone(),
+            address: state.address.clone(),
+            expected_wait: wait,
+            uncached,
+            load: view.load(),
+            deferrable,
+            // The keeper has seen to that.
+            displaces: false,
+        })
+    }
+
     /// A request was sent to a server.
     pub fn note_sent(&mut self, now: Instant, placement: &Placement, prompt: &Prompt) {
         if let Some(server) = self.servers.get_mut(&placement.server) {
             server.note_sent(now, prompt, placement);
+            self.keeping.note_change(server.key);
         }
     }
 
@@ -228,6 +261,7 @@
     pub fn note_first_piece(&mut self, now: Instant, placement: &Placement, time: Duration) {
         let Some(server) = self.servers.get_mut(&placement.server) else { return };
         server.note_first_piece(now, placement.uncached);
+        self.keeping.note_change(server.key);
         let cost = self.services.entry(server.service.clone()).or_default();
         cost.note_first_piece(time, placement.uncached);
     }
@@ -251,6 +285,7 @@
     pub fn note_end(&mut self, now: Instant, placement: &Placement, ending: Ending, started: bool, time: Duration) {
         let Some(server) = self.servers.get_mut(&placement.server) else { return };
         server.note_end(now, ending, placement, started);
+        self.keeping.note_change(server.key);
         if ending == Ending::Answered {
             let service = server.service.clone();
             self.services.entry(service).or_default().note_service_time(time);
@@ -317,6 +352,11 @@
         self.peers.waiting_at(now, node)
     }
 
+    /// Whether another node told of itself lately.
+    pub fn hears(&self, now: Instant, node: NodeId) -> bool {
+        self.peers.hears(now, node)
+    }
+
     /// Another node tells of itself; `sequence` rises with its reports.
     pub fn note_peer(&mut self, now: Instant, from: NodeId, sequence: u64, told: NodeShares) {
         self.peers.note(now, from, sequence, told);
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -17,6 +17,9 @@
 /// Time after which a report counts for nothing.
 pub const REPORT_LIFE: Duration = Duration::from_millis(1500);
 
+/// A keeper that is not heard for this time keeps no servers any more.
+const KEEPER_SILENCE: Duration = Duration::from_millis(600);
+
 /// A server as nodes name it to each other: a short hash of its identity. Two
 /// servers with one key would be taken to be as loaded as both together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -69,6 +72,13 @@
     waiting: u32,
 }
 
+impl Report {
+    /// What is known of a node that told nothing yet.
+    fn empty(now: Instant) -> Self {
+        Self { at: now, sequence: 0, shares: HashMap::new(), pressed: Vec::new(), waiting: 0 }
+    }
+}
+
 /// A part of the sum over all nodes, without this node itself.
 #[derive(Debug)]
 struct SumPart {
@@ -94,10 +104,63 @@
     server.0 as usize % parts.max(1)
 }
 
+/// What all reports say of one server, added up as they come and go.
+#[derive(Debug, Default)]
+struct Total {
+    requests: u32,
+    deferrable: u32,
+    prompt_tokens: u32,
+    /// The few nodes that say something bad of it.
+    warnings: Vec<Warning>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Warning {
+    node: u64,
+    at: Instant,
+    suspect: bool,
+    failing: u32,
+}
+
+impl Total {
+    fn add(&mut self, node: u64, at: Instant, share: &ServerShare) {
+        self.requests += share.requests;
+        self.deferrable += share.deferrable;
+        self.prompt_tokens = self.prompt_tokens.saturating_add(share.prompt_tokens);
+        if share.suspect || share.failing > 0 {
+            self.warnings.push(Warning { node, at, suspect: share.suspect, failing: share.failing });
+        }
+    }
+
+    fn take_away(&mut self, node: u64, share: &ServerShare) {
+        self.requests = self.requests.saturating_sub(share.requests);
+        self.deferrable = self.deferrable.saturating_sub(share.deferrable);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(share.prompt_tokens);
+        self.warnings.retain(|warning| warning.node != node);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.requests == 0 && self.prompt_tokens == 0 && self.warnings.is_empty()
+    }
+
+    fn share(&self) -> PeerShare {
+        PeerShare {
+            requests: self.requests,
+            deferrable: self.deferrable,
+            prompt_tokens: self.prompt_tokens,
+            suspect_at: self.warnings.iter().filter(|warning| warning.suspect).map(|warning| warning.at).max(),
+            failing: self.warnings.iter().map(|warning| warning.failing).max().unwrap_or(0),
+        }
+    }
+}
+
 /// The last report of each other node.
 #[derive(Debug, Default)]
 pub(super) struct PeerReports {
     reports: HashKeyMap<u64, Report>,
+    /// Sums over the reports.
+    totals: HashMap<ServerKey, Total>,
+    last_at: Instant,
     /// The last sum, by part; empty where none is asked for.
     sum: Vec<Option<SumPart>>,
     queues: PeerQueues,
@@ -106,14 +169,97 @@
 impl PeerReports {
     /// Takes a report, unless a later one of the node came before.
     pub(super) fn note(&mut self, now: Instant, from: NodeId, sequence: u64, told: NodeShares) {
-        let present = self.reports.get(&from.0);
-        if present.is_some_and(|present| sequence <= present.sequence && now.since(present.at) < REPORT_LIFE) {
+        if self.is_outdated(now, from, sequence) {
             return;
         }
         self.queues.note(now, from.0, &told.queues);
-        let shares = told.servers.into_iter().map(|share| (share.server, share)).collect();
-        self.reports.insert(from.0, Report { at: now, sequence, shares, pressed: told.pressed, waiting: told.waiting });
-        self.reports.retain(|_, report| now.since(report.at) < REPORT_LIFE);
+        if let Some(former) = self.reports.remove(&from.0) {
+            self.take_from_totals(from.0, &former);
+        }
+        let shares: HashMap<ServerKey, ServerShare> =
+            told.servers.into_iter().map(|share| (share.server, share)).collect();
+        for share in shares.values() {
+            self.totals.entry(share.server).or_default().add(from.0, now, share);
+        }
+        let report = Report { at: now, sequence, shares, pressed: told.pressed, waiting: told.waiting };
+        self.reports.insert(from.0, report);
+        self.last_at = now;
+        self.expire(now);
+    }
+
+    /// Takes what changed at some servers since the node's last report.
+    pub(super) fn note_changes(&mut self, now: Instant, from: NodeId, sequence: u64, changed: Vec<ServerShare>) {
+        if self.is_outdated(now, from, sequence) {
+            return;
+        }
+        let Some(report) = self.reports.get_mut(&from.0) else { return };
+        report.sequence = sequence;
+        for share in changed {
+            let total = self.totals.entry(share.server).or_default();
+            if let Some(former) = report.shares.remove(&share.server) {
+                total.take_away(from.0, &former);
+            }
+            total.add(from.0, now, &share);
+            if total.is_empty() {
+                self.totals.remove(&share.server);
+            }
+            if share != (ServerShare { server: share.server, ..ServerShare::default() }) {
+                report.shares.insert(share.server, share);
+            }
+        }
+    }
+
+    /// A node was advised to send a request to a server: it counts until the node
+    /// tells of the server itself.
+    pub(super) fn note_advised(&mut self, now: Instant, from: NodeId, advised: &ServerShare) {
+        let report = self.reports.entry(from.0).or_insert_with(|| Report::empty(now));
+        let share = report
+            .shares
+            .entry(advised.server)
+            .or_insert(ServerShare { server: advised.server, ..ServerShare::default() });
+        share.add(advised);
+        self.totals.entry(advised.server).or_default().add(from.0, now, advised);
+    }
+
+    /// The node with most deferrable runs at a server, one of which counts no more:
+    /// it is asked to break one off.
+    pub(super) fn take_deferrable(&mut self, now: Instant, server: ServerKey) -> Option<NodeId> {
+        let fresh = self.reports.iter_mut().filter(|(_, report)| now.since(report.at) < REPORT_LIFE);
+        let runs = fresh.filter_map(|(node, report)| report.shares.get_mut(&server).map(|share| (*node, share)));
+        let (node, share) = runs.max_by_key(|(_, share)| share.deferrable).filter(|(_, share)| share.deferrable > 0)?;
+        share.deferrable -= 1;
+        share.requests = share.requests.saturating_sub(1);
+        if let Some(total) = self.totals.get_mut(&server) {
+            total.deferrable = total.deferrable.saturating_sub(1);
+            total.requests = total.requests.saturating_sub(1);
+        }
+        Some(NodeId(node))
+    }
+
+    fn is_outdated(&self, now: Instant, from: NodeId, sequence: u64) -> bool {
+        let present = self.reports.get(&from.0);
+        present.is_some_and(|present| sequence <= present.sequence && now.since(present.at) < REPORT_LIFE)
+    }
+
+    fn take_from_totals(&mut self, node: u64, report: &Report) {
+        for share in report.shares.values() {
+            let Some(total) = self.totals.get_mut(&share.server) else { continue };
+            total.take_away(node, share);
+            if total.is_empty() {
+                self.totals.remove(&share.server);
+            }
+        }
+    }
+
+    /// Forgets reports that are old.
+    fn expire(&mut self, now: Instant) {
+        let old = |report: &Report| now.since(report.at) >= REPORT_LIFE;
+        let nodes: Vec<u64> = self.reports.iter().filter(|(_, report)| old(report)).map(|(node, _)| *node).collect();
+        for node in nodes {
+            if let Some(report) = self.reports.remove(&node) {
+                self.take_from_totals(node, &report);
+            }
+        }
     }
 
     /// Takes a part of the sum over all nodes; `own` is what this node told
@@ -180,6 +326,11 @@
         self.reports.get(&node.0).filter(|report| now.since(report.at) < REPORT_LIFE).map(|report| report.waiting)
     }
 
+    /// Whether a node told of itself lately.
+    pub(super) fn hears(&self, now: Instant, node: NodeId) -> bool {
+        self.reports.get(&node.0).is_some_and(|report| now.since(report.at) < KEEPER_SILENCE)
+    }
+
     fn fresh(&self, now: Instant) -> impl Iterator<Item = &Report> {
         self.reports.values().filter(move |report| now.since(report.at) < REPORT_LIFE)
     }
@@ -196,10 +347,9 @@
             }
             return result;
         }
-        for report in self.fresh(now) {
-            if let Some(share) = report.shares.get(&server) {
-                result.add(share, report.at);
-            }
+        // Where nothing is heard any more, all reports are old.
+        if now.since(self.last_at) < REPORT_LIFE {
+            return self.totals.get(&server).map(Total::share).unwrap_or_default();
         }
         result
     }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -116,7 +116,7 @@
     /// Requests of all nodes there: those that the nodes count themselves, or
     /// the load that the server told just now where that is more.
     pub(super) fn load(&self) -> f64 {
-        let counted = f64::from(self.state.own + self.peers.requests);
+        let counted = self.counted();
         let Some((at, load)) = self.state.told else { return counted };
         let age = self.now.since(at).as_secs_f64();
         let trust = (1.0 - age / TOLD_LOAD_LIFE.as_secs_f64()).max(0.0);
@@ -131,9 +131,8 @@
 
     /// Slots that an urgent request finds, if a share of all stays free:
     /// deferrable work gives way to it.
-    fn free_for_urgent(&self, reserve: f64) -> f64 {
-        let deferrable = f64::from(self.state.own_deferrable + self.peers.deferrable);
-        self.free_slots(reserve) + deferrable.min(self.load())
+    pub(super) fn free_for_urgent(&self, reserve: f64) -> f64 {
+        self.free_slots(reserve) + f64::from(self.deferrable()).min(self.load())
     }
 
     /// Whether an urgent request that is sent now needs a slot that deferrable
@@ -141,13 +140,12 @@
     /// held by such work, the longer a request would wait for one to be free by
     /// itself, and the earlier that work gives way.
     pub(super) fn displaces(&self) -> bool {
-        let deferrable = f64::from(self.state.own_deferrable + self.peers.deferrable);
-        self.free_slots(0.0) < FREE_CUSHION * deferrable / f64::from(self.state.slots)
+        self.free_slots(0.0) < FREE_CUSHION * f64::from(self.deferrable()) / f64::from(self.state.slots)
     }
 
     /// How crowded the server is by deferrable work.
     pub(super) fn crowding(&self) -> Crowding {
-        Crowding::new(self.free_slots(0.0), self.state.own_deferrable + self.peers.deferrable)
+        Crowding::new(self.free_slots(0.0), self.deferrable())
     }
 
     /// Seconds until a request finds a slot free. To an urgent one deferrable
@@ -161,10 +159,45 @@
         over * cost.service_seconds() / f64::from(self.state.slots)
     }
 
+    /// Requests of all nodes there as they count them themselves.
+    fn counted(&self) -> f64 {
+        f64::from(self.state.own + self.peers.requests)
+    }
+
+    /// Deferrable runs of all nodes there.
+    fn deferrable(&self) -> u32 {
+        self.state.own_deferrable + self.peers.deferrable
+    }
+
+    /// Free slots, if a share of all stays free, for a node that knows what runs
+    /// there now; deferrable work counts as none where `urgent` is set.
+    pub(super) fn exact_free(&self, reserve: f64, urgent: bool) -> f64 {
+        let slots = (f64::from(self.state.slots) * (1.0 - reserve)).max(1.0);
+        let giving_way = if urgent { f64::from(self.deferrable()) } else { 0.0 };
+        slots - (self.counted() - giving_way)
+    }
+
+    /// Seconds until a request finds a slot free, for a node that knows what runs
+    /// there now.
+    pub(super) fn exact_wait(&self, cost: &ServiceCost, deferrable: bool, reserve: f64) -> f64 {
+        let free = if deferrable { self.exact_free(reserve, false) } else { self.exact_free(0.0, true) };
+        (1.0 - free).max(0.0) * cost.service_seconds() / f64::from(self.state.slots)
+    }
+
+    /// Whether no slot is free, but deferrable work holds some.
+    pub(super) fn is_held_by_deferrable(&self) -> bool {
+        self.deferrable() > 0 && self.exact_free(0.0, false) < 1.0
+    }
+
     /// Seconds to read the prompt behind those that were sent before.
-    pub(super) fn prefill(&self, cost: &ServiceCost, uncached: u32) -> f64 {
+    pub(super) fn reading(&self, cost: &ServiceCost, uncached: u32) -> f64 {
         let ahead = f64::from(self.state.own_prefill_tokens) + f64::from(self.peers.prompt_tokens);
-        cost.prefill(ahead + f64::from(uncached)) + self.scarcity() * cost.service_seconds() * LAST_SLOT_COST
+        cost.prefill(ahead + f64::from(uncached))
+    }
+
+    /// The same and the risk that others take the last slots unheard.
+    pub(super) fn prefill(&self, cost: &ServiceCost, uncached: u32) -> f64 {
+        self.reading(cost, uncached) + self.scarcity() * cost.service_seconds() * LAST_SLOT_COST
     }
 
     /// How scarce free slots are: 0 with ample ones, 1 with the last one. With
@@ -197,6 +230,11 @@
         }
     }
 
+    /// Whether this node avoids it.
+    pub(super) fn is_avoided(&self) -> bool {
+        self.penalty() >= AVOID_PENALTY
+    }
+
     /// Seconds by which a server is worse for deferrable work that other nodes
     /// run there first.
     pub(super) fn cost_of_others(&self) -> f64 {
@@ -208,12 +246,7 @@
     }
 
     pub(super) fn report(&self, id: &Arc<str>) -> ServerReport {
-        ServerReport {
-            id: id.clone(),
-            own: self.state.own,
-            load: self.load(),
-            avoided: self.penalty() >= AVOID_PENALTY,
-        }
+        ServerReport { id: id.clone(), own: self.state.own, load: self.load(), avoided: self.is_avoided() }
     }
 }
 
@@ -309,6 +342,11 @@
         self.own_deferrable += u32::from(placement.deferrable);
         self.own_change += 1;
         self.own_prefill_tokens = self.own_prefill_tokens.saturating_add(placement.uncached);
+        self.note_prefixes(now, prompt);
+    }
+
+    /// The shared parts of a prompt are kept here from now on.
+    pub(super) fn note_prefixes(&mut self, now: Instant, prompt: &Prompt) {
         for (key, _) in prompt.prefixes().take(prompt.parts.len().saturating_sub(1)) {
             if self.prefixes.insert(key, now).is_none() {
                 self.prefix_order.push_back(key);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -72,7 +72,16 @@
 /// are asked: each breaks one off with the chance of its share, one in all.
 async fn make_room<S: RecordStore, D: Dialect>(context: Arc<WorkerContext<S, D>>) {
     let Some(mut wanted) = context.shared.take_room_wanted() else { return };
-    while let Some(key) = wanted.recv().await {
+    let Some(mut ordered) = context.shared.take_room_ordered() else { return };
+    loop {
+        let key = tokio::select! {
+            Some(key) = ordered.recv() => {
+                context.runs.break_first(key);
+                continue;
+            }
+            Some(key) = wanted.recv() => key,
+            else => return,
+        };
         let Some(server) = context.runs.server(key) else { continue };
         let now = context.shared.clock.now();
         let share = context.shared.dispatcher().own_share_of_deferrable(now, &server);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -94,6 +94,7 @@
     pub fn reserve(shared: &Arc<Shared<D>>, placement: Placement, outgoing: &Outgoing) -> Self {
         let sent_at = shared.clock.now();
         shared.dispatcher().note_sent(sent_at, &placement, &outgoing.prompt);
+        shared.load_changed.notify_one();
         if placement.displaces {
             shared.room_asked.put(ServerKey::of(&placement.server));
         }
@@ -241,5 +242,6 @@
         let now = self.shared.clock.now();
         let time = now.since(self.sent_at);
         self.shared.dispatcher().note_end(now, &self.placement, self.ending, self.started, time);
+        self.shared.load_changed.notify_one();
     }
 }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::caller::{bearer_key, put_tenant};
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
+use crate::placements::PlaceAsk;
 use crate::resumable::{stream_body, Streaming};
 use crate::shared::Shared;
 use bytes::{Bytes, BytesMut};
@@ -253,7 +254,7 @@
         if left.is_zero() {
             return Err(Some(self.refuse(ResultCode::DeadlinePassed, None)));
         }
-        let placement = match self.choose() {
+        let placement = match self.place().await {
             Choice::Send(placement) => placement,
             Choice::Full(come_back) => {
                 self.shared.dispatcher().note_refused(self.shared.clock.now(), &self.service);
@@ -280,13 +281,33 @@
         (self.route.latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE).min(left)
     }
 
+    /// A place that a keeper advises, or the one that looks best from here.
+    async fn place(&self) -> Choice {
+        let ask = PlaceAsk {
+            service: &self.service,
+            prompt: &self.outgoing.prompt,
+            avoid: &self.asked,
+            wait_limit: self.wait_limit(),
+            deferrable: false,
+            reserve: 0.0,
+        };
+        match self.shared.placements.ask(&self.shared, &ask).await {
+            Some(choice) => choice,
+            None => self.choose(),
+        }
+    }
+
+    /// Who would be late anyway is told at once when to come back.
+    fn wait_limit(&self) -> Duration {
+        self.route.latency_target.min(self.left())
+    }
+
     fn choose(&self) -> Choice {
         let ask = Ask {
             service: &self.service,
             prompt: &self.outgoing.prompt,
             avoid: &self.asked,
-            // Who would be late anyway is told at once when to come back.
-            wait_limit: self.route.latency_target.min(self.left()),
+            wait_limit: self.wait_limit(),
             reserve: 0.0,
             spread: self.shared.next_spread(),
             deferrable: false,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,10 +7,11 @@
 
 use crate::dialect::Dialect;
 use crate::permits::{request_of, Permits};
+use crate::placements::{advise, KeeperCall, RoomOrder};
 use crate::shared::Shared;
 use crate::waiting::sleep_or_never;
 use latchwheel_core::dispatch::{
-    holders_of, NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE,
+    holders_of, keeper_of, NodeShares, RouteKey, RouteQueue, ServerKey, ServerShare, SharesSum, REPORT_LIFE,
 };
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::permits::PermitAsk;
@@ -26,6 +27,9 @@
 const TELL_EVERY: Duration = Duration::from_millis(100);
 /// The same where aggregators are told.
 const TELL_AGGREGATORS_EVERY: Duration = Duration::from_millis(150);
+/// Keepers are told of requests that have ended after this time, so that several
+/// come together.
+const TELL_CHANGES_AFTER: Duration = Duration::from_millis(4);
 /// A report that says the same again is sent this often: others know by it
 /// that they can reach this node.
 const REPEAT_EVERY: Duration = Duration::from_millis(600);
@@ -124,6 +128,10 @@
         self.lock().homes.get(&home).copied()
     }
 
+    fn worker_address(&self, worker: NodeId) -> Option<SocketAddr> {
+        self.lock().deferring.get(&worker).copied()
+    }
+
     fn count(&self) -> usize {
         self.lock().by_name.len()
     }
@@ -182,8 +190,21 @@
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next = Instant::now() + TELL_EVERY;
     let mut room_asked = teller.shared.room_asked.take_receiver();
+    let mut keeper_calls = teller.shared.placements.calls.take_receiver();
+    let mut room_orders = teller.shared.placements.room_orders.take_receiver();
+    let mut changes_due: Option<Instant> = None;
     loop {
+        let until_changes = changes_due.map(|due| due.saturating_duration_since(Instant::now()));
         tokio::select! {
+            Some(call) = next_of(&mut keeper_calls) => teller.call_keeper(call, &peers),
+            Some(order) = next_of(&mut room_orders) => teller.order_room(order, &peers),
+            () = teller.shared.load_changed.notified(), if changes_due.is_none() => {
+                changes_due = Some(Instant::now() + TELL_CHANGES_AFTER);
+            }
+            () = sleep_or_never(until_changes) => {
+                changes_due = None;
+                teller.tell_changes(&peers);
+            }
             Some(server) = next_of(&mut room_asked) => {
                 teller.ask_for_room(server, &peers.holders(server)).await;
             }
@@ -197,6 +218,7 @@
                 if duties.aggregates {
                     teller.shared.permits.tick_home(peers.count());
                 }
+                teller.look_at_keepers(&peers);
                 let peers = peers.all();
                 let many = peers.len() > DIRECT_LIMIT;
                 let sent = teller.tell(&peers);
@@ -248,6 +270,8 @@
     /// Number of the aggregator that is asked for the sum.
     aggregator: usize,
     sum_at: Instant,
+    /// Nodes that keep servers, as this one believes.
+    keepers: Vec<NodeId>,
     /// Bytes of sums that may be sent now, and when that was reckoned.
     sum_budget: f64,
     budget_at: Instant,
@@ -268,6 +292,7 @@
             hello_at: now,
             aggregator: own.0 as usize,
             sum_at: now,
+            keepers: Vec::new(),
             sum_budget: duties.sum_bytes_per_second,
             budget_at: now,
         }
@@ -287,9 +312,27 @@
             self.shared.permits.take_grants(&report.permit_grants);
             return;
         }
+        if let Some(request) = &report.placement_request {
+            self.advise(NodeId(report.from), request, from, peers);
+            return;
+        }
+        if let Some(advice) = report.placement_advice {
+            self.shared.placements.take_advice(advice);
+            return;
+        }
         if self.duties.aggregates {
             self.shared.permits.note_heard(NodeId(report.from), peers.count());
         }
+        if report.changes_only {
+            let changed = report.shares.iter().map(share_of).collect();
+            let (now, node) = (self.shared.clock.now(), NodeId(report.from));
+            self.shared.dispatcher().note_peer_changes(now, node, report.sequence, changed);
+            return;
+        }
+        if !report.room_ordered.is_empty() {
+            report.room_ordered.iter().for_each(|server| self.shared.room_ordered.put(ServerKey(*server)));
+            return;
+        }
         if !report.room_wanted.is_empty() {
             report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
             return;
@@ -357,6 +400,67 @@
         }
     }
 
+    /// Which nodes keep servers now: the homes that are heard.
+    fn look_at_keepers(&mut self, peers: &Peers) {
+        let homes = self.homes(peers);
+        let now = self.shared.clock.now();
+        let mut dispatcher = self.shared.dispatcher();
+        let keepers: Vec<NodeId> = if self.duties.aggregates {
+            homes.into_iter().filter(|home| *home == self.own || dispatcher.hears(now, *home)).collect()
+        } else {
+            homes
+        };
+        if self.duties.aggregates {
+            dispatcher.set_kept(self.own, &keepers);
+        }
+        let rooms = dispatcher.room_of_keepers(now, &keepers);
+        drop(dispatcher);
+        self.shared.placements.set_keepers(self.own, rooms);
+        self.keepers = keepers;
+    }
+
+    fn call_keeper(&self, call: KeeperCall, peers: &Peers) {
+        let Some(address) = peers.home_address(call.keeper) else { return };
+        let message =
+            v1::ServerShares { from: self.own.0, placement_request: Some(call.request), ..Default::default() };
+        self.send(&message, address);
+    }
+
+    fn advise(&self, asker: NodeId, request: &v1::PlacementRequest, to: SocketAddr, peers: &Peers) {
+        let (advice, order) = advise(&self.shared, asker, request);
+        self.send(&v1::ServerShares { from: self.own.0, placement_advice: Some(advice), ..Default::default() }, to);
+        if let Some(order) = order {
+            self.order_room(order, peers);
+        }
+    }
+
+    /// Asks one worker to break off one run at a server.
+    fn order_room(&self, order: RoomOrder, peers: &Peers) {
+        let Some(address) = peers.worker_address(order.worker) else { return };
+        let message = v1::ServerShares { from: self.own.0, room_ordered: vec![order.server.0], ..Default::default() };
+        self.send(&message, address);
+    }
+
+    /// Tells the keepers of servers what changed there.
+    fn tell_changes(&mut self, peers: &Peers) {
+        let changed = self.shared.dispatcher().take_changes(self.shared.clock.now());
+        let mut by_keeper: HashMap<NodeId, Vec<v1::ServerShare>> = HashMap::new();
+        for share in changed {
+            let keeper = keeper_of(share.server, &self.keepers).filter(|keeper| *keeper != self.own);
+            if let Some(keeper) = keeper {
+                by_keeper.entry(keeper).or_default().push(message_of(&share));
+            }
+        }
+        for (keeper, shares) in by_keeper {
+            let Some(address) = peers.home_address(keeper) else { continue };
+            self.sequence += 1;
+            let sequence = self.sequence;
+            let report =
+                v1::ServerShares { from: self.own.0, sequence, shares, changes_only: true, ..Default::default() };
+            self.send(&report, address);
+        }
+    }
+
     fn grant_permits(&self, requests: &[v1::PermitRequest], to: SocketAddr, peers: &Peers) {
         let table = self.shared.table();
         let grants = self.shared.permits.answer(self.own, &self.homes(peers), &table.tenants, requests);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::handoff::Handoff;
 use crate::permits::Permits;
+use crate::placements::Placements;
 use crate::pool::Pool;
 use latchwheel_clock::Clock;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
@@ -11,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 
 /// Time after the start in which requests wait for the first list of servers:
@@ -45,6 +46,10 @@
     pub(crate) pool: Pool,
     /// Permits of tenants whose requests are limited.
     pub permits: Permits,
+    /// Calls to the keepers of servers.
+    pub placements: Placements,
+    /// Something changed that keepers are to be told soon.
+    pub(crate) load_changed: Notify,
     dispatcher: Mutex<Dispatcher>,
     table: Mutex<Arc<RoutingTable>>,
     turns: Mutex<WeightedTurns>,
@@ -57,6 +62,8 @@
     pub(crate) room_asked: Handoff<ServerKey>,
     /// Servers at which other nodes ask this one's work to give way.
     pub(crate) room_wanted: Handoff<ServerKey>,
+    /// Servers at which a keeper orders this node to break off a run.
+    pub(crate) room_ordered: Handoff<ServerKey>,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -70,6 +77,8 @@
         Arc::new(Self {
             dialect,
             permits: Permits::new(clock, margin),
+            placements: Placements::default(),
+            load_changed: Notify::new(),
             clock,
             pool: Pool::default(),
             dispatcher: Mutex::default(),
@@ -82,6 +91,7 @@
             start: Start::default(),
             room_asked: Handoff::default(),
             room_wanted: Handoff::default(),
+            room_ordered: Handoff::default(),
         })
     }
 
@@ -132,6 +142,12 @@
         self.room_wanted.take_receiver()
     }
 
+    /// Servers at which keepers order this node to break off a run, one for each;
+    /// `None` if they were taken before.
+    pub fn take_room_ordered(&self) -> Option<tokio::sync::mpsc::Receiver<ServerKey>> {
+        self.room_ordered.take_receiver()
+    }
+
     /// Closes connections to servers that are not among these.
     pub fn keep_connections_to(&self, ready: &std::collections::HashSet<Arc<str>>) {
         self.pool.retain(ready);
