--- a/crates/core/src/dispatch/keeper.rs
+++ b/crates/core/src/dispatch/keeper.rs
@@ -23,6 +23,9 @@
 /// its worker is asked by a datagram and closes a connection.
 const DISPLACE_COST: f64 = 0.004;
 
+/// Told to deferrable work for which there is no room.
+const DEFERRABLE_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request that asks a keeper for a server.
 #[derive(Debug)]
 pub struct KeeperAsk<'a> {
@@ -38,8 +41,10 @@
     pub wait_limit: Duration,
     /// Whether the work can wait and give way.
     pub deferrable: bool,
-    /// Share of every server's slots that must stay free, 0 to 1.
+    /// Share of the slots of all kept servers that must stay free, 0 to 1.
     pub reserve: f64,
+    /// Whether deferrable work may have to give way to it.
+    pub may_displace: bool,
     /// Any number; spreads requests among equal servers.
     pub spread: u64,
 }
@@ -137,8 +142,12 @@
     pub fn advise(&mut self, now: Instant, ask: &KeeperAsk<'_>) -> Advice {
         let Some(chosen) = self.choose_kept(now, ask) else { return Advice::KeepsNone };
         let KeptChoice { id, wait, uncached, displaces } = chosen;
-        if wait > ask.wait_limit.as_secs_f64() {
-            return Advice::Full(Duration::from_secs_f64(wait.min(3600.0)));
+        if ask.deferrable && !self.has_room(now, ask) {
+            return Advice::Full(DEFERRABLE_PAUSE);
+        }
+        if wait > ask.wait_limit.as_secs_f64() || (displaces && !ask.may_displace) {
+            let displacing = if displaces { DISPLACE_COST } else { 0.0 };
+            return Advice::Full(Duration::from_secs_f64((wait + displacing).min(3600.0)));
         }
         let Some(server) = self.servers.get_mut(&id) else { return Advice::KeepsNone };
         server.note_prefixes(now, ask.prompt);
@@ -155,6 +164,19 @@
         Advice::Send { server: key, uncached, wait: Duration::from_secs_f64(wait.min(3600.0)), displaces }
     }
 
+    /// Whether deferrable work leaves enough slots free: of all kept servers together,
+    /// since an urgent request may go to any of them.
+    fn has_room(&self, now: Instant, ask: &KeeperAsk<'_>) -> bool {
+        let kept = self.keeping.kept.get(&ask.service).into_iter().flatten();
+        let servers = kept.filter_map(|id| self.servers.get(id)).filter(|server| server.ready);
+        let (mut free, mut slots) = (0.0, 0.0);
+        for server in servers {
+            free += self.view(now, server).exact_free(false).max(0.0);
+            slots += f64::from(server.slots());
+        }
+        free - 1.0 >= slots * ask.reserve
+    }
+
     /// The kept server with the soonest first token.
     fn choose_kept(&self, now: Instant, ask: &KeeperAsk<'_>) -> Option<KeptChoice> {
         let kept = self.keeping.kept.get(&ask.service)?;
@@ -170,7 +192,7 @@
                 continue;
             }
             let view = self.view(now, server);
-            let wait = view.exact_wait(&cost, ask.deferrable, ask.reserve);
+            let wait = view.exact_wait(&cost, ask.deferrable);
             let displaces = !ask.deferrable && view.is_held_by_deferrable();
             let uncached = server.uncached(now, ask.prompt, home.as_ref() == Some(id));
             let displacing = if displaces { DISPLACE_COST } else { 0.0 };
@@ -225,5 +247,5 @@
 fn spread_order(view: &ServerView<'_>, spread: u64) -> f64 {
     let hash = stable_pair_hash(u64::from(view.state.key.0), spread);
     let chance = hash as f64 / u64::MAX as f64;
-    chance - view.exact_free(0.0, false)
+    chance - view.exact_free(false)
 }
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -169,24 +169,22 @@
         self.state.own_deferrable + self.peers.deferrable
     }
 
-    /// Free slots, if a share of all stays free, for a node that knows what runs
-    /// there now; deferrable work counts as none where `urgent` is set.
-    pub(super) fn exact_free(&self, reserve: f64, urgent: bool) -> f64 {
-        let slots = (f64::from(self.state.slots) * (1.0 - reserve)).max(1.0);
+    /// Free slots for a node that knows what runs there now; deferrable work counts
+    /// as none where `urgent` is set.
+    pub(super) fn exact_free(&self, urgent: bool) -> f64 {
         let giving_way = if urgent { f64::from(self.deferrable()) } else { 0.0 };
-        slots - (self.counted() - giving_way)
+        f64::from(self.state.slots) - (self.counted() - giving_way)
     }
 
     /// Seconds until a request finds a slot free, for a node that knows what runs
     /// there now.
-    pub(super) fn exact_wait(&self, cost: &ServiceCost, deferrable: bool, reserve: f64) -> f64 {
-        let free = if deferrable { self.exact_free(reserve, false) } else { self.exact_free(0.0, true) };
-        (1.0 - free).max(0.0) * cost.service_seconds() / f64::from(self.state.slots)
+    pub(super) fn exact_wait(&self, cost: &ServiceCost, deferrable: bool) -> f64 {
+        (1.0 - self.exact_free(!deferrable)).max(0.0) * cost.service_seconds() / f64::from(self.state.slots)
     }
 
     /// Whether no slot is free, but deferrable work holds some.
     pub(super) fn is_held_by_deferrable(&self) -> bool {
-        self.deferrable() > 0 && self.exact_free(0.0, false) < 1.0
+        self.deferrable() > 0 && self.exact_free(false) < 1.0
     }
 
     /// Seconds to read the prompt behind those that were sent before.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -15,6 +15,7 @@
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::{Ask, Choice, Ending, Placement};
+use latchwheel_core::holding::{longest_hold, timely_wait};
 use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_core::tenants::{Tenant, UnknownKey};
 use latchwheel_core::time::Instant;
@@ -32,6 +33,9 @@
 /// Least time that an attempt is waited for.
 const LEAST_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Least time between two looks for a free slot for a request that is held, twice
+/// that at most.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which to come back where another node can take a request at once.
 const OTHER_NODE_COME_BACK: Duration = Duration::from_millis(10);
 
@@ -281,19 +285,45 @@
         (self.route.latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE).min(left)
     }
 
-    /// A place that a keeper advises, or the one that looks best from here.
+    /// A place that a keeper advises, or the one that looks best from here. A request
+    /// that would be late anyway is held for a while until a slot is free.
     async fn place(&self) -> Choice {
-        let ask = PlaceAsk {
+        let choice = match self.shared.placements.ask(&self.shared, &self.place_ask()).await {
+            Some(choice) => choice,
+            None => return self.choose(),
+        };
+        let Choice::Full(_) = choice else { return choice };
+        let now = self.shared.clock.now();
+        if !self.shared.held().is_worth_while(now, &self.service, rand::random()) {
+            return choice;
+        }
+        let held = self.hold().await;
+        let served = matches!(held, Choice::Send(_));
+        self.shared.held().note(self.shared.clock.now(), &self.service, served);
+        held
+    }
+
+    /// Asks for a free slot now and then.
+    async fn hold(&self) -> Choice {
+        let end = self.shared.clock.now() + longest_hold(self.left());
+        loop {
+            tokio::time::sleep(HOLD_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+            match self.shared.placements.ask_for_free(&self.shared, &self.place_ask()).await {
+                Some(Choice::Full(_)) if self.shared.clock.now() < end => {}
+                Some(choice) => return choice,
+                None => return self.choose(),
+            }
+        }
+    }
+
+    fn place_ask(&self) -> PlaceAsk<'_> {
+        PlaceAsk {
             service: &self.service,
             prompt: &self.outgoing.prompt,
             avoid: &self.asked,
-            wait_limit: self.wait_limit(),
+            wait_limit: timely_wait(self.route.latency_target).min(self.left()),
             deferrable: false,
             reserve: 0.0,
-        };
-        match self.shared.placements.ask(&self.shared, &ask).await {
-            Some(choice) => choice,
-            None => self.choose(),
         }
     }
 
--- a/crates/proxy/src/placements.rs
+++ b/crates/proxy/src/placements.rs
@@ -40,7 +40,7 @@
     pub wait_limit: Duration,
     /// Whether the work can wait and give way.
     pub deferrable: bool,
-    /// Share of every server's slots that must stay free, 0 to 1.
+    /// Share of the slots of a keeper's servers that must stay free, 0 to 1.
     pub reserve: f64,
 }
 
@@ -99,15 +99,16 @@
     pub async fn ask<D: Dialect>(&self, shared: &Shared<D>, ask: &PlaceAsk<'_>) -> Option<Choice> {
         let mut least: Option<(Duration, NodeId)> = None;
         for keeper in self.order(shared, ask) {
-            match self.ask_one(shared, ask, keeper, Duration::ZERO).await? {
+            match self.ask_one(shared, ask, keeper, Terms::FREE_ONLY).await? {
                 Told::Place(placement) => return Some(Choice::Send(placement)),
                 Told::Wait(wait) if least.is_none_or(|(least, _)| wait < least) => least = Some((wait, keeper)),
                 Told::Wait(_) | Told::Nothing => {}
             }
         }
         let (wait, keeper) = least?;
-        if wait <= ask.wait_limit && !ask.wait_limit.is_zero() {
-            return match self.ask_one(shared, ask, keeper, ask.wait_limit).await? {
+        if wait <= ask.wait_limit && !ask.deferrable {
+            let terms = Terms { wait_limit: ask.wait_limit, may_displace: true };
+            return match self.ask_one(shared, ask, keeper, terms).await? {
                 Told::Place(placement) => Some(Choice::Send(placement)),
                 Told::Wait(wait) => Some(full(wait, ask)),
                 Told::Nothing => None,
@@ -116,6 +117,16 @@
         Some(full(wait, ask))
     }
 
+    /// Asks one keeper for a slot that is free now; `None` if it can't tell.
+    pub async fn ask_for_free<D: Dialect>(&self, shared: &Shared<D>, ask: &PlaceAsk<'_>) -> Option<Choice> {
+        let keeper = self.order(shared, ask).first().copied()?;
+        match self.ask_one(shared, ask, keeper, Terms::FREE_ONLY).await? {
+            Told::Place(placement) => Some(Choice::Send(placement)),
+            Told::Wait(wait) => Some(full(wait, ask)),
+            Told::Nothing => None,
+        }
+    }
+
     /// The keepers to ask: one with much room first, or the one of the server where
     /// a long prompt is kept.
     fn order<D: Dialect>(&self, shared: &Shared<D>, ask: &PlaceAsk<'_>) -> Vec<NodeId> {
@@ -142,9 +153,9 @@
         shared: &Shared<D>,
         ask: &PlaceAsk<'_>,
         keeper: NodeId,
-        wait_limit: Duration,
+        terms: Terms,
     ) -> Option<Told> {
-        let (request, answer) = self.request(ask, wait_limit);
+        let (request, answer) = self.request(ask, terms);
         let own = self.lock().own;
         let advice = if keeper == own {
             self.lock().waiting.remove(&request.number);
@@ -176,7 +187,7 @@
     fn request(
         &self,
         ask: &PlaceAsk<'_>,
-        wait_limit: Duration,
+        terms: Terms,
     ) -> (v1::PlacementRequest, oneshot::Receiver<v1::PlacementAdvice>) {
         let (sender, answer) = oneshot::channel();
         let mut state = self.lock();
@@ -189,7 +200,8 @@
             service: stable_hash(ask.service.as_bytes()),
             parts: parts.collect(),
             avoid: ask.avoid.iter().map(|server| ServerKey::of(server).0).collect(),
-            wait_limit_ms: wait_limit.as_millis() as u32,
+            wait_limit_ms: terms.wait_limit.as_millis() as u32,
+            may_displace: terms.may_displace,
             deferrable: ask.deferrable,
             reserve_percent: (ask.reserve * 100.0) as u32,
         };
@@ -201,6 +213,18 @@
     }
 }
 
+/// On which terms a place is taken.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    wait_limit: Duration,
+    may_displace: bool,
+}
+
+impl Terms {
+    /// Only a slot that is free now.
+    const FREE_ONLY: Terms = Terms { wait_limit: Duration::ZERO, may_displace: false };
+}
+
 /// What a keeper told.
 #[derive(Debug)]
 enum Told {
@@ -231,6 +255,7 @@
         avoid: &avoid,
         wait_limit: Duration::from_millis(u64::from(request.wait_limit_ms)),
         deferrable: request.deferrable,
+        may_displace: request.may_displace,
         reserve: f64::from(request.reserve_percent) / 100.0,
         spread: rand::random(),
     };
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::pool::Pool;
 use latchwheel_clock::Clock;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
+use latchwheel_core::holding::HeldOutcomes;
 use latchwheel_core::permits::LimitMargin;
 use latchwheel_core::routes::{Route, RoutingTable, WeightedTurns};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -57,6 +58,7 @@
     dispatcher: Mutex<Dispatcher>,
     table: Mutex<Arc<RoutingTable>>,
     turns: Mutex<WeightedTurns>,
+    held: Mutex<HeldOutcomes>,
     /// Newest version of the table that another node told of.
     newest_table: AtomicU64,
     newer_table: Notify,
@@ -91,6 +93,7 @@
             dispatcher: Mutex::default(),
             table: Mutex::default(),
             turns: Mutex::default(),
+            held: Mutex::default(),
             newest_table: AtomicU64::new(0),
             newer_table: Notify::new(),
             leaving: AtomicBool::new(false),
@@ -191,6 +194,11 @@
         lock(&self.turns).next(route)
     }
 
+    /// How requests ended that were held.
+    pub(crate) fn held(&self) -> MutexGuard<'_, HeldOutcomes> {
+        lock(&self.held)
+    }
+
     /// The process leaves: answers close their connections from now on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
