--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -4,13 +4,14 @@
 use crate::job_run::JobRun;
 use crate::run_registry::RunRank;
 use crate::start_order::StartRank;
+use crate::worker_context::WorkerContext;
 use futures::FutureExt;
-use latchwheel_core::dispatch::{Ask, Choice};
+use latchwheel_core::dispatch::{Ask, Choice, Placement, Prompt};
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, RunEnd};
 use latchwheel_core::routes::Route;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_proxy::{Dialect, Exchange, Outgoing};
+use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk};
 use latchwheel_records::RecordStore;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// Time that a server is given for an item at most.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 
+/// Items of a job that start before the job looks at what else has happened.
+const STARTS_IN_A_LOOK: usize = 16;
+
 /// A run of an item, and the way to break it off.
 pub(crate) struct RunningItem {
     pub(crate) server: Arc<str>,
@@ -33,7 +37,7 @@
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
     /// Starts what there is room for, if no other job of the worker goes first.
-    pub(crate) fn start_items(&mut self) {
+    pub(crate) async fn start_items(&mut self) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
         let Some(route) = route else {
@@ -60,11 +64,8 @@
         }
         let reserve = self.reserve(&route);
         self.context.refill_starts(now, &route, reserve);
-        for position in waiting {
-            if !self.context.take_start() {
-                return;
-            }
-            if !self.start_item(now, position, &rules, &route, &rank) {
+        for position in waiting.into_iter().take(STARTS_IN_A_LOOK) {
+            if !self.start_item(position, &rules, &route, &rank).await {
                 return;
             }
         }
@@ -86,31 +87,19 @@
     }
 
     /// Starts an item; `false` if no server has room.
-    fn start_item(
-        &mut self,
-        now: Instant,
-        position: usize,
-        rules: &GiveUpRules,
-        route: &Route,
-        rank: &StartRank,
-    ) -> bool {
+    async fn start_item(&mut self, position: usize, rules: &GiveUpRules, route: &Route, rank: &StartRank) -> bool {
         let shared = &self.context.shared;
         let item = &self.items[position];
         let Some(outgoing) = outgoing_of(shared, &self.record.host, self.record.tenant.as_deref(), item) else {
             return true;
         };
         let Some(service) = shared.next_service(route) else { return false };
-        let ask = Ask {
-            service: &service,
-            prompt: &outgoing.prompt,
-            avoid: self.progress[position].failed_at(),
-            wait_limit: Duration::ZERO,
-            reserve: self.reserve(route),
-            spread: rand::random(),
-            deferrable: true,
-        };
-        let choice = shared.dispatcher().choose(now, &ask);
-        let Choice::Send(placement) = choice else { return false };
+        let reserve = self.reserve(route);
+        let avoid = self.progress[position].failed_at().to_vec();
+        let context = self.context.clone();
+        let Some(placement) = place(&context, &service, &outgoing.prompt, &avoid, reserve).await else { return false };
+        let shared = &self.context.shared;
+        let now = shared.clock.now();
         let event = Event::ItemSent {
             job: &self.job,
             item: &item.id,
@@ -142,6 +131,32 @@
     }
 }
 
+/// A place for an item: one that a keeper of servers has free, or where no keeper can
+/// tell one that looks free from here, within this worker's share of the room.
+async fn place<S: RecordStore, D: Dialect>(
+    context: &WorkerContext<S, D>,
+    service: &str,
+    prompt: &Prompt,
+    avoid: &[Arc<str>],
+    reserve: f64,
+) -> Option<Placement> {
+    let shared = &context.shared;
+    let wait_limit = Duration::ZERO;
+    let ask = PlaceAsk { service, prompt, avoid, wait_limit, deferrable: true, reserve };
+    let choice = match shared.placements.ask(shared, &ask).await {
+        Some(choice) => choice,
+        None if !context.take_start() => return None,
+        None => {
+            let ask = Ask { service, prompt, avoid, wait_limit, reserve, spread: rand::random(), deferrable: true };
+            shared.dispatcher().choose(shared.clock.now(), &ask)
+        }
+    };
+    match choice {
+        Choice::Send(placement) => Some(placement),
+        Choice::Full(_) | Choice::NoServer => None,
+    }
+}
+
 impl<S, D> JobRun<S, D> {
     /// It has nothing to start for now.
     pub(crate) fn forget_waiting(&mut self) {
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -197,7 +197,7 @@
                 JobOrder::Run => {
                     self.tell_unfinished();
                     self.give_way();
-                    self.start_items();
+                    self.start_items().await;
                 }
                 JobOrder::Wind if self.runs.is_empty() && self.listing.is_none() && self.ready_to_list().is_empty() => {
                     return LeaveReason::WorkerLeaves;
--- a/crates/jobs/src/making_room.rs
+++ b/crates/jobs/src/making_room.rs
@@ -25,6 +25,10 @@
                 item.give_way.notify_one();
             }
         }
+        // Keepers of servers order single runs to give way, by what runs there now.
+        if self.context.shared.placements.has_keepers() {
+            return;
+        }
         let mut by_server: HashMap<&Arc<str>, Vec<&RunningItem>> = HashMap::new();
         for item in self.running.values() {
             by_server.entry(&item.server).or_default().push(item);
--- a/crates/proxy/src/placements.rs
+++ b/crates/proxy/src/placements.rs
@@ -86,6 +86,14 @@
         state.keepers = keepers;
     }
 
+    /// Whether a keeper is known that is not silent.
+    pub fn has_keepers(&self) -> bool {
+        let now = Instant::now();
+        let state = self.lock();
+        let silent = |keeper: &NodeId| state.silent_until.get(keeper).is_some_and(|until| now < *until);
+        state.keepers.iter().any(|(keeper, _)| !silent(keeper))
+    }
+
     /// A keeper answered.
     pub(crate) fn take_advice(&self, advice: v1::PlacementAdvice) {
         if let Some(waiter) = self.lock().waiting.remove(&advice.number) {
