--- a/crates/core/src/holding.rs
+++ b/crates/core/src/holding.rs
@@ -33,9 +33,10 @@
     latency_target.mul_f64(TIMELY_PART)
 }
 
-/// Longest time to hold a request that has so much time left.
-pub fn longest_hold(left: Duration) -> Duration {
-    left.mul_f64(HELD_PART)
+/// Longest time to hold a request that has so much time left, and whose caller stays
+/// for `patience` more without an answer, if that is known.
+pub fn longest_hold(left: Duration, patience: Option<Duration>) -> Duration {
+    patience.map_or(left, |patience| left.min(patience)).mul_f64(HELD_PART)
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -69,6 +69,8 @@
     pub max_attempts: u32,
     /// Longest pause between events that is in time.
     pub gap_target: Option<Duration>,
+    /// Time without an event after which callers leave, if that is known.
+    pub caller_patience: Option<Duration>,
     /// Time after a job's arrival at which its results are due.
     pub due: Duration,
     /// Time after a job's arrival at which its items may be given up.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -288,10 +288,7 @@
     /// A place that a keeper advises, or the one that looks best from here. A request
     /// that would be late anyway is held for a while until a slot is free.
     async fn place(&self) -> Choice {
-        let choice = match self.shared.placements.ask(&self.shared, &self.place_ask()).await {
-            Some(choice) => choice,
-            None => return self.choose(),
-        };
+        let Some(choice) = self.ask_keepers().await else { return self.choose() };
         let Choice::Full(_) = choice else { return choice };
         let now = self.shared.clock.now();
         if !self.shared.held().is_worth_while(now, &self.service, rand::random()) {
@@ -305,17 +302,25 @@
 
     /// Asks for a free slot now and then.
     async fn hold(&self) -> Choice {
-        let end = self.shared.clock.now() + longest_hold(self.left());
+        let now = self.shared.clock.now();
+        let patience = self.route.caller_patience.map(|patience| patience.saturating_sub(now.since(self.received)));
+        let end = now + longest_hold(self.left(), patience);
         loop {
             tokio::time::sleep(HOLD_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
             match self.shared.placements.ask_for_free(&self.shared, &self.place_ask()).await {
                 Some(Choice::Full(_)) if self.shared.clock.now() < end => {}
-                Some(choice) => return choice,
+                Some(Choice::Send(placement)) => return Choice::Send(placement),
+                // The last chance: a place with a wait.
+                Some(_) => return self.ask_keepers().await.unwrap_or_else(|| self.choose()),
                 None => return self.choose(),
             }
         }
     }
 
+    async fn ask_keepers(&self) -> Option<Choice> {
+        self.shared.placements.ask(&self.shared, &self.place_ask()).await
+    }
+
     fn place_ask(&self) -> PlaceAsk<'_> {
         PlaceAsk {
             service: &self.service,
