--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -211,6 +211,7 @@
         }
         let Some(report) = self.reports.get_mut(&from.0) else { return };
         report.sequence = sequence;
+        self.last_at = now;
         for share in changed {
             let total = self.totals.entry(share.server).or_default();
             if let Some(former) = report.shares.remove(&share.server) {
@@ -235,6 +236,7 @@
             .entry(advised.server)
             .or_insert(ServerShare { server: advised.server, ..ServerShare::default() });
         share.add(advised);
+        self.last_at = now;
         self.totals.entry(advised.server).or_default().add(from.0, now, advised);
     }
 
--- /dev/null
+++ b/crates/core/tests/holding.rs
@@ -0,0 +1,34 @@
+//! Which requests are held, and for how long.
+
+use latchwheel_core::holding::{longest_hold, timely_wait, HeldOutcomes};
+use latchwheel_core::time::Instant;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_micros(seconds * 1_000_000)
+}
+
+#[test]
+fn nobody_is_held_longer_than_callers_stay() {
+    let left = Duration::from_secs(5);
+    assert_eq!(longest_hold(left, None), Duration::from_millis(2500));
+    assert_eq!(longest_hold(left, Some(Duration::from_secs(2))), Duration::from_secs(1));
+    assert_eq!(longest_hold(Duration::ZERO, Some(left)), Duration::ZERO);
+    assert!(timely_wait(Duration::from_millis(300)) < Duration::from_millis(300));
+}
+
+#[test]
+fn where_held_requests_are_refused_others_are_not_held() {
+    let mut outcomes = HeldOutcomes::default();
+    let service: Arc<str> = "service".into();
+    assert!(outcomes.is_worth_while(at(60), &service, 0.99));
+    (0..20).for_each(|_| outcomes.note(at(60), &service, false));
+    assert!(!outcomes.is_worth_while(at(61), &service, 0.99));
+    assert!(outcomes.is_worth_while(at(61), &service, 0.05), "a few find out whether it is over");
+    assert!(outcomes.is_worth_while(at(61), "other", 0.99));
+    (0..20).for_each(|_| outcomes.note(at(62), &service, true));
+    assert!(outcomes.is_worth_while(at(62), &service, 0.99));
+    (0..20).for_each(|_| outcomes.note(at(63), &service, false));
+    assert!(outcomes.is_worth_while(at(69), &service, 0.99), "old outcomes prove nothing");
+}
--- /dev/null
+++ b/crates/core/tests/keepers.rs
@@ -0,0 +1,292 @@
+//! Keepers of servers: what they advise, and what it is worth at a peak.
+
+use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::dispatch::{
+    keepers_among, Advice, Ask, Choice, Dispatcher, Ending, Hearing, KeeperAsk, NodeShares, Placement, Prompt,
+    ServerKey, ServerShare, SharesSum,
+};
+use latchwheel_core::identity::{stable_hash, NodeId};
+use latchwheel_core::permits::Home;
+use latchwheel_core::time::Instant;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const SERVICE: &str = "service";
+const KEEPER: NodeId = NodeId(1);
+const FRONT: NodeId = NodeId(2);
+const WORKER: NodeId = NodeId(3);
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::from_micros((60_000 + milliseconds) * 1000)
+}
+
+fn record(number: usize, slots: u32) -> ServerRecord {
+    let id = format!("server-{number}");
+    ServerRecord {
+        id: id.as_str().into(),
+        service: SERVICE.into(),
+        address: "127.0.0.1:1".into(),
+        zone: "zone".into(),
+        slots,
+        draining: false,
+        sequence: 1,
+    }
+}
+
+fn keeper(servers: usize, slots: u32) -> Dispatcher {
+    let records: Vec<ServerRecord> = (0..servers).map(|number| record(number, slots)).collect();
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_ready(records.iter());
+    dispatcher.set_kept(KEEPER, &[KEEPER]);
+    dispatcher
+}
+
+fn ask(prompt: &Prompt) -> KeeperAsk<'_> {
+    KeeperAsk {
+        from: FRONT,
+        service: stable_hash(SERVICE.as_bytes()),
+        prompt,
+        avoid: &[],
+        wait_limit: Duration::ZERO,
+        deferrable: false,
+        reserve: 0.0,
+        may_displace: false,
+        spread: 7,
+    }
+}
+
+fn server_of(advice: &Advice) -> ServerKey {
+    match advice {
+        Advice::Send { server, .. } => *server,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn share(server: ServerKey, requests: u32, deferrable: u32) -> ServerShare {
+    ServerShare { server, requests, deferrable, ..ServerShare::default() }
+}
+
+#[test]
+fn what_is_advised_counts_at_once_and_what_ended_is_free_at_once() {
+    let mut keeper = keeper(2, 2);
+    let prompt = Prompt::default();
+    let mut advised: Vec<ServerKey> = (0..4).map(|_| server_of(&keeper.advise(at(0), &ask(&prompt)))).collect();
+    advised.sort_unstable();
+    assert!(advised[0] == advised[1] && advised[2] == advised[3] && advised[1] != advised[2], "{advised:?}");
+    assert!(matches!(keeper.advise(at(1), &ask(&prompt)), Advice::Full(wait) if wait > Duration::ZERO));
+    keeper.note_peer_changes(at(2), FRONT, 5, vec![share(advised[0], 1, 0)]);
+    assert_eq!(server_of(&keeper.advise(at(2), &ask(&prompt))), advised[0]);
+}
+
+#[test]
+fn what_a_node_tells_replaces_what_it_was_advised() {
+    let mut keeper = keeper(1, 1);
+    let prompt = Prompt::default();
+    let server = server_of(&keeper.advise(at(0), &ask(&prompt)));
+    // The request was not sent after all.
+    keeper.note_peer(at(5), FRONT, 1, NodeShares::default());
+    assert_eq!(server_of(&keeper.advise(at(6), &ask(&prompt))), server);
+    // A node that is not heard any more counts for nothing.
+    assert!(matches!(keeper.advise(at(7), &ask(&prompt)), Advice::Full(_)));
+    keeper.note_peer(at(3000), WORKER, 1, NodeShares::default());
+    assert_eq!(server_of(&keeper.advise(at(3000), &ask(&prompt))), server);
+}
+
+#[test]
+fn deferrable_work_gives_way_only_where_that_is_allowed() {
+    let mut keeper = keeper(1, 2);
+    let prompt = Prompt::default();
+    let server = ServerKey::of("server-0");
+    let told = NodeShares { servers: vec![share(server, 2, 2)], ..NodeShares::default() };
+    keeper.note_peer(at(0), WORKER, 1, told);
+    assert!(matches!(keeper.advise(at(1), &ask(&prompt)), Advice::Full(_)));
+    let displacing = KeeperAsk { may_displace: true, ..ask(&prompt) };
+    let advice = keeper.advise(at(1), &displacing);
+    assert!(matches!(advice, Advice::Send { displaces: Some(WORKER), wait: Duration::ZERO, .. }), "{advice:?}");
+    // Each request displaces one run, and no more than there are.
+    let second = keeper.advise(at(1), &displacing);
+    assert!(matches!(second, Advice::Send { displaces: Some(WORKER), .. }), "{second:?}");
+    assert!(matches!(keeper.advise(at(1), &displacing), Advice::Full(_)));
+}
+
+#[test]
+fn deferrable_work_leaves_a_share_of_all_slots_free() {
+    let mut keeper = keeper(5, 2);
+    let prompt = Prompt::default();
+    let deferrable = KeeperAsk { deferrable: true, reserve: 0.2, ..ask(&prompt) };
+    let placed = (0..10).filter(|_| matches!(keeper.advise(at(0), &deferrable), Advice::Send { .. })).count();
+    assert_eq!(placed, 8);
+}
+
+#[test]
+fn nodes_that_hear_best_keep_servers_and_deputies_only_where_no_other_does() {
+    let home = |node, deputy| Home { node: NodeId(node), deputy };
+    let all = |first, second, deputy| {
+        keepers_among(&[(home(1, false), first), (home(2, false), second), (home(3, true), deputy)])
+    };
+    assert_eq!(all(Hearing::Enough, Hearing::Enough, Hearing::Enough), [NodeId(1), NodeId(2)]);
+    assert_eq!(all(Hearing::Enough, Hearing::Few, Hearing::Enough), [NodeId(1)]);
+    assert_eq!(all(Hearing::Most, Hearing::Most, Hearing::Enough), [NodeId(3)]);
+    assert_eq!(all(Hearing::Most, Hearing::Few, Hearing::Few), [NodeId(1)]);
+    assert!(all(Hearing::Few, Hearing::Few, Hearing::Few).is_empty());
+}
+
+#[test]
+fn a_place_is_not_taken_where_the_node_itself_knows_better() {
+    let mut front = keeper(1, 2);
+    let key = ServerKey::of("server-0");
+    let placement = front.place_at(at(0), key, 10, Duration::ZERO, false).unwrap();
+    assert_eq!((&*placement.server, placement.uncached, placement.displaces), ("server-0", 10, false));
+    front.note_sent(at(0), &placement, &Prompt::default());
+    front.note_end(at(1), &placement, Ending::Broken, false, Duration::from_millis(1));
+    assert_eq!(front.place_at(at(2), key, 0, Duration::ZERO, false), None, "it has just failed");
+    assert_eq!(front.place_at(at(2), ServerKey(99), 0, Duration::ZERO, false), None);
+    front.set_ready([].iter());
+    assert_eq!(front.place_at(at(9000), key, 0, Duration::ZERO, false), None, "it takes no work any more");
+}
+
+/// A peak as on the users' shifted deployment: 89 servers of six slots, and as many
+/// requests as these can just serve, for 2.4 s.
+struct Peak {
+    random: SmallRng,
+    servers: Vec<VecDeque<Instant>>,
+    fronts: Vec<Dispatcher>,
+    keeper: Dispatcher,
+    sequence: u64,
+    ends: Vec<(Instant, usize, Placement)>,
+    in_time: usize,
+    all: usize,
+}
+
+const FRONTS: usize = 30;
+const SERVERS: usize = 89;
+const SLOTS: usize = 6;
+const SERVICE_TIME: Duration = Duration::from_millis(700);
+const PER_SECOND: f64 = 750.0;
+const TARGET: Duration = Duration::from_millis(300);
+/// How often nodes hear of each other without keepers, and how late.
+const HEAR_EVERY: u64 = 150;
+
+impl Peak {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            servers: vec![VecDeque::new(); SERVERS],
+            fronts: (0..FRONTS).map(|_| keeper(SERVERS, SLOTS as u32)).collect(),
+            keeper: keeper(SERVERS, SLOTS as u32),
+            sequence: 0,
+            ends: Vec::new(),
+            in_time: 0,
+            all: 0,
+        }
+    }
+
+    /// Share of the requests whose slot was free within their target.
+    fn play(&mut self, by_keeper: bool) -> f64 {
+        for millisecond in 0..2400 {
+            let now = at(millisecond);
+            self.end(now, by_keeper);
+            if millisecond % HEAR_EVERY == 0 {
+                self.pieces_come(now);
+            }
+            if millisecond % HEAR_EVERY == 0 && !by_keeper {
+                self.hear(now);
+            }
+            if self.random.random_bool(PER_SECOND / 1000.0) {
+                self.arrive(now, by_keeper);
+            }
+        }
+        self.in_time as f64 / self.all as f64
+    }
+
+    /// All servers work.
+    fn pieces_come(&mut self, now: Instant) {
+        for (_, front, placement) in &self.ends {
+            self.fronts[*front].note_heard(now, &placement.server);
+        }
+    }
+
+    fn hear(&mut self, now: Instant) {
+        let mut all = Dispatcher::default();
+        self.sequence += 1;
+        for (number, front) in self.fronts.iter().enumerate() {
+            all.note_peer(now, NodeId(100 + number as u64), self.sequence, front.shares(now));
+        }
+        let sum = all.shares_of_all(now);
+        for front in &mut self.fronts {
+            let own = front.shares(now);
+            front.note_sum(now, SharesSum { parts: 1, part: 0, shares: sum.clone() }, &own);
+        }
+    }
+
+    fn arrive(&mut self, now: Instant, by_keeper: bool) {
+        let front = self.random.random_range(0..FRONTS);
+        let spread = self.random.random();
+        let prompt = Prompt::default();
+        let placement = if by_keeper {
+            let asker = NodeId(100 + front as u64);
+            let ask = KeeperAsk { from: asker, wait_limit: TARGET, spread, ..ask(&prompt) };
+            let server = server_of(&self.keeper.advise(now, &ask));
+            self.fronts[front].place_at(now, server, 0, Duration::ZERO, false).unwrap()
+        } else {
+            let ask = Ask {
+                service: SERVICE,
+                prompt: &prompt,
+                avoid: &[],
+                wait_limit: Duration::from_secs(5),
+                reserve: 0.0,
+                spread,
+                deferrable: false,
+            };
+            match self.fronts[front].choose(now, &ask) {
+                Choice::Send(placement) => placement,
+                other => panic!("{other:?}"),
+            }
+        };
+        self.fronts[front].note_sent(now, &placement, &prompt);
+        self.run(now, front, placement);
+    }
+
+    /// The server works on it once a slot is free, first come first served.
+    fn run(&mut self, now: Instant, front: usize, placement: Placement) {
+        let number: usize = placement.server.strip_prefix("server-").unwrap().parse().unwrap();
+        let ends = &mut self.servers[number];
+        let starts = if ends.len() < SLOTS { now } else { ends[ends.len() - SLOTS].max(now) };
+        let length = SERVICE_TIME.mul_f64(self.random.random_range(0.6..1.4));
+        let end = starts + length;
+        let place = ends.iter().position(|other| *other > end).unwrap_or(ends.len());
+        ends.insert(place, end);
+        self.all += 1;
+        self.in_time += usize::from(starts.since(now) <= TARGET);
+        self.ends.push((end, front, placement));
+    }
+
+    fn end(&mut self, now: Instant, by_keeper: bool) {
+        for ends in &mut self.servers {
+            while ends.front().is_some_and(|end| *end <= now) {
+                ends.pop_front();
+            }
+        }
+        let (ended, going): (Vec<_>, Vec<_>) = self.ends.drain(..).partition(|(end, _, _)| *end <= now);
+        self.ends = going;
+        for (_, front, placement) in ended {
+            self.fronts[front].note_end(now, &placement, Ending::Answered, true, SERVICE_TIME);
+            if by_keeper {
+                self.sequence += 1;
+                let changed = self.fronts[front].take_changes(now);
+                self.keeper.note_peer_changes(now, NodeId(100 + front as u64), self.sequence, changed);
+            }
+        }
+    }
+}
+
+#[test]
+fn at_a_peak_keepers_serve_in_time_what_hearsay_does_not() {
+    let share = |by_keeper| (0..3).map(|seed| Peak::new(seed).play(by_keeper)).sum::<f64>() / 3.0;
+    let (by_hearsay, by_keeper) = (share(false), share(true));
+    println!("in time: {by_hearsay:.3} by what is heard, {by_keeper:.3} by a keeper");
+    assert!(by_keeper > 0.99, "{by_keeper}");
+    assert!(by_hearsay < by_keeper - 0.02, "{by_hearsay}");
+}
