--- a/crates/records/tests/contact.rs
+++ b/crates/records/tests/contact.rs
@@ -133,3 +133,20 @@
         contact.note_answer(Instant::now());
     }
 }
+
+/// Upstreams that are cut off tell that the store is away; a node that has news shows
+/// that it is not.
+#[tokio::test(start_paused = true)]
+async fn news_at_another_node_lets_the_next_call_through() {
+    let policy = ProbePolicy { calls_per_second: 1.0, nodes: 60, relied_on: false };
+    let contact = Contact::new(policy);
+    contact.note_told_away(Duration::from_secs(2));
+    let held_back = (0..50).all(|_| !contact.may_call());
+    // A probe may fall due at once by chance; the next one is seconds away.
+    assert!(held_back || !contact.may_call());
+    contact.note_answered_elsewhere();
+    assert!(contact.may_call());
+    assert!(!contact.may_call(), "one call finds out");
+    contact.note_answer(Instant::now());
+    assert!(contact.may_call());
+}
