--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -254,6 +254,17 @@
         /// Time since the request was read.
         after_ms: u64
     };
+    /// A request that would have been late waited apart until a slot was free.
+    RequestHeld = 8106, Essential {
+        /// Request.
+        id: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// Time for which it waited.
+        held_ms: u64,
+        /// Whether it got a place in the end.
+        served: bool
+    };
     /// A batch job was kept, or a resend of it was recognized.
     JobAccepted = 8200, Essential {
         /// Job.
@@ -405,6 +416,15 @@
         /// Its name.
         peer: &'a str
     };
+    /// Other nodes keep servers from now on, as this one believes.
+    KeepersChanged = 8223, Essential {
+        /// How many.
+        keepers: usize,
+        /// Whether this node is one of them.
+        own: bool,
+        /// Whether deputies have to hear of all: no upstream hears enough others.
+        deputies_needed: bool
+    };
     /// A job was kept on this disk until the record store takes it.
     JobSpooled = 8203, Essential {
         /// Job.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -254,8 +254,7 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<(Exchange<D>, Response<Incoming>), Option<Response<Body>>> {
-        let left = self.left();
-        if left.is_zero() {
+        if self.left().is_zero() {
             return Err(Some(self.refuse(ResultCode::DeadlinePassed, None)));
         }
         let placement = match self.place().await {
@@ -266,6 +265,8 @@
             }
             Choice::NoServer => return Err(Some(self.refuse(ResultCode::NoServer, None))),
         };
+        // It may have been held.
+        let left = self.left();
         self.log_sent(&placement, left);
         let server = placement.server.clone();
         let sent_at = self.shared.clock.now();
@@ -296,7 +297,10 @@
         }
         let held = self.hold().await;
         let served = matches!(held, Choice::Send(_));
-        self.shared.held().note(self.shared.clock.now(), &self.service, served);
+        let end = self.shared.clock.now();
+        self.shared.held().note(end, &self.service, served);
+        let held_ms = end.since(now).as_millis() as u64;
+        emit(&self.id, &Event::RequestHeld { id: &self.id, route: &self.route.name, held_ms, served });
         held
     }
 
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -3,25 +3,24 @@
 //! A few nodes tell each other directly. Where there are many, each tells the
 //! aggregators only, and one of these answers with the sum over all nodes. A
 //! lost datagram is made good by the next one; an aggregator that does not
-//! answer is left for the next one.
+//! answer is left for the next one. Where none of the aggregators hears enough of the
+//! others, deputies are told as well.
 
+mod duties;
 mod known;
 mod messages;
 
 pub use known::{Peer, Peers};
 
 use crate::dialect::Dialect;
-use crate::permits::{request_of, Permits};
-use crate::placements::{advise, KeeperCall, RoomOrder};
+use crate::permits::Permits;
 use crate::shared::Shared;
 use crate::waiting::sleep_or_never;
-use known::{Candidate, OwnDuty};
-use latchwheel_core::dispatch::{keeper_of, keepers_among, Hearing, NodeShares, ServerKey, SharesSum, REPORT_LIFE};
+use known::Candidate;
+use latchwheel_core::dispatch::{NodeShares, ServerKey, SharesSum, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
-use latchwheel_core::permits::{Home, PermitAsk};
 use latchwheel_protocol::{v1, Message};
 use messages::{hearing_number, hearing_of, message_of, queue_message_of, queue_of, share_of};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -285,137 +284,6 @@
         }
     }
 
-    /// Whether this node may have to sum up what all tell.
-    fn is_candidate(&self) -> bool {
-        self.candidates.iter().any(|candidate| candidate.address.is_none())
-    }
-
-    /// Whether this node keeps servers: it hears all others directly then.
-    fn keeps_servers(&self) -> bool {
-        self.keepers.contains(&self.own)
-    }
-
-    /// All nodes that may keep tenants' limits.
-    fn homes(&self) -> Vec<Home> {
-        self.candidates.iter().map(|candidate| candidate.home).collect()
-    }
-
-    fn candidate_address(&self, node: NodeId) -> Option<SocketAddr> {
-        self.candidates.iter().find(|candidate| candidate.home.node == node)?.address
-    }
-
-    /// Asks the homes of tenants for permits that requests wait for. A call that
-    /// is lost is made again.
-    fn ask_for_permits(&mut self, peers: &Peers) {
-        let homes = self.homes();
-        let table = self.shared.table();
-        let calls = self.shared.permits.calls(self.own, &homes, peers.count(), &table.tenants);
-        for (home, requests) in by_home(&calls) {
-            let Some(address) = self.candidate_address(home) else { continue };
-            let message = v1::ServerShares { from: self.own.0, permit_requests: requests, ..Default::default() };
-            self.send(&message, address);
-        }
-    }
-
-    /// Looks which nodes may sum up what all tell, and which keep servers now.
-    fn look_around(&mut self, peers: &Peers) {
-        let duty = match (self.duties.aggregates, self.duties.says_hello) {
-            (true, _) => OwnDuty::Aggregates,
-            (false, true) => OwnDuty::Nothing,
-            (false, false) => OwnDuty::MayStandIn,
-        };
-        self.candidates = peers.candidates(&self.name, duty);
-        if self.is_candidate() {
-            self.shared.permits.tick_home(peers.count());
-        }
-        let hears_directly = self.is_candidate() || peers.count() <= DIRECT_LIMIT;
-        self.keepers = if hears_directly { self.look_at_keepers(peers) } else { self.keepers_by_sum() };
-        let mut dispatcher = self.shared.dispatcher();
-        if self.is_candidate() {
-            dispatcher.set_kept(self.own, &self.keepers);
-        }
-        if self.keeps_servers() {
-            dispatcher.forget_sum();
-        }
-        let rooms = dispatcher.room_of_keepers(self.shared.clock.now(), &self.keepers);
-        drop(dispatcher);
-        self.shared.placements.set_keepers(self.own, rooms);
-    }
-
-    /// Keepers by what the candidates tell this node itself.
-    fn look_at_keepers(&mut self, peers: &Peers) -> Vec<NodeId> {
-        let now = self.shared.clock.now();
-        let mut dispatcher = self.shared.dispatcher();
-        let own = dispatcher.note_hearing(now, peers.count(), &peers.workers());
-        let hearing = |candidate: &Candidate| match candidate.address {
-            None => own,
-            Some(_) => dispatcher.hearing_of(now, candidate.home.node),
-        };
-        let heard: Vec<(Home, Hearing)> =
-            self.candidates.iter().map(|candidate| (candidate.home, hearing(candidate))).collect();
-        let enough = heard.iter().any(|(home, hearing)| !home.deputy && *hearing == Hearing::Enough);
-        self.deputies_needed = !enough;
-        keepers_among(&heard)
-    }
-
-    /// Keepers by the last sum; all that may be where there was none lately, so that
-    /// they are asked rather than nobody.
-    fn keepers_by_sum(&mut self) -> Vec<NodeId> {
-        if self.sum_at.elapsed() <= AGGREGATOR_SILENCE {
-            return self.told_keepers.clone();
-        }
-        self.deputies_needed = true;
-        self.candidates.iter().map(|candidate| candidate.home.node).collect()
-    }
-
-    fn call_keeper(&self, call: KeeperCall) {
-        let Some(address) = self.candidate_address(call.keeper) else { return };
-        let message =
-            v1::ServerShares { from: self.own.0, placement_request: Some(call.request), ..Default::default() };
-        self.send(&message, address);
-    }
-
-    fn advise(&self, asker: NodeId, request: &v1::PlacementRequest, to: SocketAddr, peers: &Peers) {
-        let (advice, order) = advise(&self.shared, asker, request);
-        self.send(&v1::ServerShares { from: self.own.0, placement_advice: Some(advice), ..Default::default() }, to);
-        if let Some(order) = order {
-            self.order_room(order, peers);
-        }
-    }
-
-    /// Asks one worker to break off one run at a server.
-    fn order_room(&self, order: RoomOrder, peers: &Peers) {
-        let Some(address) = peers.worker_address(order.worker) else { return };
-        let message = v1::ServerShares { from: self.own.0, room_ordered: vec![order.server.0], ..Default::default() };
-        self.send(&message, address);
-    }
-
-    /// Tells the keepers of servers what changed there.
-    fn tell_changes(&mut self) {
-        let changed = self.shared.dispatcher().take_changes(self.shared.clock.now());
-        let mut by_keeper: HashMap<NodeId, Vec<v1::ServerShare>> = HashMap::new();
-        for share in changed {
-            let keeper = keeper_of(share.server, &self.keepers).filter(|keeper| *keeper != self.own);
-            if let Some(keeper) = keeper {
-                by_keeper.entry(keeper).or_default().push(message_of(&share));
-            }
-        }
-        for (keeper, shares) in by_keeper {
-            let Some(address) = self.candidate_address(keeper) else { continue };
-            self.sequence += 1;
-            let sequence = self.sequence;
-            let report =
-                v1::ServerShares { from: self.own.0, sequence, shares, changes_only: true, ..Default::default() };
-            self.send(&report, address);
-        }
-    }
-
-    fn grant_permits(&self, requests: &[v1::PermitRequest], to: SocketAddr) {
-        let table = self.shared.table();
-        let grants = self.shared.permits.answer(self.own, &self.homes(), &table.tenants, requests);
-        self.send(&v1::ServerShares { from: self.own.0, permit_grants: grants, ..Default::default() }, to);
-    }
-
     /// Asks the nodes whose deferrable work runs at a server to give way there.
     /// Unlike a report, such a message is not made good by the next one: it
     /// waits until the socket can send.
@@ -540,12 +408,3 @@
         bytes.len() + DATAGRAM_BYTES
     }
 }
-
-/// Calls for permits, put together for each home.
-fn by_home(calls: &[PermitAsk]) -> HashMap<NodeId, Vec<v1::PermitRequest>> {
-    let mut homes: HashMap<NodeId, Vec<v1::PermitRequest>> = HashMap::new();
-    for call in calls {
-        homes.entry(call.home).or_default().push(request_of(call));
-    }
-    homes
-}
--- a/crates/proxy/tests/placements.rs
+++ b/crates/proxy/tests/placements.rs
@@ -96,3 +96,63 @@
     start(&misses, third, "misses", false, peers(&[("between", second_address, true)]));
     tokio::time::timeout(LIMIT, misses.missed_a_table()).await.unwrap();
 }
+
+/// A server works as long as it is told to: the time for which a request was held is
+/// over.
+#[tokio::test]
+async fn a_request_that_was_held_has_less_time_left() {
+    const DEADLINE: Duration = Duration::from_secs(20);
+    let server = TestServer::start("one", vec![Act::Answer(200, "done".into())]).await;
+    let shared = node(route(RequestKind::Idempotent, 1), &[&server]);
+    // A keeper of its own, and all slots of the server are taken.
+    let (own_socket, _) = socket().await;
+    start(&shared, own_socket, "keeper", true, Peers::default());
+    until(&shared, Option::is_some).await;
+    let placement = shared.dispatcher().place_at(
+        shared.clock.now(),
+        latchwheel_core::dispatch::ServerKey::of("one"),
+        0,
+        Duration::ZERO,
+        false,
+    );
+    let placement = placement.unwrap();
+    let slots = server.record().slots * 2;
+    (0..slots).for_each(|_| shared.dispatcher().note_sent(shared.clock.now(), &placement, &Prompt::default()));
+    until(&shared, |choice| matches!(choice, Some(Choice::Full(_)))).await;
+
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = tokio::sync::watch::channel(false);
+    let serving = shared.clone();
+    tokio::spawn(latchwheel_http::serve(listener, latchwheel_http::Version::Http1, stopped, move |request| {
+        let received = serving.clock.now();
+        latchwheel_proxy::forward(serving.clone(), request, received)
+    }));
+    let request = hyper::Request::builder()
+        .uri(format!("http://{address}/path/x"))
+        .header("host", support::HOST)
+        .header("t-id", "id-1")
+        .header("t-deadline", DEADLINE.as_millis() as u64)
+        .body(latchwheel_http::full(bytes::Bytes::new()))
+        .unwrap();
+    let answer = tokio::spawn(async move { latchwheel_http::Client::http1().send(request).await.unwrap() });
+    while shared.in_progress() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let held_since = Instant::now();
+    // Servers that say something are not silent.
+    while held_since.elapsed() < Duration::from_millis(1200) {
+        shared.dispatcher().note_heard(shared.clock.now(), "one");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let held = held_since.elapsed();
+    for _ in 0..slots {
+        let (now, time) = (shared.clock.now(), Duration::from_millis(1));
+        let ending = latchwheel_core::dispatch::Ending::Answered;
+        shared.dispatcher().note_end(now, &placement, ending, true, time);
+    }
+    assert_eq!(answer.await.unwrap().status().as_u16(), 200);
+    let told: u64 = server.seen()[0].header("t-deadline").unwrap().parse().unwrap();
+    let left = (DEADLINE - held).as_millis() as u64;
+    assert!(told <= left, "{told} ms told, {left} ms at most were left");
+}
