--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_http::{full, serve, serve_resting, Client, Version};
+use latchwheel_http::{full, serve_resting, Client, Version};
 use latchwheel_proxy::{forward, Shared};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,14 +34,7 @@
 }
 
 async fn serve_node(shared: Arc<Shared<TestDialect>>) -> Node {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let (stop, stopped) = watch::channel(false);
-    let serving = shared.clone();
-    tokio::spawn(serve(listener, Version::Http1, stopped, move |request| {
-        let received = serving.clock.now();
-        forward(serving.clone(), request, received)
-    }));
+    let (address, stop) = support::serve_node(&shared).await;
     Node { address, shared, _stop: stop }
 }
 
--- a/crates/proxy/tests/placements.rs
+++ b/crates/proxy/tests/placements.rs
@@ -120,14 +120,7 @@
     (0..slots).for_each(|_| shared.dispatcher().note_sent(shared.clock.now(), &placement, &Prompt::default()));
     until(&shared, |choice| matches!(choice, Some(Choice::Full(_)))).await;
 
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (_stop, stopped) = tokio::sync::watch::channel(false);
-    let serving = shared.clone();
-    tokio::spawn(latchwheel_http::serve(listener, latchwheel_http::Version::Http1, stopped, move |request| {
-        let received = serving.clock.now();
-        latchwheel_proxy::forward(serving.clone(), request, received)
-    }));
+    let (address, _stop) = support::serve_node(&shared).await;
     let request = hyper::Request::builder()
         .uri(format!("http://{address}/path/x"))
         .header("host", support::HOST)
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 pub const SERVICE: &str = "service";
 pub const HOST: &str = "host.example";
@@ -257,3 +258,17 @@
     shared.dispatcher().set_ready(records.iter());
     shared
 }
+
+/// Serves a node's callers on loopback; gives back the address, and what stops it when
+/// it is dropped.
+pub async fn serve_node(shared: &Arc<Shared<TestDialect>>) -> (String, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (stop, stopped) = watch::channel(false);
+    let serving = shared.clone();
+    tokio::spawn(latchwheel_http::serve(listener, latchwheel_http::Version::Http1, stopped, move |request| {
+        let received = serving.clock.now();
+        latchwheel_proxy::forward(serving.clone(), request, received)
+    }));
+    (address, stop)
+}
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -7,12 +7,12 @@
 use hyper::{Method, Request};
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable};
 use latchwheel_core::tenants::{RateLimit, Tenant, TenantKey, Tenants};
-use latchwheel_http::{full, serve, Client, Version};
-use latchwheel_proxy::{bearer_key, exchange_shares, forward, PeerDuties, Peers, Shared};
+use latchwheel_http::{full, Client};
+use latchwheel_proxy::{bearer_key, exchange_shares, PeerDuties, Peers, Shared};
 use std::collections::HashMap;
 use std::sync::Arc;
 use support::{node, route, Act, TestDialect, TestServer, HOST};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 const KIND: RequestKind = RequestKind::Idempotent;
@@ -31,14 +31,7 @@
     let shared = node(route(KIND, 1), &[server]);
     let route = Route { public, ..route(KIND, 1) };
     assert!(shared.put_in_force(table(2, route, tenants)).is_some());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let (stop, stopped) = watch::channel(false);
-    let serving = shared.clone();
-    tokio::spawn(serve(listener, Version::Http1, stopped, move |request| {
-        let received = serving.clock.now();
-        forward(serving.clone(), request, received)
-    }));
+    let (address, stop) = support::serve_node(&shared).await;
     Serving { address, shared, _stop: stop }
 }
 
@@ -123,14 +116,7 @@
 #[tokio::test]
 async fn a_node_without_a_table_is_not_ready_rather_than_sure() {
     let shared = Shared::new(TestDialect::default(), latchwheel_proxy::Clock::start());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let (stop, stopped) = watch::channel(false);
-    let serving = shared.clone();
-    tokio::spawn(serve(listener, Version::Http1, stopped, move |request| {
-        let received = serving.clock.now();
-        forward(serving.clone(), request, received)
-    }));
+    let (address, stop) = support::serve_node(&shared).await;
     let node = Serving { address, shared, _stop: stop };
     assert_eq!(node.ask(Some("Bearer key-1")).await.0, 503);
 }
