--- a/crates/proxy/src/placements.rs
+++ b/crates/proxy/src/placements.rs
@@ -164,21 +164,19 @@
         terms: Terms,
     ) -> Option<Told> {
         let (request, answer) = self.request(ask, terms);
+        let number = request.number;
+        let _waiting = Waiting { placements: self, number };
         let own = self.lock().own;
         let advice = if keeper == own {
-            self.lock().waiting.remove(&request.number);
             let (advice, order) = advise(shared, own, &request);
             order.into_iter().for_each(|order| self.room_orders.put(order));
             advice
         } else {
-            let number = request.number;
             self.calls.put(KeeperCall { keeper, request });
             match tokio::time::timeout(ADVICE_TIME, answer).await {
                 Ok(Ok(advice)) => advice,
                 Ok(Err(_)) | Err(_) => {
-                    let mut state = self.lock();
-                    state.waiting.remove(&number);
-                    state.silent_until.insert(keeper, Instant::now() + SILENT_TIME);
+                    self.lock().silent_until.insert(keeper, Instant::now() + SILENT_TIME);
                     return None;
                 }
             }
@@ -221,6 +219,18 @@
     }
 }
 
+/// A call that waits for advice; dropped with the request whose caller leaves.
+struct Waiting<'a> {
+    placements: &'a Placements,
+    number: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.placements.lock().waiting.remove(&self.number);
+    }
+}
+
 /// On which terms a place is taken.
 #[derive(Clone, Copy, Debug)]
 struct Terms {
--- a/crates/proxy/tests/placements.rs
+++ b/crates/proxy/tests/placements.rs
@@ -149,3 +149,29 @@
     let left = (DEADLINE - held).as_millis() as u64;
     assert!(told <= left, "{told} ms told, {left} ms at most were left");
 }
+
+#[tokio::test]
+async fn a_request_whose_caller_leaves_waits_for_no_advice() {
+    let server = TestServer::start("one", vec![]).await;
+    let route = route(RequestKind::Idempotent, 1);
+    let (front, keeper) = (node(route.clone(), &[&server]), node(route, &[&server]));
+    let (front_socket, front_address) = socket().await;
+    let (keeper_socket, keeper_address) = socket().await;
+    start(&front, front_socket, "front", false, peers(&[("keeper", keeper_address, true)]));
+    start(&keeper, keeper_socket, "keeper", true, peers(&[("front", front_address, false)]));
+    let prompt = Prompt::default();
+    let place_ask = ask(&prompt);
+    let end = Instant::now() + LIMIT;
+    // At first the front answers itself, as a deputy.
+    let asking = loop {
+        let mut asking = Box::pin(front.placements.ask(&front, &place_ask));
+        if futures::poll!(&mut asking).is_pending() {
+            break asking;
+        }
+        assert!(Instant::now() < end, "no other node is asked");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    assert!(!format!("{:?}", front.placements).contains("waiting: {}"), "{:?}", front.placements);
+    drop(asking);
+    assert!(format!("{:?}", front.placements).contains("waiting: {}"), "{:?}", front.placements);
+}
