--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -25,8 +25,10 @@
 const SEARCH_TIME: Duration = Duration::from_secs(6);
 const SEARCH_PAUSE: Duration = Duration::from_millis(40);
 /// Time in which the group of a request that a caller waits for must answer;
-/// otherwise the request is refused.
-const WAITING_CALLER_TIME: Duration = Duration::from_millis(1500);
+/// otherwise the request is refused. A group that lost its leader has another one
+/// within twice its election timeout (1.2 s), or after two such times where votes were
+/// split; a caller must outlast that.
+const WAITING_CALLER_TIME: Duration = Duration::from_millis(2500);
 
 /// Calls to store groups.
 #[derive(Debug)]
