--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod event_stream;
+pub mod fingerprint;
 pub mod holding;
 pub mod identity;
 pub mod item_progress;
