Sight: lost connections by the content of their requests, and servers that ended

Change: ConnectionLost (E8107) with the digest of the request's content, for online requests and items; ServerEnded (E8036) where the server's address refuses connections afterwards (two tries, after 10 and 150 ms, one server once at a time). A server that left as planned is not tried. No decision depends on either yet.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -171,6 +171,11 @@
         self.of_service(service).count()
     }
 
+    /// Whether a server may get new work.
+    pub fn is_ready(&self, server: &str) -> bool {
+        self.servers.get(server).is_some_and(|state| state.ready)
+    }
+
     /// Addresses and identities of the servers of a service.
     pub fn ready_of(&self, service: &str) -> Vec<(Arc<str>, Arc<str>)> {
         self.of_service(service).map(|(id, server)| (id.clone(), server.address.clone())).collect()
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -144,6 +144,13 @@
         /// Identity of the server.
         server: &'a str
     };
+    /// A server's process ended while it worked on requests of this node.
+    ServerEnded = 8036, Essential {
+        /// Identity of the server.
+        server: &'a str,
+        /// Requests of this node that it worked on.
+        requests: usize
+    };
     /// Many servers changed together, as at a start: their number by change.
     ServersChanged = 8035, Essential {
         /// Servers that take work.
@@ -265,6 +272,17 @@
         /// Whether it got a place in the end.
         served: bool
     };
+    /// The connection to a server was lost while it worked on a request or an item.
+    ConnectionLost = 8107, Essential {
+        /// Request or item.
+        id: &'a str,
+        /// Server.
+        server: &'a str,
+        /// Digest of its content; one that comes again has the same.
+        request: &'a str,
+        /// Time since it was sent.
+        after_ms: u64
+    };
     /// A batch job was kept, or a resend of it was recognized.
     JobAccepted = 8200, Essential {
         /// Job.
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -11,7 +11,7 @@
 use latchwheel_core::routes::Route;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk};
+use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk, Shared};
 use latchwheel_records::RecordStore;
 use std::sync::Arc;
 use std::time::Duration;
@@ -126,7 +126,7 @@
         };
         self.running.insert(position, running);
         self.context.note_runs(1, 0);
-        self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
+        self.runs.push(run_owned(shared.clone(), position, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
 }
@@ -167,6 +167,7 @@
 }
 
 async fn run_owned<D: Dialect>(
+    shared: Arc<Shared<D>>,
     position: usize,
     exchange: Exchange<D>,
     outgoing: Outgoing,
@@ -176,7 +177,7 @@
 ) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
     let server = exchange.server().clone();
     let (end, reason) = tokio::select! {
-        ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
+        ended = run_item(&shared, exchange, &outgoing, left, &mut progress) => ended,
         () = give_way.notified() => (RunEnd::GaveWay, "gave_way"),
     };
     (position, progress, end, reason, server)
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,14 +1,16 @@
 //! One attempt at a server, up to the head of its answer.
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, HeaderNames};
 use crate::pool::{keep_time, Connection};
 use crate::shared::Shared;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::{Ending, Placement, Prompt, ServerKey};
+use latchwheel_core::fingerprint::RequestContent;
 use latchwheel_core::time::Instant;
 use latchwheel_http::{full, read_bounded};
 use std::sync::Arc;
@@ -50,6 +52,18 @@
 }
 
 impl Outgoing {
+    /// What stays the same when the request comes again.
+    pub fn content(&self, names: &HeaderNames) -> RequestContent<'_> {
+        let caller = self.headers.get(&names.tenant).or_else(|| self.headers.get(AUTHORIZATION));
+        RequestContent {
+            method: self.method.as_str(),
+            host: self.headers.get(HOST).map_or(&[], HeaderValue::as_bytes),
+            target: self.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+            caller: caller.map_or(&[], HeaderValue::as_bytes),
+            body: &self.body,
+        }
+    }
+
     /// Takes out the headers that concern one connection only.
     pub fn strip(headers: &mut HeaderMap) {
         let named: Vec<HeaderName> = headers
@@ -72,6 +86,25 @@
     pub failure: AttemptFailure,
     /// What was seen, for the log.
     pub reason: &'static str,
+    /// Whether the connection was lost after the request had been sent.
+    pub connection_lost: bool,
+}
+
+impl AttemptEnd {
+    fn new(failure: AttemptFailure, reason: &'static str) -> Self {
+        Self { failure, reason, connection_lost: false }
+    }
+}
+
+/// A server that works on a request.
+#[derive(Clone, Debug)]
+pub struct ServerWork {
+    /// Identity of the server.
+    pub server: Arc<str>,
+    /// Its address.
+    pub address: Arc<str>,
+    /// When the request was sent.
+    pub sent_at: Instant,
 }
 
 /// An attempt in progress. Dropping it closes its connection, so that the
@@ -126,7 +159,7 @@
         let connected = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
         let Some(mut connection) = connected else {
             self.ending = Ending::Broken;
-            return Err(AttemptEnd { failure: AttemptFailure::NotSent, reason: "no_connection" });
+            return Err(AttemptEnd::new(AttemptFailure::NotSent, "no_connection"));
         };
         let waited = self.shared.clock.now().since(self.sent_at);
         let request = self.request(outgoing, left.saturating_sub(waited), last_event);
@@ -137,7 +170,7 @@
             Ok(Err(fault)) => return Err(self.broken(&fault)),
             Err(_) => {
                 self.ending = Ending::Silent;
-                return Err(AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "no_answer" });
+                return Err(AttemptEnd::new(AttemptFailure::MayHaveRun, "no_answer"));
             }
         };
         self.check(response, outgoing).await
@@ -148,6 +181,12 @@
         &self.placement.server
     }
 
+    /// Where that server is, and since when it has the request.
+    pub fn work(&self) -> ServerWork {
+        let Placement { server, address, .. } = &self.placement;
+        ServerWork { server: server.clone(), address: address.clone(), sent_at: self.sent_at }
+    }
+
     /// A piece of the answer came.
     pub fn note_piece(&mut self) {
         let now = self.shared.clock.now();
@@ -195,10 +234,12 @@
         if fault.is_canceled() {
             // An idle connection that the server had closed: nothing was sent.
             self.ending = Ending::Withdrawn;
-            return AttemptEnd { failure: AttemptFailure::NotSent, reason: "connection_was_closed" };
+            return AttemptEnd::new(AttemptFailure::NotSent, "connection_was_closed");
+        }
+        if fault.is_parse() && !fault.is_incomplete_message() {
+            return AttemptEnd::new(AttemptFailure::MayHaveRun, "no_http_answer");
         }
-        let reason = if fault.is_parse() { "no_http_answer" } else { "connection_broke" };
-        AttemptEnd { failure: AttemptFailure::MayHaveRun, reason }
+        AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "connection_broke", connection_lost: true }
     }
 
     async fn check(
@@ -210,7 +251,7 @@
         let headers = response.headers();
         if headers.get(&names.request_id) != Some(&outgoing.id) {
             self.ending = Ending::Broken;
-            return Err(AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "answer_of_another_request" });
+            return Err(AttemptEnd::new(AttemptFailure::MayHaveRun, "answer_of_another_request"));
         }
         let load = self.shared.dialect.load(headers);
         if let Some(load) = load {
@@ -223,7 +264,7 @@
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
-            return Err(AttemptEnd { failure: AttemptFailure::NotRun, reason: "another_server" });
+            return Err(AttemptEnd::new(AttemptFailure::NotRun, "another_server"));
         }
         if headers.contains_key(&names.not_run) {
             self.ending = Ending::Rejected;
@@ -231,7 +272,7 @@
             if let Some(connection) = self.connection.take().filter(|_| whole) {
                 self.shared.pool.put(&self.placement.server, connection, self.keep);
             }
-            return Err(AttemptEnd { failure: AttemptFailure::NotRun, reason: "rejected" });
+            return Err(AttemptEnd::new(AttemptFailure::NotRun, "rejected"));
         }
         Ok((self, response))
     }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -2,8 +2,9 @@
 
 use crate::answer::{error_answer, COME_BACK};
 use crate::caller::{bearer_key, put_tenant};
+use crate::crashes::LostConnection;
 use crate::dialect::Dialect;
-use crate::exchange::{Exchange, Outgoing};
+use crate::exchange::{Exchange, Outgoing, ServerWork};
 use crate::placements::PlaceAsk;
 use crate::resumable::{stream_body, Streaming};
 use crate::shared::Shared;
@@ -272,9 +273,21 @@
         let sent_at = self.shared.clock.now();
         let patience = self.patience(left);
         let exchange = Exchange::reserve(&self.shared, placement, &self.outgoing);
+        let work = exchange.work();
         let started = exchange.send(&self.outgoing, left, patience, last_event).await;
         self.asked.push(server.clone());
-        started.map_err(|end| self.failed(&server, sent_at, end.failure, end.reason))
+        started.map_err(|end| {
+            if end.connection_lost {
+                self.note_connection_lost(&work);
+            }
+            self.failed(&server, sent_at, end.failure, end.reason)
+        })
+    }
+
+    /// The connection to the server that works on the request was lost.
+    pub(crate) fn note_connection_lost(&self, work: &ServerWork) {
+        let content = self.outgoing.content(self.shared.dialect.names());
+        self.shared.note_connection_lost(&LostConnection { id: &self.id, content, work });
     }
 
     /// Time to wait for the head of an answer: to the end where the request
@@ -398,6 +411,9 @@
                 Ok(Response::from_parts(head, chained(Bytes::from(whole), rest, exchange)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
+                if read.is_ok() {
+                    self.note_connection_lost(&exchange.work());
+                }
                 let server = exchange.server().clone();
                 exchange.fail(Ending::Broken);
                 Err(self.failed(&server, sent_at, AttemptFailure::MayHaveRun, "answer_broke"))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod caller;
+mod crashes;
 mod dialect;
 mod exchange;
 mod forward;
@@ -22,8 +23,9 @@
 
 pub use answer::{come_back_header, error_answer};
 pub use caller::{bearer_key, put_tenant};
+pub use crashes::{CrashWatch, LostConnection};
 pub use dialect::{Dialect, HeaderNames};
-pub use exchange::{AttemptEnd, Exchange, Outgoing};
+pub use exchange::{AttemptEnd, Exchange, Outgoing, ServerWork};
 pub use forward::{forward, host_of};
 pub use latchwheel_clock::Clock;
 pub use peers::{exchange_shares, Peer, PeerDuties, Peers};
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -26,6 +26,9 @@
 /// The longest pause in time where the route tells none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
+/// What is logged of an event that is beyond the framer's limit.
+const EVENT_TOO_LONG: &str = "event_too_long";
+
 /// A stream that is being passed on.
 #[derive(Debug)]
 pub(crate) struct Streaming<D: Dialect> {
@@ -108,7 +111,7 @@
         if !self.resumable {
             return Step::Pass(data);
         }
-        let Ok(events) = self.framer.push(&data) else { return Step::Broken("event_too_long", Ending::Broken) };
+        let Ok(events) = self.framer.push(&data) else { return Step::Broken(EVENT_TOO_LONG, Ending::Broken) };
         self.last_event = events.iter().filter_map(|event| event.id).next_back().or(self.last_event);
         match events.as_slice() {
             [] => Step::Wait,
@@ -148,6 +151,9 @@
     async fn go_on(&mut self, reason: &'static str, ending: Ending) -> bool {
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
         if let Some(exchange) = self.exchange.take() {
+            if ending == Ending::Broken && reason != EVENT_TOO_LONG {
+                self.context.note_connection_lost(&exchange.work());
+            }
             exchange.fail(ending);
         }
         self.framer.reset();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all requests of a process share.
 
+use crate::crashes::CrashWatch;
 use crate::dialect::Dialect;
 use crate::handoff::Handoff;
 use crate::permits::Permits;
@@ -53,6 +54,8 @@
     pub permits: Permits,
     /// Calls to the keepers of servers.
     pub placements: Placements,
+    /// Servers that ended, and the requests that they worked on.
+    pub crashes: CrashWatch,
     /// Something changed that keepers are to be told soon.
     pub(crate) load_changed: Notify,
     dispatcher: Mutex<Dispatcher>,
@@ -87,6 +90,7 @@
             dialect,
             permits: Permits::new(clock, margin),
             placements: Placements::default(),
+            crashes: CrashWatch::default(),
             load_changed: Notify::new(),
             clock,
             pool: Pool::default(),
