--- /dev/null
+++ b/crates/proxy/tests/support/fleet.rs
@@ -0,0 +1,233 @@
+//! Several nodes that hear each other, and servers that one request ends.
+
+use super::{node, route, serve_node, TestDialect, TestServer, HOST, SERVICE};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::routes::RequestKind;
+use latchwheel_http::{full, Client};
+use latchwheel_proxy::{exchange_shares, Peer, PeerDuties, Peers, Shared};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Body of the request that ends its server.
+pub const POISON: &str = "poison";
+/// Body of a request whose connection is reset by a server that lives on.
+pub const RESET: &str = "reset";
+/// Body of a request that takes as long as its server lives or until it is released.
+pub const LONG: &str = "long";
+
+/// A server that a request may end.
+#[derive(Debug)]
+pub struct MortalServer {
+    pub name: String,
+    pub address: String,
+    end: watch::Sender<bool>,
+    release: Arc<watch::Sender<bool>>,
+    poisons: Arc<AtomicUsize>,
+}
+
+impl MortalServer {
+    async fn start(name: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let (end, ended) = watch::channel(false);
+        let release = Arc::new(watch::channel(false).0);
+        let poisons = Arc::new(AtomicUsize::new(0));
+        let server = Self { name, address, end: end.clone(), release: release.clone(), poisons: poisons.clone() };
+        tokio::spawn(async move {
+            let mut stop = ended.clone();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        let work = Work { end: end.clone(), release: release.subscribe(), poisons: poisons.clone() };
+                        let mut stop = ended.clone();
+                        tokio::spawn(async move {
+                            tokio::select! {
+                                () = work.serve(stream) => {}
+                                _ = stop.wait_for(|ended| *ended) => {}
+                            }
+                        });
+                    }
+                    _ = stop.wait_for(|ended| *ended) => return,
+                }
+            }
+        });
+        server
+    }
+
+    pub fn has_ended(&self) -> bool {
+        *self.end.borrow()
+    }
+
+    /// Ends it as its machine would, without any request's doing.
+    pub fn end(&self) {
+        self.end.send_replace(true);
+    }
+
+    /// Lets the long requests that it works on complete.
+    pub fn release(&self) {
+        self.release.send_replace(true);
+    }
+
+    fn record(&self) -> ServerRecord {
+        ServerRecord {
+            id: self.name.as_str().into(),
+            service: SERVICE.into(),
+            address: self.address.as_str().into(),
+            zone: "zone".into(),
+            slots: 8,
+            draining: false,
+            sequence: 1,
+        }
+    }
+}
+
+struct Work {
+    end: watch::Sender<bool>,
+    release: watch::Receiver<bool>,
+    poisons: Arc<AtomicUsize>,
+}
+
+impl Work {
+    async fn serve(mut self, mut stream: TcpStream) {
+        while let Some(seen) = super::read_request(&mut stream).await {
+            let id = seen.header("t-id").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: 4\r\n\r\n");
+            match seen.body.as_str() {
+                POISON => {
+                    self.poisons.fetch_add(1, Ordering::SeqCst);
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    self.end.send_replace(true);
+                    return;
+                }
+                RESET => return,
+                body if body.starts_with(LONG) => {
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    let mut rest = [0; 16];
+                    tokio::select! {
+                        _ = self.release.wait_for(|released| *released) => {}
+                        _ = stream.read(&mut rest) => return,
+                    }
+                    let _ = stream.write_all(b"done").await;
+                }
+                _ => {
+                    let _ = stream.write_all((head + "done").as_bytes()).await;
+                }
+            }
+        }
+    }
+}
+
+/// A node of the fleet.
+pub struct FleetNode {
+    pub name: String,
+    pub shared: Arc<Shared<TestDialect>>,
+    pub callers: String,
+    pub peers: Peers,
+    socket_address: SocketAddr,
+    exchange: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        self.exchange.abort();
+    }
+}
+
+/// Nodes and servers.
+pub struct Fleet {
+    pub nodes: Vec<FleetNode>,
+    pub servers: Vec<MortalServer>,
+    client: Client,
+}
+
+impl Fleet {
+    /// Nodes that hear each other, the first of which sum up what all tell.
+    pub async fn start(nodes: usize, servers: usize) -> Self {
+        let mut fleet = Self { nodes: Vec::new(), servers: Vec::new(), client: Client::http1() };
+        for number in 0..servers {
+            fleet.servers.push(MortalServer::start(format!("server-{number}")).await);
+        }
+        for number in 0..nodes {
+            let node = fleet.start_node(&format!("node-{number}")).await;
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    /// A node that starts now and hears all others, as they hear it.
+    pub async fn start_node(&self, name: &str) -> FleetNode {
+        let shared = node(route(RequestKind::AtMostOnce, 1), &[] as &[&TestServer]);
+        let records: Vec<ServerRecord> = self.servers.iter().map(MortalServer::record).collect();
+        shared.dispatcher().set_ready(records.iter());
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let socket_address = socket.local_addr().unwrap();
+        let peers = Peers::default();
+        let (callers, stop) = serve_node(&shared).await;
+        let duties = PeerDuties { says_hello: false, aggregates: aggregates(name), sum_bytes_per_second: 1e6 };
+        let (sharing, own, known) = (shared.clone(), name.to_owned(), peers.clone());
+        let exchange = tokio::spawn(async move { exchange_shares(sharing, socket, &own, duties, known).await });
+        let node = FleetNode { name: name.into(), shared, callers, peers, socket_address, exchange, _stop: stop };
+        self.connect(&node);
+        node
+    }
+
+    /// Lets a node and all others hear each other.
+    pub fn connect(&self, node: &FleetNode) {
+        for other in self.nodes.iter().filter(|other| other.name != node.name) {
+            other.peers.put(&node.name, peer(node));
+            node.peers.put(&other.name, peer(other));
+        }
+    }
+
+    /// Servers that have ended.
+    pub fn ended(&self) -> usize {
+        self.servers.iter().filter(|server| server.has_ended()).count()
+    }
+
+    /// Times that the poison began to run.
+    pub fn poisons(&self) -> usize {
+        self.servers.iter().map(|server| server.poisons.load(Ordering::SeqCst)).sum()
+    }
+
+    /// Sends a request of that body at a node; `None` if there was no whole answer.
+    pub async fn send(&self, node: usize, id: &str, body: &str) -> Option<Response<Bytes>> {
+        send(&self.client, &self.nodes[node].callers, id, body).await
+    }
+
+    /// The same as a task.
+    pub fn spawn_send(&self, node: usize, id: &str, body: &str) -> JoinHandle<Option<Response<Bytes>>> {
+        let (callers, id, body) = (self.nodes[node].callers.clone(), id.to_owned(), body.to_owned());
+        tokio::spawn(async move { send(&Client::http1(), &callers, &id, &body).await })
+    }
+}
+
+async fn send(client: &Client, callers: &str, id: &str, body: &str) -> Option<Response<Bytes>> {
+    let request = Request::post(format!("http://{callers}/path/x"))
+        .header("host", HOST)
+        .header("t-id", id)
+        .body(full(Bytes::copy_from_slice(body.as_bytes())))
+        .unwrap();
+    let response: Response<Incoming> = client.send(request).await.ok()?;
+    let (head, body) = response.into_parts();
+    let body = latchwheel_http::read_bounded(body, 1 << 16, Duration::from_secs(20)).await.ok()?;
+    Some(Response::from_parts(head, body))
+}
+
+fn aggregates(name: &str) -> bool {
+    name == "node-0" || name == "node-1"
+}
+
+fn peer(node: &FleetNode) -> Peer {
+    Peer { address: node.socket_address, aggregates: aggregates(&node.name), defers: false }
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -16,6 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+pub mod fleet;
+
 pub const SERVICE: &str = "service";
 pub const HOST: &str = "host.example";
 
