--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,8 +1,8 @@
-//! The monotonic clock of a process, in the time that the state machines of
+//! The clocks of a process, in the time that the state machines of
 //! `latchwheel-core` take as a value.
 
-use latchwheel_core::time::Instant;
-use std::time::Duration;
+use latchwheel_core::time::{Instant, WallTime};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The clock's first reading: so much later than the origin that subtracting
 /// the times that decisions look back never reaches the origin.
@@ -24,4 +24,10 @@
     pub fn now(&self) -> Instant {
         Instant::default() + FIRST_READING + self.started.elapsed()
     }
+
+    /// The present time of day.
+    pub fn wall_time(&self) -> WallTime {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        WallTime(since.as_millis() as u64)
+    }
 }
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -108,6 +108,8 @@
     DeadlinePassed = 3005, 504, NotRun;
     /// The node has no configuration yet.
     NotReady = 3006, 503, NotRun;
+    /// Servers that ran this request ended; it is not run for now.
+    Quarantined = 3007, 503, NotRun;
     /// The request was started before and its result can't be told.
     OutcomeUnknown = 4000, 502, Unknown;
     /// The engine broke off the answer; the request may be sent again.
--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -122,6 +122,11 @@
         matches!(self.state, ItemState::Waiting(from) if from <= now)
     }
 
+    /// It is not to start before this time, unless it is given up meanwhile.
+    pub fn wait_until(&mut self, from: Instant) {
+        self.state = ItemState::Waiting(from);
+    }
+
     /// A run starts.
     pub fn start(&mut self) {
         self.state = ItemState::Running;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod permits;
 pub mod placement;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue_limit;
 pub mod record_source;
 pub mod replication;
--- /dev/null
+++ b/crates/core/src/quarantine/evidence.rs
@@ -0,0 +1,176 @@
+//! Weighing which request ended a server.
+
+use super::verdicts::Standing;
+use crate::dispatch::ServerKey;
+use crate::fingerprint::{Fingerprint, RequestKey};
+use crate::time::Instant;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+/// Servers that must have ended under a request, and under no other that explains them
+/// as well, before it is quarantined. Two may be chance for a request that ran beside
+/// the cause (`core/tests/quarantine.rs` has the figures).
+pub const CRASHES_TO_QUARANTINE: usize = 3;
+/// With so many servers a request is quarantined even if others explain them as well.
+const CRASHES_WITHOUT_LEAD: usize = 5;
+/// Servers that ended under a request before its good end is asked for.
+const CRASHES_TO_WATCH: usize = 2;
+/// After a server's end nodes that had work there tell of it within this time.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+/// Nodes that weigh the same evidence decide one after the other, so that mostly one
+/// of them tells the verdict.
+const RANK_PAUSE: Duration = Duration::from_millis(100);
+/// Nodes of this rank and beyond decide at the same time.
+const LAST_RANK: usize = 8;
+/// Evidence is kept for this time.
+const EVIDENCE_LIFE: Duration = Duration::from_secs(3600);
+/// Ended servers that are kept at most, and requests of each.
+const CRASH_LIMIT: usize = 256;
+const REQUEST_LIMIT: usize = 128;
+
+#[derive(Debug)]
+struct Crash {
+    at: Instant,
+    requests: Vec<RequestKey>,
+    /// A quarantined request was among them: the others are not held to be the cause.
+    explained: bool,
+}
+
+/// What follows from the evidence.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Decisions {
+    /// Requests to quarantine, and the servers that ended under each.
+    pub quarantine: Vec<(RequestKey, Vec<ServerKey>)>,
+    /// Requests whose good end is to be told.
+    pub watch: Vec<RequestKey>,
+}
+
+/// Servers that ended, and the requests under which they did.
+#[derive(Debug, Default)]
+pub struct CrashEvidence {
+    crashes: HashMap<ServerKey, Crash>,
+    /// Servers in the order in which their ends were heard of.
+    order: VecDeque<ServerKey>,
+    decide_at: Option<Instant>,
+}
+
+impl CrashEvidence {
+    /// A server ended while it worked on these requests, among others maybe. `rank` is
+    /// this node's place among those that weigh the same evidence.
+    pub fn note_crash(
+        &mut self,
+        now: Instant,
+        server: ServerKey,
+        requests: &[RequestKey],
+        rank: usize,
+        standing: impl Fn(Fingerprint) -> Standing,
+    ) {
+        self.drop_old(now);
+        let crash = self.crashes.entry(server).or_insert_with(|| {
+            self.order.push_back(server);
+            Crash { at: now, requests: Vec::new(), explained: false }
+        });
+        let before = crash.requests.len();
+        for request in requests {
+            if crash.requests.len() < REQUEST_LIMIT && !crash.requests.contains(request) {
+                crash.requests.push(*request);
+            }
+        }
+        crash.explained |= requests.iter().any(|request| standing(request.fingerprint) == Standing::Quarantined);
+        if crash.requests.len() > before && !crash.explained {
+            let due = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
+            self.decide_at.get_or_insert(due);
+        }
+    }
+
+    /// Time at which to decide; `None` if there is nothing new.
+    pub fn decide_at(&self) -> Option<Instant> {
+        self.decide_at
+    }
+
+    /// A request ran to its end, so that it ended no server.
+    pub fn note_success(&mut self, request: Fingerprint) {
+        for crash in self.crashes.values_mut() {
+            crash.requests.retain(|present| present.fingerprint != request);
+        }
+    }
+
+    /// A request was quarantined elsewhere: the ends of these servers, and of all under
+    /// which it ran, are explained.
+    pub fn note_verdict(&mut self, request: Fingerprint, servers: &[ServerKey]) {
+        for (server, crash) in &mut self.crashes {
+            let ran_there = crash.requests.iter().any(|present| present.fingerprint == request);
+            crash.explained |= ran_there || servers.contains(server);
+        }
+    }
+
+    /// Decides by all that is known now.
+    pub fn decide(&mut self, standing: impl Fn(Fingerprint) -> Standing) -> Decisions {
+        self.decide_at = None;
+        let mut decisions = Decisions::default();
+        loop {
+            let suspects = self.suspects();
+            let causes = causes_among(&suspects, &standing);
+            if causes.is_empty() {
+                let watched = suspects.into_iter().filter(|(_, servers)| servers.len() >= CRASHES_TO_WATCH);
+                decisions.watch = watched.map(|(request, _)| request).collect();
+                return decisions;
+            }
+            for request in causes {
+                let servers: Vec<ServerKey> = suspects[&request].iter().copied().collect();
+                self.note_verdict(request.fingerprint, &servers);
+                decisions.quarantine.push((request, servers));
+            }
+        }
+    }
+
+    /// Requests with the servers that ended under them, where nothing explains that.
+    fn suspects(&self) -> HashMap<RequestKey, HashSet<ServerKey>> {
+        let mut suspects: HashMap<RequestKey, HashSet<ServerKey>> = HashMap::new();
+        for (server, crash) in self.crashes.iter().filter(|(_, crash)| !crash.explained) {
+            for request in &crash.requests {
+                suspects.entry(*request).or_default().insert(*server);
+            }
+        }
+        suspects
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        let is_old = |crash: &Crash| now.since(crash.at) > EVIDENCE_LIFE;
+        while let Some(first) = self.order.front().copied() {
+            let old = self.crashes.get(&first).is_none_or(is_old);
+            if !old && self.crashes.len() < CRASH_LIMIT {
+                return;
+            }
+            self.order.pop_front();
+            self.crashes.remove(&first);
+        }
+    }
+}
+
+/// Requests that are a cause as far as can be told: one that nothing else explains as
+/// well, or all of those between which even much evidence does not decide.
+fn causes_among(
+    suspects: &HashMap<RequestKey, HashSet<ServerKey>>,
+    standing: impl Fn(Fingerprint) -> Standing,
+) -> Vec<RequestKey> {
+    let known = suspects.keys().find(|request| standing(request.fingerprint) == Standing::OnProbation);
+    if let Some(request) = known {
+        return vec![*request];
+    }
+    let most = suspects.values().map(HashSet::len).max().unwrap_or(0);
+    if most < CRASHES_TO_QUARANTINE {
+        return Vec::new();
+    }
+    let leaders: Vec<(&RequestKey, &HashSet<ServerKey>)> =
+        suspects.iter().filter(|(_, servers)| servers.len() == most).collect();
+    let alone = |(request, servers): &&(&RequestKey, &HashSet<ServerKey>)| {
+        let mut others = leaders.iter().filter(|(other, _)| other != request);
+        others.all(|(_, of_other)| of_other.is_disjoint(servers))
+    };
+    match leaders.iter().find(alone) {
+        Some((request, _)) => vec![**request],
+        None if most >= CRASHES_WITHOUT_LEAD => leaders.iter().map(|(request, _)| **request).collect(),
+        None => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -0,0 +1,231 @@
+//! Verdicts as every node keeps them.
+
+use crate::dispatch::ServerKey;
+use crate::fingerprint::{Fingerprint, RequestKey, RequestShape};
+use crate::identity::stable_pair_hash;
+use crate::time::{Instant, WallTime};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Length of a first quarantine; each further one of the same request is twice as long.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
+const LONGEST_QUARANTINE: Duration = Duration::from_secs(24 * 3600);
+/// Time after its end for which a verdict is remembered, so that a request that goes on
+/// to end servers is known at once.
+pub const REMEMBERED: Duration = Duration::from_secs(24 * 3600);
+/// Verdicts that are kept at most; beyond it those that end first are dropped.
+pub const VERDICT_LIMIT: usize = 1024;
+/// Requests that are watched at most, and for how long.
+const WATCH_LIMIT: usize = 1024;
+const WATCH_TIME: Duration = Duration::from_secs(3600);
+/// Servers that are named in a verdict at most.
+const NAMED_SERVERS: usize = 8;
+
+/// What was decided about a request. Of two verdicts on one request the one that was
+/// changed last holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The request.
+    pub request: RequestKey,
+    /// When it was decided or lifted.
+    pub changed_at: WallTime,
+    /// End of the quarantine.
+    pub until: WallTime,
+    /// How often the request was quarantined.
+    pub offences: u32,
+    /// The request ran to its end after all, or an operator let it go.
+    pub lifted: bool,
+    /// Servers that ended under it: no other request is held to have ended these.
+    pub servers: Vec<ServerKey>,
+}
+
+/// How a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing was decided about it, or the verdict was lifted.
+    Free,
+    /// It is not to be sent to any server.
+    Quarantined,
+    /// Its quarantine is over, and nothing has shown that it is harmless now.
+    OnProbation,
+}
+
+/// What ended because a request ran to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchEnd {
+    /// It had been suspected.
+    Suspicion,
+    /// It had been quarantined; this verdict lifts that.
+    Lifted(Verdict),
+}
+
+/// The verdicts that a node knows, and the requests that are suspected.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    verdicts: HashMap<Fingerprint, Verdict>,
+    /// Requests whose good end has to be told, and since when.
+    watched: HashMap<Fingerprint, (RequestKey, Instant)>,
+    /// Number of verdicts and watched requests by shape.
+    shapes: HashMap<RequestShape, u32>,
+}
+
+impl Quarantine {
+    /// Whether anything is known of requests of this shape. Costs one look-up.
+    pub fn concerns(&self, shape: RequestShape) -> bool {
+        self.shapes.contains_key(&shape)
+    }
+
+    /// How a request stands.
+    pub fn standing(&self, request: Fingerprint, now: WallTime) -> Standing {
+        match self.verdicts.get(&request) {
+            Some(verdict) if verdict.lifted => Standing::Free,
+            Some(verdict) if now < verdict.until => Standing::Quarantined,
+            Some(_) => Standing::OnProbation,
+            None => Standing::Free,
+        }
+    }
+
+    /// Time for which a request is still not to be sent; `None` if it may be.
+    pub fn held_for(&self, request: Fingerprint, now: WallTime) -> Option<Duration> {
+        let verdict = self.verdicts.get(&request).filter(|verdict| !verdict.lifted)?;
+        Some(verdict.until.left_at(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Quarantines a request under which these servers ended.
+    pub fn sentence(&mut self, request: RequestKey, mut servers: Vec<ServerKey>, now: WallTime) -> Verdict {
+        let before = self.verdicts.get(&request.fingerprint).filter(|verdict| !verdict.lifted);
+        let offences = before.map_or(0, |verdict| verdict.offences) + 1;
+        let factor = 1_u32.checked_shl(offences - 1).unwrap_or(u32::MAX);
+        let length = FIRST_QUARANTINE.saturating_mul(factor).min(LONGEST_QUARANTINE);
+        servers.truncate(NAMED_SERVERS);
+        let verdict = Verdict { request, changed_at: now, until: now + length, offences, lifted: false, servers };
+        self.merge(verdict.clone(), now);
+        verdict
+    }
+
+    /// Takes a verdict of another node or the store over if it is news.
+    pub fn merge(&mut self, mut verdict: Verdict, now: WallTime) -> bool {
+        let key = verdict.request.fingerprint;
+        if now > verdict.until + REMEMBERED {
+            return false;
+        }
+        if self.verdicts.get(&key).is_some_and(|present| present.changed_at >= verdict.changed_at) {
+            return false;
+        }
+        verdict.servers.truncate(NAMED_SERVERS);
+        if self.verdicts.len() >= VERDICT_LIMIT && !self.verdicts.contains_key(&key) {
+            self.prune(now);
+        }
+        let shape = verdict.request.shape;
+        if self.verdicts.insert(key, verdict).is_none() {
+            self.count(shape);
+        }
+        true
+    }
+
+    /// An operator lets a request go; gives back the verdict that says so.
+    pub fn lift(&mut self, request: Fingerprint, now: WallTime) -> Option<Verdict> {
+        let verdict = self.verdicts.get_mut(&request).filter(|verdict| !verdict.lifted)?;
+        verdict.lifted = true;
+        // A clock may be behind the one that decided.
+        verdict.changed_at = now.max(WallTime(verdict.changed_at.0 + 1));
+        Some(verdict.clone())
+    }
+
+    /// The good end of this request has to be told; `true` if that is news.
+    pub fn watch(&mut self, request: RequestKey, now: Instant) -> bool {
+        if let Some((_, since)) = self.watched.get_mut(&request.fingerprint) {
+            *since = now;
+            return false;
+        }
+        if self.watched.len() >= WATCH_LIMIT {
+            self.forget_watched(now);
+        }
+        self.watched.insert(request.fingerprint, (request, now));
+        self.count(request.shape);
+        true
+    }
+
+    /// A request ran to its end: whatever was held against it ends.
+    pub fn note_success(&mut self, request: Fingerprint, now: WallTime) -> Option<WatchEnd> {
+        let suspected = self.unwatch(request);
+        match self.lift(request, now) {
+            Some(verdict) => Some(WatchEnd::Lifted(verdict)),
+            None => suspected.then_some(WatchEnd::Suspicion),
+        }
+    }
+
+    /// A request is not suspected any more; `true` if it was.
+    pub fn unwatch(&mut self, request: Fingerprint) -> bool {
+        let Some((key, _)) = self.watched.remove(&request) else { return false };
+        self.uncount(key.shape);
+        true
+    }
+
+    /// All verdicts.
+    pub fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        self.verdicts.values()
+    }
+
+    /// One verdict.
+    pub fn verdict(&self, request: Fingerprint) -> Option<&Verdict> {
+        self.verdicts.get(&request)
+    }
+
+    /// A number that is the same at nodes with the same verdicts; zero without any.
+    pub fn digest(&self) -> u64 {
+        let each = self.verdicts.values().map(|verdict| {
+            let Fingerprint(fingerprint) = verdict.request.fingerprint;
+            let folded = (fingerprint >> 64) as u64 ^ fingerprint as u64;
+            stable_pair_hash(folded, verdict.changed_at.0)
+        });
+        each.fold(0, |sum, part| sum ^ part)
+    }
+
+    /// Drops verdicts that are not to be remembered any more, and where there are too
+    /// many the one that ends first.
+    pub fn prune(&mut self, now: WallTime) {
+        let over: Vec<Fingerprint> =
+            self.verdicts.values().filter(|verdict| now > verdict.until + REMEMBERED).map(key_of).collect();
+        over.into_iter().for_each(|key| self.drop_verdict(key));
+        if self.verdicts.len() >= VERDICT_LIMIT {
+            let first = self.verdicts.values().min_by_key(|verdict| (!verdict.lifted, verdict.until)).map(key_of);
+            first.into_iter().for_each(|key| self.drop_verdict(key));
+        }
+    }
+
+    fn drop_verdict(&mut self, key: Fingerprint) {
+        if let Some(verdict) = self.verdicts.remove(&key) {
+            self.uncount(verdict.request.shape);
+        }
+    }
+
+    /// Drops what has been watched for long, or the oldest.
+    fn forget_watched(&mut self, now: Instant) {
+        let old = |since: &Instant| now.since(*since) > WATCH_TIME;
+        let mut over: Vec<Fingerprint> =
+            self.watched.iter().filter(|(_, (_, since))| old(since)).map(|(key, _)| *key).collect();
+        if over.is_empty() {
+            over.extend(self.watched.iter().min_by_key(|(_, (_, since))| *since).map(|(key, _)| *key));
+        }
+        for key in over {
+            self.unwatch(key);
+        }
+    }
+
+    fn count(&mut self, shape: RequestShape) {
+        *self.shapes.entry(shape).or_default() += 1;
+    }
+
+    fn uncount(&mut self, shape: RequestShape) {
+        let Some(count) = self.shapes.get_mut(&shape) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.shapes.remove(&shape);
+        }
+    }
+}
+
+fn key_of(verdict: &Verdict) -> Fingerprint {
+    verdict.request.fingerprint
+}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -39,3 +39,23 @@
         Instant(self.0.saturating_sub(duration.as_micros() as u64))
     }
 }
+
+/// A time of day, in milliseconds since 1970: for what must be understood by other
+/// nodes and after a restart. Clocks of nodes may differ by seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WallTime(pub u64);
+
+impl WallTime {
+    /// Time left until this one, or zero where it has passed.
+    pub fn left_at(self, now: WallTime) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(now.0))
+    }
+}
+
+impl Add<Duration> for WallTime {
+    type Output = WallTime;
+
+    fn add(self, duration: Duration) -> WallTime {
+        WallTime(self.0.saturating_add(duration.as_millis() as u64))
+    }
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -151,6 +151,39 @@
         /// Requests of this node that it worked on.
         requests: usize
     };
+    /// Requests of one content are kept from all servers: each server that ran them ended.
+    RequestQuarantined = 8040, Essential {
+        /// Digest of the content.
+        request: &'a str,
+        /// Servers that ended under it, as far as this node knows.
+        servers: usize,
+        /// How often it was quarantined.
+        offences: u32,
+        /// Time for which it is kept from servers.
+        for_ms: u64,
+        /// Where this node has it from: itself, another node, or the store.
+        source: &'a str
+    };
+    /// Requests of one content are sent to servers again: one ran to its end, or an
+    /// operator let them go.
+    QuarantineLifted = 8041, Essential {
+        /// Digest of the content.
+        request: &'a str,
+        /// Where this node has it from: itself, another node, or the store.
+        source: &'a str
+    };
+    /// News of servers that ended could not be kept for other nodes.
+    CrashNewsDropped = 8042, Essential {
+        /// News that wait to be sent.
+        waiting: usize
+    };
+    /// A verdict could not be written to the store; it is tried again.
+    VerdictNotStored = 8043, Essential {
+        /// Digest of the content.
+        request: &'a str,
+        /// Why.
+        reason: &'a str
+    };
     /// Many servers changed together, as at a start: their number by change.
     ServersChanged = 8035, Essential {
         /// Servers that take work.
@@ -283,6 +316,15 @@
         /// Time since it was sent.
         after_ms: u64
     };
+    /// A request or item was not sent to any server: its content is quarantined.
+    RequestKeptBack = 8108, Essential {
+        /// Request or item.
+        id: &'a str,
+        /// Digest of its content.
+        request: &'a str,
+        /// Time until the quarantine's end.
+        left_ms: u64
+    };
     /// A batch job was kept, or a resend of it was recognized.
     JobAccepted = 8200, Essential {
         /// Job.
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -10,8 +10,7 @@
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
 use latchwheel_http::read_bounded;
-use latchwheel_proxy::{put_tenant, Dialect, Exchange, LostConnection, Outgoing, Shared};
-use std::sync::Arc;
+use latchwheel_proxy::{put_tenant, Dialect, Exchange, Outgoing, Shared};
 use std::time::Duration;
 
 /// Silence after which an item is sent to another server.
@@ -23,25 +22,6 @@
 const FAILURE_LIMIT: usize = 64 << 10;
 const FAILURE_TIME: Duration = Duration::from_millis(100);
 
-/// Why a run ended.
-#[derive(Clone, Copy, Debug)]
-struct Reason {
-    /// A word for the log.
-    text: &'static str,
-    /// Whether the connection was lost while the server worked.
-    connection_lost: bool,
-}
-
-impl Reason {
-    fn seen(text: &'static str) -> Self {
-        Self { text, connection_lost: false }
-    }
-
-    fn lost(text: &'static str) -> Self {
-        Self { text, connection_lost: true }
-    }
-}
-
 /// The request of an item that is run for a tenant; `None` if it can't be formed
 /// from what was handed in.
 pub fn outgoing_of<D: Dialect>(
@@ -75,43 +55,24 @@
 /// Runs an item once, going on after the last event that is kept. Gives back
 /// how the run ended and what was seen.
 pub(crate) async fn run_item<D: Dialect>(
-    shared: &Arc<Shared<D>>,
     exchange: Exchange<D>,
     outgoing: &Outgoing,
     left: Duration,
     progress: &mut ItemProgress,
 ) -> (RunEnd, &'static str) {
-    let work = exchange.work();
-    let (end, reason) = run_at_server(exchange, outgoing, left, progress).await;
-    if reason.connection_lost {
-        let id = outgoing.id.to_str().unwrap_or_default();
-        let content = outgoing.content(shared.dialect.names());
-        shared.note_connection_lost(&LostConnection { id, content, work: &work });
-    }
-    (end, reason.text)
-}
-
-async fn run_at_server<D: Dialect>(
-    exchange: Exchange<D>,
-    outgoing: &Outgoing,
-    left: Duration,
-    progress: &mut ItemProgress,
-) -> (RunEnd, Reason) {
     let last_event = progress.last_event();
     let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
         Ok(started) => started,
-        Err(end) => {
-            return (RunEnd::Interrupted, Reason { text: end.reason, connection_lost: end.connection_lost });
-        }
+        Err(end) => return (RunEnd::Interrupted, end.reason),
     };
     match response.status().as_u16() {
-        200..=299 => collect(exchange, response, progress).await,
-        UNPROCESSABLE => (RunEnd::Impossible, Reason::seen("impossible")),
+        200..=299 => collect(exchange, outgoing, response, progress).await,
+        UNPROCESSABLE => (RunEnd::Impossible, "impossible"),
         500 => {
             end_answer(exchange, response).await;
-            (RunEnd::Failed, Reason::seen("failed"))
+            (RunEnd::Failed, "failed")
         }
-        _ => (RunEnd::Interrupted, Reason::seen("unexpected_status")),
+        _ => (RunEnd::Interrupted, "unexpected_status"),
     }
 }
 
@@ -124,38 +85,42 @@
 
 async fn collect<D: Dialect>(
     mut exchange: Exchange<D>,
+    outgoing: &Outgoing,
     response: Response<Incoming>,
     progress: &mut ItemProgress,
-) -> (RunEnd, Reason) {
+) -> (RunEnd, &'static str) {
     let mut incoming = response.into_body();
     let mut framer = EventFramer::default();
     loop {
         let Ok(frame) = tokio::time::timeout(SILENCE, incoming.frame()).await else {
             exchange.fail(Ending::Silent);
-            return (RunEnd::Interrupted, Reason::seen("no_event"));
+            return (RunEnd::Interrupted, "no_event");
         };
         let data = match frame {
             None if framer.holds_part() => {
+                exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
-                return (RunEnd::Interrupted, Reason::lost("ended_within_an_event"));
+                return (RunEnd::Interrupted, "ended_within_an_event");
             }
             None => {
+                exchange.note_served(outgoing);
                 exchange.finish();
-                return (RunEnd::Whole, Reason::seen("whole"));
+                return (RunEnd::Whole, "whole");
             }
             Some(Err(_)) => {
+                exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
-                return (RunEnd::Interrupted, Reason::lost("stream_broke"));
+                return (RunEnd::Interrupted, "stream_broke");
             }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         exchange.note_piece();
-        let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, Reason::seen("event_too_long")) };
+        let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, "event_too_long") };
         for event in events {
             progress.push_event(event.id, &event_data(&event.bytes));
         }
         if progress.text().len() > TEXT_LIMIT {
-            return (RunEnd::Interrupted, Reason::seen("output_too_long"));
+            return (RunEnd::Interrupted, "output_too_long");
         }
     }
 }
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -11,7 +11,7 @@
 use latchwheel_core::routes::Route;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk, Shared};
+use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk};
 use latchwheel_records::RecordStore;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +20,10 @@
 /// Time that a server is given for an item at most.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 
+/// An item whose content is quarantined is looked at again after this time: its
+/// quarantine may be lifted.
+const QUARANTINE_LOOK: Duration = Duration::from_secs(5);
+
 /// Items of a job that start before the job looks at what else has happened.
 const STARTS_IN_A_LOOK: usize = 16;
 
@@ -93,6 +97,11 @@
         let Some(outgoing) = outgoing_of(shared, &self.record.host, self.record.tenant.as_deref(), item) else {
             return true;
         };
+        if let Some(left) = shared.quarantined_for(&outgoing) {
+            let now = shared.clock.now();
+            self.progress[position].wait_until(now + left.min(QUARANTINE_LOOK));
+            return true;
+        }
         let Some(service) = shared.next_service(route) else { return false };
         let reserve = self.reserve(route);
         let avoid = self.progress[position].failed_at().to_vec();
@@ -126,7 +135,7 @@
         };
         self.running.insert(position, running);
         self.context.note_runs(1, 0);
-        self.runs.push(run_owned(shared.clone(), position, exchange, outgoing, left, progress, give_way).boxed());
+        self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
 }
@@ -167,7 +176,6 @@
 }
 
 async fn run_owned<D: Dialect>(
-    shared: Arc<Shared<D>>,
     position: usize,
     exchange: Exchange<D>,
     outgoing: Outgoing,
@@ -177,7 +185,7 @@
 ) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
     let server = exchange.server().clone();
     let (end, reason) = tokio::select! {
-        ended = run_item(&shared, exchange, &outgoing, left, &mut progress) => ended,
+        ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
         () = give_way.notified() => (RunEnd::GaveWay, "gave_way"),
     };
     (position, progress, end, reason, server)
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -4,7 +4,8 @@
 //! | --- | --- |
 //! | `latchwheel/active/job/JOB` | [`JobRecord`] |
 //! | `latchwheel/closed/JOB` | [`JobRecord`] of a job that was removed |
-//! | `latchwheel/active/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
+//! | `latchwheel/active/fleet/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
+//! | `latchwheel/active/fleet/quarantine/DIGEST` | [`QuarantineRecord`] of requests that end servers; an operator removes it to let them go |
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
@@ -14,6 +15,9 @@
 //! is absent, so that whoever appends knows all parts before; nothing of a
 //! list is ever changed.
 
+use latchwheel_core::fingerprint::{Fingerprint, RequestKey, RequestShape};
+use latchwheel_core::quarantine::Verdict;
+use latchwheel_core::time::WallTime;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -23,8 +27,12 @@
 const JOB_PREFIX: &str = "latchwheel/active/job/";
 /// Prefix of the records of disks that may hold jobs.
 pub const DISK_PREFIX: &str = "latchwheel/disk/";
+/// Prefix of what every node follows: one watch of the store tells all of it.
+pub const FLEET_PREFIX: &str = "latchwheel/active/fleet/";
 /// Prefix of the registrations of nodes.
-pub const NODE_PREFIX: &str = "latchwheel/active/node/";
+pub const NODE_PREFIX: &str = "latchwheel/active/fleet/node/";
+/// Prefix of the verdicts on requests that end servers.
+pub const QUARANTINE_PREFIX: &str = "latchwheel/active/fleet/quarantine/";
 
 /// Key of a job's record.
 pub fn job_key(job: &str) -> String {
@@ -56,6 +64,16 @@
     key.strip_prefix(NODE_PREFIX)
 }
 
+/// Key of the verdict on a request.
+pub fn quarantine_key(request: Fingerprint) -> String {
+    format!("{QUARANTINE_PREFIX}{request}")
+}
+
+/// The request whose verdict has this key.
+pub fn request_of_key(key: &str) -> Option<Fingerprint> {
+    key.strip_prefix(QUARANTINE_PREFIX)?.parse().ok()
+}
+
 /// Key of a part of a job's body.
 pub fn body_key(job: &str, part: usize) -> String {
     format!("latchwheel/body/{job}/{part:04}")
@@ -206,3 +224,50 @@
         serde_json::to_vec(self).unwrap_or_default().into()
     }
 }
+
+/// A verdict on a request that ends servers. It names nothing of its content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRecord {
+    /// Shape of the request.
+    pub shape: u64,
+    /// When it was decided or lifted, in milliseconds since 1970.
+    pub changed_at_ms: u64,
+    /// End of the quarantine, in milliseconds since 1970.
+    pub until_ms: u64,
+    /// How often it was quarantined.
+    pub offences: u32,
+    /// Whether it was lifted.
+    pub lifted: bool,
+}
+
+impl QuarantineRecord {
+    /// The record of a verdict.
+    pub fn of(verdict: &Verdict) -> Self {
+        Self {
+            shape: verdict.request.shape.0,
+            changed_at_ms: verdict.changed_at.0,
+            until_ms: verdict.until.0,
+            offences: verdict.offences,
+            lifted: verdict.lifted,
+        }
+    }
+
+    /// Reads the verdict of a record.
+    pub fn read(key: &str, value: &[u8]) -> Option<Verdict> {
+        let record: Self = serde_json::from_slice(value).ok()?;
+        let request = RequestKey { shape: RequestShape(record.shape), fingerprint: request_of_key(key)? };
+        Some(Verdict {
+            request,
+            changed_at: WallTime(record.changed_at_ms),
+            until: WallTime(record.until_ms),
+            offences: record.offences,
+            lifted: record.lifted,
+            servers: Vec::new(),
+        })
+    }
+
+    /// The record as a value of the store.
+    pub fn write(&self) -> bytes::Bytes {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`desk`]: taking, ending and reading jobs, at any node.
 //! - [`worker`]: running them.
 //! - [`nodes`]: which nodes there are.
+//! - `quarantine_records`: verdicts on requests that end servers.
 //! - [`spool`]: keeping new jobs while the store is away.
 //! - [`queue_gate`]: keeping what waits within its limit.
 //! - [`relay`]: handing a new job to another front.
@@ -28,6 +29,7 @@
 mod making_room;
 pub mod nodes;
 mod owned_jobs;
+mod quarantine_records;
 pub mod queue_gate;
 mod recent;
 pub mod relay;
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -1,6 +1,7 @@
 //! Membership: a node registers itself under a lease and follows the others.
 
-use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, NODE_PREFIX};
+use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, FLEET_PREFIX};
+use crate::quarantine_records::{remove_old_verdicts, take_verdicts, write_verdicts};
 use latchwheel_core::identity::{stable_hash, stable_pair_hash, NodeId};
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{exchange_shares, Dialect, Peer, PeerDuties, Peers, Shared};
@@ -192,7 +193,13 @@
             workers_changed: Box::new(workers_changed),
             contact: contact.clone(),
         };
-        cache.follow(NODE_PREFIX, FOLLOW_PACE, move |followed| follower.take(followed));
+        let verdicts = shared.clone();
+        cache.follow(FLEET_PREFIX, FOLLOW_PACE, move |followed| {
+            take_verdicts(&verdicts, &followed);
+            follower.take(followed);
+        });
+        tokio::spawn(write_verdicts(store.clone(), shared.clone()));
+        tokio::spawn(remove_old_verdicts(store.clone(), shared.clone()));
         // Fronts judge by the workers that they hear whether they are cut off.
         let says_hello = own.record.role == NodeRole::Worker;
         let duties = PeerDuties {
--- /dev/null
+++ b/crates/proxy/src/crashes/outbox.rs
@@ -0,0 +1,138 @@
+//! News for other nodes, each sent several times since datagrams may be lost.
+
+use super::messages::{request_message, verdict_message};
+use latchwheel_core::dispatch::ServerKey;
+use latchwheel_core::fingerprint::RequestKey;
+use latchwheel_core::quarantine::Verdict;
+use latchwheel_core::time::Instant;
+use latchwheel_events::{emit, Event};
+use latchwheel_protocol::{v1, Message};
+use std::time::Duration;
+
+/// Times that news are sent, and the pause after each.
+const PAUSES: [Duration; 3] = [Duration::from_millis(100), Duration::from_millis(250), Duration::ZERO];
+/// News that wait at most.
+const WAITING_LIMIT: usize = 2048;
+/// Requests in one piece of news, and bytes of one message: it fits into a datagram.
+const REQUESTS_IN_NEWS: usize = 32;
+const MESSAGE_BYTES: usize = 1200;
+
+/// Who has to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// The nodes that weigh what all tell.
+    Deciding,
+    /// Every node.
+    All,
+}
+
+/// A message to other nodes.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashMessage {
+    pub(crate) audience: Audience,
+    pub(crate) news: v1::QuarantineNews,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    audience: Audience,
+    news: v1::QuarantineNews,
+    sent: usize,
+    due: Instant,
+}
+
+/// News that are to be sent.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    waiting: Vec<Waiting>,
+}
+
+impl Outbox {
+    /// A server ended while it worked on these requests.
+    pub(super) fn put_crash(&mut self, now: Instant, server: ServerKey, requests: &[RequestKey]) {
+        for part in requests.chunks(REQUESTS_IN_NEWS) {
+            let crash = v1::ServerCrash { server: server.0, requests: part.iter().map(request_message).collect() };
+            let news = v1::QuarantineNews { crashes: vec![crash], ..v1::QuarantineNews::default() };
+            self.put(now, Audience::Deciding, news);
+        }
+    }
+
+    /// A suspected request ran to its end.
+    pub(super) fn put_success(&mut self, now: Instant, request: &RequestKey) {
+        let succeeded = vec![request_message(request)];
+        self.put(now, Audience::Deciding, v1::QuarantineNews { succeeded, ..v1::QuarantineNews::default() });
+    }
+
+    /// The good end of a request has to be told.
+    pub(super) fn put_watch(&mut self, now: Instant, request: &RequestKey) {
+        let watched = vec![request_message(request)];
+        self.put(now, Audience::All, v1::QuarantineNews { watched, ..v1::QuarantineNews::default() });
+    }
+
+    /// Something was decided about a request.
+    pub(super) fn put_verdict(&mut self, now: Instant, verdict: &Verdict) {
+        let verdicts = vec![verdict_message(verdict)];
+        self.put(now, Audience::All, v1::QuarantineNews { verdicts, ..v1::QuarantineNews::default() });
+    }
+
+    fn put(&mut self, now: Instant, audience: Audience, news: v1::QuarantineNews) {
+        if self.waiting.len() >= WAITING_LIMIT {
+            emit("", &Event::CrashNewsDropped { waiting: self.waiting.len() });
+            return;
+        }
+        self.waiting.push(Waiting { audience, news, sent: 0, due: now });
+    }
+
+    /// When something is to be sent.
+    pub(super) fn due(&self) -> Option<Instant> {
+        self.waiting.iter().map(|waiting| waiting.due).min()
+    }
+
+    /// Takes what is to be sent now.
+    pub(super) fn take_due(&mut self, now: Instant) -> Vec<CrashMessage> {
+        let mut messages = Vec::new();
+        for audience in [Audience::Deciding, Audience::All] {
+            let mut packed = v1::QuarantineNews::default();
+            for waiting in self.waiting.iter_mut().filter(|waiting| waiting.audience == audience) {
+                if waiting.due > now {
+                    continue;
+                }
+                waiting.due = now + PAUSES[waiting.sent];
+                waiting.sent += 1;
+                if packed.encoded_len() + waiting.news.encoded_len() > MESSAGE_BYTES {
+                    messages.push(CrashMessage { audience, news: std::mem::take(&mut packed) });
+                }
+                append(&mut packed, &waiting.news);
+            }
+            if packed != v1::QuarantineNews::default() {
+                messages.push(CrashMessage { audience, news: packed });
+            }
+        }
+        self.waiting.retain(|waiting| waiting.sent < PAUSES.len());
+        messages
+    }
+}
+
+fn append(to: &mut v1::QuarantineNews, news: &v1::QuarantineNews) {
+    to.crashes.extend_from_slice(&news.crashes);
+    to.succeeded.extend_from_slice(&news.succeeded);
+    to.watched.extend_from_slice(&news.watched);
+    to.verdicts.extend_from_slice(&news.verdicts);
+}
+
+/// All these verdicts, in messages of bounded size.
+pub(super) fn table_messages<'a>(verdicts: impl Iterator<Item = &'a Verdict>) -> Vec<v1::QuarantineNews> {
+    let mut messages = Vec::new();
+    let mut packed = v1::QuarantineNews::default();
+    for verdict in verdicts {
+        let message = verdict_message(verdict);
+        if packed.encoded_len() + message.encoded_len() > MESSAGE_BYTES {
+            messages.push(std::mem::take(&mut packed));
+        }
+        packed.verdicts.push(message);
+    }
+    if !packed.verdicts.is_empty() {
+        messages.push(packed);
+    }
+    messages
+}
--- /dev/null
+++ b/crates/proxy/src/crashes/watch.rs
@@ -0,0 +1,354 @@
+//! What a node knows of requests that end servers.
+
+use super::messages::{request_of, verdict_of};
+use super::outbox::{table_messages, CrashMessage, Outbox};
+use latchwheel_clock::Clock;
+use latchwheel_core::dispatch::ServerKey;
+use latchwheel_core::fingerprint::{Fingerprint, RequestContent, RequestKey};
+use latchwheel_core::quarantine::{CrashEvidence, Quarantine, Verdict, WatchEnd};
+use latchwheel_core::time::{Instant, WallTime};
+use latchwheel_events::{emit, Event};
+use latchwheel_protocol::v1;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Servers that are tried at a time; connections to others that are lost meanwhile are
+/// only logged.
+const PROBE_LIMIT: usize = 256;
+/// Requests that are kept of one server.
+const REQUEST_LIMIT: usize = 64;
+/// Least time between two sendings of all verdicts to nodes that know others.
+const TABLE_PAUSE: Duration = Duration::from_millis(50);
+/// A node that weighs the evidence writes a verdict of another node to the store if
+/// that has not done so after this time, one after the other.
+const STORE_FOR_OTHERS_AFTER: Duration = Duration::from_secs(2);
+
+/// Where a verdict comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VerdictSource {
+    /// This node decided it.
+    Own,
+    /// Another node told it.
+    Node,
+    /// It stands in the record store.
+    Store,
+}
+
+impl VerdictSource {
+    fn word(self) -> &'static str {
+        match self {
+            VerdictSource::Own => "own",
+            VerdictSource::Node => "node",
+            VerdictSource::Store => "store",
+        }
+    }
+}
+
+/// Which of the nodes that weigh the evidence this one is; those that hear only of
+/// their own requests come after all others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DecidingRank {
+    pub(crate) place: usize,
+    /// Whether all nodes tell this one of servers that ended.
+    pub(crate) hears_all: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    quarantine: Quarantine,
+    evidence: CrashEvidence,
+    /// Requests that ran at servers which are being tried now.
+    probed: HashMap<Arc<str>, Vec<RequestKey>>,
+    outbox: Outbox,
+    rank: DecidingRank,
+    table_sent_at: Option<Instant>,
+    /// Verdicts that this node has to write to the store, and from when on.
+    to_store: HashMap<Fingerprint, Instant>,
+}
+
+/// What a node knows of requests that end servers.
+#[derive(Debug)]
+pub struct CrashWatch {
+    clock: Clock,
+    state: Mutex<State>,
+    /// There is something to decide or to send.
+    pub(crate) changed: Notify,
+    /// There is a verdict to write to the store.
+    stores: Notify,
+}
+
+impl CrashWatch {
+    /// Nothing is known yet.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, state: Mutex::default(), changed: Notify::new(), stores: Notify::new() }
+    }
+
+    /// The request and the time for which it is not to be sent to any server; `None` if
+    /// it may be. The body is read only if something is known of requests of its shape.
+    pub fn held_for(&self, content: &RequestContent<'_>) -> Option<(Fingerprint, Duration)> {
+        if !self.lock().quarantine.concerns(content.shape()) {
+            return None;
+        }
+        let fingerprint = content.key().fingerprint;
+        let left = self.lock().quarantine.held_for(fingerprint, self.clock.wall_time())?;
+        Some((fingerprint, left))
+    }
+
+    /// A server ran a request to its end and said so.
+    pub fn note_served(&self, content: &RequestContent<'_>) {
+        if !self.lock().quarantine.concerns(content.shape()) {
+            return;
+        }
+        let request = content.key();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(end) = state.quarantine.note_success(request.fingerprint, self.clock.wall_time()) else { return };
+        state.evidence.note_success(request.fingerprint);
+        state.outbox.put_success(now, &request);
+        if let WatchEnd::Lifted(verdict) = end {
+            log_verdict(&verdict, VerdictSource::Own, self.clock.wall_time());
+            state.outbox.put_verdict(now, &verdict);
+            state.to_store.insert(request.fingerprint, now);
+            self.stores.notify_one();
+        }
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Adds a request to those of a server; `true` if the server has to be tried.
+    pub(super) fn put_probed(&self, server: &Arc<str>, request: RequestKey) -> bool {
+        let mut state = self.lock();
+        if let Some(requests) = state.probed.get_mut(server) {
+            if requests.len() < REQUEST_LIMIT && !requests.contains(&request) {
+                requests.push(request);
+            }
+            return false;
+        }
+        if state.probed.len() >= PROBE_LIMIT {
+            return false;
+        }
+        state.probed.insert(server.clone(), vec![request]);
+        true
+    }
+
+    /// Takes the requests of a server that was tried.
+    pub(super) fn take_probed(&self, server: &Arc<str>) -> Vec<RequestKey> {
+        self.lock().probed.remove(server).unwrap_or_default()
+    }
+
+    /// A server ended while it worked on these requests of this node.
+    pub(super) fn note_ended(&self, server: &str, requests: &[RequestKey]) {
+        let now = self.clock.now();
+        let key = ServerKey::of(server);
+        let mut state = self.lock();
+        for request in requests {
+            state.quarantine.watch(*request, now);
+        }
+        state.outbox.put_crash(now, key, requests);
+        state.take_crash(now, self.clock.wall_time(), key, requests);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Takes what another node tells.
+    pub(crate) fn take_news(&self, news: &v1::QuarantineNews) {
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
+        let mut state = self.lock();
+        for crash in &news.crashes {
+            let requests: Vec<RequestKey> = crash.requests.iter().map(request_of).collect();
+            state.take_crash(now, wall, ServerKey(crash.server), &requests);
+        }
+        for request in news.succeeded.iter().map(request_of) {
+            state.evidence.note_success(request.fingerprint);
+            state.quarantine.unwatch(request.fingerprint);
+        }
+        for request in news.watched.iter().map(request_of) {
+            state.quarantine.watch(request, now);
+        }
+        drop(state);
+        for verdict in news.verdicts.iter().filter_map(verdict_of) {
+            self.take_verdict(verdict, VerdictSource::Node);
+        }
+    }
+
+    /// Takes a verdict over if it is news.
+    pub fn take_verdict(&self, verdict: Verdict, source: VerdictSource) {
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
+        let mut state = self.lock();
+        if source == VerdictSource::Store {
+            state.note_stored(&verdict);
+        }
+        if !state.quarantine.merge(verdict.clone(), wall) {
+            return;
+        }
+        let request = verdict.request.fingerprint;
+        if verdict.lifted {
+            state.evidence.note_success(request);
+        } else {
+            state.evidence.note_verdict(request, &verdict.servers);
+        }
+        log_verdict(&verdict, source, wall);
+        if source == VerdictSource::Node && state.rank.hears_all {
+            let due = now + STORE_FOR_OTHERS_AFTER * (state.rank.place + 1) as u32;
+            state.to_store.insert(request, due);
+            self.stores.notify_one();
+        }
+    }
+
+    /// An operator let a request go; other nodes are told.
+    pub fn let_go(&self, request: Fingerprint) {
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
+        let mut state = self.lock();
+        let Some(verdict) = state.quarantine.lift(request, wall) else { return };
+        state.to_store.remove(&request);
+        state.evidence.note_success(request);
+        log_verdict(&verdict, VerdictSource::Store, wall);
+        state.outbox.put_verdict(now, &verdict);
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Which of the deciding nodes this one is now.
+    pub(crate) fn set_rank(&self, rank: DecidingRank) {
+        self.lock().rank = rank;
+    }
+
+    /// Whether this node is the first of those that weigh what all nodes tell.
+    pub fn decides_first(&self) -> bool {
+        let rank = self.lock().rank;
+        rank.hears_all && rank.place == 0
+    }
+
+    /// Time until there is something to decide or to send.
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        let state = self.lock();
+        let due = [state.evidence.decide_at(), state.outbox.due()].into_iter().flatten().min()?;
+        Some(due.since(self.clock.now()))
+    }
+
+    /// Decides what is to be decided, and gives back what is to be sent.
+    pub(crate) fn take_messages(&self) -> Vec<CrashMessage> {
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
+        let mut state = self.lock();
+        if state.evidence.decide_at().is_some_and(|at| at <= now) {
+            state.decide(now, wall);
+            if !state.to_store.is_empty() {
+                self.stores.notify_one();
+            }
+        }
+        state.outbox.take_due(now)
+    }
+
+    /// Digest of the verdicts that this node knows.
+    pub(crate) fn digest(&self) -> u64 {
+        self.lock().quarantine.digest()
+    }
+
+    /// All verdicts, if another node with this digest knows others; nothing if they
+    /// were sent just before.
+    pub(crate) fn table_for(&self, digest: u64) -> Vec<v1::QuarantineNews> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let sent_just_before = state.table_sent_at.is_some_and(|at| now.since(at) < TABLE_PAUSE);
+        if state.quarantine.digest() == digest || sent_just_before {
+            return Vec::new();
+        }
+        state.table_sent_at = Some(now);
+        table_messages(state.quarantine.verdicts())
+    }
+
+    /// Waits for a verdict that this node has to write to the store.
+    pub async fn verdict_to_store(&self) -> Verdict {
+        loop {
+            let due = {
+                let mut state = self.lock();
+                match state.next_to_store(self.clock.now()) {
+                    Ok(verdict) => return verdict,
+                    Err(due) => due.map(|due| due.since(self.clock.now())),
+                }
+            };
+            tokio::select! {
+                () = self.stores.notified() => {}
+                () = crate::waiting::sleep_or_never(due) => {}
+            }
+        }
+    }
+
+    /// A verdict could not be written; it is given out again after a pause.
+    pub fn store_again(&self, verdict: &Verdict, pause: Duration) {
+        self.lock().to_store.insert(verdict.request.fingerprint, self.clock.now() + pause);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn take_crash(&mut self, now: Instant, wall: WallTime, server: ServerKey, requests: &[RequestKey]) {
+        let quarantine = &self.quarantine;
+        let standing = |request| quarantine.standing(request, wall);
+        self.evidence.note_crash(now, server, requests, self.rank.place, standing);
+    }
+
+    fn decide(&mut self, now: Instant, wall: WallTime) {
+        let quarantine = &self.quarantine;
+        let decisions = self.evidence.decide(|request| quarantine.standing(request, wall));
+        for (request, servers) in decisions.quarantine {
+            let verdict = self.quarantine.sentence(request, servers, wall);
+            log_verdict(&verdict, VerdictSource::Own, wall);
+            self.outbox.put_verdict(now, &verdict);
+            self.to_store.insert(request.fingerprint, now);
+        }
+        if !self.rank.hears_all {
+            return;
+        }
+        for request in decisions.watch {
+            self.quarantine.watch(request, now);
+            self.outbox.put_watch(now, &request);
+        }
+    }
+
+    /// A verdict stands in the store.
+    fn note_stored(&mut self, verdict: &Verdict) {
+        let request = verdict.request.fingerprint;
+        let known = self.quarantine.verdict(request);
+        if known.is_none_or(|known| known.changed_at <= verdict.changed_at) {
+            self.to_store.remove(&request);
+        }
+    }
+
+    /// A verdict that is to be written now, or when there will be one.
+    fn next_to_store(&mut self, now: Instant) -> Result<Verdict, Option<Instant>> {
+        while let Some((request, due)) =
+            self.to_store.iter().min_by_key(|(_, due)| **due).map(|(key, due)| (*key, *due))
+        {
+            if due > now {
+                return Err(Some(due));
+            }
+            self.to_store.remove(&request);
+            if let Some(verdict) = self.quarantine.verdict(request) {
+                return Ok(verdict.clone());
+            }
+        }
+        Err(None)
+    }
+}
+
+fn log_verdict(verdict: &Verdict, source: VerdictSource, now: WallTime) {
+    let request = verdict.request.fingerprint.to_string();
+    if verdict.lifted {
+        emit("", &Event::QuarantineLifted { request: &request, source: source.word() });
+        return;
+    }
+    let event = Event::RequestQuarantined {
+        request: &request,
+        servers: verdict.servers.len(),
+        offences: verdict.offences,
+        for_ms: verdict.until.left_at(now).as_millis() as u64,
+        source: source.word(),
+    };
+    emit("", &event);
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -5,7 +5,7 @@
 use crate::shared::Shared;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use latchwheel_core::attempts::AttemptFailure;
@@ -25,7 +25,7 @@
     hyper::header::PROXY_AUTHORIZATION,
     hyper::header::TE,
     hyper::header::TRAILER,
-    hyper::header::TRANSFER_ENCODING,
+    TRANSFER_ENCODING,
     hyper::header::UPGRADE,
 ];
 
@@ -86,25 +86,20 @@
     pub failure: AttemptFailure,
     /// What was seen, for the log.
     pub reason: &'static str,
-    /// Whether the connection was lost after the request had been sent.
-    pub connection_lost: bool,
 }
 
 impl AttemptEnd {
     fn new(failure: AttemptFailure, reason: &'static str) -> Self {
-        Self { failure, reason, connection_lost: false }
+        Self { failure, reason }
     }
 }
 
 /// A server that works on a request.
-#[derive(Clone, Debug)]
-pub struct ServerWork {
-    /// Identity of the server.
-    pub server: Arc<str>,
-    /// Its address.
-    pub address: Arc<str>,
-    /// When the request was sent.
-    pub sent_at: Instant,
+pub(crate) struct ServerWork<'a> {
+    /// Where it was sent.
+    pub(crate) placement: &'a Placement,
+    /// When it was sent.
+    pub(crate) sent_at: Instant,
 }
 
 /// An attempt in progress. Dropping it closes its connection, so that the
@@ -119,6 +114,8 @@
     started: bool,
     /// The server said that it failed at the request.
     failed: bool,
+    /// Its answer is a success whose end can be told from a broken connection.
+    succeeds: bool,
     ending: Ending,
 }
 
@@ -139,6 +136,7 @@
             sent_at,
             started: false,
             failed: false,
+            succeeds: false,
             ending: Ending::Withdrawn,
         }
     }
@@ -167,7 +165,7 @@
         self.connection = Some(connection);
         let response = match answer {
             Ok(Ok(response)) => response,
-            Ok(Err(fault)) => return Err(self.broken(&fault)),
+            Ok(Err(fault)) => return Err(self.broken(&fault, outgoing)),
             Err(_) => {
                 self.ending = Ending::Silent;
                 return Err(AttemptEnd::new(AttemptFailure::MayHaveRun, "no_answer"));
@@ -181,10 +179,17 @@
         &self.placement.server
     }
 
-    /// Where that server is, and since when it has the request.
-    pub fn work(&self) -> ServerWork {
-        let Placement { server, address, .. } = &self.placement;
-        ServerWork { server: server.clone(), address: address.clone(), sent_at: self.sent_at }
+    /// The answer came to its end: where it is a success, the request ended no server.
+    pub fn note_served(&self, outgoing: &Outgoing) {
+        if self.succeeds {
+            self.shared.crashes.note_served(&outgoing.content(self.shared.dialect.names()));
+        }
+    }
+
+    /// The connection was lost while the server worked on the request.
+    pub fn note_connection_lost(&self, outgoing: &Outgoing) {
+        let work = ServerWork { placement: &self.placement, sent_at: self.sent_at };
+        self.shared.note_connection_lost(outgoing, &work);
     }
 
     /// A piece of the answer came.
@@ -229,7 +234,7 @@
         request
     }
 
-    fn broken(mut self, fault: &hyper::Error) -> AttemptEnd {
+    fn broken(mut self, fault: &hyper::Error, outgoing: &Outgoing) -> AttemptEnd {
         self.ending = Ending::Broken;
         if fault.is_canceled() {
             // An idle connection that the server had closed: nothing was sent.
@@ -239,7 +244,8 @@
         if fault.is_parse() && !fault.is_incomplete_message() {
             return AttemptEnd::new(AttemptFailure::MayHaveRun, "no_http_answer");
         }
-        AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "connection_broke", connection_lost: true }
+        self.note_connection_lost(outgoing);
+        AttemptEnd::new(AttemptFailure::MayHaveRun, "connection_broke")
     }
 
     async fn check(
@@ -261,6 +267,8 @@
         self.keep = keep_time(headers);
         // At the deadline a sound server answers so too.
         let status = response.status();
+        let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        self.succeeds = status.is_success() && framed;
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -2,32 +2,26 @@
 
 use crate::answer::{error_answer, COME_BACK};
 use crate::caller::{bearer_key, put_tenant};
-use crate::crashes::LostConnection;
 use crate::dialect::Dialect;
-use crate::exchange::{Exchange, Outgoing, ServerWork};
+use crate::exchange::{Exchange, Outgoing};
 use crate::placements::PlaceAsk;
 use crate::resumable::{stream_body, Streaming};
 use crate::shared::Shared;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response};
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
-use latchwheel_core::dispatch::{Ask, Choice, Ending, Placement};
+use latchwheel_core::dispatch::{Ask, Choice, Placement};
 use latchwheel_core::holding::{longest_hold, timely_wait};
 use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_core::tenants::{Tenant, UnknownKey};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_http::{full, read_bounded, Body, BodyFault};
+use latchwheel_http::{read_bounded, Body, BodyFault};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Answers up to this length are read whole before their head is passed on,
-/// so that a broken one can be asked for again.
-const WHOLE_ANSWER_LIMIT: usize = 1 << 20;
 /// An attempt that could be repeated is given up after this many latency
 /// targets without an answer.
 const PATIENCE_TARGETS: u32 = 2;
@@ -134,6 +128,11 @@
         head.headers.remove(AUTHORIZATION);
     }
     put_tenant(&mut head.headers, names, tenant.as_ref().map(|tenant| &*tenant.name));
+    let outgoing =
+        Outgoing { method: head.method, uri: path_only(&head.uri), headers: head.headers, body, id: id_header, prompt };
+    if let Some(left) = shared.quarantined_for(&outgoing) {
+        return Err(Refusal { id, route: Some(route), code: ResultCode::Quarantined, come_back: Some(left) });
+    }
     if let Some(tenant) = &tenant {
         let admitted = shared.permits.admit(tenant).await;
         admitted.map_err(|come_back| {
@@ -149,14 +148,7 @@
         table_version: table.version,
         received,
         until,
-        outgoing: Outgoing {
-            method: head.method,
-            uri: path_only(&head.uri),
-            headers: head.headers,
-            body,
-            id: id_header,
-            prompt,
-        },
+        outgoing,
         attempts: Attempts::new(route.kind, route.max_attempts),
         route,
         tenant,
@@ -266,28 +258,19 @@
             }
             Choice::NoServer => return Err(Some(self.refuse(ResultCode::NoServer, None))),
         };
-        // It may have been held.
+        // It may have been held, and others may have ended servers meanwhile.
+        if let Some(rest) = self.shared.quarantined_for(&self.outgoing) {
+            return Err(Some(self.refuse(ResultCode::Quarantined, Some(rest))));
+        }
         let left = self.left();
         self.log_sent(&placement, left);
         let server = placement.server.clone();
         let sent_at = self.shared.clock.now();
         let patience = self.patience(left);
         let exchange = Exchange::reserve(&self.shared, placement, &self.outgoing);
-        let work = exchange.work();
         let started = exchange.send(&self.outgoing, left, patience, last_event).await;
         self.asked.push(server.clone());
-        started.map_err(|end| {
-            if end.connection_lost {
-                self.note_connection_lost(&work);
-            }
-            self.failed(&server, sent_at, end.failure, end.reason)
-        })
-    }
-
-    /// The connection to the server that works on the request was lost.
-    pub(crate) fn note_connection_lost(&self, work: &ServerWork) {
-        let content = self.outgoing.content(self.shared.dialect.names());
-        self.shared.note_connection_lost(&LostConnection { id: &self.id, content, work });
+        started.map_err(|end| self.failed(&server, sent_at, end.failure, end.reason))
     }
 
     /// Time to wait for the head of an answer: to the end where the request
@@ -386,41 +369,6 @@
         }
     }
 
-    /// Reads an answer to its end before its head is passed on.
-    async fn whole_answer(
-        &mut self,
-        mut exchange: Exchange<D>,
-        response: Response<Incoming>,
-    ) -> Result<Response<Body>, Option<Response<Body>>> {
-        let (mut head, mut incoming) = response.into_parts();
-        Outgoing::strip(&mut head.headers);
-        exchange.note_piece();
-        let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
-        let sent_at = self.shared.clock.now();
-        let mut whole = BytesMut::new();
-        let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole)).await;
-        match read {
-            Ok(WholeRead::Whole) => {
-                exchange.finish();
-                self.log_answered(head.status.as_u16(), first_piece_ms);
-                Ok(Response::from_parts(head, full(Bytes::from(whole))))
-            }
-            Ok(WholeRead::TooLong) => {
-                self.log_answered(head.status.as_u16(), first_piece_ms);
-                let rest = latchwheel_http::pass(incoming);
-                Ok(Response::from_parts(head, chained(Bytes::from(whole), rest, exchange)))
-            }
-            Ok(WholeRead::Broken) | Err(_) => {
-                if read.is_ok() {
-                    self.note_connection_lost(&exchange.work());
-                }
-                let server = exchange.server().clone();
-                exchange.fail(Ending::Broken);
-                Err(self.failed(&server, sent_at, AttemptFailure::MayHaveRun, "answer_broke"))
-            }
-        }
-    }
-
     /// Gives the request up with the code, or with one that says that it may
     /// have run.
     pub(crate) fn refuse(&self, not_run: ResultCode, come_back: Option<Duration>) -> Response<Body> {
@@ -476,34 +424,3 @@
     };
     emit(id, &event);
 }
-
-enum WholeRead {
-    Whole,
-    TooLong,
-    Broken,
-}
-
-async fn read_whole(incoming: &mut Incoming, whole: &mut BytesMut) -> WholeRead {
-    while let Some(frame) = incoming.frame().await {
-        let Ok(frame) = frame else { return WholeRead::Broken };
-        if let Ok(data) = frame.into_data() {
-            whole.extend_from_slice(&data);
-        }
-        if whole.len() > WHOLE_ANSWER_LIMIT {
-            return WholeRead::TooLong;
-        }
-    }
-    WholeRead::Whole
-}
-
-/// The part that was read and the rest; the exchange ends with the body.
-fn chained<D: Dialect>(read: Bytes, rest: Body, exchange: Exchange<D>) -> Body {
-    use futures::StreamExt;
-    use hyper::body::Frame;
-    let first = futures::stream::iter([Ok(Frame::data(read))]);
-    let rest = http_body_util::BodyStream::new(rest).map(move |frame| {
-        let _alive = &exchange;
-        frame
-    });
-    http_body_util::StreamBody::new(first.chain(rest)).boxed_unsync()
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,12 +20,13 @@
 mod resumable;
 mod shared;
 mod waiting;
+mod whole_answer;
 
 pub use answer::{come_back_header, error_answer};
 pub use caller::{bearer_key, put_tenant};
-pub use crashes::{CrashWatch, LostConnection};
+pub use crashes::{CrashWatch, VerdictSource};
 pub use dialect::{Dialect, HeaderNames};
-pub use exchange::{AttemptEnd, Exchange, Outgoing, ServerWork};
+pub use exchange::{AttemptEnd, Exchange, Outgoing};
 pub use forward::{forward, host_of};
 pub use latchwheel_clock::Clock;
 pub use peers::{exchange_shares, Peer, PeerDuties, Peers};
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -6,12 +6,14 @@
 //! answer is left for the next one. Where none of the aggregators hears enough of the
 //! others, deputies are told as well.
 
+mod crash_news;
 mod duties;
 mod known;
 mod messages;
 
 pub use known::{Peer, Peers};
 
+use crate::crashes::CrashWatch;
 use crate::dialect::Dialect;
 use crate::permits::Permits;
 use crate::shared::Shared;
@@ -102,6 +104,7 @@
                 }
             }
             () = permits_due(&teller.shared.permits) => teller.ask_for_permits(&peers),
+            () = crash_news_due(&teller.shared.crashes) => teller.tell_crash_news(&peers),
             () = tokio::time::sleep_until(next) => {
                 teller.look_around(&peers);
                 let peers = peers.all();
@@ -122,6 +125,14 @@
     }
 }
 
+/// Completes when there is something to decide or to tell of servers that ended.
+async fn crash_news_due(crashes: &CrashWatch) {
+    tokio::select! {
+        () = crashes.changed.notified() => {}
+        () = sleep_or_never(crashes.next_due()) => {}
+    }
+}
+
 /// The next value of a queue; never, if there is no queue.
 async fn next_of<T>(queue: &mut Option<tokio::sync::mpsc::Receiver<T>>) -> Option<T> {
     match queue {
@@ -217,6 +228,10 @@
             self.shared.placements.take_advice(advice);
             return;
         }
+        if let Some(news) = &report.quarantine {
+            self.shared.crashes.take_news(news);
+            return;
+        }
         self.shared.note_table_elsewhere(report.newest_table);
         if self.is_candidate() {
             self.shared.permits.note_heard(NodeId(report.from), peers.count());
@@ -235,6 +250,7 @@
             report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
             return;
         }
+        self.compare_verdicts(report.quarantine_digest, from);
         let shares = NodeShares {
             servers: report.shares.iter().map(share_of).collect(),
             pressed: report.pressed,
@@ -397,6 +413,7 @@
             queues: shares.queues.iter().map(queue_message_of).collect(),
             newest_table: self.shared.newest_table(),
             hearing: hearing_number(shares.hearing),
+            quarantine_digest: self.shared.crashes.digest(),
             ..v1::ServerShares::default()
         }
     }
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -140,6 +140,7 @@
     fn end(&mut self) {
         self.ended = true;
         if let Some(exchange) = self.exchange.take() {
+            exchange.note_served(&self.context.outgoing);
             exchange.finish();
         }
         let first = self.first_piece.unwrap_or(self.context.received);
@@ -152,7 +153,7 @@
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
         if let Some(exchange) = self.exchange.take() {
             if ending == Ending::Broken && reason != EVENT_TOO_LONG {
-                self.context.note_connection_lost(&exchange.work());
+                exchange.note_connection_lost(&self.context.outgoing);
             }
             exchange.fail(ending);
         }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -90,7 +90,7 @@
             dialect,
             permits: Permits::new(clock, margin),
             placements: Placements::default(),
-            crashes: CrashWatch::default(),
+            crashes: CrashWatch::new(clock),
             load_changed: Notify::new(),
             clock,
             pool: Pool::default(),
