--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -96,6 +96,11 @@
         Some((fingerprint, left))
     }
 
+    /// Whether this node knows of any request that was quarantined.
+    pub fn knows_any(&self) -> bool {
+        self.lock().quarantine.verdicts().next().is_some()
+    }
+
     /// A server ran a request to its end and said so.
     pub fn note_served(&self, content: &RequestContent<'_>) {
         if !self.lock().quarantine.concerns(content.shape()) {
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -11,18 +11,28 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+const LIMIT: Duration = Duration::from_secs(20);
+
 /// Body of the request that ends its server.
 pub const POISON: &str = "poison";
 /// Body of a request whose connection is reset by a server that lives on.
 pub const RESET: &str = "reset";
 /// Body of a request that takes as long as its server lives or until it is released.
-pub const LONG: &str = "long";
+const LONG: &str = "long";
+
+/// Body of every answer: one event.
+const ANSWER: &str = "data: done\n\n";
+
+/// The body of a long request of that number.
+pub fn long_body(number: usize) -> String {
+    format!("{LONG}-{number}")
+}
 
 /// A server that a request may end.
 #[derive(Debug)]
@@ -32,23 +42,32 @@
     end: watch::Sender<bool>,
     release: Arc<watch::Sender<bool>>,
     poisons: Arc<AtomicUsize>,
+    long: Arc<AtomicUsize>,
 }
 
 impl MortalServer {
-    async fn start(name: String) -> Self {
+    pub async fn start(name: String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let (end, ended) = watch::channel(false);
         let release = Arc::new(watch::channel(false).0);
         let poisons = Arc::new(AtomicUsize::new(0));
-        let server = Self { name, address, end: end.clone(), release: release.clone(), poisons: poisons.clone() };
+        let long = Arc::new(AtomicUsize::new(0));
+        let server = Self {
+            name,
+            address,
+            end: end.clone(),
+            release: release.clone(),
+            poisons: poisons.clone(),
+            long: long.clone(),
+        };
         tokio::spawn(async move {
             let mut stop = ended.clone();
             loop {
                 tokio::select! {
                     accepted = listener.accept() => {
                         let Ok((stream, _)) = accepted else { return };
-                        let work = Work { end: end.clone(), release: release.subscribe(), poisons: poisons.clone() };
+                        let work = Work { end: end.clone(), release: release.subscribe(), poisons: poisons.clone(), long: long.clone() };
                         let mut stop = ended.clone();
                         tokio::spawn(async move {
                             tokio::select! {
@@ -78,7 +97,12 @@
         self.release.send_replace(true);
     }
 
-    fn record(&self) -> ServerRecord {
+    /// Long requests last again.
+    pub fn hold(&self) {
+        self.release.send_replace(false);
+    }
+
+    pub fn record(&self) -> ServerRecord {
         ServerRecord {
             id: self.name.as_str().into(),
             service: SERVICE.into(),
@@ -95,13 +119,31 @@
     end: watch::Sender<bool>,
     release: watch::Receiver<bool>,
     poisons: Arc<AtomicUsize>,
+    long: Arc<AtomicUsize>,
+}
+
+/// Counts a long request while it runs.
+struct Running(Arc<AtomicUsize>);
+
+impl Running {
+    fn count(running: &Arc<AtomicUsize>) -> Self {
+        running.fetch_add(1, Ordering::SeqCst);
+        Self(running.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Work {
     async fn serve(mut self, mut stream: TcpStream) {
         while let Some(seen) = super::read_request(&mut stream).await {
             let id = seen.header("t-id").unwrap_or_default();
-            let head = format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: 4\r\n\r\n");
+            let head =
+                format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: {}\r\n\r\n", ANSWER.len());
             match seen.body.as_str() {
                 POISON => {
                     self.poisons.fetch_add(1, Ordering::SeqCst);
@@ -111,16 +153,17 @@
                 }
                 RESET => return,
                 body if body.starts_with(LONG) => {
+                    let _running = Running::count(&self.long);
                     let _ = stream.write_all(head.as_bytes()).await;
                     let mut rest = [0; 16];
                     tokio::select! {
                         _ = self.release.wait_for(|released| *released) => {}
                         _ = stream.read(&mut rest) => return,
                     }
-                    let _ = stream.write_all(b"done").await;
+                    let _ = stream.write_all(ANSWER.as_bytes()).await;
                 }
                 _ => {
-                    let _ = stream.write_all((head + "done").as_bytes()).await;
+                    let _ = stream.write_all((head + ANSWER).as_bytes()).await;
                 }
             }
         }
@@ -144,6 +187,17 @@
     }
 }
 
+impl FleetNode {
+    /// Waits until the node knows of a request that is kept back.
+    pub async fn learns(&self) {
+        let end = Instant::now() + LIMIT;
+        while !self.shared.crashes.knows_any() {
+            assert!(Instant::now() < end, "{} learns nothing", self.name);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
 /// Nodes and servers.
 pub struct Fleet {
     pub nodes: Vec<FleetNode>,
@@ -182,6 +236,47 @@
         node
     }
 
+    /// Sends long requests of different bodies at all nodes, and waits until each runs
+    /// or has its answer.
+    pub async fn run_long(&self, id: &str, count: usize) -> Vec<JoinHandle<Option<Response<Bytes>>>> {
+        self.servers.iter().for_each(|server| server.hold());
+        let sent: Vec<_> = (0..count)
+            .map(|number| self.spawn_send(number % self.nodes.len(), &format!("{id}-{number}"), &long_body(number)))
+            .collect();
+        let end = Instant::now() + LIMIT;
+        let run = || self.servers.iter().map(|server| server.long.load(Ordering::SeqCst)).sum::<usize>();
+        while run() + sent.iter().filter(|request| request.is_finished()).count() < count {
+            assert!(Instant::now() < end, "{} of {count} run", run());
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        sent
+    }
+
+    /// Lets the long requests complete.
+    pub fn release(&self) {
+        self.servers.iter().for_each(|server| server.release());
+    }
+
+    /// The registrations of servers that ended lapse.
+    pub fn unlist_ended(&self) {
+        let alive = self.servers.iter().filter(|server| !server.has_ended());
+        let records: Vec<ServerRecord> = alive.map(MortalServer::record).collect();
+        self.nodes.iter().for_each(|node| node.shared.dispatcher().set_ready(records.iter()));
+    }
+
+    /// No node hears this one any more, nor does it hear any.
+    pub fn disconnect(&self, node: &FleetNode) {
+        for other in self.nodes.iter().filter(|other| other.name != node.name) {
+            node.peers.remove(&other.name);
+            other.peers.remove(&node.name);
+        }
+    }
+
+    /// All nodes forget one that is gone.
+    pub fn forget(&self, gone: &FleetNode) {
+        self.nodes.iter().for_each(|node| node.peers.remove(&gone.name));
+    }
+
     /// Lets a node and all others hear each other.
     pub fn connect(&self, node: &FleetNode) {
         for other in self.nodes.iter().filter(|other| other.name != node.name) {
@@ -212,7 +307,8 @@
     }
 }
 
-async fn send(client: &Client, callers: &str, id: &str, body: &str) -> Option<Response<Bytes>> {
+/// Sends a request of that body to a node's address; `None` if there was no whole answer.
+pub async fn send(client: &Client, callers: &str, id: &str, body: &str) -> Option<Response<Bytes>> {
     let request = Request::post(format!("http://{callers}/path/x"))
         .header("host", HOST)
         .header("t-id", id)
