--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -7,8 +7,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Length of a first quarantine; each further one of the same request is twice as long.
+/// Length of a first quarantine; each further one of the same request is so many times
+/// as long. A request that ends every server runs three more times in a day so, after
+/// 10, 70 and 430 minutes: operators allow three retries (rule BUDGET).
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
+const QUARANTINE_FACTOR: u32 = 6;
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(24 * 3600);
 /// Time after its end for which a verdict is remembered, so that a request that goes on
 /// to end servers is known at once.
@@ -95,10 +98,11 @@
     pub fn sentence(&mut self, request: RequestKey, mut servers: Vec<ServerKey>, now: WallTime) -> Verdict {
         let before = self.verdicts.get(&request.fingerprint).filter(|verdict| !verdict.lifted);
         let offences = before.map_or(0, |verdict| verdict.offences) + 1;
-        let factor = 1_u32.checked_shl(offences - 1).unwrap_or(u32::MAX);
+        let factor = QUARANTINE_FACTOR.checked_pow(offences - 1).unwrap_or(u32::MAX);
         let length = FIRST_QUARANTINE.saturating_mul(factor).min(LONGEST_QUARANTINE);
         servers.truncate(NAMED_SERVERS);
-        let verdict = Verdict { request, changed_at: now, until: now + length, offences, lifted: false, servers };
+        let changed_at = self.after_known(request.fingerprint, now);
+        let verdict = Verdict { request, changed_at, until: now + length, offences, lifted: false, servers };
         self.merge(verdict.clone(), now);
         verdict
     }
@@ -106,7 +110,7 @@
     /// Takes a verdict of another node or the store over if it is news.
     pub fn merge(&mut self, mut verdict: Verdict, now: WallTime) -> bool {
         let key = verdict.request.fingerprint;
-        if now > verdict.until + REMEMBERED {
+        if !is_remembered(&verdict, now) {
             return false;
         }
         if self.verdicts.get(&key).is_some_and(|present| present.changed_at >= verdict.changed_at) {
@@ -125,13 +129,20 @@
 
     /// An operator lets a request go; gives back the verdict that says so.
     pub fn lift(&mut self, request: Fingerprint, now: WallTime) -> Option<Verdict> {
+        let changed_at = self.after_known(request, now);
         let verdict = self.verdicts.get_mut(&request).filter(|verdict| !verdict.lifted)?;
         verdict.lifted = true;
-        // A clock may be behind the one that decided.
-        verdict.changed_at = now.max(WallTime(verdict.changed_at.0 + 1));
+        verdict.changed_at = changed_at;
         Some(verdict.clone())
     }
 
+    /// A time for a change that comes after the last one that is known, also where this
+    /// node's clock is behind the one that made it.
+    fn after_known(&self, request: Fingerprint, now: WallTime) -> WallTime {
+        let known = self.verdicts.get(&request).map(|verdict| WallTime(verdict.changed_at.0 + 1));
+        known.map_or(now, |known| known.max(now))
+    }
+
     /// The good end of this request has to be told; `true` if that is news.
     pub fn watch(&mut self, request: RequestKey, now: Instant) -> bool {
         if let Some((_, since)) = self.watched.get_mut(&request.fingerprint) {
@@ -162,9 +173,9 @@
         true
     }
 
-    /// All verdicts.
-    pub fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
-        self.verdicts.values()
+    /// All verdicts that are to be remembered.
+    pub fn verdicts(&self, now: WallTime) -> impl Iterator<Item = &Verdict> {
+        self.verdicts.values().filter(move |verdict| is_remembered(verdict, now))
     }
 
     /// One verdict.
@@ -172,9 +183,10 @@
         self.verdicts.get(&request)
     }
 
-    /// A number that is the same at nodes with the same verdicts; zero without any.
-    pub fn digest(&self) -> u64 {
-        let each = self.verdicts.values().map(|verdict| {
+    /// A number that is the same at nodes with the same verdicts to remember; zero
+    /// without any.
+    pub fn digest(&self, now: WallTime) -> u64 {
+        let each = self.verdicts(now).map(|verdict| {
             let Fingerprint(fingerprint) = verdict.request.fingerprint;
             let folded = (fingerprint >> 64) as u64 ^ fingerprint as u64;
             stable_pair_hash(folded, verdict.changed_at.0)
@@ -186,7 +198,7 @@
     /// many the one that ends first.
     pub fn prune(&mut self, now: WallTime) {
         let over: Vec<Fingerprint> =
-            self.verdicts.values().filter(|verdict| now > verdict.until + REMEMBERED).map(key_of).collect();
+            self.verdicts.values().filter(|verdict| !is_remembered(verdict, now)).map(key_of).collect();
         over.into_iter().for_each(|key| self.drop_verdict(key));
         if self.verdicts.len() >= VERDICT_LIMIT {
             let first = self.verdicts.values().min_by_key(|verdict| (!verdict.lifted, verdict.until)).map(key_of);
@@ -226,6 +238,10 @@
     }
 }
 
+fn is_remembered(verdict: &Verdict, now: WallTime) -> bool {
+    now <= verdict.until + REMEMBERED
+}
+
 fn key_of(verdict: &Verdict) -> Fingerprint {
     verdict.request.fingerprint
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -133,7 +133,7 @@
     let decisions = evidence.decide(|key| quarantine.standing(key, later));
     assert_eq!(quarantined(&decisions), [1]);
     let second = quarantine.sentence(request(1), vec![ServerKey(0)], later);
-    assert_eq!(second.until.left_at(later), first.until.left_at(NOW) * 2);
+    assert_eq!(second.until.left_at(later), first.until.left_at(NOW) * 6);
 }
 
 #[test]
@@ -143,14 +143,14 @@
     let mut other = Quarantine::default();
     assert!(other.merge(verdict.clone(), NOW));
     assert!(!other.merge(verdict.clone(), NOW), "told twice");
-    assert_eq!(own.digest(), other.digest());
+    assert_eq!(own.digest(NOW), other.digest(NOW));
     let Some(WatchEnd::Lifted(lifted)) = own.note_success(request(1).fingerprint, NOW) else { panic!("not lifted") };
-    assert_ne!(own.digest(), other.digest());
+    assert_ne!(own.digest(NOW), other.digest(NOW));
     assert!(other.merge(lifted, NOW));
     assert_eq!(other.standing(request(1).fingerprint, NOW), Standing::Free);
     // What was decided before comes late.
     assert!(!other.merge(verdict, NOW));
-    assert_eq!(own.digest(), other.digest());
+    assert_eq!(own.digest(NOW), other.digest(NOW));
 }
 
 #[test]
@@ -194,10 +194,11 @@
         quarantine.sentence(request(number), Vec::new(), now);
         quarantine.watch(request(number + 1_000_000), at(number));
     }
-    assert_eq!(quarantine.verdicts().count(), VERDICT_LIMIT);
+    assert_eq!(quarantine.verdicts(NOW).count(), VERDICT_LIMIT);
     let newest = request(VERDICT_LIMIT as u64 * 3 - 1).fingerprint;
     assert_eq!(quarantine.standing(newest, NOW + Duration::from_secs(4)), Standing::Quarantined);
-    // What is over is forgotten in the end.
+    // What is over is forgotten in the end, and nodes don't differ by it.
+    assert_eq!(quarantine.digest(NOW + HOUR * 48), 0);
     let late = Verdict { changed_at: NOW, until: NOW, ..quarantine.verdict(newest).unwrap().clone() };
     assert!(!Quarantine::default().merge(late, NOW + HOUR * 48));
 }
@@ -275,7 +276,7 @@
             self.now += STEP;
             self.start_due();
             self.end_due();
-            if self.now % LOSS_EVERY == 0 {
+            if self.now.is_multiple_of(LOSS_EVERY) {
                 let first = self.random.random_range(0..SERVERS);
                 (0..4).for_each(|number| self.end_server((first + number) % SERVERS));
             }
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -19,7 +19,8 @@
 const PROBE_LIMIT: usize = 256;
 /// Requests that are kept of one server.
 const REQUEST_LIMIT: usize = 64;
-/// Least time between two sendings of all verdicts to nodes that know others.
+/// Pause for each message in which all verdicts were sent to a node that knows others:
+/// 24 KB a second at most.
 const TABLE_PAUSE: Duration = Duration::from_millis(50);
 /// A node that weighs the evidence writes a verdict of another node to the store if
 /// that has not done so after this time, one after the other.
@@ -63,7 +64,8 @@
     probed: HashMap<Arc<str>, Vec<RequestKey>>,
     outbox: Outbox,
     rank: DecidingRank,
-    table_sent_at: Option<Instant>,
+    /// Until when all verdicts are not sent again, whoever lacks some.
+    table_rests_until: Instant,
     /// Verdicts that this node has to write to the store, and from when on.
     to_store: HashMap<Fingerprint, Instant>,
 }
@@ -98,7 +100,7 @@
 
     /// Whether this node knows of any request that was quarantined.
     pub fn knows_any(&self) -> bool {
-        self.lock().quarantine.verdicts().next().is_some()
+        self.lock().quarantine.verdicts(self.clock.wall_time()).next().is_some()
     }
 
     /// A server ran a request to its end and said so.
@@ -248,20 +250,20 @@
 
     /// Digest of the verdicts that this node knows.
     pub(crate) fn digest(&self) -> u64 {
-        self.lock().quarantine.digest()
+        self.lock().quarantine.digest(self.clock.wall_time())
     }
 
     /// All verdicts, if another node with this digest knows others; nothing if they
     /// were sent just before.
     pub(crate) fn table_for(&self, digest: u64) -> Vec<v1::QuarantineNews> {
-        let now = self.clock.now();
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
         let mut state = self.lock();
-        let sent_just_before = state.table_sent_at.is_some_and(|at| now.since(at) < TABLE_PAUSE);
-        if state.quarantine.digest() == digest || sent_just_before {
+        if now < state.table_rests_until || state.quarantine.digest(wall) == digest {
             return Vec::new();
         }
-        state.table_sent_at = Some(now);
-        table_messages(state.quarantine.verdicts())
+        let messages = table_messages(state.quarantine.verdicts(wall));
+        state.table_rests_until = now + TABLE_PAUSE * messages.len() as u32;
+        messages
     }
 
     /// Waits for a verdict that this node has to write to the store.
