Innocent requests that travel with a cause; failures of items outlast their worker

Cause, from its fingerprint in the logs: it and a request that ends servers were cut at the same moment and went on at the same best server, three times in 130 ms; the third end was weighed before the node of the cause had told of it (its second try of the address came at 160 ms, weighing at 150 ms). Ruled out: resets and lost servers (its three servers were ended by the cause). Change: an end is weighed 400 ms after the first word of it; a request loses two servers at most (AttemptFailure::Lost); cut items start again up to 300 ms apart; six ends without a lead instead of five.

The same class elsewhere (what was learned dies with its holder): failures of an item were forgotten with its worker, so that each move of a job let it fail anew. They are kept beside the job's list of results now. Test failures_of_an_item_outlast_its_worker: 6 runs before, 4 after.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -11,6 +11,10 @@
 
 /// Attempts that were surely not run and don't count against a route's limit.
 const UNCOUNTED_ATTEMPTS: u32 = 3;
+/// Servers that may be lost under one request. Requests that are cut together look for
+/// servers together: one more attempt would bring another server's end upon those that
+/// ran beside the cause, and hold it against them (`core/tests/quarantine.rs`).
+const LOST_SERVERS: u32 = 2;
 /// Time below which no further attempt is worth making.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 
@@ -23,6 +27,8 @@
     NotRun,
     /// It may have run, and no server works on it any more as far as known.
     MayHaveRun,
+    /// The same, and the connection was lost while the server worked on it.
+    Lost,
 }
 
 /// What to do next.
@@ -41,13 +47,14 @@
     limit: u32,
     counted: u32,
     uncounted: u32,
+    lost: u32,
     may_have_run: bool,
 }
 
 impl Attempts {
     /// No attempt was made yet; the route allows `limit`.
     pub fn new(kind: RequestKind, limit: u32) -> Self {
-        Self { kind, limit: limit.max(1), counted: 0, uncounted: 0, may_have_run: false }
+        Self { kind, limit: limit.max(1), counted: 0, uncounted: 0, lost: 0, may_have_run: false }
     }
 
     /// Attempts made so far, of any outcome.
@@ -70,13 +77,15 @@
     pub fn after(&mut self, failure: AttemptFailure, left: Duration) -> NextStep {
         match failure {
             AttemptFailure::NotSent | AttemptFailure::NotRun => self.uncounted += 1,
-            AttemptFailure::MayHaveRun => {
+            AttemptFailure::MayHaveRun | AttemptFailure::Lost => {
                 self.counted += 1;
+                self.lost += u32::from(failure == AttemptFailure::Lost);
                 self.may_have_run = true;
             }
         }
         let allowed = match failure {
             AttemptFailure::MayHaveRun => self.kind.is_repeatable(),
+            AttemptFailure::Lost => self.kind.is_repeatable() && self.lost < LOST_SERVERS,
             AttemptFailure::NotSent | AttemptFailure::NotRun => self.uncounted <= UNCOUNTED_ATTEMPTS,
         };
         if allowed && self.counted < self.limit && left > LEAST_TIME {
--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -97,6 +97,16 @@
         self.failures
     }
 
+    /// It failed so often at these servers while another worker ran it.
+    pub fn note_earlier_failures(&mut self, failures: u32, servers: &[Arc<str>]) {
+        self.failures = self.failures.max(failures);
+        for server in servers {
+            if !self.failed_at.contains(server) {
+                self.failed_at.push(server.clone());
+            }
+        }
+    }
+
     /// Servers that failed at it; the next run is better made elsewhere.
     pub fn failed_at(&self) -> &[Arc<str>] {
         &self.failed_at
@@ -127,6 +137,13 @@
         self.state = ItemState::Waiting(from);
     }
 
+    /// It waits for so much longer, if it waits.
+    pub fn delay(&mut self, time: Duration) {
+        if let ItemState::Waiting(from) = self.state {
+            self.state = ItemState::Waiting(from + time);
+        }
+    }
+
     /// A run starts.
     pub fn start(&mut self) {
         self.state = ItemState::Running;
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -12,11 +12,13 @@
 /// the cause (`core/tests/quarantine.rs` has the figures).
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 /// With so many servers a request is quarantined even if others explain them as well.
-const CRASHES_WITHOUT_LEAD: usize = 5;
+const CRASHES_WITHOUT_LEAD: usize = 6;
 /// Servers that ended under a request before its good end is asked for.
 const CRASHES_TO_WATCH: usize = 2;
-/// After a server's end nodes that had work there tell of it within this time.
-const SETTLE_TIME: Duration = Duration::from_millis(150);
+/// After the first word of a server's end all nodes that had work there tell of it within
+/// this time: each tries its address up to twice, 150 ms apart. An end is not weighed
+/// before: whoever is told of late would go free, and who ran beside it be held for it.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
 /// Nodes that weigh the same evidence decide one after the other, so that mostly one
 /// of them tells the verdict.
 const RANK_PAUSE: Duration = Duration::from_millis(100);
@@ -36,12 +38,21 @@
 #[derive(Debug)]
 struct Crash {
     at: Instant,
+    /// When all nodes have told of it.
+    settled_at: Instant,
     requests: Vec<RequestKey>,
     /// A quarantined request was among them, or the server was lost with others: no
     /// other request is held to be the cause.
     explained: bool,
 }
 
+impl Crash {
+    /// Whether it has settled and nothing explains it.
+    fn is_open(&self, now: Instant) -> bool {
+        !self.explained && self.settled_at <= now
+    }
+}
+
 /// What follows from the evidence.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Decisions {
@@ -74,7 +85,8 @@
         self.drop_old(now);
         let crash = self.crashes.entry(server).or_insert_with(|| {
             self.order.push_back(server);
-            Crash { at: now, requests: Vec::new(), explained: false }
+            let settled_at = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
+            Crash { at: now, settled_at, requests: Vec::new(), explained: false }
         });
         let before = crash.requests.len();
         for request in requests {
@@ -84,8 +96,8 @@
         }
         crash.explained |= requests.iter().any(|request| standing(request.fingerprint) == Standing::Quarantined);
         if crash.requests.len() > before && !crash.explained {
-            let due = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
-            self.decide_at.get_or_insert(due);
+            let due = crash.settled_at.max(now);
+            self.decide_at = Some(self.decide_at.map_or(due, |at| at.min(due)));
         }
     }
 
@@ -110,13 +122,13 @@
         }
     }
 
-    /// Decides by all that is known now.
-    pub fn decide(&mut self, standing: impl Fn(Fingerprint) -> Standing) -> Decisions {
-        self.decide_at = None;
-        self.explain_losses();
+    /// Decides by all that has settled.
+    pub fn decide(&mut self, now: Instant, standing: impl Fn(Fingerprint) -> Standing) -> Decisions {
+        self.decide_at = self.crashes.values().map(|crash| crash.settled_at).filter(|at| *at > now).min();
+        self.explain_losses(now);
         let mut decisions = Decisions::default();
         loop {
-            let suspects = self.suspects();
+            let suspects = self.suspects(now);
             let causes = causes_among(&suspects, &standing);
             if causes.is_empty() {
                 let watched = suspects.into_iter().filter(|(_, servers)| servers.len() >= CRASHES_TO_WATCH);
@@ -132,9 +144,9 @@
     }
 
     /// Requests with the servers that ended under them, where nothing explains that.
-    fn suspects(&self) -> HashMap<RequestKey, HashSet<ServerKey>> {
+    fn suspects(&self, now: Instant) -> HashMap<RequestKey, HashSet<ServerKey>> {
         let mut suspects: HashMap<RequestKey, HashSet<ServerKey>> = HashMap::new();
-        for (server, crash) in self.crashes.iter().filter(|(_, crash)| !crash.explained) {
+        for (server, crash) in self.crashes.iter().filter(|(_, crash)| crash.is_open(now)) {
             for request in &crash.requests {
                 suspects.entry(*request).or_default().insert(*server);
             }
@@ -143,11 +155,11 @@
     }
 
     /// Explains the ends of servers that were lost together.
-    fn explain_losses(&mut self) {
+    fn explain_losses(&mut self, now: Instant) {
         let mut open: Vec<(Instant, ServerKey)> = self
             .crashes
             .iter()
-            .filter(|(_, crash)| !crash.explained)
+            .filter(|(_, crash)| crash.is_open(now))
             .map(|(server, crash)| (crash.at, *server))
             .collect();
         open.sort_unstable();
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -450,6 +450,13 @@
         /// Why.
         reason: &'a str
     };
+    /// How often items failed could not be recorded; it is tried again.
+    FailuresNotRecorded = 8219, Essential {
+        /// Job.
+        job: &'a str,
+        /// Why.
+        reason: &'a str
+    };
     /// A job that ran no longer was removed from the store.
     JobRemoved = 8217, Essential {
         /// Job.
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -4,6 +4,7 @@
 //! parts before. When another worker was first, the list is read anew.
 
 use crate::desk::{read_record, write_record};
+use crate::item_failures::poll_recording;
 use crate::job_run::{JobRun, LONGEST_STORE_PAUSE, STORE_PAUSE};
 use crate::layout::{job_key, result_key, JobRecord, JobState, ListedResult};
 use crate::results::ResultList;
@@ -80,6 +81,11 @@
         if let Ok(committed) = committed {
             self.end_listing(committed).await;
         }
+        self.begin_recording();
+        if self.recording.is_some() {
+            // What does not get there in time is counted anew by the next worker.
+            let _ = tokio::time::timeout(LEAVING_TIME, poll_recording(&mut self.recording)).await;
+        }
     }
 
     /// Items without a listed result.
@@ -161,6 +167,7 @@
         if let Ok(list) = list {
             self.list = list;
             self.note_list();
+            self.note_earlier_failures();
             self.show_list();
         }
         if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -1,6 +1,7 @@
 //! Running one job: its items, and the list of their results.
 
 use crate::desk::read_body;
+use crate::item_failures::{poll_recording, Recording};
 use crate::item_starts::RunningItem;
 use crate::job_listing::{poll_listing, Listing};
 use crate::layout::{ItemBody, JobBody, JobRecord};
@@ -32,6 +33,10 @@
 /// Retention of a job whose route is not known any more.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
 
+/// Runs that were cut together start again within this time of each other: one of them
+/// may be the reason, and the others are better off elsewhere.
+const RETRY_SPREAD: Duration = Duration::from_millis(300);
+
 /// A job that was accepted less long ago has run at no other worker.
 const NEW_JOB_AGE: Duration = Duration::from_secs(3);
 
@@ -142,6 +147,9 @@
     /// Its place among the jobs that have items to start, once it had some.
     pub(crate) rank: Option<StartRank>,
     pub(crate) listing: Option<Listing>,
+    pub(crate) recording: Option<Recording>,
+    /// Items failed since the last record of that was begun.
+    pub(crate) failures_changed: bool,
     pub(crate) unlisted_since: Option<Instant>,
     pub(crate) taken_at: Instant,
     /// Results are listed from this time on.
@@ -179,12 +187,15 @@
             concessions: Concessions::default(),
             rank: None,
             listing: None,
+            recording: None,
+            failures_changed: false,
             unlisted_since: None,
             taken_at,
             lists_from: taken_at + grace,
             settled: grace.is_zero(),
         };
         run.note_list();
+        run.note_earlier_failures();
         run.context.owned.show(&run.job, run.items.clone(), run.view());
         run
     }
@@ -206,6 +217,7 @@
             }
             self.settle().await;
             self.begin_listing();
+            self.begin_recording();
             if self.listing.is_none() && self.listed.iter().all(|listed| *listed) {
                 return LeaveReason::Finished;
             }
@@ -214,6 +226,7 @@
                     self.end_run(position, progress, end, reason, &server);
                 }
                 committed = poll_listing(&mut self.listing) => self.end_listing(committed).await,
+                written = poll_recording(&mut self.recording) => self.end_recording(written),
                 changed = orders.changed() => {
                     if changed.is_err() {
                         return LeaveReason::WorkerLeaves;
@@ -290,8 +303,12 @@
         self.progress[position] = progress;
         let progress = &mut self.progress[position];
         progress.end_run(now, server, end, &rules);
+        if end == RunEnd::Interrupted {
+            progress.delay(RETRY_SPREAD.mul_f64(rand::random()));
+        }
         let item = &self.items[position].id;
         let failures = progress.failures();
+        self.failures_changed |= end == RunEnd::Failed && matches!(progress.state(), ItemState::Waiting(_));
         if end != RunEnd::Whole {
             let events_kept = progress.events();
             let event = Event::ItemAttemptFailed { job: &self.job, item, server, reason, failures, events_kept };
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -9,6 +9,7 @@
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
 //! | `latchwheel/result/JOB/N` | part N of the list of results |
+//! | `latchwheel/result/JOB/failures` | how often items without a result failed (`item_failures`) |
 //! | `latchwheel/result/JOB/total` | [`JobSummary`], so that one list tells all that readers need |
 //!
 //! Invariants: the parts of the list are written in order, each only where it
@@ -94,7 +95,15 @@
     format!("latchwheel/result/{job}/{TOTAL}")
 }
 
+/// Key of how often a job's items failed.
+pub fn failures_key(job: &str) -> String {
+    format!("latchwheel/result/{job}/{FAILURES}")
+}
+
 /// Last part of that key.
+pub const FAILURES: &str = "failures";
+
+/// Last part of the key of a job's summary.
 pub const TOTAL: &str = "total";
 
 /// Whether a job still runs.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod desk;
 mod expiry;
 mod handed;
+mod item_failures;
 mod item_run;
 mod item_starts;
 mod job_listing;
--- a/crates/jobs/src/results.rs
+++ b/crates/jobs/src/results.rs
@@ -1,6 +1,7 @@
 //! The list of a job's results as one process knows it.
 
-use crate::layout::{result_key, result_prefix, JobSummary, ListedResult, TOTAL};
+use crate::item_failures::JobFailures;
+use crate::layout::{result_key, result_prefix, JobSummary, ListedResult, FAILURES, TOTAL};
 use latchwheel_records::{Change, Changes, Record, RecordStore, RecordsFault};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,8 @@
     pub(crate) parts: usize,
     /// What is known of the job, if it is on record.
     pub(crate) summary: Option<JobSummary>,
+    /// How often items failed at workers before.
+    pub(crate) failures: Option<JobFailures>,
     pub(crate) revision: u64,
 }
 
@@ -73,6 +76,10 @@
             self.summary = Some(serde_json::from_slice(&record.value).map_err(|_| RecordsFault::BadAnswer)?);
             return Ok(());
         }
+        if name == FAILURES {
+            self.failures = JobFailures::read(&record.value);
+            return Ok(());
+        }
         let number: usize = name.parse().map_err(|_| RecordsFault::BadAnswer)?;
         if number < self.parts {
             return Ok(());
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -193,6 +193,31 @@
     membership.leave().await;
 }
 
+/// A worker that takes a job over knows how often its items failed before.
+#[tokio::test]
+async fn failures_of_an_item_outlast_its_worker() {
+    let failed = || Act::Answer(500, String::new());
+    let mut acts = vec![failed(), failed(), Act::Silence];
+    acts.extend((0..10).map(|_| failed()));
+    let server = TestServer::start("server", acts).await;
+    let store = MemoryStore::default();
+    let shared = || node(route(RequestKind::Batch, 3), &[&server]);
+    let (first, membership) = start_worker(&store, shared(), "first").await;
+    take(&store, 1).await;
+    let end = Instant::now() + Duration::from_secs(20);
+    while server.seen().len() < 3 {
+        assert!(Instant::now() < end, "{} runs", server.seen().len());
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    // The third run says nothing; the worker leaves in the middle of it.
+    first.leave(Duration::ZERO).await;
+    membership.leave().await;
+    let _second = start_worker(&store, shared(), "second").await;
+    let results = results(&store, 1).await;
+    assert!(!results[0].completed);
+    assert_eq!(server.seen().len(), 4, "it failed three times, and was broken off once");
+}
+
 /// Nothing of an old job stays but a mark, by which a resend is still known.
 #[tokio::test]
 async fn an_old_job_is_removed_and_never_runs_again() {
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -302,7 +302,7 @@
 
     fn decide(&mut self, now: Instant, wall: WallTime) {
         let quarantine = &self.quarantine;
-        let decisions = self.evidence.decide(|request| quarantine.standing(request, wall));
+        let decisions = self.evidence.decide(now, |request| quarantine.standing(request, wall));
         for (request, servers) in decisions.quarantine {
             let verdict = self.quarantine.sentence(request, servers, wall);
             log_verdict(&verdict, VerdictSource::Own, wall);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -245,7 +245,7 @@
             return AttemptEnd::new(AttemptFailure::MayHaveRun, "no_http_answer");
         }
         self.note_connection_lost(outgoing);
-        AttemptEnd::new(AttemptFailure::MayHaveRun, "connection_broke")
+        AttemptEnd::new(AttemptFailure::Lost, "connection_broke")
     }
 
     async fn check(
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -151,14 +151,16 @@
     /// Goes on at another server; `false` if the answer has to be broken off.
     async fn go_on(&mut self, reason: &'static str, ending: Ending) -> bool {
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
+        let lost = ending == Ending::Broken && reason != EVENT_TOO_LONG;
         if let Some(exchange) = self.exchange.take() {
-            if ending == Ending::Broken && reason != EVENT_TOO_LONG {
+            if lost {
                 exchange.note_connection_lost(&self.context.outgoing);
             }
             exchange.fail(ending);
         }
         self.framer.reset();
-        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, reason).await {
+        let failure = if lost { AttemptFailure::Lost } else { AttemptFailure::MayHaveRun };
+        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, failure, reason).await {
             return true;
         }
         self.ended = true;
@@ -168,9 +170,9 @@
         false
     }
 
-    async fn ask_another(&mut self, server: &str, reason: &'static str) -> bool {
+    async fn ask_another(&mut self, server: &str, failure: AttemptFailure, reason: &'static str) -> bool {
         let now = self.context.shared.clock.now();
-        if self.context.failed(server, now, AttemptFailure::MayHaveRun, reason).is_some() {
+        if self.context.failed(server, now, failure, reason).is_some() {
             return false;
         }
         loop {
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -43,12 +43,14 @@
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
+                let mut failure = AttemptFailure::MayHaveRun;
                 if read.is_ok() {
                     exchange.note_connection_lost(&self.outgoing);
+                    failure = AttemptFailure::Lost;
                 }
                 let server = exchange.server().clone();
                 exchange.fail(Ending::Broken);
-                Err(self.failed(&server, sent_at, AttemptFailure::MayHaveRun, "answer_broke"))
+                Err(self.failed(&server, sent_at, failure, "answer_broke"))
             }
         }
     }
