Tests of the quarantine judge by the users' bound, not by the machine's speed

a_node_that_is_cut_off_stops_it_by_itself failed once on (more than six servers ended): with retries each 120 ms and a verdict 0.4 to 1 s after the third end, how many servers end before it depends on the machine. The users' rule counts what is sent later than contact-ms after the third end, three allowed; the tests send on for 4 s after the third end and allow none after 3 s, at all nodes, with 80 servers so that none run out.

--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -21,10 +21,10 @@
 mod support;
 
 const LIMIT: Duration = Duration::from_secs(30);
-/// Servers that a request ends before it is known, and times that it may reach one
-/// after that.
-const MOST_ENDED: usize = 3 + 3;
-const SERVERS: usize = 12;
+/// Longer than the pause before any run of an item that was cut.
+const LONGEST_PAUSE: Duration = Duration::from_millis(3500);
+/// More servers than sendings of one test, so that they are never used up.
+const SERVERS: usize = 60;
 
 async fn servers() -> Vec<MortalServer> {
     let mut servers = Vec::new();
@@ -102,7 +102,7 @@
         until("no verdict is stored", async || !verdicts(&store).await.is_empty()).await;
     }
     let before = ended(&servers);
-    assert!(before <= MOST_ENDED, "{before} servers ended");
+    assert!(before >= 3, "{before} servers ended");
     let record = verdicts(&store).await.remove(0);
     assert!(!String::from_utf8_lossy(&record.value).contains(POISON));
 
@@ -140,12 +140,15 @@
     let submission = Submission { host: HOST, path: "/path/x", tenant: None };
     desk.take(JOB, &submission, JobBody { items }, Instant::now() + LIMIT).await.unwrap();
     until("the item is never kept back", async || shared.crashes.knows_any()).await;
+    // One run may have been on its way.
+    let most_ended = ended(&servers) + 1;
     until("the other items are not done", async || {
         let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await;
         page.is_ok_and(|page| page.results.iter().filter(|result| result.completed).count() == 6)
     })
     .await;
-    assert!(ended(&servers) <= MOST_ENDED, "{} servers ended", ended(&servers));
+    tokio::time::sleep(LONGEST_PAUSE).await;
+    assert!(ended(&servers) <= most_ended, "{} servers ended", ended(&servers));
     let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await.unwrap();
     assert!(page.results.iter().all(|result| result.item != "ends-servers"), "given up without a reason");
 }
--- a/crates/proxy/tests/crashing_requests.rs
+++ b/crates/proxy/tests/crashing_requests.rs
@@ -3,61 +3,80 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::fleet::{long_body, Fleet, POISON, RESET};
 
 const NODES: usize = 4;
-const SERVERS: usize = 14;
-/// Servers that a request ends before it is known, and times that it may reach one
-/// after that.
-const MOST_ENDED: usize = 3 + 3;
-/// Times that it comes again, and the pause between them.
-const RETRIES: usize = 40;
+/// More servers than sendings of one test, so that they are never used up.
+const SERVERS: usize = 80;
+/// Time after the third server's end from which on the request reaches no server. The
+/// users allow three retries after that time; how many servers end before it depends on
+/// how fast the request comes again.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+/// Time for which it comes again after that, and the pause between.
+const LATE_TIME: Duration = Duration::from_millis(1000);
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// A request that is harmless is cut so often before it has to be served.
+const ROUNDS: usize = 8;
+const LIMIT: Duration = Duration::from_secs(60);
 
-/// Sends the poison at one node after the other, until all refuse it.
-async fn spread_poison(fleet: &Fleet) {
-    for retry in 0..RETRIES {
-        fleet.send(retry % fleet.nodes.len(), &format!("poison-{retry}"), POISON).await;
+/// Sends the poison at these nodes in turn for as long as it may reach servers and a
+/// while longer, and asserts that it reaches none late.
+async fn assert_is_stopped(fleet: &Fleet, nodes: std::ops::Range<usize>) {
+    let start = Instant::now();
+    let mut third_at: Option<Instant> = None;
+    for retry in 0.. {
+        assert!(start.elapsed() < LIMIT, "no third server ended");
+        if fleet.ended() >= 3 {
+            third_at.get_or_insert_with(Instant::now);
+        }
+        let late = third_at.is_some_and(|at| at.elapsed() > CONTACT_TIME);
+        if third_at.is_some_and(|at| at.elapsed() > CONTACT_TIME + LATE_TIME) {
+            return;
+        }
+        let before = fleet.poisons();
+        let node = nodes.start + retry % nodes.len();
+        let answer = fleet.send(node, &format!("poison-{node}-{retry}"), POISON).await;
+        if late {
+            assert_eq!(fleet.poisons(), before, "it reached a server late, by node {node}");
+            assert_is_refusal(answer);
+        }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
+fn assert_is_refusal(answer: Option<hyper::Response<bytes::Bytes>>) {
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+}
+
+/// The node refuses the poison and sends it to no server.
+async fn assert_refuses(fleet: &Fleet, node: usize) {
+    let before = fleet.poisons();
+    assert_is_refusal(fleet.send(node, &format!("last-{node}"), POISON).await);
+    assert_eq!(fleet.poisons(), before);
+}
+
 #[tokio::test]
 async fn a_request_that_ends_its_servers_is_stopped_at_all_nodes() {
     let fleet = Fleet::start(NODES, SERVERS).await;
-    spread_poison(&fleet).await;
-    assert!(fleet.ended() <= MOST_ENDED, "{} servers ended", fleet.ended());
-    let ended = fleet.ended();
+    assert_is_stopped(&fleet, 0..NODES).await;
     for node in 0..NODES {
-        let answer = fleet.send(node, &format!("last-{node}"), POISON).await.expect("an answer");
-        assert_eq!(answer.status().as_u16(), 503);
-        assert!(answer.headers().contains_key("retry-after"));
+        assert_refuses(&fleet, node).await;
     }
-    assert_eq!(fleet.ended(), ended);
     // Others are served.
+    fleet.unlist_ended();
     let answer = fleet.send(0, "other", "another body").await.expect("an answer");
     assert_eq!(answer.status().as_u16(), 200);
 }
 
-/// Sends requests of the body until the node refuses one, with a pause between.
-async fn until_refused(fleet: &Fleet, node: usize, body: &str) {
-    for retry in 0..RETRIES {
-        let answer = fleet.send(node, &format!("{body}-again-{node}-{retry}"), body).await;
-        if answer.is_some_and(|answer| answer.status().as_u16() == 503) {
-            return;
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-    panic!("{body} is never refused at node {node}");
-}
-
 #[tokio::test]
 async fn who_runs_beside_it_is_cut_but_never_refused() {
     let fleet = Fleet::start(NODES, SERVERS).await;
-    for round in 0..RETRIES {
-        let beside = fleet.run_long(&format!("beside-{round}"), SERVERS * 2).await;
-        let answer = fleet.send(round % NODES, &format!("poison-{round}"), POISON).await;
+    for round in 0..ROUNDS {
+        let beside = fleet.run_long(&format!("beside-{round}"), SERVERS).await;
+        fleet.send(round % NODES, &format!("poison-{round}"), POISON).await;
         fleet.release();
         for request in beside {
             // Those at the server that ended are cut; nobody is refused.
@@ -65,13 +84,11 @@
             assert!(matches!(status, None | Some(200 | 502)), "round {round}: {status:?}");
         }
         fleet.unlist_ended();
-        if answer.is_some_and(|answer| answer.status().as_u16() == 503) {
-            break;
-        }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
-    assert!(fleet.ended() >= 3 && fleet.ended() <= MOST_ENDED, "{} servers ended", fleet.ended());
-    assert_all_are_served(&fleet, SERVERS * 2).await;
+    assert!(fleet.ended() >= 3, "{} servers ended", fleet.ended());
+    assert_is_stopped(&fleet, 0..NODES).await;
+    assert_all_are_served(&fleet, SERVERS).await;
 }
 
 /// The long requests of the tests before are served at any node.
@@ -87,7 +104,7 @@
 #[tokio::test]
 async fn a_reset_connection_is_held_against_nobody() {
     let fleet = Fleet::start(NODES, 4).await;
-    for retry in 0..RETRIES / 2 {
+    for retry in 0..ROUNDS * 2 {
         let answer = fleet.send(retry % NODES, &format!("reset-{retry}"), RESET).await.expect("an answer");
         assert_eq!(answer.status().as_u16(), 502);
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -103,10 +120,11 @@
 
 #[tokio::test]
 async fn servers_that_are_lost_are_held_against_nobody() {
-    let fleet = Fleet::start(NODES, SERVERS).await;
+    const FEW: usize = 14;
+    let fleet = Fleet::start(NODES, FEW).await;
     for loss in 0..3 {
         // The same requests are cut by each loss of several servers.
-        let beside = fleet.run_long(&format!("lost-{loss}"), SERVERS * 2).await;
+        let beside = fleet.run_long(&format!("lost-{loss}"), FEW * 2).await;
         fleet.servers[loss * 4..loss * 4 + 4].iter().for_each(|server| server.end());
         tokio::time::sleep(RETRY_PAUSE * 2).await;
         fleet.release();
@@ -115,15 +133,13 @@
         }
         fleet.unlist_ended();
     }
-    assert_all_are_served(&fleet, SERVERS * 2).await;
+    assert_all_are_served(&fleet, FEW * 2).await;
 }
 
 #[tokio::test]
 async fn a_node_that_starts_later_learns_it_from_the_others() {
     let mut fleet = Fleet::start(NODES, SERVERS).await;
-    spread_poison(&fleet).await;
-    let ended = fleet.ended();
-    assert!(ended <= MOST_ENDED, "{ended} servers ended");
+    assert_is_stopped(&fleet, 0..NODES).await;
     // All nodes are replaced, one after the other; each new one knows nothing.
     for number in 0..NODES {
         let old = fleet.nodes.remove(0);
@@ -134,10 +150,8 @@
         fleet.nodes.push(node);
     }
     for node in 0..NODES {
-        let answer = fleet.send(node, &format!("last-{node}"), POISON).await.expect("an answer");
-        assert_eq!(answer.status().as_u16(), 503);
+        assert_refuses(&fleet, node).await;
     }
-    assert_eq!(fleet.ended(), ended);
 }
 
 #[tokio::test]
@@ -145,16 +159,10 @@
     let fleet = Fleet::start(NODES, SERVERS).await;
     let cut = NODES - 1;
     fleet.disconnect(&fleet.nodes[cut]);
-    for node in 0..cut {
-        until_refused(&fleet, node, POISON).await;
-    }
-    let ended = fleet.ended();
-    assert!(ended <= MOST_ENDED, "{ended} servers ended");
+    assert_is_stopped(&fleet, 0..cut).await;
     fleet.connect(&fleet.nodes[cut]);
     fleet.nodes[cut].learns().await;
-    let answer = fleet.send(cut, "last", POISON).await.expect("an answer");
-    assert_eq!(answer.status().as_u16(), 503);
-    assert_eq!(fleet.ended(), ended);
+    assert_refuses(&fleet, cut).await;
 }
 
 /// A node that hears nobody decides by what it sees itself, and others learn of it.
@@ -163,14 +171,10 @@
     let fleet = Fleet::start(NODES, SERVERS).await;
     let cut = NODES - 1;
     fleet.disconnect(&fleet.nodes[cut]);
-    until_refused(&fleet, cut, POISON).await;
-    let ended = fleet.ended();
-    assert!(ended <= MOST_ENDED, "{ended} servers ended");
+    assert_is_stopped(&fleet, cut..NODES).await;
     fleet.connect(&fleet.nodes[cut]);
     for node in 0..cut {
         fleet.nodes[node].learns().await;
-        let answer = fleet.send(node, &format!("last-{node}"), POISON).await.expect("an answer");
-        assert_eq!(answer.status().as_u16(), 503);
+        assert_refuses(&fleet, node).await;
     }
-    assert_eq!(fleet.ended(), ended);
 }
