--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -440,19 +440,20 @@
 const WRONGED_IN_10_000: usize = 5;
 /// Servers that a cause ends at most: two each time that it comes, and it comes again
 /// before all nodes have told.
-const MOST_ENDED: usize = 10;
+const MOST_ENDED: usize = 8;
 
 #[test]
 fn causes_are_stopped_and_hardly_an_innocent_request_is() {
-    let mut wronged = 0;
+    let (mut wronged, mut most_of_all) = (0, 0);
     for seed in SEEDS {
         let schedule = Schedule::new(seed, Way::Weighed).run();
         let most = schedule.ended.values().max().copied().unwrap_or(0);
         assert!(schedule.ended.len() as u64 == CAUSES && most <= MOST_ENDED, "seed {seed}: {:?} ended", schedule.ended);
+        most_of_all = most_of_all.max(most);
         wronged += schedule.wronged.len();
     }
     let innocent = INNOCENT as usize * SEEDS.count();
-    println!("{wronged} of {innocent} innocent requests stopped");
+    println!("{wronged} of {innocent} innocent requests stopped; {most_of_all} servers ended at most");
     assert!(wronged * 10_000 <= WRONGED_IN_10_000 * innocent, "{wronged} of {innocent} wronged");
 }
 
