--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,8 +3,7 @@
 //!
 //! Every machine takes the present time and an event and gives back actions.
 //! The runtime crates feed the machines and carry the actions out, so that
-//! the same code runs in a node, in the hollow nodes of the scale run and in
-//! seeded simulations. Time enters as [`time::Instant`], randomness as a
+//! the same code runs in a node and in seeded simulations. Time enters as [`time::Instant`], randomness as a
 //! seeded generator.
 
 pub mod attempts;
