Peers: a datagram's kinds are taken apart by function

Teller::take had grown to seventy lines with six kinds of message; each has a function now. The order of the looks is as before. Tests of the crate pass.

--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -208,74 +208,83 @@
 
     /// Takes a datagram of another node.
     fn take(&mut self, bytes: &[u8], from: SocketAddr, peers: &Peers) {
-        let Ok(report) = v1::ServerShares::decode(bytes) else { return };
-        if report.from == self.own.0 {
+        let Ok(message) = v1::ServerShares::decode(bytes) else { return };
+        if message.from == self.own.0 || self.take_call(&message, from, peers) {
             return;
         }
-        if !report.permit_requests.is_empty() {
-            self.grant_permits(&report.permit_requests, from);
-            return;
-        }
-        if !report.permit_grants.is_empty() {
-            self.shared.permits.take_grants(&report.permit_grants);
-            return;
-        }
-        if let Some(request) = &report.placement_request {
-            self.advise(NodeId(report.from), request, from, peers);
-            return;
-        }
-        if let Some(advice) = report.placement_advice {
-            self.shared.placements.take_advice(advice);
-            return;
-        }
-        if let Some(news) = &report.quarantine {
-            self.shared.crashes.take_news(news);
-            return;
-        }
-        self.shared.note_table_elsewhere(report.newest_table);
+        self.shared.note_table_elsewhere(message.newest_table);
         if self.is_candidate() {
-            self.shared.permits.note_heard(NodeId(report.from), peers.count());
+            self.shared.permits.note_heard(NodeId(message.from), peers.count());
         }
-        if report.changes_only {
-            let changed = report.shares.iter().map(share_of).collect();
-            let (now, node) = (self.shared.clock.now(), NodeId(report.from));
-            self.shared.dispatcher().note_peer_changes(now, node, report.sequence, changed);
-            return;
+        if message.changes_only {
+            self.take_changes(&message);
+        } else if !message.room_ordered.is_empty() {
+            message.room_ordered.iter().for_each(|server| self.shared.room_ordered.put(ServerKey(*server)));
+        } else if !message.room_wanted.is_empty() {
+            message.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
+        } else {
+            self.take_report(&message, from);
         }
-        if !report.room_ordered.is_empty() {
-            report.room_ordered.iter().for_each(|server| self.shared.room_ordered.put(ServerKey(*server)));
-            return;
-        }
-        if !report.room_wanted.is_empty() {
-            report.room_wanted.iter().for_each(|server| self.shared.room_wanted.put(ServerKey(*server)));
-            return;
+    }
+
+    /// Takes a message that tells nothing of the sender's load; `false` if it is none.
+    fn take_call(&mut self, message: &v1::ServerShares, from: SocketAddr, peers: &Peers) -> bool {
+        if !message.permit_requests.is_empty() {
+            self.grant_permits(&message.permit_requests, from);
+        } else if !message.permit_grants.is_empty() {
+            self.shared.permits.take_grants(&message.permit_grants);
+        } else if let Some(request) = &message.placement_request {
+            self.advise(NodeId(message.from), request, from, peers);
+        } else if let Some(advice) = &message.placement_advice {
+            self.shared.placements.take_advice(*advice);
+        } else if let Some(news) = &message.quarantine {
+            self.shared.crashes.take_news(news);
+        } else {
+            return false;
         }
+        true
+    }
+
+    /// Another node told what changed at its servers since its last report.
+    fn take_changes(&self, message: &v1::ServerShares) {
+        let changed = message.shares.iter().map(share_of).collect();
+        let (now, node) = (self.shared.clock.now(), NodeId(message.from));
+        self.shared.dispatcher().note_peer_changes(now, node, message.sequence, changed);
+    }
+
+    /// Another node reported its load, or the sum over all nodes.
+    fn take_report(&mut self, report: &v1::ServerShares, from: SocketAddr) {
         self.compare_verdicts(report.quarantine_digest, from);
         let shares = NodeShares {
             servers: report.shares.iter().map(share_of).collect(),
-            pressed: report.pressed,
+            pressed: report.pressed.clone(),
             waiting: report.waiting,
             queues: report.queues.iter().map(queue_of).collect(),
             hearing: hearing_of(report.hearing),
         };
-        let now = self.shared.clock.now();
         if report.sum_parts > 0 {
-            if self.keeps_servers() {
-                return;
-            }
-            self.sum_at = Instant::now();
-            self.told_keepers = report.keepers.iter().map(|keeper| NodeId(*keeper)).collect();
-            self.deputies_needed = report.deputies_needed;
-            let sum = SharesSum { parts: report.sum_parts as usize, part: report.sum_part as usize, shares };
-            self.shared.dispatcher().note_sum(now, sum, &self.told);
+            self.take_sum(report, shares);
             return;
         }
+        let now = self.shared.clock.now();
         self.shared.dispatcher().note_peer(now, NodeId(report.from), report.sequence, shares);
         if report.wants_sum {
             self.send_sum(from);
         }
     }
 
+    /// A keeper of servers hears all nodes itself.
+    fn take_sum(&mut self, report: &v1::ServerShares, shares: NodeShares) {
+        if self.keeps_servers() {
+            return;
+        }
+        self.sum_at = Instant::now();
+        self.told_keepers = report.keepers.iter().map(|keeper| NodeId(*keeper)).collect();
+        self.deputies_needed = report.deputies_needed;
+        let sum = SharesSum { parts: report.sum_parts as usize, part: report.sum_part as usize, shares };
+        self.shared.dispatcher().note_sum(self.shared.clock.now(), sum, &self.told);
+    }
+
     /// Sends the sum over all nodes to one that asked for it, if the budget
     /// allows.
     fn send_sum(&mut self, to: SocketAddr) {
