A good end clears for good: old news count no more, and a late one lifts the verdict

Crash news are sent three times within 350 ms: one that came again after a request's good end put it among the suspects anew, and its node did not watch it any more. Change: an end remembers which requests were cleared; told good ends lift verdicts too. Both tests failed first (old news: suspected again; late good end: refused for 60 s).

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -41,12 +41,29 @@
     /// When all nodes have told of it.
     settled_at: Instant,
     requests: Vec<RequestKey>,
+    /// Requests that ran to their end elsewhere; news that come again don't count.
+    cleared: HashSet<Fingerprint>,
     /// A quarantined request was among them, or the server was lost with others: no
     /// other request is held to be the cause.
     explained: bool,
 }
 
 impl Crash {
+    fn note_request(&mut self, request: RequestKey) {
+        let known = self.requests.contains(&request) || self.cleared.contains(&request.fingerprint);
+        if !known && self.requests.len() + self.cleared.len() < REQUEST_LIMIT {
+            self.requests.push(request);
+        }
+    }
+
+    fn clear(&mut self, request: Fingerprint) {
+        let before = self.requests.len();
+        self.requests.retain(|present| present.fingerprint != request);
+        if self.requests.len() < before {
+            self.cleared.insert(request);
+        }
+    }
+
     /// Whether it has settled and nothing explains it.
     fn is_open(&self, now: Instant) -> bool {
         !self.explained && self.settled_at <= now
@@ -86,13 +103,11 @@
         let crash = self.crashes.entry(server).or_insert_with(|| {
             self.order.push_back(server);
             let settled_at = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
-            Crash { at: now, settled_at, requests: Vec::new(), explained: false }
+            Crash { at: now, settled_at, requests: Vec::new(), cleared: HashSet::new(), explained: false }
         });
         let before = crash.requests.len();
         for request in requests {
-            if crash.requests.len() < REQUEST_LIMIT && !crash.requests.contains(request) {
-                crash.requests.push(*request);
-            }
+            crash.note_request(*request);
         }
         crash.explained |= requests.iter().any(|request| standing(request.fingerprint) == Standing::Quarantined);
         if crash.requests.len() > before && !crash.explained {
@@ -109,7 +124,7 @@
     /// A request ran to its end, so that it ended no server.
     pub fn note_success(&mut self, request: Fingerprint) {
         for crash in self.crashes.values_mut() {
-            crash.requests.retain(|present| present.fingerprint != request);
+            crash.clear(request);
         }
     }
 
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -88,6 +88,18 @@
     assert_eq!(quarantined(&evidence.decide(LATER, free)), NONE);
 }
 
+/// News are sent several times: what comes again after a good end counts no more.
+#[test]
+fn a_cleared_request_is_not_suspected_anew_by_old_news() {
+    let mut evidence = evidence(&[&[1], &[1]]);
+    evidence.note_success(request(1).fingerprint);
+    for server in 0..2 {
+        evidence.note_crash(at(350), ServerKey(server), &[request(1)], 0, free);
+    }
+    evidence.note_crash(at(400), ServerKey(9), &[request(1)], 0, free);
+    assert_eq!(evidence.decide(LATER, free), Decisions::default());
+}
+
 #[test]
 fn a_verdict_of_another_node_explains_the_same_ends() {
     let mut evidence = evidence(&[&[2], &[2], &[2, 1]]);
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -56,6 +56,15 @@
     pub(crate) hears_all: bool,
 }
 
+/// What a good end of a request changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cleared {
+    /// It had only been suspected.
+    OfSuspicion,
+    /// Its verdict was lifted.
+    Lifted,
+}
+
 #[derive(Debug, Default)]
 struct State {
     quarantine: Quarantine,
@@ -98,9 +107,12 @@
         Some((fingerprint, left))
     }
 
-    /// Whether this node knows of any request that was quarantined.
-    pub fn knows_any(&self) -> bool {
-        self.lock().quarantine.verdicts(self.clock.wall_time()).next().is_some()
+    /// Requests that this node keeps from servers now.
+    pub fn quarantined(&self) -> Vec<RequestKey> {
+        let now = self.clock.wall_time();
+        let state = self.lock();
+        let verdicts = state.quarantine.verdicts(now).filter(|verdict| !verdict.lifted && now < verdict.until);
+        verdicts.map(|verdict| verdict.request).collect()
     }
 
     /// A server ran a request to its end and said so.
@@ -111,16 +123,12 @@
         let request = content.key();
         let now = self.clock.now();
         let mut state = self.lock();
-        let Some(end) = state.quarantine.note_success(request.fingerprint, self.clock.wall_time()) else { return };
-        state.evidence.note_success(request.fingerprint);
+        let Some(end) = state.clear(now, self.clock.wall_time(), &request, VerdictSource::Own) else { return };
         state.outbox.put_success(now, &request);
-        if let WatchEnd::Lifted(verdict) = end {
-            log_verdict(&verdict, VerdictSource::Own, self.clock.wall_time());
-            state.outbox.put_verdict(now, &verdict);
-            state.to_store.insert(request.fingerprint, now);
+        drop(state);
+        if end == Cleared::Lifted {
             self.stores.notify_one();
         }
-        drop(state);
         self.changed.notify_one();
     }
 
@@ -168,8 +176,10 @@
             state.take_crash(now, wall, ServerKey(crash.server), &requests);
         }
         for request in news.succeeded.iter().map(request_of) {
-            state.evidence.note_success(request.fingerprint);
-            state.quarantine.unwatch(request.fingerprint);
+            // The verdict may have been decided while this was on its way.
+            if state.clear(now, wall, &request, VerdictSource::Node) == Some(Cleared::Lifted) {
+                self.stores.notify_one();
+            }
         }
         for request in news.watched.iter().map(request_of) {
             state.quarantine.watch(request, now);
@@ -300,6 +310,20 @@
         self.evidence.note_crash(now, server, requests, self.rank.place, standing);
     }
 
+    /// A request ran to its end; `None` if nothing was held against it here.
+    fn clear(&mut self, now: Instant, wall: WallTime, request: &RequestKey, source: VerdictSource) -> Option<Cleared> {
+        self.evidence.note_success(request.fingerprint);
+        match self.quarantine.note_success(request.fingerprint, wall)? {
+            WatchEnd::Suspicion => Some(Cleared::OfSuspicion),
+            WatchEnd::Lifted(verdict) => {
+                log_verdict(&verdict, source, wall);
+                self.outbox.put_verdict(now, &verdict);
+                self.to_store.insert(request.fingerprint, now);
+                Some(Cleared::Lifted)
+            }
+        }
+    }
+
     fn decide(&mut self, now: Instant, wall: WallTime) {
         let quarantine = &self.quarantine;
         let decisions = self.evidence.decide(now, |request| quarantine.standing(request, wall));
--- a/crates/proxy/tests/crashing_requests.rs
+++ b/crates/proxy/tests/crashing_requests.rs
@@ -178,3 +178,23 @@
         assert_refuses(&fleet, node).await;
     }
 }
+
+/// A good end that is told just after the verdict shows that the verdict was wrong.
+#[tokio::test]
+async fn a_good_end_that_is_told_late_lifts_the_verdict() {
+    let fleet = Fleet::start(NODES, SERVERS).await;
+    assert_is_stopped(&fleet, 0..NODES).await;
+    fleet.unlist_ended();
+    let verdicts = fleet.nodes[0].shared.crashes.quarantined();
+    assert_eq!(verdicts.len(), 1);
+    fleet.tell_success(&verdicts[0]).await;
+    let end = Instant::now() + LIMIT;
+    for node in 0..NODES {
+        let before = fleet.poisons();
+        while fleet.poisons() == before {
+            assert!(Instant::now() < end, "node {node} still refuses it");
+            fleet.send(node, &format!("lifted-{node}"), POISON).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
