A part of a list that is read before its answer counts once

Cause, from its lines (ListingFailed at 0, then ResultsListed at 6 with 12 in all): after a takeover it read the list while its own part was done and not answered, and appended the part once more on the answer. The store had it once. Change: a written part is appended only if the list that is known ends before it. Before: 6 results shown of 3, test failed; after: 3.

--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -33,6 +33,8 @@
 /// A part that is being written: its items, the transaction, and its outcome.
 pub(crate) struct Listing {
     pub(crate) items: Vec<usize>,
+    /// Number of the part.
+    pub(crate) part: usize,
     pub(crate) transaction: Transaction,
     /// Failures so far.
     pub(crate) failures: u32,
@@ -102,7 +104,7 @@
         });
         let transaction = self.listing_of(&ready, ready.len() == self.open_count());
         let outcome = commit(self.context.store.clone(), transaction.clone(), Duration::ZERO).boxed();
-        self.listing = Some(Listing { items: ready, transaction, failures: 0, outcome });
+        self.listing = Some(Listing { items: ready, part: self.list.parts, transaction, failures: 0, outcome });
         let writing_since = Some(tokio::time::Instant::now());
         self.context.owned.update(&self.job, |view| view.writing_since = writing_since);
     }
@@ -132,13 +134,11 @@
     }
 
     pub(crate) async fn end_listing(&mut self, committed: Result<Committed, RecordsFault>) {
-        let Some(Listing { items: ready, transaction, failures, .. }) = self.listing.take() else { return };
+        let Some(Listing { items: ready, part, transaction, failures, .. }) = self.listing.take() else { return };
         let first = self.list.results.len();
         let reason = match committed {
             Ok(Committed::Done(revision)) => {
-                let results: Vec<_> = ready.iter().map(|position| Arc::new(self.result_of(*position))).collect();
-                self.list.results.extend(results);
-                self.list.parts += 1;
+                self.append_part(part, &ready);
                 self.note_list();
                 self.show_list();
                 let count = ready.len();
@@ -156,7 +156,17 @@
         }
         let pause = doubled_pause(STORE_PAUSE, LONGEST_STORE_PAUSE, failures);
         let outcome = commit(self.context.store.clone(), transaction.clone(), pause).boxed();
-        self.listing = Some(Listing { items: ready, transaction, failures: failures + 1, outcome });
+        self.listing = Some(Listing { items: ready, part, transaction, failures: failures + 1, outcome });
+    }
+
+    /// A part was written. The list may have been read since, with the part in it.
+    fn append_part(&mut self, part: usize, items: &[usize]) {
+        if self.list.parts > part {
+            return;
+        }
+        let results: Vec<_> = items.iter().map(|position| Arc::new(self.result_of(*position))).collect();
+        self.list.results.extend(results);
+        self.list.parts += 1;
     }
 
     /// Reads the list and the job's record anew; tells whether the list was read.
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -225,3 +225,33 @@
     }
     assert_eq!((server.seen().len(), server.abandoned()), (2, 0));
 }
+
+/// A worker that took a job over may read the list while its own part is on its way: the
+/// part is done, and its answer is not there yet.
+#[tokio::test]
+async fn a_part_that_is_read_before_its_answer_counts_once() {
+    const DONE: usize = 3;
+    const ANSWER_TIME: Duration = Duration::from_millis(400);
+    let mut acts = vec![Act::StreamTo(2); DONE];
+    acts.push(Act::Silence);
+    let server = TestServer::start("server", acts).await;
+    let store = MemoryStore::default();
+    // The job is assigned to nobody: its worker reads the list before it believes it.
+    take(&JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2), JOB, DONE + 1).await;
+    let worker = start_worker(&store, &server, "worker").await;
+    let desk = desk(&store, "worker", worker.address);
+    let end = Instant::now() + LIMIT;
+    while server.seen().len() < DONE + 1 {
+        assert!(Instant::now() < end, "{} runs", server.seen().len());
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    store.fail_lists_until_commit("latchwheel/result/");
+    store.answer_commits_after(ANSWER_TIME);
+    read_until(&desk, JOB, DONE).await;
+    let answered = Instant::now() + ANSWER_TIME * 3;
+    while Instant::now() < answered {
+        let page = desk.read(JOB, None, 0, PAGE, Duration::from_millis(20)).await.unwrap();
+        assert_eq!(page.results.len(), DONE);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -17,6 +17,10 @@
     live_leases: Vec<u64>,
     fault: Option<RecordsFault>,
     lose_answers: u32,
+    /// Listings under this prefix fail until the next commit.
+    failing_list: Option<String>,
+    /// Commits are done at once and answered after this time.
+    answer_after: Duration,
     /// Commits are never answered.
     silent: bool,
     /// Watches hear of nothing, though changes are made.
@@ -52,6 +56,16 @@
         self.lock().lose_answers = count;
     }
 
+    /// Listings whose prefix begins so fail until the next commit is done.
+    pub fn fail_lists_until_commit(&self, prefix: &str) {
+        self.lock().failing_list = Some(prefix.to_owned());
+    }
+
+    /// Commits are done at once, and answered after this time.
+    pub fn answer_commits_after(&self, time: Duration) {
+        self.lock().answer_after = time;
+    }
+
     /// Commits are never answered from now on, or again.
     pub fn set_silent(&self, silent: bool) {
         self.lock().silent = silent;
@@ -163,6 +177,9 @@
 
     async fn list_after(&self, prefix: &str, after: &str) -> Result<Listing, RecordsFault> {
         let state = self.check()?;
+        if state.failing_list.as_deref().is_some_and(|failing| prefix.starts_with(failing)) {
+            return Err(RecordsFault::Rejected);
+        }
         let of_prefix = state.records.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let records = of_prefix.map(|(_, (record, _))| record.clone()).collect();
         Ok(Listing { records, revision: state.revision })
@@ -190,12 +207,19 @@
         if self.lock().silent {
             std::future::pending::<()>().await;
         }
-        let mut state = self.check()?;
-        let committed = state.commit(transaction);
-        self.changed.send_replace(state.revision);
-        if state.lose_answers > 0 {
-            state.lose_answers -= 1;
-            return Err(RecordsFault::Unknown);
+        let (committed, answer_after) = {
+            let mut state = self.check()?;
+            let committed = state.commit(transaction);
+            state.failing_list = None;
+            self.changed.send_replace(state.revision);
+            if state.lose_answers > 0 {
+                state.lose_answers -= 1;
+                return Err(RecordsFault::Unknown);
+            }
+            (committed, state.answer_after)
+        };
+        if !answer_after.is_zero() {
+            tokio::time::sleep(answer_after).await;
         }
         Ok(committed)
     }
