--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -13,8 +13,9 @@
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 /// With so many servers a request is quarantined even if others explain them as well.
 const CRASHES_WITHOUT_LEAD: usize = 6;
-/// Servers that ended under a request before its good end is asked for.
-const CRASHES_TO_WATCH: usize = 2;
+/// Servers that ended under a request before its good end is asked for. With two, one
+/// whose second end is explained would run to its end at other nodes without a word of it.
+const CRASHES_TO_WATCH: usize = 1;
 /// After the first word of a server's end all nodes that had work there tell of it within
 /// this time: each tries its address up to twice, 150 ms apart. An end is not weighed
 /// before: whoever is told of late would go free, and who ran beside it be held for it.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -96,8 +96,19 @@
     for server in 0..2 {
         evidence.note_crash(at(350), ServerKey(server), &[request(1)], 0, free);
     }
-    evidence.note_crash(at(400), ServerKey(9), &[request(1)], 0, free);
     assert_eq!(evidence.decide(LATER, free), Decisions::default());
+    evidence.note_crash(at(400), ServerKey(9), &[request(1)], 0, free);
+    assert_eq!(quarantined(&evidence.decide(LATER, free)), NONE);
+}
+
+/// A request that was cut once is watched at all nodes, also where a second end was
+/// explained: its good end at any of them clears it.
+#[test]
+fn a_request_that_was_cut_once_is_watched() {
+    let mut evidence = evidence(&[&[2], &[1, 2], &[1], &[1]]);
+    let decisions = evidence.decide(LATER, free);
+    assert_eq!(quarantined(&decisions), [1]);
+    assert_eq!(decisions.watch, [request(2)]);
 }
 
 #[test]
