--- a/crates/core/src/leasing.rs
+++ b/crates/core/src/leasing.rs
@@ -18,6 +18,17 @@
 
 /// Time without renewal after which a lease lapses.
 pub const LEASE_LENGTH: Duration = Duration::from_secs(3);
+/// Time in which a leader must answer a call for leases; a grant that comes later
+/// lapses unused. A commit takes about a millisecond, and one second leaves a slow disk
+/// a thousand times as much. A holder that asks a silent leader twice, with a pause of
+/// 250 ms between, still reaches the next leader within the lease length in which that
+/// one grants nothing. With the 6 s of other calls every started item of every holder
+/// was given up as unknown.
+pub const LEASE_CALL_TIME: Duration = Duration::from_secs(1);
+/// A holder that renewed within this time is not gone, whatever other nodes say: it
+/// renews each 750 ms. A node that was cut off tells, once it is heard again, that all
+/// others are gone.
+const HEARD_TIME: Duration = Duration::from_secs(1);
 /// Most items in one grant of one job.
 const CHUNK_ITEMS: usize = 64;
 
@@ -56,6 +67,13 @@
     until: Instant,
 }
 
+impl Lease {
+    /// Whether its holder could have renewed it since, and did not.
+    fn is_silent(&self, now: Instant) -> bool {
+        now + LEASE_LENGTH >= self.until + HEARD_TIME
+    }
+}
+
 #[derive(Debug, Default)]
 struct JobCursor {
     next: u64,
@@ -249,12 +267,12 @@
         }
     }
 
-    /// Takes back what is held by a node that is gone, or was not renewed.
+    /// Takes back what was not renewed, sooner from a node that is said to be gone.
     pub fn expire(&mut self, now: Instant, state: &JobState, is_present: impl Fn(NodeId) -> bool) -> Lapsed {
         let over: Vec<u64> = self
             .leases
             .iter()
-            .filter(|(_, lease)| lease.until <= now || !is_present(lease.node))
+            .filter(|(_, lease)| lease.until <= now || (lease.is_silent(now) && !is_present(lease.node)))
             .map(|(id, _)| *id)
             .collect();
         let mut lapsed = Lapsed::default();
--- a/crates/node/src/batch/mod.rs
+++ b/crates/node/src/batch/mod.rs
@@ -3,7 +3,7 @@
 
 mod item_run;
 
-use crate::completions::{Completions, HeldItem};
+use crate::completions::{Completions, EndedItem, HeldItem};
 use crate::configuration::Configuration;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
@@ -50,6 +50,9 @@
 struct HeldState {
     lease: u64,
     stop: watch::Sender<bool>,
+    /// It did not run here and goes back to the leader. Until that is taken the item
+    /// is told as held: a new leader would give a started one up as unknown.
+    given_back: bool,
 }
 
 /// Runs the batch items of one store group at this node.
@@ -123,7 +126,7 @@
     /// Leases and renews for ever.
     pub(crate) async fn run(self: Arc<Self>) {
         let this = self.clone();
-        tokio::spawn(self.completions.clone().run(move |item| drop(this.lock().remove(&item))));
+        tokio::spawn(self.completions.clone().run(move |ended| this.forget(&ended)));
         let mut term = 0;
         let mut renewed = Instant::now();
         let mut empty: HashMap<String, EmptyService> = HashMap::new();
@@ -199,14 +202,14 @@
         for leased in answer.items {
             let item = HeldItem { job: leased.job.clone(), position: leased.position };
             let mut held = self.lock();
-            if let Some(state) = held.get_mut(&item) {
+            if let Some(state) = held.get_mut(&item).filter(|state| !state.given_back) {
                 // Granted anew while it still runs here, after its lease had
                 // lapsed at the leader: the same run goes on under the new one.
                 state.lease = leased.lease;
                 continue;
             }
             let (stop, stopped) = watch::channel(false);
-            held.insert(item.clone(), HeldState { lease: leased.lease, stop });
+            held.insert(item.clone(), HeldState { lease: leased.lease, stop, given_back: false });
             drop(held);
             let row = table.rows.get(&leased.row).cloned();
             let this = self.clone();
@@ -214,6 +217,16 @@
         }
     }
 
+    /// The leader took an item's end. One that was given back may have been granted
+    /// to this node again meanwhile, under another lease.
+    fn forget(&self, ended: &EndedItem) {
+        let mut held = self.lock();
+        let granted_again = |state: &HeldState| ended.lease.is_some_and(|lease| lease != state.lease);
+        if !held.get(&ended.item).is_some_and(granted_again) {
+            held.remove(&ended.item);
+        }
+    }
+
     /// The job has ended or was cancelled: its items stop at once.
     fn stop_job(&self, job: &str) {
         let mut held = self.lock();
@@ -265,9 +278,9 @@
         tokio::select! {
             end = run.run(work) => match end {
                 ItemEnd::Result(result) => self.completions.complete(&item.job, result),
-                // Forgotten before it is told, so that it can't be renewed.
                 ItemEnd::NotStarted => {
-                    if let Some(state) = self.lock().remove(&item) {
+                    if let Some(state) = self.lock().get_mut(&item) {
+                        state.given_back = true;
                         self.completions.give_back(&item, state.lease);
                     }
                 }
--- a/crates/node/src/completions.rs
+++ b/crates/node/src/completions.rs
@@ -19,6 +19,14 @@
     pub(crate) position: u64,
 }
 
+/// An item whose end the leader took.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedItem {
+    pub(crate) item: HeldItem,
+    /// Lease under which it was given back; `None` for one that has a result.
+    pub(crate) lease: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 struct Gathered {
     results: BTreeMap<String, Vec<ItemResult>>,
@@ -64,9 +72,9 @@
         gathered.results.is_empty() && gathered.returned.is_empty()
     }
 
-    /// Commits for ever; `committed` hears of every item whose result is
-    /// committed or no longer wanted.
-    pub(crate) async fn run(self: Arc<Self>, committed: impl Fn(HeldItem) + Send) {
+    /// Commits for ever; `taken` hears of every item whose result is committed or no
+    /// longer wanted, and of every one that was given back.
+    pub(crate) async fn run(self: Arc<Self>, taken: impl Fn(EndedItem) + Send) {
         loop {
             self.filled.notified().await;
             tokio::time::sleep(GATHER_TIME).await;
@@ -87,11 +95,23 @@
             while self.store.complete(request.clone()).await.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
-            for completion in request.completions {
-                for result in &completion.results {
-                    committed(HeldItem { job: completion.job.clone(), position: result.position });
-                }
-            }
+            ended_items(&request).for_each(&taken);
         }
     }
 }
+
+fn ended_items(request: &CompleteRequest) -> impl Iterator<Item = EndedItem> + '_ {
+    let completed = request.completions.iter().flat_map(|completion| {
+        let positions = completion.results.iter().map(|result| result.position);
+        positions.map(|position| ended_item(&completion.job, position, None))
+    });
+    let returned = request.returned.iter().flat_map(|chunk| {
+        let positions = chunk.positions.iter();
+        positions.map(|position| ended_item(&chunk.job, *position, Some(chunk.lease)))
+    });
+    completed.chain(returned)
+}
+
+fn ended_item(job: &str, position: u64, lease: Option<u64>) -> EndedItem {
+    EndedItem { item: HeldItem { job: job.to_owned(), position }, lease }
+}
--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -7,6 +7,7 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::jobs::{position_of_key, StateKey, StateTable};
+use latchwheel_core::leasing::LEASE_CALL_TIME;
 use latchwheel_http::CallFault;
 use latchwheel_protocol::v1::{
     Command, CompleteAnswer, CompleteRequest, Item, ItemResult, LeaseAnswer, LeaseRequest, Outcome, ProposeAnswer,
@@ -20,6 +21,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time in which a node must answer a call for which nothing shorter is needed.
 const CALL_TIME: Duration = Duration::from_secs(6);
 /// Time for which a leader is looked for.
 const SEARCH_TIME: Duration = Duration::from_secs(6);
@@ -43,6 +45,8 @@
 trait GroupCall: Message + Clone {
     type Answer: Message + Default;
     const CALL: PeerCall;
+    /// Time in which a node must answer it.
+    const TIME: Duration = CALL_TIME;
 
     fn group(&self) -> u64;
     fn code(answer: &Self::Answer) -> u32;
@@ -109,6 +113,7 @@
 impl GroupCall for LeaseRequest {
     type Answer = LeaseAnswer;
     const CALL: PeerCall = PeerCall::Lease;
+    const TIME: Duration = LEASE_CALL_TIME;
 
     fn group(&self) -> u64 {
         self.group
@@ -267,7 +272,7 @@
             return Ok(call.serve(group).await);
         }
         let address = self.members.view().address_of(NodeId(node)).ok_or(CallFault::NotSent)?;
-        self.peers.call(&address, C::CALL, &call, CALL_TIME).await
+        self.peers.call(&address, C::CALL, &call, C::TIME).await
     }
 
     /// Nodes that may lead a group, the likeliest last.
