Records: many changes of a watch are taken without a pause

Cause, from the log of a trial of the fleet's start: the store tells 500 changes a watch, and after each watch with changes 400 ms passed; 10,000 servers that came together were known after 8 s, more than the 5 s in which a leaving server must be known. What grows faster than the fleet: the time until a change of many servers is known, with their number.

Change: after 100 changes or more the next watch follows at once.

Test (records/tests/follow.rs): 10,000 changes in parts of 500 with a pace of 1 s are known after 0.5 s, 500 of them before; a change each 20 ms is still heard of in one watch a second.

--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -7,6 +7,10 @@
 
 /// Time that a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// A watch that told so many changes is followed by the next one at once: waiting would
+/// bring few more together, and there may be more than one watch tells. With a pause of
+/// 400 ms after each 500 changes, 10,000 servers that came together were known after 8 s.
+const GATHERED_CHANGES: usize = 100;
 /// Pause after a failed call, doubled at each failure in a row. While the
 /// circuit breaker holds calls back, trying again costs the store nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -44,7 +48,7 @@
 
 /// Follows a prefix of the store for ever; `take` is told what it says.
 /// Between two watches at least `pace` passes, so that frequent changes come
-/// together. After a failure the store is asked again once it has been known to
+/// together, unless many have come. After a failure the store is asked again once it has been known to
 /// answer for `patience`, and after a pause anyway.
 pub(crate) async fn follow_store<S: RecordStore>(
     store: &S,
@@ -94,9 +98,9 @@
             Err(fault) => return fault,
         };
         revision = revision.max(changes.revision);
-        let some = !changes.changes.is_empty();
+        let few = (1..GATHERED_CHANGES).contains(&changes.changes.len());
         take(Told::Changes(changes));
-        if some {
+        if few {
             tokio::time::sleep_until(started + pace).await;
         }
     }
--- a/crates/records/tests/follow.rs
+++ b/crates/records/tests/follow.rs
@@ -65,6 +65,39 @@
     assert_eq!(newest(&told), Some(Bytes::from_static(b"new")));
 }
 
+/// Many changes that the store tells in parts are known without a pause for each part:
+/// ten thousand in parts of 500 within half a second, where a pause of a second after
+/// each would make it 20 s. Single changes still come together.
+#[tokio::test(start_paused = true)]
+async fn many_changes_are_known_without_pauses() {
+    let pace = Duration::from_secs(1);
+    let store = MemoryStore::default();
+    store.limit_watches(500);
+    let cache = WatchCache::new(Arc::new(store.clone()), Contact::default(), Vec::new(), 0);
+    let (known, watches) = (Arc::new(Mutex::new(0)), store.calls());
+    let counted = known.clone();
+    cache.follow(PREFIX, pace, move |followed| {
+        if let Followed::Changed(changes) = followed {
+            *counted.lock().unwrap() += changes.changes.len();
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    for number in 0..10_000 {
+        write(&store, &format!("a/{number}"), "server").await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(*known.lock().unwrap() >= 9_500, "{} known", *known.lock().unwrap());
+    // A change every 20 ms for 5 s: one watch a second.
+    let before = store.calls();
+    for number in 0..250 {
+        write(&store, &format!("a/late-{number}"), "server").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let writes = 250;
+    assert!(store.calls() - before - writes <= 8, "{} watches", store.calls() - before - writes);
+    assert!(watches < before);
+}
+
 /// A watch that was cut may have missed changes whose history is gone; the
 /// store may hold the next watch for its whole time before it says so.
 #[tokio::test(start_paused = true)]
