--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -46,14 +46,14 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    if matches.opt_present("help") || matches.free.is_empty() {
-        println!("{}", options.usage(USAGE));
-        return if matches.opt_present("help") { ExitCode::SUCCESS } else { ExitCode::from(EXIT_USAGE) };
-    }
     if matches.opt_present("version") {
         println!("latchwheel-bench {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if matches.opt_present("help") || matches.free.is_empty() {
+        println!("{}", options.usage(USAGE));
+        return if matches.opt_present("help") { ExitCode::SUCCESS } else { ExitCode::from(EXIT_USAGE) };
+    }
     match start(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- /dev/null
+++ b/crates/core/src/dispatch/server_set.rs
@@ -0,0 +1,122 @@
+//! The servers that a node knows: which come and go, and which are looked at.
+
+use super::ring::ServerRing;
+use super::server::ServerState;
+use super::{holders_of, Dispatcher, ServerKey};
+use crate::directory::ServerRecord;
+use crate::identity::{stable_hash, NodeId};
+use std::collections::HashSet;
+use std::sync::Arc;
+
+impl Dispatcher {
+    /// Takes the servers that may get new work; others are kept only as long
+    /// as requests run there.
+    pub fn set_ready<'a>(&mut self, ready: impl Iterator<Item = &'a ServerRecord>) {
+        let ready: Vec<&ServerRecord> = ready.collect();
+        let present: HashSet<&Arc<str>> = ready.iter().map(|record| &record.id).collect();
+        let left: Vec<Arc<str>> = self.servers.keys().filter(|id| !present.contains(id)).cloned().collect();
+        left.iter().for_each(|id| self.set_left(id));
+        ready.into_iter().for_each(|record| self.set_one_ready(record));
+    }
+
+    /// A server may get new work. What it costs does not grow with the servers, but for
+    /// keeping their order.
+    pub fn set_one_ready(&mut self, record: &ServerRecord) {
+        self.servers_version += 1;
+        match self.servers.get_mut(&record.id) {
+            Some(server) => server.renew(record),
+            None => {
+                let mut server = ServerState::new(record);
+                server.held = self.is_held(server.key);
+                self.ids.insert(server.key, record.id.clone());
+                self.servers.insert(record.id.clone(), server);
+            }
+        }
+        let hash = stable_hash(record.id.as_bytes());
+        self.rings.entry(record.service.clone()).or_default().insert(hash, &record.id);
+    }
+
+    /// A server gets no new work any more.
+    pub fn set_left(&mut self, id: &str) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        self.servers_version += 1;
+        server.ready = false;
+        let (service, hash, idle) = (server.service.clone(), server.id_hash, server.own() == 0);
+        if let Some(ring) = self.rings.get_mut(&service) {
+            ring.remove(hash, id);
+            if ring.len() == 0 {
+                self.rings.remove(&service);
+            }
+        }
+        if idle {
+            self.forget(id);
+        }
+    }
+
+    pub(super) fn forget(&mut self, id: &str) {
+        let Some(server) = self.servers.remove(id) else { return };
+        if self.ids.get(&server.key).is_some_and(|known| **known == *id) {
+            self.ids.remove(&server.key);
+        }
+    }
+
+    /// This node runs deferrable work, and so do the others of `all`, which may
+    /// hold this one too.
+    pub fn set_deferring(&mut self, own: NodeId, all: Vec<NodeId>) {
+        self.deferring = Some((own, all));
+        self.mark_held();
+    }
+
+    /// Marks the servers at which this node runs deferrable work first.
+    fn mark_held(&mut self) {
+        let held: Vec<ServerKey> =
+            self.servers.values().map(|server| server.key).filter(|key| self.is_held(*key)).collect();
+        let held: HashSet<ServerKey> = held.into_iter().collect();
+        for server in self.servers.values_mut() {
+            server.held = held.contains(&server.key);
+        }
+    }
+
+    /// Whether this node runs deferrable work first at a server.
+    fn is_held(&self, server: ServerKey) -> bool {
+        let Some((own, all)) = &self.deferring else { return true };
+        let nodes = all.iter().copied().filter(|node| node != own).chain([*own]);
+        holders_of(server, nodes).contains(own)
+    }
+
+    /// Servers of a service that may get new work.
+    pub fn ready_count(&self, service: &str) -> usize {
+        self.rings.get(service).map_or(0, ServerRing::len)
+    }
+
+    /// Whether a server may get new work.
+    pub fn is_ready(&self, server: &str) -> bool {
+        self.servers.get(server).is_some_and(|state| state.ready)
+    }
+
+    /// Addresses and identities of the servers of a service.
+    pub fn ready_of(&self, service: &str) -> Vec<(Arc<str>, Arc<str>)> {
+        self.of_service(service).map(|(id, server)| (id.clone(), server.address.clone())).collect()
+    }
+
+    pub(super) fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
+        let ring = self.rings.get(service).into_iter().flat_map(ServerRing::all);
+        ring.filter_map(|id| Some((id, self.servers.get(id)?)))
+    }
+
+    /// The servers of a service that are looked at for a request.
+    pub(super) fn looked_at<'a>(
+        &'a self,
+        service: &str,
+        key: Option<u64>,
+        spread: u64,
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
+        let ring = self.rings.get(service).into_iter().flat_map(move |ring| ring.looked_at(key, spread));
+        ring.filter_map(|id| Some((id, self.servers.get(id)?)))
+    }
+
+    /// The server where prompts with this prefix are kept.
+    pub(super) fn home_of(&self, service: &str, key: u64) -> Option<Arc<str>> {
+        self.rings.get(service)?.home_of(key).cloned()
+    }
+}
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod duties;
 mod known;
 mod messages;
+mod sums;
 
 pub use known::{Peer, Peers};
 
@@ -20,13 +21,14 @@
 use crate::waiting::sleep_or_never;
 use known::Candidate;
 use latchwheel_core::byte_budget::ByteBudget;
-use latchwheel_core::dispatch::{NodeShares, ServerKey, SharesSum, REPORT_LIFE};
+use latchwheel_core::dispatch::{NodeShares, ServerKey, REPORT_LIFE};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use messages::{hearing_number, hearing_of, message_of, queue_message_of, queue_of, share_of};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use sums::PreparedSum;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -46,10 +48,6 @@
 const DATAGRAM_BYTES: usize = 48;
 /// Up to so many peers are told directly, all of them each time.
 const DIRECT_LIMIT: usize = 24;
-/// A sum is sent to all that ask within this time: 330 nodes ask an aggregator 2,200
-/// times a second, and making a sum looks at the reports of all nodes. A node's own
-/// part of it is that much older than what the node tells.
-const SUM_LIFE: Duration = Duration::from_millis(10);
 /// An aggregator that has not answered for this time is left.
 const AGGREGATOR_SILENCE: Duration = Duration::from_millis(700);
 /// Where there are many nodes, one that others must be able to hear tells them
@@ -157,13 +155,6 @@
     time.as_millis() as u64
 }
 
-/// The sum over all nodes, ready to be sent.
-#[derive(Debug, Default)]
-struct PreparedSum {
-    made_at: Option<Instant>,
-    datagrams: Vec<Vec<u8>>,
-}
-
 struct Teller<D: Dialect> {
     shared: Arc<Shared<D>>,
     socket: UdpSocket,
@@ -289,49 +280,6 @@
         }
     }
 
-    /// A keeper of servers hears all nodes itself.
-    fn take_sum(&mut self, report: &v1::ServerShares, shares: NodeShares) {
-        if self.keeps_servers() {
-            return;
-        }
-        self.sum_at = Instant::now();
-        self.told_keepers = report.keepers.iter().map(|keeper| NodeId(*keeper)).collect();
-        self.deputies_needed = report.deputies_needed;
-        let sum = SharesSum { parts: report.sum_parts as usize, part: report.sum_part as usize, shares };
-        self.shared.dispatcher().note_sum(self.shared.clock.now(), sum, &self.told);
-    }
-
-    /// Sends the sum over all nodes to one that asked for it, if the budget
-    /// allows.
-    fn send_sum(&mut self, to: SocketAddr) {
-        if !self.sum_budget.allows(self.shared.clock.now()) {
-            return;
-        }
-        if self.sum.made_at.is_none_or(|at| at.elapsed() >= SUM_LIFE) {
-            self.sum = PreparedSum { made_at: Some(Instant::now()), datagrams: self.make_sum() };
-        }
-        for datagram in &self.sum.datagrams {
-            self.sum_budget.spend(self.send_bytes(datagram, to));
-        }
-    }
-
-    /// The sum over all nodes as datagrams.
-    fn make_sum(&mut self) -> Vec<Vec<u8>> {
-        let sum = self.shared.dispatcher().shares_of_all(self.shared.clock.now());
-        self.sequence += 1;
-        let datagram = |part: SharesSum| {
-            let report = v1::ServerShares {
-                sum_parts: part.parts as u32,
-                sum_part: part.part as u32,
-                keepers: self.keepers.iter().map(|keeper| keeper.0).collect(),
-                deputies_needed: self.deputies_needed,
-                ..self.report(&part.shares)
-            };
-            report.encode_to_vec()
-        };
-        sum.into_parts(SHARE_LIMIT).into_iter().map(datagram).collect()
-    }
-
     /// Asks the nodes whose deferrable work runs at a server to give way there.
     /// Unlike a report, such a message is not made good by the next one: it
     /// waits until the socket can send.
