Workers: named holders cost what changed, room is reckoned from some of many servers

Each poll told of the nodes anew, changed or not, and each time a worker sorted 150 workers by hash for each of 10,000 servers. Each look for items to start added up the room of all servers.

Change: the same workers told again change nothing (Dispatcher::set_deferring); a worker looks only until three others come before it (is_holder); room is reckoned from 256 servers where there are more.

Test: core/tests/many_servers.rs, a_node_knows_whether_it_holds_a_server.

--- a/crates/core/src/dispatch/holders.rs
+++ b/crates/core/src/dispatch/holders.rs
@@ -18,3 +18,11 @@
     nodes.truncate(HOLDERS);
     nodes
 }
+
+/// Whether a node is among the first of `others` and itself for a server. Most nodes
+/// find out after looking at a few: workers ask for each of 10,000 servers.
+pub fn is_holder(server: ServerKey, own: NodeId, others: impl Iterator<Item = NodeId>) -> bool {
+    let rank = |node: NodeId| stable_pair_hash(node.0, u64::from(server.0));
+    let own_rank = rank(own);
+    others.filter(|other| *other != own && rank(*other) > own_rank).take(HOLDERS).count() < HOLDERS
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 pub use cost::{Prompt, PromptPart};
 pub use deferrable::{reserve_of, Concessions, Crowding, StartBudget};
 pub use hellos::says_hello;
-pub use holders::holders_of;
+pub use holders::{holders_of, is_holder};
 pub use keeper::{keeper_of, keepers_among, Advice, KeeperAsk};
 pub use peers::{Hearing, NodeShares, ServerKey, ServerShare, SharesSum, REPORT_LIFE};
 pub use queues::{RouteKey, RouteQueue};
@@ -362,10 +362,14 @@
         self.servers.get(server).map(|server| self.view(now, server).free_slots(reserve))
     }
 
-    /// Room for deferrable work at all servers of a service, in runs.
+    /// Room for deferrable work at all servers of a service, in runs. Where there are
+    /// many servers it is reckoned from some, others at each time.
     pub fn room(&self, now: Instant, service: &str, reserve: f64) -> f64 {
-        let free = self.of_service(service).map(|(_, server)| self.view(now, server).free_slots(reserve));
-        free.map(|free| free.max(0.0).floor()).sum()
+        let spread = now.since(Instant::default()).as_micros() as u64;
+        let looked_at = self.looked_at(service, None, spread);
+        let free = looked_at.map(|(_, server)| self.view(now, server).free_slots(reserve).max(0.0).floor());
+        let (servers, room) = free.fold((0_usize, 0.0), |(servers, room), free| (servers + 1, room + free));
+        room * self.ready_count(service) as f64 / servers.max(1) as f64
     }
 
     /// How crowded a server is by deferrable work; `None` if it is not known.
--- a/crates/core/src/dispatch/server_set.rs
+++ b/crates/core/src/dispatch/server_set.rs
@@ -2,7 +2,7 @@
 
 use super::ring::ServerRing;
 use super::server::ServerState;
-use super::{holders_of, Dispatcher, ServerKey};
+use super::{is_holder, Dispatcher};
 use crate::directory::ServerRecord;
 use crate::identity::{stable_hash, NodeId};
 use std::collections::HashSet;
@@ -27,7 +27,8 @@
             Some(server) => server.renew(record),
             None => {
                 let mut server = ServerState::new(record);
-                server.held = self.is_held(server.key);
+                server.held =
+                    self.deferring.as_ref().is_none_or(|(own, all)| is_holder(server.key, *own, all.iter().copied()));
                 self.ids.insert(server.key, record.id.clone());
                 self.servers.insert(record.id.clone(), server);
             }
@@ -61,29 +62,23 @@
     }
 
     /// This node runs deferrable work, and so do the others of `all`, which may
-    /// hold this one too.
+    /// hold this one too. Said again, it costs nothing.
     pub fn set_deferring(&mut self, own: NodeId, all: Vec<NodeId>) {
-        self.deferring = Some((own, all));
-        self.mark_held();
+        let deferring = Some((own, all));
+        if self.deferring != deferring {
+            self.deferring = deferring;
+            self.mark_held();
+        }
     }
 
     /// Marks the servers at which this node runs deferrable work first.
     fn mark_held(&mut self) {
-        let held: Vec<ServerKey> =
-            self.servers.values().map(|server| server.key).filter(|key| self.is_held(*key)).collect();
-        let held: HashSet<ServerKey> = held.into_iter().collect();
+        let Some((own, all)) = &self.deferring else { return };
         for server in self.servers.values_mut() {
-            server.held = held.contains(&server.key);
+            server.held = is_holder(server.key, *own, all.iter().copied());
         }
     }
 
-    /// Whether this node runs deferrable work first at a server.
-    fn is_held(&self, server: ServerKey) -> bool {
-        let Some((own, all)) = &self.deferring else { return true };
-        let nodes = all.iter().copied().filter(|node| node != own).chain([*own]);
-        holders_of(server, nodes).contains(own)
-    }
-
     /// Servers of a service that may get new work.
     pub fn ready_count(&self, service: &str) -> usize {
         self.rings.get(service).map_or(0, ServerRing::len)
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -3,7 +3,9 @@
 //! at all.
 
 use latchwheel_core::directory::ServerRecord;
-use latchwheel_core::dispatch::{Advice, Dispatcher, KeeperAsk, Prompt, PromptPart, ServerKey, ServerShare};
+use latchwheel_core::dispatch::{
+    holders_of, is_holder, Advice, Dispatcher, KeeperAsk, Prompt, PromptPart, ServerKey, ServerShare,
+};
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::time::Instant;
 use rand::rngs::SmallRng;
@@ -151,3 +153,17 @@
         assert!(played.kept * 2 >= played.asked, "{servers} servers: {played:?}");
     }
 }
+
+/// Each node finds out by itself whether it is one of those that a server names first.
+#[test]
+fn a_node_knows_whether_it_holds_a_server() {
+    let nodes: Vec<NodeId> = (0..150).map(|number| NodeId::of_name(&format!("worker-{number}"))).collect();
+    for number in 0..60 {
+        let server = ServerKey::of(&record(number).id);
+        let holders = holders_of(server, nodes.iter().copied());
+        let found: Vec<NodeId> =
+            nodes.iter().copied().filter(|node| is_holder(server, *node, nodes.iter().copied())).collect();
+        assert_eq!(found.len(), 3);
+        assert!(found.iter().all(|node| holders.contains(node)));
+    }
+}
