--- a/crates/bench/tests/command_line.rs
+++ b/crates/bench/tests/command_line.rs
@@ -1,4 +1,4 @@
-//! What `latchwheel-bench` answers to options that start nothing.
+//! What the load tool answers to options that start nothing.
 
 use std::process::{Command, Output};
 
--- a/crates/core/src/dispatch/hellos.rs
+++ b/crates/core/src/dispatch/hellos.rs
@@ -3,8 +3,8 @@
 //! A front judges by the workers that it hears whether it is cut off, and hands jobs
 //! to those that it hears. For that it needs some workers, not all: telling every node
 //! of every worker would be nodes times workers, 148,000 datagrams a second where 150
-//! workers tell 986 nodes, a tenth of the bytes that cross zones. What all workers do
-//! together is in the sums of the aggregators.
+//! workers tell 986 nodes. What all workers do together is in the sums of the
+//! aggregators.
 //!
 //! Each node hears the workers that a hash of both names: nobody agrees on anything, a
 //! worker looks at each node once, and views that differ for a moment only cost a
@@ -12,8 +12,9 @@
 
 use crate::identity::{stable_pair_hash, NodeId};
 
-/// Workers that each node hears, about. So many are all heard where there are no more,
-/// and that none of them is heard by chance has a probability of e^-24 for a node.
+/// Workers that each node hears at most on average, and half as many at least; all where
+/// there are no more. That a node hears none by chance has a probability of 2^-25 at
+/// most: with 25 workers, which fall into two parts.
 const HEARD_WORKERS: usize = 24;
 
 /// Number of parts into which the workers fall, one of which a node hears.
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -9,7 +9,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// A watch that told so many changes is followed by the next one at once: waiting would
 /// bring few more together, and there may be more than one watch tells. With a pause of
-/// 400 ms after each 500 changes, 10,000 servers that came together were known after 8 s.
+/// 400 ms after each 500 changes, 10,000 servers that came together would be known after
+/// 8 s.
 const GATHERED_CHANGES: usize = 100;
 /// Pause after a failed call, doubled at each failure in a row. While the
 /// circuit breaker holds calls back, trying again costs the store nothing.
