Records: the test of nodes that start together fails without what it tests

Cause: planting the fault anew (upstreams that defer are not waited for) left nodes_that_start_together_leave_the_store_alone green: at 1 MB a second all 60 lists were told within the second for which a node waits anyhow, so it proved nothing. Change: 250 kB a second, some ten lists, and an upstream whose contact goes on. Ruled out as a fault of the product: the first try of this failed with the mend as well, because nothing renewed the upstream's contact, which is not relied on after 0.9 s. Conclusion: the deferral is proved by a test that can fail. The product is unchanged.

--- a/crates/records/tests/lists.rs
+++ b/crates/records/tests/lists.rs
@@ -40,6 +40,14 @@
     store.commit(&Transaction { writes, removes, ..Transaction::default() }).await.unwrap();
 }
 
+/// The store goes on to answer the upstream, as renewals of its lease would show.
+async fn renew(contact: Contact) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        contact.note_answer(tokio::time::Instant::now());
+    }
+}
+
 struct Upstream {
     address: String,
     _stop: watch::Sender<bool>,
@@ -48,6 +56,7 @@
 async fn upstream(store: &MemoryStore, list_bytes_per_second: f64) -> Upstream {
     let contact = Contact::default();
     contact.note_answer(tokio::time::Instant::now());
+    tokio::spawn(renew(contact.clone()));
     let cache = WatchCache::with_list_rate(Arc::new(store.clone()), contact, Vec::new(), 0, list_bytes_per_second);
     cache.follow(PREFIX, PACE, |_| {});
     while !cache.knows(PREFIX) {
@@ -129,8 +138,9 @@
     let mut random = StdRng::seed_from_u64(3);
     let writes: Vec<Write> = (0..1000).map(|number| registration(&mut random, number)).collect();
     commit(&store, writes, Vec::new()).await;
-    // About one list at a time and thirty in a second.
-    let upstream = upstream(&store, 1_000_000.0).await;
+    // Some ten lists in a second: the last nodes have theirs well after the second for
+    // which a node waits for upstreams that don't defer.
+    let upstream = upstream(&store, 250_000.0).await;
     let unreachable = MemoryStore::default();
     unreachable.set_fault(Some(RecordsFault::Unknown));
     let nodes: Vec<_> = (0..60)
