--- a/crates/core/src/leasing.rs
+++ b/crates/core/src/leasing.rs
@@ -19,8 +19,8 @@
 /// Time without renewal after which a lease lapses.
 pub const LEASE_LENGTH: Duration = Duration::from_secs(3);
 /// Time in which a leader must answer a call for leases; a grant that comes later
-/// lapses unused. A commit takes about a millisecond, and one second leaves a slow disk
-/// a thousand times as much. A holder that asks a silent leader twice, with a pause of
+/// lapses unused, and what it started is given up: beside busy processes a commit may
+/// take more than the usual millisecond by more than this. A holder that asks a silent leader twice, with a pause of
 /// 250 ms between, still reaches the next leader within the lease length in which that
 /// one grants nothing. With the 6 s of other calls every started item of every holder
 /// was given up as unknown.
