Sight: how old what a node knows of followed records is, at each prefix

Cause: a node could tell when the store had answered any call last, not until when the changes of one prefix are known. Change: a prefix carries the moment until which all its changes are known (the sending of the watch or list that told them, the end of the wait of a watch without news); a poll passes its age on, with the time for which it was held, so that nothing gets newer on the way. Consumers are told (Followed::CompleteAsOf), in order with the changes. ItemSent is logged at the sending (before: at the choice of a server) and tells the age of what is known of the jobs and the time since the choice; metric records_age_seconds. No decision uses it yet. Conclusion: a late start now tells by itself whether its worker did not know of the end, or knew too late.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -400,7 +400,12 @@
         /// Load that is believed of the server.
         load: f64,
         /// Events that are kept from earlier runs.
-        events_kept: u64
+        events_kept: u64,
+        /// Time since the server was chosen.
+        chosen_ms: u64,
+        /// Age of what is known of the job: an end that was acknowledged within that time
+        /// may be unknown here.
+        known_ms: u64
     };
     /// A run of an item failed or was broken off.
     ItemAttemptFailed = 8213, Essential {
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use budget::LineBudget;
 pub use event::{Event, ItemEnd, Weight};
-pub use metrics::{note_store_call, set_server_loads, text as metrics_text};
+pub use metrics::{note_records_age, note_store_call, set_server_loads, text as metrics_text};
 pub use output::{emit, start};
--- a/crates/events/src/metrics.rs
+++ b/crates/events/src/metrics.rs
@@ -14,6 +14,7 @@
 use std::collections::HashSet;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Duration;
 
 /// Most values of one label.
 const LABEL_LIMIT: usize = 100;
@@ -70,6 +71,7 @@
     server_load: ByName<Gauge<f64, AtomicU64>>,
     table_version: Gauge,
     store_calls: Family<StoreCall, Counter>,
+    records_age: Seconds,
     lines_dropped: Counter,
 }
 
@@ -108,6 +110,12 @@
         registry.register("table_version", "Version of the routing table in force", table_version.clone());
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the record store, by kind and outcome", store_calls.clone());
+        let records_age = Seconds::new_with_constructor(seconds);
+        registry.register(
+            "records_age_seconds",
+            "How old what is known of followed records had become when it was renewed, by prefix",
+            records_age.clone(),
+        );
         let lines_dropped = Counter::default();
         registry.register("lines_dropped", "Lines of the log that were dropped", lines_dropped.clone());
         Self {
@@ -126,6 +134,7 @@
             server_load,
             table_version,
             store_calls,
+            records_age,
             lines_dropped,
         }
     }
@@ -187,6 +196,12 @@
     metrics().store_calls.get_or_create(&StoreCall { kind, outcome }).inc();
 }
 
+/// What is known of the records under a prefix was renewed at this age.
+pub fn note_records_age(prefix: &str, age: Duration) {
+    let metrics = metrics();
+    metrics.records_age.get_or_create(&metrics.named(prefix)).observe(age.as_secs_f64());
+}
+
 /// Counts lines of the log that were dropped.
 pub(crate) fn note_dropped(lines: u64) {
     metrics().lines_dropped.inc_by(lines);
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -1,5 +1,6 @@
 //! One run of an item at a server.
 
+use crate::item_starts::ItemStart;
 use crate::layout::ItemBody;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use http_body_util::BodyExt;
@@ -11,6 +12,7 @@
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
 use latchwheel_http::read_bounded;
 use latchwheel_proxy::{put_tenant, Dialect, Exchange, Outgoing, Shared};
+use latchwheel_records::RecordStore;
 use std::time::Duration;
 
 /// Silence after which an item is sent to another server.
@@ -54,12 +56,17 @@
 
 /// Runs an item once, going on after the last event that is kept. Gives back
 /// how the run ended and what was seen.
-pub(crate) async fn run_item<D: Dialect>(
-    exchange: Exchange<D>,
+pub(crate) async fn run_item<S: RecordStore, D: Dialect>(
+    start: &ItemStart<S, D>,
+    mut exchange: Exchange<D>,
     outgoing: &Outgoing,
     left: Duration,
     progress: &mut ItemProgress,
 ) -> (RunEnd, &'static str) {
+    if let Err(end) = exchange.connect().await {
+        return (RunEnd::Interrupted, end.reason);
+    }
+    start.note_sent(&exchange, progress);
     let last_event = progress.last_event();
     let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
         Ok(started) => started,
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -109,14 +109,6 @@
         let Some(placement) = place(&context, &service, &outgoing.prompt, &avoid, reserve).await else { return false };
         let shared = &self.context.shared;
         let now = shared.clock.now();
-        let event = Event::ItemSent {
-            job: &self.job,
-            item: &item.id,
-            server: &placement.server,
-            load: placement.load,
-            events_kept: self.progress[position].events(),
-        };
-        emit(&self.job, &event);
         let exchange = Exchange::reserve(shared, placement, &outgoing);
         let left = rules.expires.since(now).min(ITEM_TIME);
         self.progress[position].start();
@@ -135,7 +127,9 @@
         };
         self.running.insert(position, running);
         self.context.note_runs(1, 0);
-        self.runs.push(run_owned(position, exchange, outgoing, left, progress, give_way).boxed());
+        let start =
+            ItemStart { context: self.context.clone(), job: self.job.clone(), item: item.id.clone(), chosen_at: now };
+        self.runs.push(run_owned(position, start, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
 }
@@ -175,8 +169,36 @@
     }
 }
 
-async fn run_owned<D: Dialect>(
+/// An item that is about to be sent to a server.
+pub(crate) struct ItemStart<S, D> {
+    context: Arc<WorkerContext<S, D>>,
+    job: String,
+    item: String,
+    /// When its server was chosen.
+    chosen_at: Instant,
+}
+
+impl<S: RecordStore, D: Dialect> ItemStart<S, D> {
+    /// It is sent now.
+    pub(crate) fn note_sent(&self, exchange: &Exchange<D>, progress: &ItemProgress) {
+        let now = self.context.shared.clock.now();
+        let known = self.context.jobs_known();
+        let event = Event::ItemSent {
+            job: &self.job,
+            item: &self.item,
+            server: exchange.server(),
+            load: exchange.load(),
+            events_kept: progress.events(),
+            chosen_ms: now.since(self.chosen_at).as_millis() as u64,
+            known_ms: known.map_or(u64::MAX, |known| now.since(known).as_millis() as u64),
+        };
+        emit(&self.job, &event);
+    }
+}
+
+async fn run_owned<S: RecordStore, D: Dialect>(
     position: usize,
+    start: ItemStart<S, D>,
     exchange: Exchange<D>,
     outgoing: Outgoing,
     left: Duration,
@@ -185,7 +207,7 @@
 ) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
     let server = exchange.server().clone();
     let (end, reason) = tokio::select! {
-        ended = run_item(exchange, &outgoing, left, &mut progress) => ended,
+        ended = run_item(&start, exchange, &outgoing, left, &mut progress) => ended,
         () = give_way.notified() => (RunEnd::GaveWay, "gave_way"),
     };
     (position, progress, end, reason, server)
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -7,6 +7,7 @@
 use latchwheel_core::dispatch::{RouteKey, StartBudget};
 use latchwheel_core::routes::Route;
 use latchwheel_core::run_times::RunTimes;
+use latchwheel_core::time::Instant;
 use latchwheel_proxy::{Dialect, Shared};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -30,6 +31,8 @@
     pub(crate) runs: RunRegistry,
     /// How long items take, by route.
     times: Mutex<HashMap<Arc<str>, RunTimes>>,
+    /// All changes of jobs that were made until this moment are known.
+    jobs_known: Mutex<Option<Instant>>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -47,9 +50,24 @@
             unfinished: Mutex::default(),
             runs: RunRegistry::default(),
             times: Mutex::default(),
+            jobs_known: Mutex::default(),
         }
     }
 
+    /// All changes of jobs that were made until this moment are known, and acted on.
+    pub(crate) fn note_jobs_known(&self, until: tokio::time::Instant)
+    where
+        D: Dialect,
+    {
+        let until = self.shared.clock.now() - until.elapsed();
+        *self.jobs_known.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    /// Until when all changes of jobs are known.
+    pub(crate) fn jobs_known(&self) -> Option<Instant> {
+        *self.jobs_known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// So many workers are believed to live.
     pub(crate) fn set_worker_count(&self, workers: usize) {
         self.workers.store(workers, Ordering::Relaxed);
@@ -67,7 +85,7 @@
     }
 
     /// Renews how many runs this worker may start now.
-    pub(crate) fn refill_starts(&self, now: latchwheel_core::time::Instant, route: &Route, reserve: f64)
+    pub(crate) fn refill_starts(&self, now: Instant, route: &Route, reserve: f64)
     where
         D: Dialect,
     {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -34,6 +34,9 @@
 const REJECTION_LIMIT: usize = 16 << 10;
 const REJECTION_TIME: Duration = Duration::from_millis(50);
 
+/// No connection to the server came up.
+const NO_CONNECTION: &str = "no_connection";
+
 /// A request as it goes to any server.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -141,6 +144,21 @@
         }
     }
 
+    /// Takes a connection to the server, if none is taken yet.
+    ///
+    /// # Errors
+    /// [`AttemptEnd`]: nothing was sent.
+    pub async fn connect(&mut self) -> Result<(), AttemptEnd> {
+        if self.connection.is_none() {
+            self.connection = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
+        }
+        if self.connection.is_none() {
+            self.ending = Ending::Broken;
+            return Err(AttemptEnd::new(AttemptFailure::NotSent, NO_CONNECTION));
+        }
+        Ok(())
+    }
+
     /// Sends the request and waits up to `patience` for the head of the
     /// answer. `left` is the time that the request has, and `last_event` the
     /// number of the last event that the asker has.
@@ -154,10 +172,9 @@
         patience: Duration,
         last_event: Option<u64>,
     ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
-        let connected = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
-        let Some(mut connection) = connected else {
-            self.ending = Ending::Broken;
-            return Err(AttemptEnd::new(AttemptFailure::NotSent, "no_connection"));
+        self.connect().await?;
+        let Some(mut connection) = self.connection.take() else {
+            return Err(AttemptEnd::new(AttemptFailure::NotSent, NO_CONNECTION));
         };
         let waited = self.shared.clock.now().since(self.sent_at);
         let request = self.request(outgoing, left.saturating_sub(waited), last_event);
@@ -174,6 +191,11 @@
         self.check(response, outgoing).await
     }
 
+    /// Load that is believed of its server.
+    pub fn load(&self) -> f64 {
+        self.placement.load
+    }
+
     /// Server that works on it.
     pub fn server(&self) -> &Arc<str> {
         &self.placement.server
--- a/crates/records/src/cached_prefix.rs
+++ b/crates/records/src/cached_prefix.rs
@@ -15,6 +15,7 @@
 use latchwheel_protocol::v1;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
+use tokio::time::Instant;
 
 /// Removals that are remembered where there are few records; where there are more
 /// of these, as many as there are records. Then being told them is never dearer
@@ -93,6 +94,11 @@
         }
     }
 
+    /// Whether somebody who was told everything up to a revision knows all.
+    pub(crate) fn is_complete_at(&self, revision: u64) -> bool {
+        self.known && revision >= self.changed_at
+    }
+
     /// Whether there is news for somebody who knows everything up to a revision.
     pub(crate) fn has_news(&self, after: u64) -> bool {
         self.known && (after < self.floor || after < self.changed_at)
@@ -138,15 +144,16 @@
     Record { key: message.key, value: message.value, revision: message.revision }
 }
 
-/// Reads what another node told.
-pub(crate) fn read_news(told: v1::PrefixRecords) -> Told {
+/// Reads what another node told; with it, all changes until a moment are told.
+pub(crate) fn read_news(told: v1::PrefixRecords, complete_as_of: Option<Instant>) -> Told {
     let written = told.written.into_iter().map(record_of);
     if told.all {
-        return Told::Listing(Listing { records: written.collect(), revision: told.revision });
+        let listing = Listing { records: written.collect(), revision: told.revision };
+        return Told::Listing(listing, complete_as_of);
     }
     let removed = told.removed.into_iter();
     let removed = removed.map(|removed| Change::Removed { key: removed.key, revision: removed.revision });
     let mut changes: Vec<Change> = written.map(Change::Written).chain(removed).collect();
     changes.sort_by_key(Change::revision);
-    Told::Changes(Changes { changes, revision: told.revision })
+    Told::Changes(Changes { changes, revision: told.revision }, complete_as_of)
 }
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -25,6 +25,8 @@
     /// Some records changed; none where the answer only shows that the source
     /// is sound.
     Changed(Changes),
+    /// All changes that were made until this moment have been told.
+    CompleteAsOf(Instant),
     /// The store did not answer, for the first time.
     Lost(RecordsFault),
     /// The store did not answer once more.
@@ -42,8 +44,10 @@
 
 /// What a source told of a prefix.
 pub(crate) enum Told {
-    Listing(Listing),
-    Changes(Changes),
+    /// All records, and the moment until which all changes are in them.
+    Listing(Listing, Option<Instant>),
+    /// Changes, and the moment until which all are told with them.
+    Changes(Changes, Option<Instant>),
     Failed(RecordsFault),
 }
 
@@ -61,11 +65,12 @@
 ) {
     let mut failures = 0;
     loop {
+        let asked_at = Instant::now();
         let fault = match store.list(prefix).await {
             Ok(listing) => {
                 failures = 0;
                 let revision = listing.revision;
-                take(Told::Listing(listing));
+                take(Told::Listing(listing, Some(asked_at)));
                 watch_store(store, prefix, revision, pace, &mut take).await
             }
             Err(fault) => fault,
@@ -100,9 +105,22 @@
         };
         revision = revision.max(changes.revision);
         let few = (1..GATHERED_CHANGES).contains(&changes.changes.len());
-        take(Told::Changes(changes));
+        let complete_as_of = complete_as_of(started, changes.changes.len());
+        take(Told::Changes(changes, complete_as_of));
         if few {
             tokio::time::sleep_until(started + pace).await;
         }
     }
 }
+
+/// Until when a watch that was sent at that time and now told so many changes has told
+/// all: until its sending, since its answer may have been on its way for any time. One
+/// that waited in vain to its end was told so after its wait. `None` where there may be
+/// more changes than one watch tells.
+fn complete_as_of(sent_at: Instant, changes: usize) -> Option<Instant> {
+    match changes {
+        0 if sent_at.elapsed() >= WATCH_WAIT => Some(sent_at + WATCH_WAIT),
+        0..GATHERED_CHANGES => Some(sent_at),
+        _ => None,
+    }
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod guarded_store;
 pub mod memory;
+mod prefix_ages;
 mod registration;
 mod told_news;
 mod watch_cache;
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -28,6 +28,10 @@
     /// Most changes that one watch tells of; no limit if there is none.
     heard_at_once: Option<usize>,
     calls: usize,
+    /// Watches are never answered.
+    watches_silent: bool,
+    /// How often the watches that waited fell silent.
+    silences: u64,
     /// Changes up to this revision are in no watch any more.
     forgotten: u64,
 }
@@ -77,6 +81,15 @@
         self.lock().deaf = deaf;
     }
 
+    /// Watches are never answered from now on, or again; those that waited meanwhile
+    /// stay without an answer, as on connections that are dead without a word. All
+    /// other calls are answered.
+    pub fn set_watches_silent(&self, silent: bool) {
+        let mut state = self.lock();
+        state.silences += u64::from(silent);
+        state.watches_silent = silent;
+    }
+
     /// A watch tells of so many changes at most; the others are told by the
     /// next one.
     pub fn limit_watches(&self, changes: usize) {
@@ -186,6 +199,7 @@
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes, RecordsFault> {
+        let silences_before = self.lock().silences;
         let mut changed = self.changed.subscribe();
         let found = async {
             loop {
@@ -195,7 +209,15 @@
                 }
             }
         };
-        let changes = tokio::time::timeout(wait, found).await.unwrap_or(Ok(Vec::new()))?;
+        let found = tokio::time::timeout(wait, found).await;
+        let falls_silent = {
+            let state = self.lock();
+            state.watches_silent || state.silences > silences_before
+        };
+        if falls_silent {
+            std::future::pending::<()>().await;
+        }
+        let changes = found.unwrap_or(Ok(Vec::new()))?;
         if after < self.lock().forgotten {
             return Err(RecordsFault::HistoryLost);
         }
--- a/crates/records/src/told_news.rs
+++ b/crates/records/src/told_news.rs
@@ -88,6 +88,12 @@
     }
 }
 
+/// News as they are told, and the revision up to which they tell everything.
+pub(crate) struct News {
+    pub(crate) revision: u64,
+    pub(crate) prepared: PreparedNews,
+}
+
 /// News of one prefix that are kept prepared.
 #[derive(Debug, Default)]
 pub(crate) struct ToldNews {
@@ -113,25 +119,26 @@
         prefix: &str,
         after: u64,
         budget: &mut ListBudget,
-    ) -> Option<PreparedNews> {
+    ) -> Option<News> {
         match cached.told_from(after) {
-            Some(from) => Some(self.newer(cached, prefix, from)),
+            Some(from) => Some(News { revision: cached.revision(), prepared: self.newer(cached, prefix, from) }),
             None => {
                 let list = self.list(cached, prefix);
-                budget.takes(list.len()).then_some(list)
+                budget.takes(list.prepared.len()).then_some(list)
             }
         }
     }
 
-    fn list(&mut self, cached: &CachedPrefix, prefix: &str) -> PreparedNews {
+    fn list(&mut self, cached: &CachedPrefix, prefix: &str) -> News {
         // What changed since must be remembered, so that it can be told next.
         let usable = |list: &&PreparedList| list.at.elapsed() < LIST_LIFE && cached.told_from(list.revision).is_some();
         if let Some(list) = self.list.as_ref().filter(usable) {
-            return list.news.clone();
+            return News { revision: list.revision, prepared: list.news.clone() };
         }
         let news = PreparedNews::of(cached.news(prefix, None));
-        self.list = Some(PreparedList { at: Instant::now(), revision: cached.revision(), news: news.clone() });
-        news
+        let revision = cached.revision();
+        self.list = Some(PreparedList { at: Instant::now(), revision, news: news.clone() });
+        News { revision, prepared: news }
     }
 
     fn newer(&mut self, cached: &CachedPrefix, prefix: &str, from: u64) -> PreparedNews {
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -8,6 +8,7 @@
 
 use crate::cached_prefix::{read_news, CachedPrefix};
 use crate::follow::{follow_store, Followed, Told};
+use crate::prefix_ages::PrefixAges;
 use crate::told_news::{prefixes_of, ListBudget, ToldNews};
 use crate::{Contact, RecordStore, RecordsFault};
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use latchwheel_clock::Clock;
 use latchwheel_core::record_source::{PollWait, RecordSource, SourceChoice, UpstreamState};
-use latchwheel_events::{emit, Event};
+use latchwheel_events::{emit, note_records_age, Event};
 use latchwheel_http::{empty, full, read_bounded, serve, AnswerTimes, Body, Client, Version};
 use latchwheel_protocol::{v1, Message};
 use std::collections::BTreeMap;
@@ -54,10 +55,13 @@
 type Consumer = Box<dyn FnMut(Followed) + Send>;
 
 struct Entry {
+    prefix: String,
     cached: CachedPrefix,
     told: ToldNews,
     /// Since when nothing is heard of changes.
     lost_since: Option<Instant>,
+    /// All changes that were made until this moment are known.
+    complete_as_of: Option<Instant>,
     /// Must not call back into the cache.
     consumer: Consumer,
 }
@@ -66,30 +70,49 @@
     /// Takes over what a source told, and tells the consumer; `true` if any
     /// record changed.
     fn take(&mut self, told: Told) -> bool {
-        let (changed, followed) = match told {
+        let (changed, followed, complete_as_of) = match told {
             Told::Failed(fault) => return self.take_failure(fault),
-            Told::Listing(listing) => {
+            Told::Listing(listing, complete_as_of) => {
                 self.cached.take_listing(&listing);
-                (true, Followed::All(listing))
+                (true, Followed::All(listing), complete_as_of)
             }
-            Told::Changes(changes) => {
+            Told::Changes(changes, complete_as_of) => {
                 self.cached.take_changes(&changes);
-                (!changes.changes.is_empty(), Followed::Changed(changes))
+                (!changes.changes.is_empty(), Followed::Changed(changes), complete_as_of)
             }
         };
         if let Some(since) = self.lost_since.take() {
             (self.consumer)(Followed::Regained(since.elapsed()));
         }
         (self.consumer)(followed);
+        if let Some(complete_as_of) = complete_as_of {
+            self.renew_age(complete_as_of);
+        }
         changed
     }
 
+    /// All changes until this moment are known, and the consumer was told them.
+    fn renew_age(&mut self, complete_as_of: Instant) {
+        if self.complete_as_of.is_some_and(|known| known >= complete_as_of) {
+            return;
+        }
+        if let Some(former) = self.complete_as_of.replace(complete_as_of) {
+            note_records_age(&self.prefix, former.elapsed());
+        }
+        (self.consumer)(Followed::CompleteAsOf(complete_as_of));
+    }
+
     /// Puts what an asker does not know into an answer, unless that is a list which has
     /// to wait.
     fn tell(&mut self, position: &v1::RecordsPosition, lists: &mut ListBudget, answer: &mut v1::RecordsAnswer) {
-        match self.told.news(&self.cached, &position.prefix, position.revision, lists) {
-            Some(news) => news.add_to(answer),
-            None => answer.deferred = true,
+        let Some(news) = self.told.news(&self.cached, &position.prefix, position.revision, lists) else {
+            answer.deferred = true;
+            return;
+        };
+        news.prepared.add_to(answer);
+        // A list that is told again may be older than what is known.
+        if self.cached.is_complete_at(news.revision) {
+            self.tell_age(answer);
         }
     }
 
@@ -97,6 +120,12 @@
     fn tell_plain(&mut self, position: &v1::RecordsPosition, answer: &mut v1::RecordsAnswer) {
         let from = self.cached.told_from(position.revision);
         answer.prefixes.push(self.cached.news(&position.prefix, from));
+        self.tell_age(answer);
+    }
+
+    fn tell_age(&self, answer: &mut v1::RecordsAnswer) {
+        let Some(age) = self.complete_as_of.map(|at| at.elapsed()) else { return };
+        answer.prefix_ages.push(v1::PrefixAge { prefix: self.prefix.clone(), age_ms: whole_milliseconds_up(age) });
     }
 
     fn take_failure(&mut self, fault: RecordsFault) -> bool {
@@ -175,9 +204,11 @@
         consumer: impl FnMut(Followed) + Send + 'static,
     ) -> tokio::task::JoinHandle<()> {
         let entry = Entry {
+            prefix: prefix.to_owned(),
             cached: CachedPrefix::default(),
             told: ToldNews::default(),
             lost_since: None,
+            complete_as_of: None,
             consumer: Box::new(consumer),
         };
         lock(&self.entries).insert(prefix.to_owned(), entry);
@@ -215,8 +246,11 @@
         self.follow_asked(&asked);
         let wait = Duration::from_millis(u64::from(asked.wait_ms)).min(LONGEST_WAIT);
         // Without news the answer says only how fresh the asker's state is.
+        let arrived_at = Instant::now();
         let _ = tokio::time::timeout(wait, self.ready_to_answer(&asked)).await;
-        Response::new(full(Bytes::from(self.news(&asked).encode_to_vec())))
+        let mut answer = self.news(&asked);
+        answer.held_ms = whole_milliseconds(arrived_at.elapsed());
+        Response::new(full(Bytes::from(answer.encode_to_vec())))
     }
 
     /// A node that watches the store follows what others ask it for.
@@ -372,9 +406,11 @@
         let body = Bytes::from(asked.encode_to_vec());
         let pause = wait + POLL_MARGIN;
         let starts = asked.positions.iter().any(|position| position.revision == 0);
+        let asked_at = Instant::now();
         let times = AnswerTimes { pause, whole: if starts { FIRST_ANSWER_TIME } else { pause } };
         let answer = client.call_moving(Method::POST, upstream, CACHE_PATH, body, times).await.ok()?;
         let mut answer = v1::RecordsAnswer::decode(answer).ok()?;
+        let ages = PrefixAges::read(&mut answer, asked_at);
         let prefixes = prefixes_of(&mut answer);
         let state = UpstreamState {
             age: Duration::from_millis(u64::from(answer.age_ms)),
@@ -388,7 +424,8 @@
         }
         for told in prefixes {
             if sound || !self.knows(&told.prefix) {
-                self.take_news(told, sound);
+                let complete_as_of = ages.complete_as_of(&told.prefix);
+                self.take_news(told, complete_as_of, sound);
             }
         }
         Some(state)
@@ -407,9 +444,9 @@
         }
     }
 
-    fn take_news(&self, told: v1::PrefixRecords, sound: bool) {
+    fn take_news(&self, told: v1::PrefixRecords, complete_as_of: Option<Instant>, sound: bool) {
         let prefix = told.prefix.clone();
-        self.take(&prefix, read_news(told));
+        self.take(&prefix, read_news(told, complete_as_of));
         if !sound {
             self.take(&prefix, Told::Failed(RecordsFault::Unknown));
         }
@@ -428,6 +465,11 @@
     time.as_millis().min(u128::from(u32::MAX)) as u32
 }
 
+/// An age is told as the next higher number: nothing may seem newer than it is.
+fn whole_milliseconds_up(age: Duration) -> u32 {
+    whole_milliseconds(age).saturating_add(1)
+}
+
 fn status_only(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
