--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -53,5 +53,5 @@
 pub use relay::serve_relay;
 pub use spool::Spool;
 pub use start_order::{StartOrder, StartRank};
-pub use worker::{run_worker, WorkerHandle};
+pub use worker::{run_worker, WorkerHandle, WorkerRules};
 pub use worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -45,16 +45,29 @@
     }
 }
 
+/// Times that a worker keeps to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerRules {
+    /// Time from its acceptance for which a job that runs no longer is kept.
+    pub keep: Duration,
+}
+
+/// For as long as an hour after its acceptance a job may be asked for.
+impl Default for WorkerRules {
+    fn default() -> Self {
+        Self { keep: Duration::from_secs(3600) }
+    }
+}
+
 /// Starts a worker of that name; it gets jobs once a worker is registered
-/// under that name (see [`crate::layout::NodeRecord`]). A job that runs no
-/// longer is kept for `keep` from its acceptance.
+/// under that name (see [`crate::layout::NodeRecord`]).
 pub fn run_worker<S: RecordStore, D: Dialect>(
     store: Arc<S>,
     cache: &Arc<WatchCache<S>>,
     shared: Arc<Shared<D>>,
     owned: Arc<OwnedJobs>,
     name: &str,
-    keep: Duration,
+    rules: WorkerRules,
 ) -> WorkerHandle {
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
@@ -62,7 +75,7 @@
     let context = Arc::new(WorkerContext::new(store, shared, owned, &name));
     tokio::spawn(make_room(context.clone()));
     tokio::spawn(async move {
-        divide_jobs(context.clone(), cache, name.clone(), keep, leaves).await;
+        divide_jobs(context.clone(), cache, name.clone(), rules, leaves).await;
         left_sender.send_replace(true);
     });
     WorkerHandle { leave, left }
@@ -104,14 +117,14 @@
     workers_changed: bool,
     jobs: HashMap<String, Job>,
     closed: ClosedJobs,
-    keep: Duration,
+    rules: WorkerRules,
 }
 
 async fn divide_jobs<S: RecordStore, D: Dialect>(
     context: Arc<WorkerContext<S, D>>,
     cache: Arc<WatchCache<S>>,
     name: String,
-    keep: Duration,
+    rules: WorkerRules,
     mut leaves: watch::Receiver<Option<Duration>>,
 ) {
     let (sender, mut seen) = mpsc::unbounded_channel();
@@ -125,7 +138,7 @@
         workers_changed: false,
         jobs: HashMap::new(),
         closed: ClosedJobs::default(),
-        keep,
+        rules,
     };
     let mut next_expiry = Instant::now() + EXPIRY_LOOK;
     loop {
@@ -246,7 +259,7 @@
     /// removal that fails is taken up at the next look.
     fn expire(&self) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        for (job, record, revision) in self.closed.due(now.as_millis() as u64, self.keep) {
+        for (job, record, revision) in self.closed.due(now.as_millis() as u64, self.rules.keep) {
             if owner_of(&job, &record.assigned, self.workers.names()) != Some(self.name.as_str()) {
                 continue;
             }
--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use latchwheel_jobs::layout::QUARANTINE_PREFIX;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs, Submission,
+    WorkerRules,
 };
 use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
@@ -126,8 +127,8 @@
     let shared = new_node(RequestKind::Batch, &servers);
     let joined = join(&store, &shared, "worker", NodeRole::Worker).await;
     let owned = OwnedJobs::new(joined.contact.clone());
-    let keep = Duration::from_secs(3600);
-    let _worker = run_worker(joined.store.clone(), &joined.cache, shared.clone(), owned, "worker", keep);
+    let rules = WorkerRules::default();
+    let _worker = run_worker(joined.store.clone(), &joined.cache, shared.clone(), owned, "worker", rules);
     let item = |id: &str, body: &str| ItemBody {
         id: id.into(),
         path: "/path/item".into(),
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -5,7 +5,7 @@
 use latchwheel_jobs::layout::result_key;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
-    ResultPage, Spool, Submission, WorkerHandle,
+    ResultPage, Spool, Submission, WorkerHandle, WorkerRules,
 };
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write};
@@ -38,7 +38,7 @@
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
     let owned = OwnedJobs::new(contact.clone());
     let shared = node(route(RequestKind::Batch, 3), &[server]);
-    let handle = run_worker(store.clone(), &cache, shared.clone(), owned.clone(), name, LIMIT);
+    let handle = run_worker(store.clone(), &cache, shared.clone(), owned.clone(), name, WorkerRules::default());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let folder = tempfile::tempdir().unwrap();
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -5,7 +5,7 @@
 use latchwheel_jobs::layout::node_key;
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
-    Submission, WorkerHandle,
+    Submission, WorkerHandle, WorkerRules,
 };
 use latchwheel_protocol::{v1, Message};
 use latchwheel_proxy::Shared;
@@ -39,19 +39,19 @@
     shared: Arc<Shared<TestDialect>>,
     name: &str,
 ) -> (WorkerHandle, Membership<GuardedStore<MemoryStore>>) {
-    start_worker_keeping(store, shared, name, Duration::from_secs(3600)).await
+    start_worker_with(store, shared, name, WorkerRules::default()).await
 }
 
-async fn start_worker_keeping(
+async fn start_worker_with(
     store: &MemoryStore,
     shared: Arc<Shared<TestDialect>>,
     name: &str,
-    keep: Duration,
+    rules: WorkerRules,
 ) -> (WorkerHandle, Membership<GuardedStore<MemoryStore>>) {
     let contact = Contact::default();
     let store = Arc::new(GuardedStore::new(store.clone(), contact.clone()));
     let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
-    let worker = run_worker(store.clone(), &cache, shared.clone(), OwnedJobs::new(contact.clone()), name, keep);
+    let worker = run_worker(store.clone(), &cache, shared.clone(), OwnedJobs::new(contact.clone()), name, rules);
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let record =
         NodeRecord { role: NodeRole::Worker, address: socket.local_addr().unwrap().to_string(), is_upstream: false };
@@ -224,7 +224,7 @@
     let server = TestServer::start("server", vec![Act::StreamTo(1); 40]).await;
     let store = MemoryStore::default();
     let shared = node(route(RequestKind::Batch, 3), &[&server]);
-    let _worker = start_worker_keeping(&store, shared, "worker", Duration::ZERO).await;
+    let _worker = start_worker_with(&store, shared, "worker", WorkerRules { keep: Duration::ZERO }).await;
     take(&store, 2).await;
     let end = Instant::now() + Duration::from_secs(30);
     loop {
