Jobs: items start only under a lease on the knowledge that their job is open

Cause: a worker started items of a job for as long as nothing told it of the job's end. Its news come from a watch of the store that another node keeps; where that watch has died without a word, both take the silence for the absence of changes, and what was looked at as the age of their knowledge was that of any answered call. The class: a belief with a bound in seconds, whose age nobody bounds. Change: what a worker knows of a job is a lease (core::start_lease). It is renewed by followed records that are complete up to a moment, by a part of the results that is listed (each is now conditioned on the job's record, so that a worker that lists is told of the end as well), and, where these are too old while items wait, by a read of the job's record. Without a renewal it runs out half a second before an end has to be in force, and nothing starts. Permission is asked again right before the sending, as an order to leave or a store that answers slowly may come between choice and sending. While the store is known to answer nobody no end can be acknowledged, and work goes on as before. The bound is the deployment's. Ruled out: a shorter wait of the watch alone; it leaves the same fault with a shorter bound. Conclusion: silence now stops work instead of letting it go on.

--- /dev/null
+++ b/crates/core/tests/start_lease.rs
@@ -0,0 +1,66 @@
+//! The right to start items of a job, drawn schedules of what its worker hears included.
+
+use latchwheel_core::start_lease::StartLease;
+use latchwheel_core::time::Instant;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+const END_IN_FORCE: Duration = Duration::from_secs(3);
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::from_micros(100_000_000) + Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn nothing_starts_before_the_job_was_known_to_be_open() {
+    let lease = StartLease::new(END_IN_FORCE);
+    assert!(!lease.allows(at(0)) && lease.is_due(at(0)));
+}
+
+#[test]
+fn it_runs_out_unless_it_is_renewed() {
+    let mut lease = StartLease::new(END_IN_FORCE);
+    lease.note_open(at(0));
+    assert!(lease.allows(at(2_499)) && !lease.allows(at(2_500)));
+    assert!(!lease.is_due(at(1_499)) && lease.is_due(at(1_500)));
+    lease.note_open(at(2_000));
+    assert!(lease.allows(at(4_499)) && !lease.allows(at(4_500)));
+    // Knowledge that comes late and is older changes nothing.
+    lease.note_open(at(1_000));
+    assert!(lease.allows(at(4_499)));
+}
+
+#[test]
+fn a_short_bound_leaves_some_time_to_start() {
+    let mut lease = StartLease::new(Duration::from_millis(400));
+    lease.note_open(at(0));
+    assert!(lease.allows(at(199)) && !lease.allows(at(200)));
+}
+
+/// Whatever is heard late or never: no item is at a server later than the bound after the
+/// job's end, if its way takes no more than half a second.
+#[test]
+fn no_item_is_at_a_server_after_the_end_is_in_force() {
+    for seed in 0..200 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut lease = StartLease::new(END_IN_FORCE);
+        let ended_at = random.random_range(0..5_000);
+        let mut started = 0;
+        for now in (0..20_000).step_by(10) {
+            // Now and then the worker learns the state of some earlier moment.
+            if random.random_bool(0.02) {
+                let learned = now - random.random_range(0..=now.min(6_000));
+                if learned < ended_at {
+                    lease.note_open(at(learned));
+                }
+            }
+            if lease.allows(at(now)) {
+                started += 1;
+                let arrives = now + random.random_range(0..500);
+                assert!(arrives < ended_at + 3_000, "seed {seed}: ended at {ended_at}, arrives at {arrives}");
+            }
+        }
+        assert!(started > 0 || ended_at < 2_000, "seed {seed}: nothing ever started");
+    }
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -380,6 +380,29 @@
         /// Workers that are believed to live.
         workers: usize
     };
+    /// It can't be found out whether a job is still open; it is asked again.
+    JobNotConfirmed = 8206, Essential {
+        /// Job.
+        job: &'a str,
+        /// Why.
+        reason: &'a str
+    };
+    /// Items of a job don't start: it may have been ended.
+    ItemStartsHeld = 8207, Essential {
+        /// Job.
+        job: &'a str,
+        /// Items that would start.
+        waiting: usize,
+        /// Age of what is known of the job.
+        known_ms: u64
+    };
+    /// Items of a job start again.
+    ItemStartsResumed = 8208, Essential {
+        /// Job.
+        job: &'a str,
+        /// Time for which none started.
+        held_ms: u64
+    };
     /// This worker runs a job no longer.
     JobLeft = 8211, Essential {
         /// Job.
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -66,6 +66,9 @@
     if let Err(end) = exchange.connect().await {
         return (RunEnd::Interrupted, end.reason);
     }
+    if !start.is_allowed() {
+        return (RunEnd::GaveWay, "may_be_ended");
+    }
     start.note_sent(&exchange, progress);
     let last_event = progress.last_event();
     let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -4,6 +4,7 @@
 use crate::job_run::JobRun;
 use crate::run_registry::RunRank;
 use crate::start_order::StartRank;
+use crate::start_permission::StartPermission;
 use crate::worker_context::WorkerContext;
 use futures::FutureExt;
 use latchwheel_core::dispatch::{Ask, Choice, Placement, Prompt};
@@ -66,6 +67,9 @@
         if !self.context.note_waiting(&rank, waiting.len()) {
             return;
         }
+        if waiting.is_empty() || !self.may_start_items(now, waiting.len()) {
+            return;
+        }
         let reserve = self.reserve(&route);
         self.context.refill_starts(now, &route, reserve);
         for position in waiting.into_iter().take(STARTS_IN_A_LOOK) {
@@ -75,6 +79,30 @@
         }
     }
 
+    /// Whether items may be sent now; finds out whether the job is still open if that is
+    /// due.
+    fn may_start_items(&mut self, now: Instant, waiting: usize) -> bool {
+        if let Some(known) = self.context.jobs_known() {
+            self.permission.note_open(known);
+        }
+        self.begin_confirmation(now);
+        let allowed = self.permission.allows(now);
+        match self.held_since {
+            None if !allowed => {
+                self.held_since = Some(now);
+                let known_ms = self.permission.known_ms(now);
+                emit(&self.job, &Event::ItemStartsHeld { job: &self.job, waiting, known_ms });
+            }
+            Some(since) if allowed => {
+                self.held_since = None;
+                let held_ms = now.since(since).as_millis() as u64;
+                emit(&self.job, &Event::ItemStartsResumed { job: &self.job, held_ms });
+            }
+            _ => {}
+        }
+        allowed
+    }
+
     /// Items that may start, and whether they will be late: those that can be in
     /// time, or all if none can.
     fn items_to_start(&self, now: Instant, route: &Route) -> (bool, Vec<usize>) {
@@ -127,8 +155,13 @@
         };
         self.running.insert(position, running);
         self.context.note_runs(1, 0);
-        let start =
-            ItemStart { context: self.context.clone(), job: self.job.clone(), item: item.id.clone(), chosen_at: now };
+        let start = ItemStart {
+            context: self.context.clone(),
+            job: self.job.clone(),
+            item: item.id.clone(),
+            permission: self.permission.clone(),
+            chosen_at: now,
+        };
         self.runs.push(run_owned(position, start, exchange, outgoing, left, progress, give_way).boxed());
         true
     }
@@ -174,15 +207,20 @@
     context: Arc<WorkerContext<S, D>>,
     job: String,
     item: String,
+    permission: Arc<StartPermission>,
     /// When its server was chosen.
     chosen_at: Instant,
 }
 
 impl<S: RecordStore, D: Dialect> ItemStart<S, D> {
+    /// Whether it may be sent now: the job may have been ended since its server was chosen.
+    pub(crate) fn is_allowed(&self) -> bool {
+        self.permission.allows(self.context.shared.clock.now())
+    }
+
     /// It is sent now.
     pub(crate) fn note_sent(&self, exchange: &Exchange<D>, progress: &ItemProgress) {
         let now = self.context.shared.clock.now();
-        let known = self.context.jobs_known();
         let event = Event::ItemSent {
             job: &self.job,
             item: &self.item,
@@ -190,7 +228,7 @@
             load: exchange.load(),
             events_kept: progress.events(),
             chosen_ms: now.since(self.chosen_at).as_millis() as u64,
-            known_ms: known.map_or(u64::MAX, |known| now.since(known).as_millis() as u64),
+            known_ms: self.permission.known_ms(now),
         };
         emit(&self.job, &event);
     }
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -3,7 +3,7 @@
 //! A part is written only where it is absent, so that whoever appends knows all
 //! parts before. When another worker was first, the list is read anew.
 
-use crate::desk::{read_record, write_record};
+use crate::desk::write_record;
 use crate::item_failures::poll_recording;
 use crate::job_run::{JobRun, LONGEST_STORE_PAUSE, STORE_PAUSE};
 use crate::layout::{job_key, result_key, JobRecord, JobState, ListedResult};
@@ -12,6 +12,7 @@
 use futures::FutureExt;
 use latchwheel_core::item_progress::ItemState;
 use latchwheel_core::retry::doubled_pause;
+use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::Dialect;
 use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
@@ -38,6 +39,8 @@
     pub(crate) transaction: Transaction,
     /// Failures so far.
     pub(crate) failures: u32,
+    /// When its writing began: the job was open after that if it is done.
+    pub(crate) begun_at: Instant,
     pub(crate) outcome: BoxFuture<'static, Result<Committed, RecordsFault>>,
 }
 
@@ -104,7 +107,8 @@
         });
         let transaction = self.listing_of(&ready, ready.len() == self.open_count());
         let outcome = commit(self.context.store.clone(), transaction.clone(), Duration::ZERO).boxed();
-        self.listing = Some(Listing { items: ready, part: self.list.parts, transaction, failures: 0, outcome });
+        let (part, begun_at) = (self.list.parts, self.context.shared.clock.now());
+        self.listing = Some(Listing { items: ready, part, transaction, failures: 0, begun_at, outcome });
         let writing_since = Some(tokio::time::Instant::now());
         self.context.owned.update(&self.job, |view| view.writing_since = writing_since);
     }
@@ -113,14 +117,14 @@
         let part: Vec<ListedResult> = ready.iter().map(|position| self.result_of(*position)).collect();
         let key = result_key(&self.job, self.list.parts);
         let value = serde_json::to_vec(&part).unwrap_or_default().into();
+        // A worker that has not heard of the job's end is told by what it lists.
         let mut transaction = Transaction {
-            expected: vec![(key.clone(), 0)],
+            expected: vec![(key.clone(), 0), (job_key(&self.job), self.revision)],
             writes: vec![Write { key, value, lease: 0 }],
             removes: Vec::new(),
         };
         if last {
             let record = JobRecord { state: JobState::Finished, ..self.record.clone() };
-            transaction.expected.push((job_key(&self.job), self.revision));
             transaction.writes.push(Write { key: job_key(&self.job), value: write_record(&record), lease: 0 });
         }
         transaction
@@ -134,10 +138,13 @@
     }
 
     pub(crate) async fn end_listing(&mut self, committed: Result<Committed, RecordsFault>) {
-        let Some(Listing { items: ready, part, transaction, failures, .. }) = self.listing.take() else { return };
+        let Some(Listing { items: ready, part, transaction, failures, begun_at, .. }) = self.listing.take() else {
+            return;
+        };
         let first = self.list.results.len();
         let reason = match committed {
             Ok(Committed::Done(revision)) => {
+                self.permission.note_open(begun_at);
                 self.append_part(part, &ready);
                 self.note_list();
                 self.show_list();
@@ -156,7 +163,8 @@
         }
         let pause = doubled_pause(STORE_PAUSE, LONGEST_STORE_PAUSE, failures);
         let outcome = commit(self.context.store.clone(), transaction.clone(), pause).boxed();
-        self.listing = Some(Listing { items: ready, part, transaction, failures: failures + 1, outcome });
+        let begun_at = self.context.shared.clock.now();
+        self.listing = Some(Listing { items: ready, part, transaction, failures: failures + 1, begun_at, outcome });
     }
 
     /// A part was written. The list may have been read since, with the part in it.
@@ -180,11 +188,10 @@
             self.note_earlier_failures();
             self.show_list();
         }
-        if let Ok(Some(present)) = store.get(&job_key(&self.job)).await {
-            if let Some(record) = read_record(&present.value) {
-                self.record = record;
-                self.revision = present.revision;
-            }
+        let asked_at = self.context.shared.clock.now();
+        match store.get(&job_key(&self.job)).await {
+            Ok(present) => self.closed = self.note_present(asked_at, present.as_ref()),
+            Err(fault) => emit(&self.job, &Event::JobNotConfirmed { job: &self.job, reason: fault.word() }),
         }
         read
     }
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -3,11 +3,13 @@
 use crate::desk::read_body;
 use crate::item_failures::{poll_recording, Recording};
 use crate::item_starts::RunningItem;
+use crate::job_confirmation::{poll_confirmation, Confirmation, ConfirmationFailures};
 use crate::job_listing::{poll_listing, Listing};
 use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
 use crate::start_order::StartRank;
+use crate::start_permission::StartPermission;
 use crate::worker_context::WorkerContext;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -114,7 +116,8 @@
             workers: context.worker_count(),
         },
     );
-    let mut run = JobRun::new(context, job, record, revision, body, list);
+    let permission = StartPermission::new(context.end_in_force, orders.clone(), context.owned.contact().clone());
+    let mut run = JobRun::new(context, job, record, revision, body, list, permission);
     let reason = run.run(&mut orders).await;
     run.context.forget_unfinished(&run.job);
     if reason.goes_on_elsewhere() {
@@ -156,6 +159,14 @@
     pub(crate) lists_from: Instant,
     /// Whether no other worker can list any more.
     pub(crate) settled: bool,
+    /// Whether items may be sent now.
+    pub(crate) permission: Arc<StartPermission>,
+    /// Since when items wait because the job may have been ended.
+    pub(crate) held_since: Option<Instant>,
+    pub(crate) confirmation: Option<Confirmation>,
+    pub(crate) confirmation_failures: ConfirmationFailures,
+    /// Why the job has to be left, once its record showed that.
+    pub(crate) closed: Option<LeaveReason>,
 }
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -166,6 +177,7 @@
         revision: u64,
         body: JobBody,
         list: ResultList,
+        permission: StartPermission,
     ) -> Self {
         let positions = body.items.iter().enumerate().map(|(position, item)| (item.id.clone(), position)).collect();
         let count = body.items.len();
@@ -193,6 +205,11 @@
             taken_at,
             lists_from: taken_at + grace,
             settled: grace.is_zero(),
+            permission: Arc::new(permission),
+            held_since: None,
+            confirmation: None,
+            confirmation_failures: ConfirmationFailures::default(),
+            closed: None,
         };
         run.note_list();
         run.note_earlier_failures();
@@ -202,6 +219,9 @@
 
     async fn run(&mut self, orders: &mut watch::Receiver<JobOrder>) -> LeaveReason {
         loop {
+            if let Some(reason) = self.closed {
+                return reason;
+            }
             let order = orders.borrow_and_update().clone();
             match order {
                 JobOrder::Leave(reason) => return reason,
@@ -216,6 +236,9 @@
                 JobOrder::Wind => {}
             }
             self.settle().await;
+            if let Some(reason) = self.closed {
+                return reason;
+            }
             self.begin_listing();
             self.begin_recording();
             if self.listing.is_none() && self.listed.iter().all(|listed| *listed) {
@@ -227,6 +250,7 @@
                 }
                 committed = poll_listing(&mut self.listing) => self.end_listing(committed).await,
                 written = poll_recording(&mut self.recording) => self.end_recording(written),
+                read = poll_confirmation(&mut self.confirmation) => self.closed = self.end_confirmation(read),
                 changed = orders.changed() => {
                     if changed.is_err() {
                         return LeaveReason::WorkerLeaves;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -50,12 +50,15 @@
 pub struct WorkerRules {
     /// Time from its acceptance for which a job that runs no longer is kept.
     pub keep: Duration,
+    /// Time after the acknowledged end of a job from which on none of its items may start.
+    pub end_in_force: Duration,
 }
 
-/// For as long as an hour after its acceptance a job may be asked for.
+/// For as long as an hour after its acceptance a job may be asked for; its client waits
+/// some seconds for its end.
 impl Default for WorkerRules {
     fn default() -> Self {
-        Self { keep: Duration::from_secs(3600) }
+        Self { keep: Duration::from_secs(3600), end_in_force: Duration::from_secs(3) }
     }
 }
 
@@ -72,7 +75,7 @@
     let (leave, leaves) = watch::channel(None);
     let (left_sender, left) = watch::channel(false);
     let (name, cache) = (name.to_owned(), cache.clone());
-    let context = Arc::new(WorkerContext::new(store, shared, owned, &name));
+    let context = Arc::new(WorkerContext::new(store, shared, owned, &name, rules.end_in_force));
     tokio::spawn(make_room(context.clone()));
     tokio::spawn(async move {
         divide_jobs(context.clone(), cache, name.clone(), rules, leaves).await;
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -22,6 +22,8 @@
     /// Servers, routes and connections.
     pub shared: Arc<Shared<D>>,
     pub(crate) name: String,
+    /// Time after the acknowledged end of a job from which on none of its items may start.
+    pub(crate) end_in_force: Duration,
     pub(crate) owned: Arc<OwnedJobs>,
     workers: AtomicUsize,
     running: AtomicUsize,
@@ -37,11 +39,18 @@
 
 impl<S, D> WorkerContext<S, D> {
     /// The context of the worker `name`, which runs nothing yet.
-    pub(crate) fn new(store: Arc<S>, shared: Arc<Shared<D>>, owned: Arc<OwnedJobs>, name: &str) -> Self {
+    pub(crate) fn new(
+        store: Arc<S>,
+        shared: Arc<Shared<D>>,
+        owned: Arc<OwnedJobs>,
+        name: &str,
+        end_in_force: Duration,
+    ) -> Self {
         Self {
             store,
             shared,
             name: name.to_owned(),
+            end_in_force,
             owned,
             workers: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -224,7 +224,9 @@
     let server = TestServer::start("server", vec![Act::StreamTo(1); 40]).await;
     let store = MemoryStore::default();
     let shared = node(route(RequestKind::Batch, 3), &[&server]);
-    let _worker = start_worker_with(&store, shared, "worker", WorkerRules { keep: Duration::ZERO }).await;
+    let _worker =
+        start_worker_with(&store, shared, "worker", WorkerRules { keep: Duration::ZERO, ..WorkerRules::default() })
+            .await;
     take(&store, 2).await;
     let end = Instant::now() + Duration::from_secs(30);
     loop {
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -16,6 +16,9 @@
 const UNOBSERVED_LIMIT: Duration = Duration::from_secs(1);
 /// Time for which an upstream's word counts.
 const TOLD_LIFE: Duration = Duration::from_secs(2);
+/// Time for which an upstream's word that the store doesn't answer it counts: it is asked
+/// again at once, and holds such a poll for 0.6 s.
+const TOLD_AWAY_LIFE: Duration = Duration::from_millis(1500);
 /// Time for which an own answer counts: a watch is held for four seconds.
 const OWN_LIFE: Duration = Duration::from_secs(5);
 
@@ -33,6 +36,10 @@
     /// outage.
     answering_since: Option<Instant>,
     told: Option<ToldContact>,
+    /// When an upstream told last that the store doesn't answer it.
+    told_away: Option<Instant>,
+    /// Other nodes judge the store by this one, and it asks none of them.
+    relied_on: bool,
 }
 
 /// What an upstream told of its own contact with the store.
@@ -77,6 +84,7 @@
 impl Contact {
     /// The contact of a process that probes the store so while it is away.
     pub fn new(policy: ProbePolicy) -> Self {
+        let relied_on = policy.relied_on;
         let state = State {
             breaker: CircuitBreaker::new(policy),
             answered: None,
@@ -84,6 +92,8 @@
             failing_since: None,
             answering_since: None,
             told: None,
+            told_away: None,
+            relied_on,
         };
         Self { state: Arc::new(Mutex::new(state)), started: Instant::now(), regained: Arc::new(watch::channel(0).0) }
     }
@@ -162,6 +172,7 @@
         let answering_since = heard.checked_sub(answering_for).unwrap_or(heard);
         let mut state = self.lock();
         state.told = Some(ToldContact { heard, answering_since });
+        state.told_away = None;
         let was_held_back = state.breaker.note_told_answering(self.core_time(heard));
         drop(state);
         if was_held_back {
@@ -183,6 +194,7 @@
     pub fn note_told_away(&self, for_time: Duration) {
         let now = self.core_time(Instant::now());
         let mut state = self.lock();
+        state.told_away = Some(Instant::now());
         let answers_here = state.heard.is_some_and(|heard| heard.elapsed() < for_time);
         if !answers_here {
             state.breaker.note_told_away(now, rand::random());
@@ -200,6 +212,14 @@
         self.lock().failing_since.map(|since| since.elapsed()).unwrap_or_default()
     }
 
+    /// Whether the store is believed to answer nobody: it fails this process, and an
+    /// upstream as well, if this process asks one.
+    pub fn answers_nobody(&self) -> bool {
+        let state = self.lock();
+        let fails_upstream = state.told_away.is_some_and(|at| at.elapsed() <= TOLD_AWAY_LIFE);
+        state.failing_since.is_some() && (state.relied_on || fails_upstream)
+    }
+
     /// Time for which the store has answered, this process or an upstream that
     /// told of it, without an outage; `None` if neither is known to have an
     /// answer now.
