Workers: what is not listed yet is told only by recent knowledge of the jobs

A worker tells readers that there is nothing at a position while it believes that the job is its own. That belief was bounded by the age of any answer of the store; where its watch has died without a word it doesn't hear that the job falls to another worker, which lists results 2.5 s later, and readers find nothing at a position that was read elsewhere. Change: the knowledge of the jobs must be younger than the time that another worker waits, less the way of the answer. Ruled out: leaving the bound on the contact out; it stays as a second one. Three events get other numbers, beside those of ends of jobs.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -381,14 +381,14 @@
         workers: usize
     };
     /// It can't be found out whether a job is still open; it is asked again.
-    JobNotConfirmed = 8206, Essential {
+    JobNotConfirmed = 8224, Essential {
         /// Job.
         job: &'a str,
         /// Why.
         reason: &'a str
     };
     /// Items of a job don't start: it may have been ended.
-    ItemStartsHeld = 8207, Essential {
+    ItemStartsHeld = 8225, Essential {
         /// Job.
         job: &'a str,
         /// Items that would start.
@@ -397,7 +397,7 @@
         known_ms: u64
     };
     /// Items of a job start again.
-    ItemStartsResumed = 8208, Essential {
+    ItemStartsResumed = 8226, Essential {
         /// Job.
         job: &'a str,
         /// Time for which none started.
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -82,8 +82,8 @@
     /// Whether items may be sent now; finds out whether the job is still open if that is
     /// due.
     fn may_start_items(&mut self, now: Instant, waiting: usize) -> bool {
-        if let Some(known) = self.context.jobs_known() {
-            self.permission.note_open(known);
+        if let Some(age) = self.context.owned.known_age() {
+            self.permission.note_open(now - age);
         }
         self.begin_confirmation(now);
         let allowed = self.permission.allows(now);
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -3,7 +3,8 @@
 //! Readers ask the worker of a job before they ask the store. Who reads a
 //! result once must find it at every node from then on, so that a worker says
 //! that there is nothing at a position only if it knows: it has heard from the
-//! store lately, and no part of the list is on its way with an unknown end.
+//! store lately, what it knows of the jobs is recent, and no part of the list is on its
+//! way with an unknown end.
 //! Another worker that takes the job over waits before it lists anything
 //! ([`TAKEOVER_GRACE`]); by then this one has heard of it or is silent. Until
 //! then it doesn't say for sure that there is nothing either, and then reads the
@@ -25,6 +26,10 @@
 /// is not enough: it says nothing of this worker's own lease, after whose end
 /// another worker lists results.
 const CONTACT_LIMIT: Duration = Duration::from_millis(1200);
+/// What this worker knows of the jobs must be newer. Another one that took a job over since
+/// lists nothing for [`TAKEOVER_GRACE`]; the answer is on its way for a part of that. The
+/// store's answers to other calls don't show it: a watch may have died without a word.
+const KNOWN_LIMIT: Duration = Duration::from_millis(2200);
 /// A part whose writing takes longer may be in the store already.
 const WRITING_LIMIT: Duration = Duration::from_millis(400);
 /// Finished jobs whose results are kept for readers.
@@ -75,6 +80,8 @@
     finished: Mutex<Recent<JobView>>,
     /// Workers of the open jobs that others run.
     elsewhere: Mutex<HashMap<String, String>>,
+    /// All changes of jobs and workers that were made until this moment are known.
+    known_until: Mutex<Option<Instant>>,
 }
 
 impl std::fmt::Debug for OwnedJobs {
@@ -91,6 +98,7 @@
             running: Mutex::default(),
             finished: Mutex::new(Recent::new(FINISHED_LIMIT)),
             elsewhere: Mutex::default(),
+            known_until: Mutex::default(),
         })
     }
 
@@ -99,6 +107,17 @@
         &self.contact
     }
 
+    /// All changes of jobs and workers that were made until this moment are known, and
+    /// acted on.
+    pub(crate) fn note_known(&self, until: Instant) {
+        *lock(&self.known_until) = Some(until);
+    }
+
+    /// Time since which changes of jobs and workers may be unknown.
+    pub(crate) fn known_age(&self) -> Option<Duration> {
+        lock(&self.known_until).map(|until| until.elapsed())
+    }
+
     /// Shows a job that this worker runs from now on.
     pub(crate) fn show(&self, job: &str, items: Arc<Vec<ItemBody>>, view: JobView) {
         lock(&self.running).insert(job.to_owned(), Shown { view: watch::channel(view).0, items });
@@ -164,7 +183,8 @@
     /// Whether nothing can be listed that the view doesn't show.
     fn is_sure(&self, view: &JobView) -> bool {
         let hears = self.contact.own_age().is_some_and(|age| age <= CONTACT_LIMIT);
-        hears && view.settled && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
+        let knows = self.known_age().is_some_and(|age| age <= KNOWN_LIMIT);
+        hears && knows && view.settled && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
     }
 
     /// Body of an item, in base64; `None` if this worker doesn't run the job or
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -189,7 +189,7 @@
         match followed {
             Followed::All(listing) => self.replace_all(listing.records),
             Followed::Changed(changes) => changes.changes.into_iter().for_each(|change| self.take_change(change)),
-            Followed::CompleteAsOf(at) => self.context.note_jobs_known(at),
+            Followed::CompleteAsOf(at) => self.context.owned.note_known(at),
             Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => {}
         }
     }
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -33,8 +33,6 @@
     pub(crate) runs: RunRegistry,
     /// How long items take, by route.
     times: Mutex<HashMap<Arc<str>, RunTimes>>,
-    /// All changes of jobs that were made until this moment are known.
-    jobs_known: Mutex<Option<Instant>>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -59,24 +57,9 @@
             unfinished: Mutex::default(),
             runs: RunRegistry::default(),
             times: Mutex::default(),
-            jobs_known: Mutex::default(),
         }
     }
 
-    /// All changes of jobs that were made until this moment are known, and acted on.
-    pub(crate) fn note_jobs_known(&self, until: tokio::time::Instant)
-    where
-        D: Dialect,
-    {
-        let until = self.shared.clock.now() - until.elapsed();
-        *self.jobs_known.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
-    }
-
-    /// Until when all changes of jobs are known.
-    pub(crate) fn jobs_known(&self) -> Option<Instant> {
-        *self.jobs_known.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// So many workers are believed to live.
     pub(crate) fn set_worker_count(&self, workers: usize) {
         self.workers.store(workers, Ordering::Relaxed);
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -168,6 +168,28 @@
     }
 }
 
+/// Users would see a result at one node and nothing in its place at another: a worker whose
+/// watch has died without a word does not hear that its job falls to another worker, which
+/// lists results, while the store answers its other calls. The cause: its word was believed
+/// by the age of any of these answers, not by that of what it knows of the jobs.
+#[tokio::test]
+async fn a_worker_whose_news_are_silent_is_not_believed() {
+    let server = TestServer::start("server", vec![Act::Silence; 4]).await;
+    let store = MemoryStore::default();
+    let worker = start_worker(&store, &server, "worker").await;
+    let reader = desk(&store, "worker", worker.address);
+    take(&reader, JOB, 2).await;
+    while server.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    store.set_watches_silent(true);
+    write_part(&store, 0, "item-1").await;
+    read_until(&reader, JOB, 1).await;
+    for _ in 0..20 {
+        assert_eq!(reader.read(JOB, None, 0, PAGE, Duration::ZERO).await.unwrap().results.len(), 1);
+    }
+}
+
 /// A worker that takes a job over lists nothing before the former one must
 /// have heard of it.
 #[tokio::test]
