Ends of jobs hold wherever the job is: on a disk, on its way, or written late

Cause: an end was written only to the record of a job in the store. A job that was accepted on disks while the store was away, whose submission was still on its way at another node, or whose write the store did late was not there when its client ended it: the client was told "unknown" (as long as any disk on record gave no answer, thus for ever where one is gone for good) or "absent", nothing kept its wish, and the job ran in full once it was in the store. The same for an end that the store did not take while its caller waited, and for one whose caller left before the answer. Ruled out: a removed job that comes back. Its mark in the store is a condition of every write that makes a job, and stays; by reading, unchanged. Change: the end of an absent job is a record of its own (early-end/JOB: the tenants that asked), written on condition that the job is absent, under a lease of ten minutes that a node's ends share for five. All writes that make a job go through one place (JobEntry): they are conditioned on the absence of that record, and bring the job in as ended, with its items and total, where an end by somebody who may end it is there. An end is answered 200 where the job may be on a disk, 404 where nobody knows of it, and is kept in both cases. The end of a removed job is answered 200 as before its removal. A node goes on with ends that the store did not take in their callers' time, for ten minutes. An end is answered by its deadline also where the store gives no answer to a call. Five events tell of all that. MemoryStore can hold a commit back and do it late. An end of a job in the store costs one read and one commit, as before; of a job that nobody knows four calls in place of three, and a lease in five minutes. Conclusion: ways to the fault that were read in the code are shown and mended; that users saw one of them is not known.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -518,6 +518,37 @@
         /// Why.
         reason: &'a str
     };
+    /// The end of a job that is not in the store was put on record there, for when the job comes.
+    EndKept = 8206, Essential {
+        /// Job.
+        job: &'a str
+    };
+    /// A job came into the store after its end: none of its items runs.
+    JobCameEnded = 8207, Essential {
+        /// Job.
+        job: &'a str
+    };
+    /// The store did not take the end of a job in its caller's time; this node goes on trying.
+    EndOutstanding = 8208, Essential {
+        /// Job.
+        job: &'a str,
+        /// Ends that this node tries.
+        waiting: usize
+    };
+    /// The store took the end of a job after its caller had been told to come back.
+    EndMadeUp = 8209, Essential {
+        /// Job.
+        job: &'a str,
+        /// Whether the job was known, or may be on a disk.
+        found: bool
+    };
+    /// An end that the store did not take is tried no more.
+    EndGivenUp = 8218, Essential {
+        /// Job.
+        job: &'a str,
+        /// Why.
+        reason: &'a str
+    };
     /// This machine was asked to give up its work.
     Retiring = 8230, Essential {
         /// What it answered.
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -1,8 +1,9 @@
 //! Taking, ending and reading jobs, at any node.
 
+use crate::asked_ends::AskedEnds;
 use crate::assignment::assign;
 use crate::handed::{write_job, Handed, Submission};
-use crate::layout::{body_key, is_open_to, job_key, JobBody, JobRecord, JobState, JobSummary, ListedResult};
+use crate::layout::{body_key, is_open_to, job_key, JobBody, JobRecord, JobSummary, ListedResult};
 use crate::nodes::Nodes;
 use crate::owned_jobs::page;
 use crate::recent::Recent;
@@ -11,7 +12,7 @@
 use crate::spool::{hand_out, may_be_held};
 use crate::worker_calls::WorkerCalls;
 use bytes::Bytes;
-use latchwheel_records::{Committed, Record, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{Record, RecordStore, RecordsFault};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -87,6 +88,7 @@
     nodes: Nodes,
     workers: WorkerCalls,
     copies: usize,
+    ends: Arc<AskedEnds<S>>,
     known: Mutex<Recent<Known>>,
     bodies: Mutex<Recent<Arc<KnownBody>>>,
 }
@@ -96,6 +98,7 @@
     /// while the store is away.
     pub fn new(store: Arc<S>, nodes: Nodes, copies: usize) -> Self {
         Self {
+            ends: AskedEnds::new(store.clone()),
             store,
             workers: WorkerCalls::new(nodes.clone()),
             nodes,
@@ -160,20 +163,15 @@
         }
     }
 
-    /// Ends a job: none of its items is sent again.
+    /// Ends a job: none of its items is sent again, also where it is not in the store
+    /// yet. What the store doesn't take until then is tried on after this has returned.
     ///
     /// # Errors
     /// [`DeskFault`].
     pub async fn end(&self, job: &str, caller: Option<&str>, until: Instant) -> Result<(), DeskFault> {
-        loop {
-            match self.try_end(job, caller).await {
-                Ok(true) => return Ok(()),
-                Ok(false) => {}
-                Err(DeskFault::Absent) => return Err(DeskFault::Absent),
-                Err(fault) if Instant::now() + PAUSE >= until => return Err(fault),
-                Err(_) => tokio::time::sleep(PAUSE).await,
-            }
-        }
+        let ending = self.ends.clone().end(job.to_owned(), caller.map(str::to_owned), until);
+        // A caller that leaves drops this call; it has asked for the end all the same.
+        tokio::spawn(ending).await.unwrap_or(Err(DeskFault::Unknown))
     }
 
     /// Whether the job was taken before. Where that can't be told, the fault
@@ -189,25 +187,6 @@
         }
     }
 
-    async fn try_end(&self, job: &str, caller: Option<&str>) -> Result<bool, DeskFault> {
-        let present = self.present(job).await?;
-        let mut record = read_record(&present.value).ok_or(DeskFault::Unknown)?;
-        if !record.is_open_to(caller) {
-            return Err(DeskFault::Absent);
-        }
-        if record.state == JobState::Ended {
-            return Ok(true);
-        }
-        record.state = JobState::Ended;
-        let transaction = Transaction {
-            expected: vec![(job_key(job), present.revision)],
-            writes: vec![Write { key: job_key(job), value: write_record(&record), lease: 0 }],
-            removes: Vec::new(),
-        };
-        let committed = self.store.commit(&transaction).await.map_err(desk_fault)?;
-        Ok(matches!(committed, Committed::Done(_)))
-    }
-
     /// Reads results from a position on, `byte_limit` at most but one at
     /// least; waits up to `wait` until there is one.
     ///
@@ -343,7 +322,7 @@
     ResultPage { total: known.summary.items, results: page(&known.list.results, from, byte_limit) }
 }
 
-fn desk_fault(fault: RecordsFault) -> DeskFault {
+pub(crate) fn desk_fault(fault: RecordsFault) -> DeskFault {
     match fault {
         RecordsFault::Refused | RecordsFault::Rejected => DeskFault::Refused,
         RecordsFault::Unknown | RecordsFault::HistoryLost | RecordsFault::BadAnswer => DeskFault::Unknown,
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `latchwheel/active/job/JOB` | [`JobRecord`] |
 //! | `latchwheel/closed/JOB` | [`JobRecord`] of a job that was removed |
+//! | `latchwheel/early-end/JOB` | `EarlyEnd` (`early_end`): who ended a job that was absent then, under a lease |
 //! | `latchwheel/active/fleet/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
 //! | `latchwheel/active/fleet/quarantine/DIGEST` | [`QuarantineRecord`] of requests that end servers; an operator removes it to let them go |
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
@@ -14,7 +15,9 @@
 //!
 //! Invariants: the parts of the list are written in order, each only where it
 //! is absent, so that whoever appends knows all parts before; nothing of a
-//! list is ever changed.
+//! list is ever changed. A job's record is made only where its early end is absent,
+//! or as ended where that is there; an early end is written only where the job's
+//! record is absent.
 
 use latchwheel_core::fingerprint::{Fingerprint, RequestKey, RequestShape};
 use latchwheel_core::quarantine::Verdict;
@@ -45,6 +48,11 @@
     format!("latchwheel/closed/{job}")
 }
 
+/// Key of the end of a job that is not in the store.
+pub(crate) fn early_end_key(job: &str) -> String {
+    format!("latchwheel/early-end/{job}")
+}
+
 /// The job whose record has this key.
 pub fn job_of_key(key: &str) -> Option<&str> {
     key.strip_prefix(JOB_PREFIX)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,16 +14,24 @@
 //! - [`relay`]: handing a new job to another front.
 //! - [`layout`]: the records.
 //!
+//! An end counts from its acknowledgement, wherever the job is: `ending` ends it in the
+//! store, `early_end` is the end of a job that isn't there yet, `job_entry` brings jobs
+//! in and heeds that, `asked_ends` goes on with ends that the store hasn't taken yet.
+//!
 //! A worker shows the jobs that it runs to the other nodes (`owned_jobs`), so
 //! that readers need the store only where the worker can't tell.
 
+mod asked_ends;
 mod assignment;
 pub mod desk;
+mod early_end;
+mod ending;
 mod expiry;
 mod handed;
 mod item_failures;
 mod item_run;
 mod item_starts;
+mod job_entry;
 mod job_listing;
 mod job_run;
 pub mod layout;
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -11,7 +11,8 @@
 //! that there is no such job before every disk on record has said that it
 //! doesn't hold it; a disk that is down leaves the question open.
 
-use crate::handed::{taking, Handed};
+use crate::handed::Handed;
+use crate::job_entry::{Entered, JobEntry};
 use crate::layout::{disk_key, NodeRecord, NodeRole, DISK_PREFIX};
 use crate::owned_jobs::OwnedJobs;
 use crate::worker_calls::{ITEM_BODY_PATH, RESULTS_PATH};
@@ -274,11 +275,10 @@
     }
 
     async fn drain_one(&self, job: &str, path: PathBuf, handed: &Handed) -> bool {
-        let transaction = taking(&*self.store, job, handed);
-        let present = match self.store.commit(&transaction).await {
-            Ok(Committed::Done(_)) => false,
-            Ok(Committed::Differs(_)) => true,
-            Ok(Committed::NoLease) | Err(_) => return false,
+        let present = match JobEntry::new(&*self.store, job, handed).write(&*self.store).await {
+            Ok(Entered::New) => false,
+            Ok(Entered::Present(_)) => true,
+            Err(_) => return false,
         };
         emit(job, &Event::SpoolDrained { job, present });
         let removed = tokio::task::spawn_blocking(move || std::fs::remove_file(path)).await;
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -21,6 +21,10 @@
     failing_list: Option<String>,
     /// Commits are done at once and answered after this time.
     answer_after: Duration,
+    /// The next commit that writes this key is held back.
+    hold_commit_of: Option<String>,
+    /// Commits that were held back, in their order.
+    held_commits: Vec<Transaction>,
     /// Commits are never answered.
     silent: bool,
     /// Watches hear of nothing, though changes are made.
@@ -70,6 +74,22 @@
         self.lock().answer_after = time;
     }
 
+    /// The next commit that writes this key is not answered, and done only by
+    /// [`MemoryStore::do_held_commits`], if its conditions hold then.
+    pub fn hold_commit_of(&self, key: &str) {
+        self.lock().hold_commit_of = Some(key.to_owned());
+    }
+
+    /// Does the commits that were held back. Gives back how many of them were
+    /// done; the conditions of the others did not hold.
+    pub fn do_held_commits(&self) -> usize {
+        let mut state = self.lock();
+        let held = std::mem::take(&mut state.held_commits);
+        let done = held.iter().filter(|transaction| matches!(state.commit(transaction), Committed::Done(_))).count();
+        self.changed.send_replace(state.revision);
+        done
+    }
+
     /// Commits are never answered from now on, or again.
     pub fn set_silent(&self, silent: bool) {
         self.lock().silent = silent;
@@ -142,6 +162,11 @@
 }
 
 impl State {
+    fn is_to_be_held(&self, transaction: &Transaction) -> bool {
+        let held = self.hold_commit_of.as_ref();
+        held.is_some_and(|key| transaction.writes.iter().any(|write| write.key == *key))
+    }
+
     fn remove(&mut self, key: &str) {
         if self.records.remove(key).is_some() {
             self.revision += 1;
@@ -231,6 +256,11 @@
         }
         let (committed, answer_after) = {
             let mut state = self.check()?;
+            if state.is_to_be_held(transaction) {
+                state.hold_commit_of = None;
+                state.held_commits.push(transaction.clone());
+                return Err(RecordsFault::Unknown);
+            }
             let committed = state.commit(transaction);
             state.failing_list = None;
             self.changed.send_replace(state.revision);
