Proxy: a connection can't take the identity or the prompt out of a request

Cause: headers that a client's Connection header names were taken out whatever they were. A request that named its identity, its host or the headers of its prompt there reached a server without them: the server ran a request without the identity that the client had sent, or with another prompt. Ruled out: headers of one connection only (Keep-Alive, TE, Upgrade, those of the caller's own making) are taken out as before, tested beside it. Change: the dialect names the headers of the prompt; those, the identity, the host and the last event stay in the request, also of a batch item. Figures: a_connection_can_not_take_out_what_is_meant_for_the_server fails before (the server got none of the five headers) and passes after. Conclusion: proved and mended. No proper client writes such a header, so that it is not what users saw, as far as is known.

--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -37,7 +37,7 @@
     for (name, value) in &item.headers {
         headers.insert(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
     }
-    Outgoing::strip(&mut headers);
+    Outgoing::strip(&mut headers, names);
     headers.remove(hyper::header::CONTENT_LENGTH);
     let id = HeaderValue::from_str(&item.id).ok()?;
     headers.insert(names.request_id.clone(), id.clone());
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -1,6 +1,6 @@
 //! What a site's headers are called and how they are read.
 
-use hyper::header::{HeaderMap, HeaderName};
+use hyper::header::{HeaderMap, HeaderName, HOST};
 use latchwheel_core::dispatch::{Prompt, ServerLoad};
 
 /// Names of the headers that this crate sets or checks.
@@ -18,6 +18,17 @@
     pub last_event: HeaderName,
     /// Name of the tenant that a request is run for.
     pub tenant: HeaderName,
+    /// What a request asks for beside its path and body.
+    pub prompt: Vec<HeaderName>,
+}
+
+impl HeaderNames {
+    /// Whether a header says which request it is or what it asks for: it is meant for the
+    /// server, also where a caller names it as a matter of its connection.
+    pub(crate) fn is_for_server(&self, name: &HeaderName) -> bool {
+        let own = [&HOST, &self.request_id, &self.last_event];
+        own.contains(&name) || self.prompt.contains(name)
+    }
 }
 
 /// A site's way of telling things in headers.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -67,14 +67,16 @@
         }
     }
 
-    /// Takes out the headers that concern one connection only.
-    pub fn strip(headers: &mut HeaderMap) {
+    /// Takes out the headers that concern one connection only. A server must not run a
+    /// request without its identity or prompt because a connection names them.
+    pub fn strip(headers: &mut HeaderMap, names: &HeaderNames) {
         let named: Vec<HeaderName> = headers
             .get_all(hyper::header::CONNECTION)
             .iter()
             .filter_map(|value| value.to_str().ok())
             .flat_map(|value| value.split(','))
             .filter_map(|name| name.trim().parse().ok())
+            .filter(|name| !names.is_for_server(name))
             .collect();
         for name in named.iter().chain(&CONNECTION_HEADERS) {
             headers.remove(name);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -122,7 +122,7 @@
         refuse(code, Some(route.clone()))
     })?;
     let prompt = shared.dialect.prompt(&head.headers);
-    Outgoing::strip(&mut head.headers);
+    Outgoing::strip(&mut head.headers, names);
     head.headers.remove(CONTENT_LENGTH);
     if !table.tenants.is_empty() {
         head.headers.remove(AUTHORIZATION);
@@ -199,7 +199,7 @@
     guard: crate::shared::InProgress<D>,
 ) -> Response<Body> {
     let (mut head, incoming) = response.into_parts();
-    Outgoing::strip(&mut head.headers);
+    Outgoing::strip(&mut head.headers, context.shared.dialect.names());
     let resumable = context.route.kind == RequestKind::Stream { resumable: true };
     if resumable {
         head.headers.remove(CONTENT_LENGTH);
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -24,7 +24,7 @@
         response: Response<Incoming>,
     ) -> Result<Response<Body>, Option<Response<Body>>> {
         let (mut head, mut incoming) = response.into_parts();
-        Outgoing::strip(&mut head.headers);
+        Outgoing::strip(&mut head.headers, self.shared.dialect.names());
         exchange.note_piece();
         let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let sent_at = self.shared.clock.now();
--- a/crates/proxy/tests/sent_as_received.rs
+++ b/crates/proxy/tests/sent_as_received.rs
@@ -177,6 +177,22 @@
     assert_eq!(names, ["host", "t-id"]);
 }
 
+/// What says which request it is, and what it asks for, is no matter of one connection,
+/// whatever a client names there.
+#[tokio::test]
+async fn a_connection_can_not_take_out_what_is_meant_for_the_server() {
+    let lines = b"Model: m\r\nprefix: a:1\r\nt-last-event: 7\r\nhop: dropped\r\n\
+        connection: T-Id, host, model\r\nconnection: prefix, hop, t-last-event, content-length\r\ncontent-length: 1\r\n";
+    let (statuses, requests) = send(&request(b"POST /path/a HTTP/1.1", "1", lines, b"x")).await;
+    assert_eq!(requests.len(), 1);
+    let expected: [(&str, &[u8]); 5] =
+        [("host", HOST.as_bytes()), ("model", b"m"), ("prefix", b"a:1"), ("t-id", b"1"), ("t-last-event", b"7")];
+    let expected: BTreeMap<String, Vec<Vec<u8>>> =
+        expected.into_iter().map(|(name, value)| (name.to_owned(), vec![value.to_vec()])).collect();
+    assert_eq!(passed_on(&requests[0]), expected);
+    assert_eq!((statuses, &requests[0].body[..]), (vec![200], &b"x"[..]));
+}
+
 /// Each attempt carries what the client sent, and nothing of the attempt before.
 #[tokio::test]
 async fn a_further_attempt_carries_the_same_request() {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -34,6 +34,7 @@
             not_run: HeaderName::from_static("t-not-run"),
             last_event: HeaderName::from_static("t-last-event"),
             tenant: HeaderName::from_static("t-tenant"),
+            prompt: vec![HeaderName::from_static("model"), HeaderName::from_static("prefix")],
         })
     }
 }
