Proxy: requests that a server may read otherwise are refused

Cause: a request with two identities or two hosts went on with both, so that the server was free to run it under the one that the node had not taken; a line that ends in a bare line feed brought a second identity in as well. A body in a transfer coding beside chunks went on without the coding being told, so that the server took the coded bytes for the body. Change: such requests are answered with 400 (BadHeader) before their body is read. Figures: a_request_that_a_server_may_read_otherwise_reaches_none, 8 cases: fails before (status 200, the server got identities 1 and inner), passes after. Conclusion: proved and mended. No proper client sends such a request.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,5 +1,6 @@
 //! The way of a request: route, server, attempts, answer.
 
+use crate::ambiguity::is_ambiguous;
 use crate::answer::{error_answer, COME_BACK};
 use crate::caller::{bearer_key, put_tenant};
 use crate::dialect::Dialect;
@@ -101,7 +102,9 @@
     if table.version == 0 {
         return Err(refuse(ResultCode::NotReady, None));
     }
-    let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
+    let Some(id_header) = id_header.filter(|_| !is_ambiguous(&head.headers, names)) else {
+        return Err(refuse(ResultCode::BadHeader, None));
+    };
     let host = host_of(&head.headers, &head.uri);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
     let tenant = table
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! `latchwheel-core`; this crate carries them out. The headers that a site
 //! uses are told by its [`Dialect`].
 
+mod ambiguity;
 mod answer;
 mod caller;
 mod crashes;
--- a/crates/proxy/tests/request_framing.rs
+++ b/crates/proxy/tests/request_framing.rs
@@ -175,3 +175,25 @@
     assert!(requests[0].headers.iter().all(|(_, value)| !value.contains(&b'\n')));
     assert_eq!((requests[0].values("other"), requests[0].values("more")), (vec![b"a".to_vec()], vec![b"b".to_vec()]));
 }
+
+/// Two identities or hosts, of which a server may take another one than the node, and
+/// bodies in a coding that ends with the connection to the node.
+#[tokio::test]
+async fn a_request_that_a_server_may_read_otherwise_reaches_none() {
+    let coded = |coding: &str| request(b"POST /path/a HTTP/1.1", "1", coding.as_bytes(), b"1\r\nx\r\n0\r\n\r\n");
+    let with = |lines: &[u8]| request(b"POST /path/a HTTP/1.1", "1", lines, b"");
+    let cases = [
+        ("another identity", with(b"t-id: inner\r\n")),
+        ("the same identity twice", with(b"T-Id: 1\r\n")),
+        ("another identity in a line of its own end", with(b"other: a\nt-id: inner\r\n")),
+        ("another host", with(b"host: other.example\r\n")),
+        ("the same host twice", with(b"host: host.example\r\n")),
+        ("a compressed body", coded("transfer-encoding: gzip, chunked\r\n")),
+        ("a compressed body in two lines", coded("transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n")),
+        ("chunks twice", coded("transfer-encoding: chunked, chunked\r\n")),
+    ];
+    for (case, bytes) in cases {
+        let (statuses, requests) = send(&bytes).await;
+        assert_eq!((statuses, requests), (vec![400], Vec::new()), "{case}");
+    }
+}
