Jobs: an item reaches a server as it was handed in, or not at all

Cause: the request of an item was built from its path as any kind of address: a path without a slash became the target of a tunnel or the address of another host, and what follows a `#` was left out. An identity with blanks around it reached servers without them, that is, as another one. Headers whose names differ in case only took each other's place. Ruled out, with tests through the store and a worker: paths with escapes, empty queries, double slashes and bytes beyond ASCII; empty and binary bodies and one that is a request; an item's own Host, Content-Length, Transfer-Encoding, Connection, identity, deadline, server and tenant, which the system's replace; line ends and NUL in identities, names and values; bodies that are no base64. Change: an item whose path or identity would reach a server as another one forms no request, so that its job is refused with 400; headers of one name are all sent.

--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -6,7 +6,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
-use hyper::{Method, Response};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Response, Uri};
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
@@ -35,18 +36,19 @@
     let names = shared.dialect.names();
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
-        headers.insert(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
+        // Names that differ in case only are one header with several values.
+        headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_str(value).ok()?);
     }
     Outgoing::strip(&mut headers, names);
     headers.remove(hyper::header::CONTENT_LENGTH);
-    let id = HeaderValue::from_str(&item.id).ok()?;
+    let id = identity_of(&item.id)?;
     headers.insert(names.request_id.clone(), id.clone());
     headers.insert(HOST, HeaderValue::from_str(host).ok()?);
     put_tenant(&mut headers, names, tenant);
     let prompt = shared.dialect.prompt(&headers);
     Some(Outgoing {
         method: Method::POST,
-        uri: item.path.parse().ok()?,
+        uri: target_of(&item.path)?,
         headers,
         body: BASE64_STANDARD.decode(&item.body).ok()?.into(),
         id,
@@ -54,6 +56,21 @@
     })
 }
 
+/// An item's identity as a header; `None` where a server would read another one, or
+/// none, out of it.
+fn identity_of(id: &str) -> Option<HeaderValue> {
+    let is_whole = !id.is_empty() && id.trim() == id;
+    HeaderValue::from_str(id).ok().filter(|_| is_whole)
+}
+
+/// An item's path as a target; `None` where a server would get another one: what does
+/// not begin with a slash is read as a host, and what follows a `#` is left out.
+fn target_of(path: &str) -> Option<Uri> {
+    let is_whole = path.starts_with('/') && !path.contains('#');
+    let target: PathAndQuery = path.parse().ok().filter(|_| is_whole)?;
+    Some(Uri::from(target))
+}
+
 /// Runs an item once, going on after the last event that is kept. Gives back
 /// how the run ended and what was seen.
 pub(crate) async fn run_item<S: RecordStore, D: Dialect>(
