--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,5 +1,6 @@
 //! The way of a request: route, server, attempts, answer.
 
+use crate::ambiguity::is_ambiguous;
 use crate::answer::{error_answer, COME_BACK};
 use crate::caller::{bearer_key, put_tenant};
 use crate::dialect::Dialect;
@@ -101,7 +102,9 @@
     if table.version == 0 {
         return Err(refuse(ResultCode::NotReady, None));
     }
-    let Some(id_header) = id_header else { return Err(refuse(ResultCode::BadHeader, None)) };
+    let Some(id_header) = id_header.filter(|_| !is_ambiguous(&head.headers, names)) else {
+        return Err(refuse(ResultCode::BadHeader, None));
+    };
     let host = host_of(&head.headers, &head.uri);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
     let tenant = table
@@ -122,7 +125,7 @@
         refuse(code, Some(route.clone()))
     })?;
     let prompt = shared.dialect.prompt(&head.headers);
-    Outgoing::strip(&mut head.headers);
+    Outgoing::strip(&mut head.headers, names);
     head.headers.remove(CONTENT_LENGTH);
     if !table.tenants.is_empty() {
         head.headers.remove(AUTHORIZATION);
@@ -199,7 +202,7 @@
     guard: crate::shared::InProgress<D>,
 ) -> Response<Body> {
     let (mut head, incoming) = response.into_parts();
-    Outgoing::strip(&mut head.headers);
+    Outgoing::strip(&mut head.headers, context.shared.dialect.names());
     let resumable = context.route.kind == RequestKind::Stream { resumable: true };
     if resumable {
         head.headers.remove(CONTENT_LENGTH);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! `latchwheel-core`; this crate carries them out. The headers that a site
 //! uses are told by its [`Dialect`].
 
+mod ambiguity;
 mod answer;
 mod caller;
 mod crashes;
@@ -18,6 +19,7 @@
 mod placements;
 mod pool;
 mod resumable;
+mod server_stream;
 mod shared;
 mod waiting;
 mod whole_answer;
