Quarantine: the log names the servers that a verdict counts

Cause: a verdict on a harmless request could not be traced, since no line said which ends it counted, when a deciding node first heard of each, or which ends were taken to be lost together.

Change: RequestQuarantined carries the keys of the servers; ServerEnded the server's key, so that both can be matched; ServerEndNoted is the first word of an end at a node that weighs; ServersLostTogether names each group that is explained so. No decision is changed.

--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -32,6 +32,12 @@
     }
 }
 
+impl std::fmt::Display for ServerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// What a node does at one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerShare {
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -78,6 +78,8 @@
     pub quarantine: Vec<(RequestKey, Vec<ServerKey>)>,
     /// Requests whose good end is to be told.
     pub watch: Vec<RequestKey>,
+    /// Servers that were lost together, group by group.
+    pub lost: Vec<Vec<ServerKey>>,
 }
 
 /// Servers that ended, and the requests under which they did.
@@ -91,7 +93,8 @@
 
 impl CrashEvidence {
     /// A server ended while it worked on these requests, among others maybe. `rank` is
-    /// this node's place among those that weigh the same evidence.
+    /// this node's place among those that weigh the same evidence. Gives back whether
+    /// this is the first word of it.
     pub fn note_crash(
         &mut self,
         now: Instant,
@@ -99,8 +102,9 @@
         requests: &[RequestKey],
         rank: usize,
         standing: impl Fn(Fingerprint) -> Standing,
-    ) {
+    ) -> bool {
         self.drop_old(now);
+        let is_first_word = !self.crashes.contains_key(&server);
         let crash = self.crashes.entry(server).or_insert_with(|| {
             self.order.push_back(server);
             let settled_at = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
@@ -115,6 +119,7 @@
             let due = crash.settled_at.max(now);
             self.decide_at = Some(self.decide_at.map_or(due, |at| at.min(due)));
         }
+        is_first_word
     }
 
     /// Time at which to decide; `None` if there is nothing new.
@@ -141,8 +146,7 @@
     /// Decides by all that has settled.
     pub fn decide(&mut self, now: Instant, standing: impl Fn(Fingerprint) -> Standing) -> Decisions {
         self.decide_at = self.crashes.values().map(|crash| crash.settled_at).filter(|at| *at > now).min();
-        self.explain_losses(now);
-        let mut decisions = Decisions::default();
+        let mut decisions = Decisions { lost: self.explain_losses(now), ..Decisions::default() };
         loop {
             let suspects = self.suspects(now);
             let causes = causes_among(&suspects, &standing);
@@ -170,8 +174,9 @@
         suspects
     }
 
-    /// Explains the ends of servers that were lost together.
-    fn explain_losses(&mut self, now: Instant) {
+    /// Explains the ends of servers that were lost together; gives back the groups.
+    fn explain_losses(&mut self, now: Instant) -> Vec<Vec<ServerKey>> {
+        let mut lost = Vec::new();
         let mut open: Vec<(Instant, ServerKey)> = self
             .crashes
             .iter()
@@ -193,8 +198,10 @@
                     crash.explained = true;
                 }
             }
+            lost.push(group.iter().map(|(_, server)| *server).collect());
             first += count;
         }
+        lost
     }
 
     fn have_a_request_in_common(&self, group: &[(Instant, ServerKey)]) -> bool {
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -148,6 +148,8 @@
     ServerEnded = 8036, Essential {
         /// Identity of the server.
         server: &'a str,
+        /// Its key, by which nodes name it to each other.
+        key: &'a str,
         /// Requests of this node that it worked on.
         requests: usize
     };
@@ -157,6 +159,8 @@
         request: &'a str,
         /// Servers that ended under it, as far as this node knows.
         servers: usize,
+        /// Keys of these servers; those that are named in the verdict.
+        ended: &'a str,
         /// How often it was quarantined.
         offences: u32,
         /// Time for which it is kept from servers.
@@ -172,6 +176,19 @@
         /// Where this node has it from: itself, another node, or the store.
         source: &'a str
     };
+    /// The first word of a server's end came to a node that weighs which request was the
+    /// cause.
+    ServerEndNoted = 8044, Essential {
+        /// Key of the server.
+        key: &'a str,
+        /// Digests of the contents that it worked on, as far as they were told at once.
+        requests: &'a str
+    };
+    /// Servers ended together without a request in common: no request is held for it.
+    ServersLostTogether = 8045, Essential {
+        /// Keys of the servers.
+        ended: &'a str
+    };
     /// News of servers that ended could not be kept for other nodes.
     CrashNewsDropped = 8042, Essential {
         /// News that wait to be sent.
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -17,7 +17,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::{Outgoing, ServerWork};
 use crate::shared::Shared;
-use latchwheel_core::dispatch::Placement;
+use latchwheel_core::dispatch::{Placement, ServerKey};
 use latchwheel_events::{emit, Event};
 use probe::has_ended;
 use std::sync::Arc;
@@ -55,7 +55,8 @@
     let ended = has_ended(&address).await;
     let requests = shared.crashes.take_probed(&server);
     if ended {
-        emit("", &Event::ServerEnded { server: &server, requests: requests.len() });
+        let key = ServerKey::of(&server).to_string();
+        emit("", &Event::ServerEnded { server: &server, key: &key, requests: requests.len() });
         shared.crashes.note_ended(&server, &requests);
     }
 }
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -307,7 +307,10 @@
     fn take_crash(&mut self, now: Instant, wall: WallTime, server: ServerKey, requests: &[RequestKey]) {
         let quarantine = &self.quarantine;
         let standing = |request| quarantine.standing(request, wall);
-        self.evidence.note_crash(now, server, requests, self.rank.place, standing);
+        if self.evidence.note_crash(now, server, requests, self.rank.place, standing) {
+            let digests: Vec<String> = requests.iter().map(|request| request.fingerprint.to_string()).collect();
+            emit("", &Event::ServerEndNoted { key: &server.to_string(), requests: &digests.join(" ") });
+        }
     }
 
     /// A request ran to its end; `None` if nothing was held against it here.
@@ -327,6 +330,9 @@
     fn decide(&mut self, now: Instant, wall: WallTime) {
         let quarantine = &self.quarantine;
         let decisions = self.evidence.decide(now, |request| quarantine.standing(request, wall));
+        for servers in &decisions.lost {
+            emit("", &Event::ServersLostTogether { ended: &keys_text(servers) });
+        }
         for (request, servers) in decisions.quarantine {
             let verdict = self.quarantine.sentence(request, servers, wall);
             log_verdict(&verdict, VerdictSource::Own, wall);
@@ -377,9 +383,15 @@
     let event = Event::RequestQuarantined {
         request: &request,
         servers: verdict.servers.len(),
+        ended: &keys_text(&verdict.servers),
         offences: verdict.offences,
         for_ms: verdict.until.left_at(now).as_millis() as u64,
         source: source.word(),
     };
     emit("", &event);
 }
+
+fn keys_text(servers: &[ServerKey]) -> String {
+    let keys: Vec<String> = servers.iter().map(ServerKey::to_string).collect();
+    keys.join(" ")
+}
