Leases: what was granted to a request that its holder gave up is granted again

Cause: a grant of items that must not run twice is answered once their start is committed. Where the commit took longer than the holder waits (1 s), or the leader was deposed meanwhile, the items were started and held by nobody, and ended as failed with an unknown outcome.

Change: a holder's request has an identity, and the holder tells for 30 s which ones it gave up. What was granted to these is granted again: at once by the same leader, and by the next one as soon as an entry of its own term is applied, since the start names the request. Of an item that came back and was granted again only the last request counts, or it could run twice. After a request that was given up the holder only renews, which needs no commit. The replica at the holder's own node is waited for no longer than another one.

--- a/crates/core/src/jobs/mod.rs
+++ b/crates/core/src/jobs/mod.rs
@@ -57,9 +57,35 @@
     pub done: Bitmap,
     /// Items with a committed start, for jobs that must not run items twice.
     pub started: Bitmap,
+    /// Of the started items without a result, the lease request that each was last
+    /// granted to.
+    pub start_requests: HashMap<u64, u64>,
 }
 
 impl Job {
+    /// A job of which nothing is done yet.
+    fn new(record: JobRecord) -> Self {
+        let bits = record.items;
+        Self { record, done: Bitmap::new(bits), started: Bitmap::new(bits), start_requests: HashMap::new() }
+    }
+
+    fn note_started(&mut self, position: u64, request: u64) {
+        self.started.set(position);
+        self.start_requests.insert(position, request);
+    }
+
+    fn note_done(&mut self, position: u64) {
+        self.done.set(position);
+        self.start_requests.remove(&position);
+    }
+
+    /// The progress of single items is not needed any more.
+    fn forget_items(&mut self) {
+        self.done = Bitmap::default();
+        self.started = Bitmap::default();
+        self.start_requests = HashMap::new();
+    }
+
     /// Whether the job takes no more completions.
     pub fn has_ended(&self) -> bool {
         self.record.cancelled || self.record.completed + self.record.failed >= self.record.items
@@ -105,8 +131,11 @@
                 }
             }
             StateTable::Job => self.load_job(value),
-            StateTable::Result => self.load_mark(key, |job, position| job.done.set(position)),
-            StateTable::Start => self.load_mark(key, |job, position| job.started.set(position)),
+            StateTable::Result => self.load_mark(key, Job::note_done),
+            StateTable::Start => {
+                let request = start_request_of(value);
+                self.load_mark(key, |job, position| job.note_started(position, request));
+            }
             StateTable::Request => {
                 if let Ok(record) = RequestRecord::decode(value) {
                     self.requests.insert(record.key.clone(), RequestRecord { body: Bytes::new(), ..record });
@@ -118,9 +147,7 @@
 
     fn load_job(&mut self, value: &[u8]) {
         if let Ok(record) = JobRecord::decode(value) {
-            let bits = record.items;
-            let job = Job { record, done: Bitmap::new(bits), started: Bitmap::new(bits) };
-            self.jobs.insert(job.record.job.clone(), job);
+            self.jobs.insert(record.job.clone(), Job::new(record));
         }
     }
 
@@ -249,9 +276,7 @@
             ..JobRecord::default()
         };
         let effects = vec![put_job(&record)];
-        let bits = record.items;
-        let job = Job { record, done: Bitmap::new(bits), started: Bitmap::new(bits) };
-        self.jobs.insert(command.job.clone(), job);
+        self.jobs.insert(command.job.clone(), Job::new(record));
         Applied { effects, ..applied(ResultCode::Accepted, &command.job) }
     }
 
@@ -262,10 +287,12 @@
         }
         let mut effects = Vec::new();
         for position in command.positions {
-            if position < job.record.items && !job.started.get(position) && !job.done.get(position) {
-                job.started.set(position);
-                let holder = command.holder.to_le_bytes().to_vec();
-                effects.push(Effect::Put(StateTable::Start, StateKey::item(&command.job, position), holder.into()));
+            if position < job.record.items && !job.done.get(position) {
+                // An item that came back unrun is granted again: from then on only its
+                // last holder can say that it didn't run.
+                job.note_started(position, command.request);
+                let value = start_value(command.holder, command.request);
+                effects.push(Effect::Put(StateTable::Start, StateKey::item(&command.job, position), value));
             }
         }
         let mut result = applied(ResultCode::Done, &command.job);
@@ -283,7 +310,7 @@
             if result.position >= job.record.items || job.done.get(result.position) {
                 continue;
             }
-            job.done.set(result.position);
+            job.note_done(result.position);
             if result.code == ResultCode::Done.number() {
                 job.record.completed += 1;
             } else {
@@ -296,8 +323,7 @@
         if accepted > 0 {
             if job.has_ended() {
                 job.record.ended_seconds = command.at_seconds;
-                job.done = Bitmap::default();
-                job.started = Bitmap::default();
+                job.forget_items();
             }
             effects.push(put_job(&job.record));
         }
@@ -316,8 +342,7 @@
         }
         job.record.cancelled = true;
         job.record.ended_seconds = command.at_seconds;
-        job.done = Bitmap::default();
-        job.started = Bitmap::default();
+        job.forget_items();
         Applied { effects: vec![put_job(&job.record)], ..applied(ResultCode::Done, &command.job) }
     }
 
@@ -401,6 +426,17 @@
     Effect::Put(StateTable::File, record.file.clone().into_bytes(), record.encode_to_vec().into())
 }
 
+/// Value of an item's start: holder and lease request.
+fn start_value(holder: u64, request: u64) -> Bytes {
+    [holder.to_le_bytes(), request.to_le_bytes()].concat().into()
+}
+
+/// The lease request of a start; zero, which is none, where the value names no request.
+fn start_request_of(value: &[u8]) -> u64 {
+    let request = value.get(8..16).and_then(|bytes| bytes.try_into().ok());
+    request.map_or(0, u64::from_le_bytes)
+}
+
 fn put_job(record: &JobRecord) -> Effect {
     Effect::Put(StateTable::Job, record.job.clone().into_bytes(), record.encode_to_vec().into())
 }
--- a/crates/core/src/leasing.rs
+++ b/crates/core/src/leasing.rs
@@ -5,6 +5,11 @@
 //! first committed completion wins. Items that must not run twice are never
 //! given out again: their holder's lapse leaves `unknown`.
 //!
+//! A holder that gives up waiting for the answer to a request says so with its next
+//! ones. What was granted to that request has not run, although its start may be
+//! committed: it is granted again. The start names the request, so that the next leader
+//! knows it too.
+//!
 //! A new leader knows no leases. Where jobs were open when it was elected, it
 //! grants nothing for one lease length and takes up the leases that holders
 //! tell it of.
@@ -18,17 +23,20 @@
 
 /// Time without renewal after which a lease lapses.
 pub const LEASE_LENGTH: Duration = Duration::from_secs(3);
-/// Time in which a leader must answer a call for leases; a grant that comes later
-/// lapses unused, and what it started is given up: beside busy processes a commit may
-/// take more than the usual millisecond by more than this. A holder that asks a silent leader twice, with a pause of
-/// 250 ms between, still reaches the next leader within the lease length in which that
-/// one grants nothing. With the 6 s of other calls every started item of every holder
-/// was given up as unknown.
+/// Time in which a leader must answer a call for leases; a grant that comes later is
+/// not taken, which the holder tells. A holder that asks a silent leader twice, with a
+/// pause of 250 ms between, still reaches the next leader within the lease length in
+/// which that one grants nothing. With the 6 s of other calls every started item of every
+/// holder was given up as unknown.
 pub const LEASE_CALL_TIME: Duration = Duration::from_secs(1);
 /// A holder that renewed within this time is not gone, whatever other nodes say: it
 /// renews each 750 ms. A node that was cut off tells, once it is heard again, that all
 /// others are gone.
 const HEARD_TIME: Duration = Duration::from_secs(1);
+/// Time for which a holder tells, and a leader remembers, that a request was given up:
+/// more than a group is without a leader in an election that is repeated several times
+/// (2.4 s each), and than a message may be under way (6 s).
+pub const UNANSWERED_TIME: Duration = Duration::from_secs(30);
 /// Most items in one grant of one job.
 const CHUNK_ITEMS: usize = 64;
 
@@ -43,6 +51,15 @@
     pub positions: Vec<u64>,
 }
 
+/// Who asks for items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asker {
+    /// The node.
+    pub node: NodeId,
+    /// Its lease request, never used again by any node; zero is none.
+    pub request: u64,
+}
+
 /// A row with its weight among the rows of its service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RowWeight<'a> {
@@ -62,6 +79,8 @@
 #[derive(Debug)]
 struct Lease {
     node: NodeId,
+    /// The request that it was granted to; zero for one of an earlier leader.
+    request: u64,
     job: String,
     positions: BTreeSet<u64>,
     until: Instant,
@@ -90,6 +109,10 @@
     cursors: HashMap<String, JobCursor>,
     /// Jobs with items to grant, per row, by deadline.
     open: BTreeMap<String, BTreeSet<(u64, String)>>,
+    /// Requests whose answer no holder takes any more, and until when that is remembered.
+    unanswered: HashMap<u64, Instant>,
+    /// Whether all that earlier leaders committed is known here.
+    is_settled: bool,
 }
 
 impl Leasing {
@@ -103,6 +126,8 @@
             held: HeldPositions::default(),
             cursors: HashMap::new(),
             open: BTreeMap::new(),
+            unanswered: HashMap::new(),
+            is_settled: false,
         };
         for job in state.jobs().filter(|job| !job.has_ended()) {
             leasing.open_job(job);
@@ -153,7 +178,30 @@
             chunk.positions.iter().copied().filter(|position| !job.done.get(*position)).collect();
         if now < self.granting_from && !positions.is_empty() {
             self.held.hold(&chunk.job, positions.iter().copied());
-            self.leases.insert(chunk.lease, Lease { node, job: chunk.job.clone(), positions, until });
+            self.leases.insert(chunk.lease, Lease { node, request: 0, job: chunk.job.clone(), positions, until });
+        }
+    }
+
+    /// An entry of this leader's own term is applied, and so all entries before it.
+    pub fn note_settled(&mut self) {
+        self.is_settled = true;
+    }
+
+    /// A holder takes no answer to these requests any more: what was granted to them
+    /// has not run.
+    pub fn take_back(&mut self, now: Instant, node: NodeId, unanswered: &[u64], state: &JobState) {
+        for request in unanswered {
+            self.unanswered.insert(*request, now + UNANSWERED_TIME);
+        }
+        let is_lost = |lease: &Lease| lease.request != 0 && lease.node == node && unanswered.contains(&lease.request);
+        let lost: Vec<u64> = self.leases.iter().filter(|(_, lease)| is_lost(lease)).map(|(id, _)| *id).collect();
+        for id in lost {
+            let Some(lease) = self.leases.remove(&id) else { continue };
+            let positions: Vec<u64> = lease.positions.into_iter().collect();
+            self.held.release(&lease.job, &positions);
+            if let Some(job) = state.job(&lease.job) {
+                self.grant_again(job, &positions);
+            }
         }
     }
 
@@ -162,7 +210,7 @@
     pub fn grant_shared(
         &mut self,
         now: Instant,
-        node: NodeId,
+        asker: Asker,
         rows: &[RowWeight<'_>],
         room: usize,
         state: &JobState,
@@ -172,12 +220,12 @@
         let mut grants = Vec::new();
         for row in rows {
             let share = (room as f64 * row.weight / weights).ceil() as usize;
-            let granted = self.grant(now, node, row.row, share.min(left), state);
+            let granted = self.grant(now, asker, row.row, share.min(left), state);
             left -= granted.iter().map(|grant| grant.positions.len()).sum::<usize>();
             grants.extend(granted);
         }
         for row in rows {
-            let granted = self.grant(now, node, row.row, left, state);
+            let granted = self.grant(now, asker, row.row, left, state);
             left -= granted.iter().map(|grant| grant.positions.len()).sum::<usize>();
             grants.extend(granted);
         }
@@ -190,10 +238,11 @@
     }
 
     /// Grants items of a row to a node, the job with the nearest deadline
-    /// first. Nothing is granted while an earlier leader's leases may hold.
-    pub fn grant(&mut self, now: Instant, node: NodeId, row: &str, room: usize, state: &JobState) -> Vec<Grant> {
+    /// first. Nothing is granted while an earlier leader's leases may hold, nor to a
+    /// request that comes after word that its answer isn't taken.
+    pub fn grant(&mut self, now: Instant, asker: Asker, row: &str, room: usize, state: &JobState) -> Vec<Grant> {
         let mut grants = Vec::new();
-        if now < self.granting_from || room == 0 {
+        if now < self.granting_from || room == 0 || self.unanswered.contains_key(&asker.request) {
             return grants;
         }
         let Some(open) = self.open.get_mut(row) else { return grants };
@@ -223,7 +272,8 @@
         for grant in &grants {
             self.held.hold(&grant.job, grant.positions.iter().copied());
             let positions = grant.positions.iter().copied().collect();
-            let lease = Lease { node, job: grant.job.clone(), positions, until: now + LEASE_LENGTH };
+            let Asker { node, request } = asker;
+            let lease = Lease { node, request, job: grant.job.clone(), positions, until: now + LEASE_LENGTH };
             self.leases.insert(grant.lease, lease);
         }
         grants
@@ -288,11 +338,32 @@
             }
         }
         if now >= self.granting_from {
-            lapsed.unknown.extend(self.orphans(state));
+            lapsed.unknown.extend(self.settle_orphans(state));
         }
+        self.unanswered.retain(|_, until| *until > now);
         lapsed
     }
 
+    /// Grants orphans again that never reached their holder; gives back the others.
+    fn settle_orphans(&mut self, state: &JobState) -> Vec<(String, Vec<u64>)> {
+        let mut unknown = Vec::new();
+        for (name, positions) in self.orphans(state) {
+            let Some(job) = state.job(&name) else { continue };
+            let never_taken = |position: &u64| {
+                job.start_requests.get(position).is_some_and(|request| self.unanswered.contains_key(request))
+            };
+            let (unrun, lost): (Vec<u64>, Vec<u64>) = positions.into_iter().partition(never_taken);
+            // Until all is known, a later start may stand in the log, of a holder that runs it.
+            if self.is_settled {
+                self.grant_again(job, &unrun);
+            }
+            if !lost.is_empty() {
+                unknown.push((name, lost));
+            }
+        }
+        unknown
+    }
+
     /// Started items of jobs that must not run twice, held by nobody: left by
     /// an earlier leader whose holder did not tell this one of them.
     fn orphans(&self, state: &JobState) -> Vec<(String, Vec<u64>)> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod table;
 pub mod tenants;
 pub mod time;
+pub mod unanswered;
--- a/crates/core/tests/leasing.rs
+++ b/crates/core/tests/leasing.rs
@@ -1,11 +1,14 @@
 //! Leases of items when the leader that granted them falls silent: its holders
-//! reach the next leader before that one takes their items for lost.
+//! reach the next leader before that one takes their items for lost. And grants whose
+//! answer comes too late: their start is committed, but no holder runs them.
 
 use latchwheel_core::identity::NodeId;
-use latchwheel_core::jobs::{JobState, StateKey, StateTable};
-use latchwheel_core::leasing::{Leasing, LEASE_CALL_TIME};
+use latchwheel_core::jobs::{Effect, JobState, StateKey, StateTable};
+use latchwheel_core::leasing::{Asker, Leasing, LEASE_CALL_TIME, LEASE_LENGTH, UNANSWERED_TIME};
 use latchwheel_core::time::Instant;
-use latchwheel_protocol::v1::{HeldChunk, JobRecord};
+use latchwheel_core::unanswered::UnansweredRequests;
+use latchwheel_protocol::v1::command::Body;
+use latchwheel_protocol::v1::{Command, HeldChunk, JobRecord, StartItems};
 use latchwheel_protocol::Message;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -95,3 +98,141 @@
     let lost: BTreeSet<u64> = gone.unknown.into_iter().flat_map(|(_, positions)| positions).collect();
     assert_eq!(lost, (0..ITEMS).collect());
 }
+
+// A job that must not run items twice was handed in, and its items ended as failed with
+// an unknown outcome, although no server had seen them. The leader granted them, the
+// commit of their start took longer than the holder waits (a disk that was slow to sync,
+// or an election meanwhile), and the holder took no late answer. The items were started
+// and held by nobody, so that they lapsed as unknown. Runs with a delayed sync of the
+// store's disk showed it: the failed items are those that were granted in the delay.
+
+const OTHER: NodeId = NodeId(8);
+const LOST: Asker = Asker { node: HOLDER, request: 11 };
+const NEXT: Asker = Asker { node: HOLDER, request: 12 };
+const OF_OTHER: Asker = Asker { node: OTHER, request: 21 };
+
+/// A job none of whose items has started.
+fn new_job() -> JobState {
+    let record = JobRecord { job: JOB.into(), row: "bulk".into(), items: ITEMS, ..JobRecord::default() };
+    let mut state = JobState::default();
+    state.load(StateTable::Job, JOB.as_bytes(), &record.encode_to_vec());
+    state
+}
+
+/// A leader that may grant at once, and knows all.
+fn leader_of(state: &JobState) -> Leasing {
+    let mut leasing = Leasing::new(Instant::default(), 1, &JobState::default());
+    leasing.open_job(state.job(JOB).unwrap());
+    leasing.note_settled();
+    leasing
+}
+
+fn commit_start(state: &mut JobState, asker: Asker) {
+    let positions = (0..ITEMS).collect();
+    let start = StartItems { job: JOB.into(), positions, holder: asker.node.0, request: asker.request };
+    state.apply(Command { body: Some(Body::StartItems(start)) });
+}
+
+fn granted(leasing: &mut Leasing, now: Instant, asker: Asker, state: &JobState) -> BTreeSet<u64> {
+    let grants = leasing.grant(now, asker, "bulk", ITEMS as usize, state);
+    grants.into_iter().flat_map(|grant| grant.positions).collect()
+}
+
+fn unknown(leasing: &mut Leasing, now: Instant, state: &JobState) -> BTreeSet<u64> {
+    let lapsed = leasing.expire(now, state, |_| true);
+    lapsed.unknown.into_iter().flat_map(|(_, positions)| positions).collect()
+}
+
+fn all_items() -> BTreeSet<u64> {
+    (0..ITEMS).collect()
+}
+
+fn none() -> BTreeSet<u64> {
+    BTreeSet::new()
+}
+
+#[test]
+fn a_grant_that_was_not_taken_is_granted_again() {
+    let mut state = new_job();
+    let mut leasing = leader_of(&state);
+    let start = Instant::default();
+    assert_eq!(granted(&mut leasing, start, LOST, &state), all_items());
+    commit_start(&mut state, LOST);
+    let told_at = start + LEASE_CALL_TIME + ROUND_PAUSE;
+    // Only its holder can say so.
+    leasing.take_back(told_at, OTHER, &[LOST.request], &state);
+    assert_eq!(granted(&mut leasing, told_at, OF_OTHER, &state), none());
+    leasing.take_back(told_at, HOLDER, &[LOST.request], &state);
+    assert_eq!(unknown(&mut leasing, start + LEASE_LENGTH * 2, &state), none());
+    assert_eq!(granted(&mut leasing, told_at, NEXT, &state), all_items());
+    // Told once more, it doesn't concern what the holder has now.
+    leasing.take_back(told_at, HOLDER, &[LOST.request], &state);
+    assert_eq!(granted(&mut leasing, told_at, OF_OTHER, &state), none());
+}
+
+#[test]
+fn a_request_that_comes_after_its_holder_gave_it_up_gets_nothing() {
+    let state = new_job();
+    let mut leasing = leader_of(&state);
+    let start = Instant::default();
+    leasing.take_back(start, HOLDER, &[LOST.request], &state);
+    assert_eq!(granted(&mut leasing, start + STEP, LOST, &state), none());
+    assert_eq!(granted(&mut leasing, start + STEP, NEXT, &state), all_items());
+}
+
+#[test]
+fn the_next_leader_grants_again_what_was_not_taken() {
+    let mut state = new_job();
+    commit_start(&mut state, LOST);
+    let elected = Instant::default();
+    let mut leasing = Leasing::new(elected, 2, &state);
+    leasing.take_back(elected + STEP, HOLDER, &[LOST.request], &state);
+    let granting = elected + LEASE_LENGTH;
+    // Until all earlier entries are applied, a later start of them may follow.
+    assert_eq!(unknown(&mut leasing, granting, &state), none());
+    assert_eq!(granted(&mut leasing, granting, NEXT, &state), none());
+    leasing.note_settled();
+    assert_eq!(unknown(&mut leasing, granting, &state), none());
+    assert_eq!(granted(&mut leasing, granting, NEXT, &state), all_items());
+}
+
+/// Items that came back were granted to another node, which is gone: what their first
+/// holder says of its own request must not let them run a second time.
+#[test]
+fn only_the_last_holder_can_say_that_items_did_not_run() {
+    let mut state = new_job();
+    commit_start(&mut state, LOST);
+    commit_start(&mut state, OF_OTHER);
+    let elected = Instant::default();
+    let mut leasing = Leasing::new(elected, 2, &state);
+    leasing.note_settled();
+    leasing.take_back(elected + STEP, HOLDER, &[LOST.request], &state);
+    assert_eq!(unknown(&mut leasing, elected + LEASE_LENGTH, &state), all_items());
+    assert_eq!(granted(&mut leasing, elected + LEASE_LENGTH, NEXT, &state), none());
+}
+
+#[test]
+fn a_start_names_its_request_after_a_restart_too() {
+    let mut state = new_job();
+    let start = StartItems { job: JOB.into(), positions: vec![3], holder: HOLDER.0, request: LOST.request };
+    let applied = state.apply(Command { body: Some(Body::StartItems(start)) });
+    let mut restored = new_job();
+    for effect in applied.effects {
+        if let Effect::Put(table, key, value) = effect {
+            restored.load(table, &key, &value);
+        }
+    }
+    assert_eq!(restored.job(JOB).unwrap().start_requests.get(&3), Some(&LOST.request));
+}
+
+#[test]
+fn a_holder_tells_what_it_gave_up_for_a_bounded_time() {
+    let start = Instant::default();
+    let mut unanswered = UnansweredRequests::default();
+    unanswered.note(start, &[1]);
+    // To tell it again is no news.
+    unanswered.note(start + STEP, &[1, 2]);
+    assert_eq!(unanswered.to_tell(start + STEP), [1, 2]);
+    assert_eq!(unanswered.to_tell(start + UNANSWERED_TIME), [2]);
+    assert_eq!(unanswered.to_tell(start + STEP + UNANSWERED_TIME), [0; 0]);
+}
--- a/crates/core/tests/simulation/actions.rs
+++ b/crates/core/tests/simulation/actions.rs
@@ -168,6 +168,10 @@
             let Some(running) = self.machines[number].running.as_mut() else { return };
             for entry in entries {
                 running.applied.push((entry.index, entry.term));
+                let is_of_own_term = entry.term == running.core.term();
+                if let Some(leasing) = running.leasing.as_mut().filter(|_| is_of_own_term) {
+                    leasing.note_settled();
+                }
                 if entry.kind() != EntryKind::Command {
                     continue;
                 }
--- a/crates/core/tests/simulation/holder.rs
+++ b/crates/core/tests/simulation/holder.rs
@@ -1,10 +1,11 @@
 //! The part of a machine that runs batch items: it leases them, runs them at
 //! its engines, and hands the results in until they are committed.
 
-use super::world::{Destination, EngineRun, Happening, MachineNumber, Message, World};
+use super::world::{Destination, EngineRun, Happening, LeaseAsk, MachineNumber, Message, World};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::leasing::LEASE_LENGTH;
 use latchwheel_core::time::Instant;
+use latchwheel_core::unanswered::UnansweredRequests;
 use latchwheel_protocol::v1::{CompleteItems, CompleteRequest, HeldChunk, ItemResult};
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -41,9 +42,15 @@
     pub lease_request: Option<(u64, Instant)>,
     pub complete_request: Option<HandedIn>,
     pub requests: u64,
+    pub unanswered: UnansweredRequests,
 }
 
 impl Holder {
+    /// The holder of a machine; no two use one request number.
+    pub fn of(machine: MachineNumber) -> Self {
+        Self { requests: (machine as u64) << 32, ..Self::default() }
+    }
+
     pub fn reset(&mut self) {
         // Request numbers go on, so that a late answer to an earlier start
         // is not taken for one to this start.
@@ -125,19 +132,23 @@
         let holder = &mut self.holders[number];
         match holder.lease_request {
             Some((_, sent)) if now.since(sent) < REQUEST_TIMEOUT => return,
-            Some(_) => holder.leader = None,
+            Some((request, _)) => {
+                holder.unanswered.note(now, &[request]);
+                holder.leader = None;
+            }
             None => {}
         }
         let waiting = holder.items.values().filter(|(_, held)| *held == Held::Waiting).count();
         holder.requests += 1;
         holder.lease_request = Some((holder.requests, now));
-        let message = Message::Lease {
-            holder: number,
+        let ask = LeaseAsk {
             request: holder.requests,
             room: (2 * ENGINE_SLOTS).saturating_sub(waiting),
             held: holder.chunks(holder.send_positions),
             term: holder.term,
+            unanswered: holder.unanswered.to_tell(now),
         };
+        let message = Message::Lease { holder: number, ask };
         self.send(Some(number), Destination::Machine(leader), message);
     }
 
--- a/crates/core/tests/simulation/machine.rs
+++ b/crates/core/tests/simulation/machine.rs
@@ -2,15 +2,15 @@
 //! in order, nothing behind a sync before the sync has ended, and a crash
 //! takes whatever was not synced.
 
-use super::world::{Destination, Happening, MachineNumber, Message, World};
+use super::world::{Destination, Happening, LeaseAsk, MachineNumber, Message, World};
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::jobs::JobState;
-use latchwheel_core::leasing::Leasing;
+use latchwheel_core::leasing::{Asker, Leasing};
 use latchwheel_core::replication::{Action, Event, HardState, LogBase, Replication, Restored, Settings};
 use latchwheel_core::time::Instant;
 use latchwheel_protocol::v1::command::Body;
 use latchwheel_protocol::v1::{
-    Batch, Command, CompleteItems, CompleteRequest, Entry, HeldChunk, LeasedItem, Members, Outcome, StartItems,
+    Batch, Command, CompleteItems, CompleteRequest, Entry, LeasedItem, Members, Outcome, StartItems,
 };
 use latchwheel_protocol::Message as Encode;
 use rand::Rng;
@@ -193,9 +193,7 @@
             Message::Propose { client, request, command } => {
                 self.propose(number, command, Waiter::Client { client, request });
             }
-            Message::Lease { holder, request, room, held, term } => {
-                self.serve_lease(number, holder, request, room, &held, term);
-            }
+            Message::Lease { holder, ask } => self.serve_lease(number, holder, ask),
             Message::Complete { holder, request, body } => self.serve_complete(number, holder, request, body),
             Message::Proposed { .. } | Message::Leased { .. } | Message::Completed { .. } => {}
         }
@@ -217,15 +215,8 @@
         self.machine_of(running.core.leader())
     }
 
-    fn serve_lease(
-        &mut self,
-        number: MachineNumber,
-        holder: MachineNumber,
-        request: u64,
-        room: usize,
-        held: &[HeldChunk],
-        term: u64,
-    ) {
+    fn serve_lease(&mut self, number: MachineNumber, holder: MachineNumber, ask: LeaseAsk) {
+        let LeaseAsk { request, room, held, term, unanswered } = ask;
         let now = self.now;
         let leader = self.leader_seen_by(number);
         let Some(running) = self.machines[number].running.as_mut() else { return };
@@ -240,16 +231,19 @@
                 Message::Leased { request, term: own_term, items: vec![], ended: vec![], leader, taken: false };
             return self.send(Some(number), Destination::Machine(holder), answer);
         }
-        let ended = leasing.renew(now, node_of(holder), held, &running.state);
+        leasing.take_back(now, node_of(holder), &unanswered, &running.state);
+        let ended = leasing.renew(now, node_of(holder), &held, &running.state);
+        let asker = Asker { node: node_of(holder), request };
         let mut items = Vec::new();
         let mut starts = Vec::new();
-        for grant in leasing.grant(now, node_of(holder), "row", room, &running.state) {
+        for grant in leasing.grant(now, asker, "row", room, &running.state) {
             let Some(job) = running.state.job(&grant.job) else { continue };
             if !job.record.repeatable {
                 let start = StartItems {
                     job: grant.job.clone(),
                     positions: grant.positions.clone(),
                     holder: node_of(holder).0,
+                    request,
                 };
                 starts.push(Command { body: Some(Body::StartItems(start)) });
             }
--- a/crates/core/tests/simulation/schedule.rs
+++ b/crates/core/tests/simulation/schedule.rs
@@ -49,7 +49,7 @@
         let zone = format!("zone-{}", number % settings.zones);
         let replica = world.random.random::<u64>() | 1;
         world.add_machine(&zone, replica, replication, settings.replicas);
-        world.holders.push(Holder::default());
+        world.holders.push(Holder::of(world.holders.len()));
     }
     let present: Vec<Replica> = world
         .machines
--- a/crates/core/tests/simulation/world.rs
+++ b/crates/core/tests/simulation/world.rs
@@ -15,6 +15,17 @@
 /// Number of a machine.
 pub type MachineNumber = usize;
 
+/// What a holder asks a leader for.
+#[derive(Clone, Debug)]
+pub struct LeaseAsk {
+    /// Never used again by any holder.
+    pub request: u64,
+    pub room: usize,
+    pub held: Vec<HeldChunk>,
+    pub term: u64,
+    pub unanswered: Vec<u64>,
+}
+
 /// What travels between machines and clients.
 #[derive(Clone, Debug)]
 pub enum Message {
@@ -32,10 +43,7 @@
     },
     Lease {
         holder: MachineNumber,
-        request: u64,
-        room: usize,
-        held: Vec<HeldChunk>,
-        term: u64,
+        ask: LeaseAsk,
     },
     Leased {
         request: u64,
--- a/crates/node/src/batch/mod.rs
+++ b/crates/node/src/batch/mod.rs
@@ -13,6 +13,7 @@
 use latchwheel_core::leasing::LEASE_LENGTH;
 use latchwheel_core::scheduler::Work;
 use latchwheel_core::table::{Class, Row, Table};
+use latchwheel_core::unanswered::UnansweredRequests;
 use latchwheel_engine::EngineClient;
 use latchwheel_gateway::prepare_item;
 use latchwheel_protocol::v1::{HeldChunk, LeaseAnswer, LeaseRequest, LeasedItem, ServiceRoom};
@@ -70,6 +71,9 @@
     /// Until when the leases hold, as far as this node can know.
     valid_until: Mutex<Instant>,
     leaving: AtomicBool,
+    /// Items may be granted to this node of which it has not heard, or has not told that
+    /// it won't take them.
+    may_be_granted: AtomicBool,
 }
 
 impl BatchRunner {
@@ -95,6 +99,7 @@
             held: Mutex::default(),
             valid_until: Mutex::new(Instant::now()),
             leaving: AtomicBool::new(false),
+            may_be_granted: AtomicBool::new(false),
         })
     }
 
@@ -120,7 +125,7 @@
 
     /// Whether all items have ended and their results are committed.
     pub(crate) fn is_done(&self) -> bool {
-        self.held() == 0 && self.completions.is_empty()
+        self.held() == 0 && self.completions.is_empty() && !self.may_be_granted.load(Ordering::Relaxed)
     }
 
     /// Leases and renews for ever.
@@ -130,16 +135,20 @@
         let mut term = 0;
         let mut renewed = Instant::now();
         let mut empty: HashMap<String, EmptyService> = HashMap::new();
+        let mut unanswered = UnansweredRequests::default();
         loop {
-            let rooms = self.rooms(&empty);
+            // After a request that was given up the leases are only renewed: that needs no
+            // commit, which may be what the leader lacks.
+            let was_given_up = self.may_be_granted.load(Ordering::Relaxed);
+            let rooms = if was_given_up { Vec::new() } else { self.rooms(&empty) };
             let due = renewed.elapsed() >= RENEWAL && self.held() > 0;
-            if rooms.is_empty() && !due {
+            if rooms.is_empty() && !due && !was_given_up {
                 tokio::time::sleep(BUSY_INTERVAL).await;
                 continue;
             }
             let mut asked_at = Instant::now();
-            let request = LeaseRequest { group: self.group, node: self.node, rooms, held: self.chunks(false), term };
-            let Ok(mut answer) = self.store.lease(request.clone()).await else {
+            let request = LeaseRequest { rooms, held: self.chunks(false), term, ..LeaseRequest::default() };
+            let Some(mut answer) = self.ask(&request, &mut unanswered).await else {
                 tokio::time::sleep(IDLE_INTERVAL).await;
                 continue;
             };
@@ -147,9 +156,9 @@
                 // A new leader is told the positions of what is held.
                 asked_at = Instant::now();
                 let full = LeaseRequest { held: self.chunks(true), term: answer.term, ..request.clone() };
-                match self.store.lease(full).await {
-                    Ok(second) => answer = second,
-                    Err(_) => continue,
+                match self.ask(&full, &mut unanswered).await {
+                    Some(second) => answer = second,
+                    None => continue,
                 }
             }
             term = answer.term;
@@ -159,10 +168,29 @@
             note_empty(&request, &answer, &self.configuration.table(), &mut empty);
             let granted = !answer.items.is_empty();
             self.take(answer);
+            self.may_be_granted.store(false, Ordering::Relaxed);
             tokio::time::sleep(if granted { BUSY_INTERVAL } else { IDLE_INTERVAL }).await;
         }
     }
 
+    /// Asks for items; `None` where the answer is not taken, which is told from then on.
+    async fn ask(&self, request: &LeaseRequest, unanswered: &mut UnansweredRequests) -> Option<LeaseAnswer> {
+        let told = unanswered.to_tell(self.owner.now());
+        let told_before = told.len();
+        let mut request = LeaseRequest { group: self.group, node: self.node, unanswered: told, ..request.clone() };
+        let asks_for_items = !request.rooms.is_empty();
+        if asks_for_items {
+            self.may_be_granted.store(true, Ordering::Relaxed);
+        }
+        let answer = self.store.lease(&mut request).await;
+        unanswered.note(self.owner.now(), &request.unanswered);
+        if answer.is_err() && asks_for_items && request.unanswered.len() == told_before {
+            // No leader was reached at all.
+            self.may_be_granted.store(false, Ordering::Relaxed);
+        }
+        answer.ok()
+    }
+
     /// Room per service, of those whose rows have had items lately; the
     /// leader shares it among the rows.
     fn rooms(&self, empty: &HashMap<String, EmptyService>) -> Vec<ServiceRoom> {
--- a/crates/node/src/store_calls.rs
+++ b/crates/node/src/store_calls.rs
@@ -51,6 +51,8 @@
     fn group(&self) -> u64;
     fn code(answer: &Self::Answer) -> u32;
     fn leader_node(answer: &Self::Answer) -> u64;
+    /// A try of it got no answer and may have arrived.
+    fn note_lost_try(&mut self) {}
     fn serve(self, group: Group) -> impl std::future::Future<Output = Self::Answer> + Send;
 }
 
@@ -127,6 +129,11 @@
         answer.leader_node
     }
 
+    fn note_lost_try(&mut self) {
+        self.unanswered.push(self.request);
+        self.request = new_request();
+    }
+
     async fn serve(self, group: Group) -> LeaseAnswer {
         group.lease(self).await
     }
@@ -185,7 +192,10 @@
         self.call(ReadRequest { group, ..request }).await
     }
 
-    pub(crate) async fn lease(&self, request: LeaseRequest) -> Result<LeaseAnswer, ResultCode> {
+    /// One round over the nodes that may lead. Tries whose answer is not taken are
+    /// added to the request's `unanswered`, also where another node answered.
+    pub(crate) async fn lease(&self, request: &mut LeaseRequest) -> Result<LeaseAnswer, ResultCode> {
+        request.request = new_request();
         self.call_once(request).await
     }
 
@@ -215,7 +225,7 @@
         let begun = Instant::now();
         let mut code = ResultCode::NotLeader;
         while begun.elapsed() < SEARCH_TIME {
-            match self.call_once(call.clone()).await {
+            match self.call_once(&mut call.clone()).await {
                 Ok(answer) => return Ok(answer),
                 Err(ResultCode::NotLeader) => {}
                 // Once a try may have taken effect, that can't be told any more.
@@ -228,7 +238,7 @@
     }
 
     /// One round over the nodes that may lead.
-    async fn call_once<C: GroupCall>(&self, call: C) -> Result<C::Answer, ResultCode> {
+    async fn call_once<C: GroupCall>(&self, call: &mut C) -> Result<C::Answer, ResultCode> {
         let group = call.group();
         let mut hints = self.candidates(group);
         let mut asked = Vec::new();
@@ -242,6 +252,7 @@
                 Ok(answer) => answer,
                 Err(CallFault::NotSent | CallFault::BadAnswer(503, _)) => continue,
                 Err(_) => {
+                    call.note_lost_try();
                     last = ResultCode::NoQuorum;
                     continue;
                 }
@@ -258,8 +269,11 @@
                         hints.push(leader);
                     }
                 }
-                Some(code) => last = code,
-                None => {}
+                Some(code) => {
+                    call.note_lost_try();
+                    last = code;
+                }
+                None => call.note_lost_try(),
             }
         }
         self.leaders.lock().unwrap_or_else(PoisonError::into_inner).remove(&group);
@@ -269,7 +283,9 @@
     async fn call_node<C: GroupCall>(&self, node: u64, call: C) -> Result<C::Answer, CallFault> {
         if node == self.members.view().me.node {
             let group = self.stores.group(call.group()).ok_or(CallFault::NotSent)?;
-            return Ok(call.serve(group).await);
+            // The own replica may lead and be unable to commit: it is waited for no
+            // longer than another one.
+            return tokio::time::timeout(C::TIME, call.serve(group)).await.map_err(|_| CallFault::MaybeSent);
         }
         let address = self.members.view().address_of(NodeId(node)).ok_or(CallFault::NotSent)?;
         self.peers.call(&address, C::CALL, &call, C::TIME).await
@@ -294,6 +310,12 @@
     }
 }
 
+/// Identity of a lease request, at random: a holder that starts anew must not speak for
+/// what was granted to it before.
+fn new_request() -> u64 {
+    rand::random::<u64>().max(1)
+}
+
 fn look_at(request: &ReadRequest) -> LookAt {
     let given = |text: &String| (!text.is_empty()).then(|| text.clone());
     let jobs_of = request.jobs.then(|| (request.tenant.clone(), request.after_name.clone(), request.most as usize));
--- a/crates/store/src/group/runner.rs
+++ b/crates/store/src/group/runner.rs
@@ -350,6 +350,9 @@
         }
         let mut effects: Vec<Effect> = Vec::new();
         for entry in entries {
+            if let Some(desk) = self.desk.as_mut() {
+                desk.note_entry(entry.term);
+            }
             if entry.kind() != EntryKind::Command {
                 continue;
             }
--- a/crates/store/src/lease_desk.rs
+++ b/crates/store/src/lease_desk.rs
@@ -5,7 +5,7 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::jobs::{Job, JobState, StateKey, StateTable};
-use latchwheel_core::leasing::{Grant, Leasing, RowWeight};
+use latchwheel_core::leasing::{Asker, Grant, Leasing, RowWeight};
 use latchwheel_core::time::Instant;
 use latchwheel_protocol::v1::command::Body;
 use latchwheel_protocol::v1::{
@@ -63,6 +63,7 @@
         view: &StateView,
     ) -> Result<Option<Held>, DiskFault> {
         let node = NodeId(request.node);
+        self.leasing.take_back(now, node, &request.unanswered, state);
         let mut answer = LeaseAnswer { code: ResultCode::Done.number(), term: self.term, ..LeaseAnswer::default() };
         if request.term != self.term
             && !request.held.is_empty()
@@ -74,6 +75,7 @@
             return Ok(None);
         }
         answer.cancelled_jobs = self.leasing.renew(now, node, &request.held, state);
+        let asker = Asker { node, request: request.request };
         let mut starts = Vec::new();
         let open_rows = self.leasing.open_rows();
         for room in &request.rooms {
@@ -83,10 +85,10 @@
                 .filter(|(_, facts)| facts.service == room.service)
                 .map(|(row, facts)| RowWeight { row, weight: facts.weight })
                 .collect();
-            for grant in self.leasing.grant_shared(now, node, &weights, room.room as usize, state) {
+            for grant in self.leasing.grant_shared(now, asker, &weights, room.room as usize, state) {
                 let Some(job) = state.job(&grant.job) else { continue };
                 if !job.record.repeatable {
-                    starts.push(start_command(&grant, request.node));
+                    starts.push(start_command(&grant, asker));
                 }
                 answer.items.extend(leased_items(&grant, job, view)?);
             }
@@ -109,11 +111,18 @@
     }
 
     /// The starts of a held answer are given up: the holder hears nothing of
-    /// the items, and their lease lapses.
+    /// the items and says so.
     pub(crate) fn drop_held(&mut self, identity: u64) {
         self.held.remove(&identity);
     }
 
+    /// An entry of this term is applied.
+    pub(crate) fn note_entry(&mut self, term: u64) {
+        if term == self.term {
+            self.leasing.note_settled();
+        }
+    }
+
     /// Follows an applied command.
     pub(crate) fn note_applied(&mut self, command: &Command, state: &JobState) {
         match &command.body {
@@ -140,8 +149,9 @@
     }
 }
 
-fn start_command(grant: &Grant, holder: u64) -> Command {
-    let start = StartItems { job: grant.job.clone(), positions: grant.positions.clone(), holder };
+fn start_command(grant: &Grant, asker: Asker) -> Command {
+    let (holder, request) = (asker.node.0, asker.request);
+    let start = StartItems { job: grant.job.clone(), positions: grant.positions.clone(), holder, request };
     Command { body: Some(Body::StartItems(start)) }
 }
 
