Quarantine: two ends of servers at one moment count once

Cause: a harmless stream was quarantined, and kept back for ten minutes, for three ends. A fault had ended three of six servers at once; one of them was idle, so that nobody told of it, and they did not count as lost together. At the other two, that ended less than 10 ms apart, the stream was cut twice: two copies of it, or one that had broken by itself and gone on there. Its third end was beside a cause of which one or two ends were known.

Change: two servers that end within 20 ms under one request count once, if it ran at no third server of that moment. One that goes on from server to server ends them as long after each other as it takes to run.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -30,6 +30,12 @@
 /// held for it.
 const LOST_TOGETHER: usize = 3;
 const LOST_WITHIN: Duration = Duration::from_millis(100);
+/// Two servers that end within this time under one request, which ran at no third one of
+/// that moment, count once: what ends them from outside cuts two copies of a harmless
+/// request as well, and where other servers of the fault were idle, nobody tells of these.
+/// A request that goes on elsewhere ends its next server as long after the first as it
+/// takes to run; one word of an end takes 10 ms.
+const SAME_MOMENT: Duration = Duration::from_millis(20);
 /// Evidence is kept for this time.
 const EVIDENCE_LIFE: Duration = Duration::from_secs(3600);
 /// Ended servers that are kept at most, and requests of each.
@@ -71,6 +77,24 @@
     }
 }
 
+/// What speaks against one request.
+#[derive(Debug)]
+struct Suspect {
+    /// Servers that ended under it.
+    servers: HashSet<ServerKey>,
+    /// How many of these ends count.
+    counted: usize,
+}
+
+impl Suspect {
+    fn of(mut ends: Vec<(Instant, ServerKey)>) -> Self {
+        ends.sort_unstable();
+        let moments = ends.chunk_by(|(one, _), (next, _)| next.since(*one) <= SAME_MOMENT);
+        let counted = moments.map(|moment| if moment.len() == 2 { 1 } else { moment.len() }).sum();
+        Self { servers: ends.iter().map(|(_, server)| *server).collect(), counted }
+    }
+}
+
 /// What follows from the evidence.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Decisions {
@@ -151,12 +175,12 @@
             let suspects = self.suspects(now);
             let causes = causes_among(&suspects, &standing);
             if causes.is_empty() {
-                let watched = suspects.into_iter().filter(|(_, servers)| servers.len() >= CRASHES_TO_WATCH);
+                let watched = suspects.into_iter().filter(|(_, suspect)| suspect.servers.len() >= CRASHES_TO_WATCH);
                 decisions.watch = watched.map(|(request, _)| request).collect();
                 return decisions;
             }
             for request in causes {
-                let servers: Vec<ServerKey> = suspects[&request].iter().copied().collect();
+                let servers: Vec<ServerKey> = suspects[&request].servers.iter().copied().collect();
                 self.note_verdict(request.fingerprint, &servers);
                 decisions.quarantine.push((request, servers));
             }
@@ -164,14 +188,14 @@
     }
 
     /// Requests with the servers that ended under them, where nothing explains that.
-    fn suspects(&self, now: Instant) -> HashMap<RequestKey, HashSet<ServerKey>> {
-        let mut suspects: HashMap<RequestKey, HashSet<ServerKey>> = HashMap::new();
+    fn suspects(&self, now: Instant) -> HashMap<RequestKey, Suspect> {
+        let mut ends: HashMap<RequestKey, Vec<(Instant, ServerKey)>> = HashMap::new();
         for (server, crash) in self.crashes.iter().filter(|(_, crash)| crash.is_open(now)) {
             for request in &crash.requests {
-                suspects.entry(*request).or_default().insert(*server);
+                ends.entry(*request).or_default().push((crash.at, *server));
             }
         }
-        suspects
+        ends.into_iter().map(|(request, ends)| (request, Suspect::of(ends))).collect()
     }
 
     /// Explains the ends of servers that were lost together; gives back the groups.
@@ -226,22 +250,22 @@
 /// Requests that are a cause as far as can be told: one that nothing else explains as
 /// well, or all of those between which even much evidence does not decide.
 fn causes_among(
-    suspects: &HashMap<RequestKey, HashSet<ServerKey>>,
+    suspects: &HashMap<RequestKey, Suspect>,
     standing: impl Fn(Fingerprint) -> Standing,
 ) -> Vec<RequestKey> {
     let known = suspects.keys().find(|request| standing(request.fingerprint) == Standing::OnProbation);
     if let Some(request) = known {
         return vec![*request];
     }
-    let most = suspects.values().map(HashSet::len).max().unwrap_or(0);
+    let most = suspects.values().map(|suspect| suspect.counted).max().unwrap_or(0);
     if most < CRASHES_TO_QUARANTINE {
         return Vec::new();
     }
-    let leaders: Vec<(&RequestKey, &HashSet<ServerKey>)> =
-        suspects.iter().filter(|(_, servers)| servers.len() == most).collect();
-    let alone = |(request, servers): &&(&RequestKey, &HashSet<ServerKey>)| {
+    let leaders: Vec<(&RequestKey, &Suspect)> =
+        suspects.iter().filter(|(_, suspect)| suspect.counted == most).collect();
+    let alone = |(request, suspect): &&(&RequestKey, &Suspect)| {
         let mut others = leaders.iter().filter(|(other, _)| other != request);
-        others.all(|(_, of_other)| of_other.is_disjoint(servers))
+        others.all(|(_, other)| other.servers.is_disjoint(&suspect.servers))
     };
     match leaders.iter().find(alone) {
         Some((request, _)) => vec![**request],
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -79,6 +79,36 @@
     assert_eq!(quarantined(&evidence(&[&[1_u64, 2] as &[u64]; 6]).decide(LATER, free)), [1, 2]);
 }
 
+/// A harmless stream was kept from all servers for ten minutes: two copies of it had run
+/// at two of the servers that were lost in one fault, the third of which was idle, so
+/// that they didn't count as lost together; 2.2 s later it ran beside a request that
+/// ended its third server, of which two ends were known then. The verdict's log names
+/// these three servers, and the ends of the first two lie less than 2 ms apart.
+#[test]
+fn two_ends_at_one_moment_count_once() {
+    const STREAM: u64 = 1;
+    const CAUSE: u64 = 2;
+    let mut evidence = CrashEvidence::default();
+    let ends: [(u64, &[u64]); 4] = [(0, &[STREAM, 3]), (2, &[STREAM]), (2_236, &[CAUSE]), (2_300, &[CAUSE, STREAM])];
+    for (server, (milliseconds, requests)) in ends.into_iter().enumerate() {
+        let requests: Vec<RequestKey> = requests.iter().copied().map(request).collect();
+        evidence.note_crash(at(milliseconds), ServerKey(server as u32), &requests, 0, free);
+    }
+    assert_eq!(quarantined(&evidence.decide(at(2_800), free)), NONE);
+    evidence.note_crash(at(2_900), ServerKey(4), &[request(CAUSE)], 0, free);
+    assert_eq!(quarantined(&evidence.decide(at(3_400), free)), [CAUSE]);
+}
+
+/// One that ends its servers one after the other counts each of them.
+#[test]
+fn ends_of_one_run_after_the_other_count_each() {
+    let mut evidence = CrashEvidence::default();
+    for (server, milliseconds) in [0, 60, 500].into_iter().enumerate() {
+        evidence.note_crash(at(milliseconds), ServerKey(server as u32), &[request(1)], 0, free);
+    }
+    assert_eq!(quarantined(&evidence.decide(LATER, free)), [1]);
+}
+
 #[test]
 fn a_good_end_clears_a_request() {
     let mut evidence = evidence(&[&[1], &[1]]);
