--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,3 +41,4 @@
 pub mod table;
 pub mod tenants;
 pub mod time;
+pub mod unanswered;
