Proxy tests: shares and contents of requests that end servers, restarts at the worst moment

The tests had one content, sent alone, and nodes restarted or cut off only after the verdict or before the first server's end. Added: one request in 5, 20 and 100 that ends its server, all others served meanwhile; two contents beside each other; a restart of one or of both nodes that weigh the evidence once two servers have ended; the node that decided cut off at once.

Three contents at the same pace are not covered: they are not stopped (servers that end within 100 ms count as lost together).

--- a/crates/proxy/tests/crashing_requests.rs
+++ b/crates/proxy/tests/crashing_requests.rs
@@ -19,26 +19,35 @@
 /// A request that is harmless is cut so often before it has to be served.
 const ROUNDS: usize = 8;
 const LIMIT: Duration = Duration::from_secs(60);
+/// Requests that a test sends at most until one is stopped.
+const MOST_SENT: usize = 5000;
+/// Nodes that weigh the evidence.
+const DECIDING: [usize; 2] = [0, 1];
 
 /// Sends the poison at these nodes in turn for as long as it may reach servers and a
 /// while longer, and asserts that it reaches none late.
 async fn assert_is_stopped(fleet: &Fleet, nodes: std::ops::Range<usize>) {
+    assert_body_is_stopped(fleet, nodes, POISON).await;
+}
+
+/// The same for a poison of this body.
+async fn assert_body_is_stopped(fleet: &Fleet, nodes: std::ops::Range<usize>, body: &str) {
     let start = Instant::now();
     let mut third_at: Option<Instant> = None;
     for retry in 0.. {
         assert!(start.elapsed() < LIMIT, "no third server ended");
-        if fleet.ended() >= 3 {
+        if fleet.runs_of(body) >= 3 {
             third_at.get_or_insert_with(Instant::now);
         }
         let late = third_at.is_some_and(|at| at.elapsed() > CONTACT_TIME);
         if third_at.is_some_and(|at| at.elapsed() > CONTACT_TIME + LATE_TIME) {
             return;
         }
-        let before = fleet.poisons();
+        let before = fleet.runs_of(body);
         let node = nodes.start + retry % nodes.len();
-        let answer = fleet.send(node, &format!("poison-{node}-{retry}"), POISON).await;
+        let answer = fleet.send(node, &format!("{body}-{node}-{retry}"), body).await;
         if late {
-            assert_eq!(fleet.poisons(), before, "it reached a server late, by node {node}");
+            assert_eq!(fleet.runs_of(body), before, "it reached a server late, by node {node}");
             assert_is_refusal(answer);
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -71,6 +80,43 @@
     assert_eq!(answer.status().as_u16(), 200);
 }
 
+/// Two contents that end servers come beside each other: each is stopped by itself.
+#[tokio::test]
+async fn two_such_requests_are_stopped_beside_each_other() {
+    let fleet = Fleet::start(NODES, SERVERS).await;
+    let bodies = ["poison of one caller", "poison of another"];
+    futures::future::join_all(bodies.map(|body| assert_body_is_stopped(&fleet, 0..NODES, body))).await;
+    assert_eq!(fleet.nodes[0].shared.crashes.quarantined().len(), bodies.len());
+    fleet.unlist_ended();
+    let answer = fleet.send(0, "other", "another body").await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 200);
+}
+
+/// A few of many requests end their servers; the others are served all the while.
+#[tokio::test]
+async fn it_is_stopped_whatever_its_share_of_the_requests_is() {
+    for one_in in [5, 20, 100] {
+        let fleet = Fleet::start(NODES, SERVERS).await;
+        let mut sent = 0;
+        while fleet.nodes.iter().any(|node| node.shared.crashes.quarantined().is_empty()) {
+            assert!(sent < MOST_SENT, "one in {one_in}: it is not stopped");
+            let id = format!("{one_in}-{sent}");
+            if sent % one_in == 0 {
+                fleet.send(sent % NODES, &id, POISON).await;
+                fleet.unlist_ended();
+                tokio::time::sleep(RETRY_PAUSE).await;
+            } else {
+                let answer = fleet.send(sent % NODES, &id, "harmless").await.expect("an answer");
+                assert_eq!(answer.status().as_u16(), 200, "one in {one_in}, {} ended", fleet.ended());
+            }
+            sent += 1;
+        }
+        for node in 0..NODES {
+            assert_refuses(&fleet, node).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn who_runs_beside_it_is_cut_but_never_refused() {
     let fleet = Fleet::start(NODES, SERVERS).await;
@@ -154,6 +200,82 @@
     }
 }
 
+/// Replaces a node by one of the same name that knows nothing.
+async fn restart_node(fleet: &mut Fleet, node: usize) {
+    let old = fleet.nodes.remove(node);
+    fleet.forget(&old);
+    let name = old.name.clone();
+    drop(old);
+    let started = fleet.start_node(&name).await;
+    fleet.nodes.insert(node, started);
+}
+
+/// Sends the poison until this many servers have ended under it.
+async fn end_servers(fleet: &Fleet, count: usize) {
+    let mut sent = 0;
+    while fleet.poisons() < count {
+        assert!(sent < MOST_SENT, "{} servers ended", fleet.poisons());
+        fleet.send(sent % NODES, &format!("before-{sent}"), POISON).await;
+        sent += 1;
+    }
+}
+
+/// Two servers have ended under it when a node that weighs the evidence is restarted:
+/// the other one that does knows of both.
+#[tokio::test]
+async fn it_is_stopped_though_a_node_that_weighs_the_evidence_is_restarted() {
+    for restarted in DECIDING {
+        let mut fleet = Fleet::start(NODES, SERVERS).await;
+        end_servers(&fleet, 2).await;
+        restart_node(&mut fleet, restarted).await;
+        assert_is_stopped(&fleet, 0..NODES).await;
+    }
+}
+
+/// All nodes that weigh the evidence are restarted: what two servers have shown is lost,
+/// and three more are enough.
+#[tokio::test]
+async fn it_is_stopped_though_all_that_weigh_the_evidence_are_restarted() {
+    let mut fleet = Fleet::start(NODES, SERVERS).await;
+    end_servers(&fleet, 2).await;
+    for node in DECIDING {
+        restart_node(&mut fleet, node).await;
+    }
+    let before = fleet.poisons();
+    let verdict = async |fleet: &Fleet| !fleet.nodes[0].shared.crashes.quarantined().is_empty();
+    for sent in 0.. {
+        assert!(sent < MOST_SENT, "it is not stopped");
+        if verdict(&fleet).await {
+            break;
+        }
+        // Each attempt is weighed before the next one comes.
+        if fleet.poisons() - before < 3 {
+            fleet.send(sent % NODES, &format!("after-{sent}"), POISON).await;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    assert_eq!(fleet.poisons() - before, 3);
+}
+
+/// The node that decides is cut off from all others just as it has done so: they decide
+/// by what they know themselves.
+#[tokio::test]
+async fn it_is_stopped_though_the_node_that_decided_is_cut_off_at_once() {
+    let fleet = Fleet::start(NODES, SERVERS).await;
+    end_servers(&fleet, 3).await;
+    let end = Instant::now() + LIMIT;
+    while fleet.nodes.iter().all(|node| node.shared.crashes.quarantined().is_empty()) {
+        assert!(Instant::now() < end, "no node decides");
+        tokio::task::yield_now().await;
+    }
+    let decided = (0..NODES).find(|node| !fleet.nodes[*node].shared.crashes.quarantined().is_empty()).unwrap();
+    fleet.disconnect(&fleet.nodes[decided]);
+    for node in 0..NODES {
+        fleet.nodes[node].learns().await;
+        assert_refuses(&fleet, node).await;
+    }
+}
+
 #[tokio::test]
 async fn a_node_that_was_cut_off_learns_it_once_it_is_back() {
     let fleet = Fleet::start(NODES, SERVERS).await;
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -12,7 +12,7 @@
 use latchwheel_proxy::{exchange_shares, Peer, PeerDuties, Peers, Shared};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -21,7 +21,7 @@
 
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Body of the request that ends its server.
+/// Body of the request that ends its server; bodies that begin so do the same.
 pub const POISON: &str = "poison";
 /// Body of a request whose connection is reset by a server that lives on.
 pub const RESET: &str = "reset";
@@ -43,7 +43,8 @@
     pub address: String,
     end: watch::Sender<bool>,
     release: Arc<watch::Sender<bool>>,
-    poisons: Arc<AtomicUsize>,
+    /// Bodies of the requests that ended it.
+    poisons: Arc<Mutex<Vec<String>>>,
     long: Arc<AtomicUsize>,
 }
 
@@ -53,7 +54,7 @@
         let address = listener.local_addr().unwrap().to_string();
         let (end, ended) = watch::channel(false);
         let release = Arc::new(watch::channel(false).0);
-        let poisons = Arc::new(AtomicUsize::new(0));
+        let poisons = Arc::new(Mutex::new(Vec::new()));
         let long = Arc::new(AtomicUsize::new(0));
         let server = Self {
             name,
@@ -120,7 +121,7 @@
 struct Work {
     end: watch::Sender<bool>,
     release: watch::Receiver<bool>,
-    poisons: Arc<AtomicUsize>,
+    poisons: Arc<Mutex<Vec<String>>>,
     long: Arc<AtomicUsize>,
 }
 
@@ -147,8 +148,8 @@
             let head =
                 format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: {}\r\n\r\n", ANSWER.len());
             match seen.body.as_str() {
-                POISON => {
-                    self.poisons.fetch_add(1, Ordering::SeqCst);
+                body if body.starts_with(POISON) => {
+                    self.poisons.lock().unwrap().push(body.to_owned());
                     let _ = stream.write_all(head.as_bytes()).await;
                     self.end.send_replace(true);
                     return;
@@ -304,7 +305,13 @@
 
     /// Times that the poison began to run.
     pub fn poisons(&self) -> usize {
-        self.servers.iter().map(|server| server.poisons.load(Ordering::SeqCst)).sum()
+        self.servers.iter().map(|server| server.poisons.lock().unwrap().len()).sum()
+    }
+
+    /// Times that the poison of this body began to run.
+    pub fn runs_of(&self, body: &str) -> usize {
+        let runs = |server: &MortalServer| server.poisons.lock().unwrap().iter().filter(|run| *run == body).count();
+        self.servers.iter().map(runs).sum()
     }
 
     /// Sends a request of that body at a node; `None` if there was no whole answer.
