Quarantine: a node that knows of its own requests alone leaves verdicts to those that hear of all

Cause: each node weighed the servers that ended under its own requests, 600 ms after the nodes that are told of all of them had done so. A wrong verdict also explains the ends that the cause brought about, and hides it.

Change: a node that is no candidate keeps no evidence while it hears one. One that has heard none for 700 ms (the time after which an aggregator is left) decides by what ends from then on, as a node that is cut off has to.

The tests of nodes that are cut off pass unchanged.

--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -54,6 +54,17 @@
     pub(crate) place: usize,
     /// Whether all nodes tell this one of servers that ended.
     pub(crate) hears_all: bool,
+    /// Whether it hears another node that all nodes tell.
+    pub(crate) hears_others: bool,
+}
+
+impl DecidingRank {
+    /// Whether this node weighs the evidence: all nodes tell it, or it hears no node that
+    /// they tell. Any other knows only of its own requests, and would hold one of them for
+    /// what a request of another node did beside it.
+    fn weighs(self) -> bool {
+        self.hears_all || !self.hears_others
+    }
 }
 
 /// What a good end of a request changed.
@@ -227,9 +238,14 @@
         self.changed.notify_one();
     }
 
-    /// Which of the deciding nodes this one is now.
+    /// Which of the deciding nodes this one is now. One that leaves the decision to others
+    /// keeps no evidence: should it hear them no more, it weighs what ends from then on.
     pub(crate) fn set_rank(&self, rank: DecidingRank) {
-        self.lock().rank = rank;
+        let mut state = self.lock();
+        state.rank = rank;
+        if !rank.weighs() {
+            state.evidence = CrashEvidence::default();
+        }
     }
 
     /// Whether this node is the first of those that weigh what all nodes tell.
@@ -305,6 +321,9 @@
 
 impl State {
     fn take_crash(&mut self, now: Instant, wall: WallTime, server: ServerKey, requests: &[RequestKey]) {
+        if !self.rank.weighs() {
+            return;
+        }
         let quarantine = &self.quarantine;
         let standing = |request| quarantine.standing(request, wall);
         self.evidence.note_crash(now, server, requests, self.rank.place, standing);
--- a/crates/proxy/src/peers/crash_news.rs
+++ b/crates/proxy/src/peers/crash_news.rs
@@ -1,6 +1,6 @@
 //! News of requests that end servers, among nodes.
 
-use super::{Peers, Teller};
+use super::{Peers, Teller, AGGREGATOR_SILENCE};
 use crate::crashes::{Audience, DecidingRank};
 use crate::dialect::Dialect;
 use latchwheel_protocol::v1;
@@ -9,7 +9,7 @@
 impl<D: Dialect> Teller<D> {
     /// Sends what is to be sent to other nodes.
     pub(super) fn tell_crash_news(&self, peers: &Peers) {
-        self.shared.crashes.set_rank(self.deciding_rank());
+        self.tell_deciding_rank();
         for message in self.shared.crashes.take_messages() {
             let addresses: Vec<SocketAddr> = match message.audience {
                 Audience::Deciding => self.candidates.iter().filter_map(|candidate| candidate.address).collect(),
@@ -31,9 +31,18 @@
         }
     }
 
+    /// Whether this node decides on requests that end servers may have changed.
+    pub(super) fn tell_deciding_rank(&self) {
+        self.shared.crashes.set_rank(self.deciding_rank());
+    }
+
     /// Candidates hear of all servers that end.
     fn deciding_rank(&self) -> DecidingRank {
         let own = self.candidates.iter().position(|candidate| candidate.address.is_none());
-        DecidingRank { place: own.unwrap_or(self.candidates.len()), hears_all: own.is_some() }
+        DecidingRank {
+            place: own.unwrap_or(self.candidates.len()),
+            hears_all: own.is_some(),
+            hears_others: self.candidate_heard_at.is_some_and(|at| at.elapsed() <= AGGREGATOR_SILENCE),
+        }
     }
 }
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -110,6 +110,7 @@
             () = crash_news_due(&teller.shared.crashes) => teller.tell_crash_news(&peers),
             () = tokio::time::sleep_until(next) => {
                 teller.look_around(&peers);
+                teller.tell_deciding_rank();
                 let many = peers.count() > DIRECT_LIMIT;
                 let sent = if many { teller.tell_some(&peers) } else { teller.tell_directly(&peers.all()) };
                 next = Instant::now() + pause_after(sent).max(if many { TELL_AGGREGATORS_EVERY } else { TELL_EVERY });
@@ -165,6 +166,8 @@
     candidates: Vec<Candidate>,
     /// Version of the nodes for which these were named.
     candidates_version: Option<u64>,
+    /// When another one of them was heard last.
+    candidate_heard_at: Option<Instant>,
     /// Whether deputies are told too: no other candidate is known to hear enough.
     deputies_needed: bool,
     /// Nodes that keep servers, as the last sum told.
@@ -198,6 +201,7 @@
             duties,
             candidates: Vec::new(),
             candidates_version: None,
+            candidate_heard_at: None,
             deputies_needed: false,
             told_keepers: Vec::new(),
             sequence: first_sequence(),
@@ -216,7 +220,13 @@
     /// Takes a datagram of another node.
     fn take(&mut self, bytes: &[u8], from: SocketAddr, peers: &Peers) {
         let Ok(message) = v1::ServerShares::decode(bytes) else { return };
-        if message.from == self.own.0 || self.take_call(&message, from, peers) {
+        if message.from == self.own.0 {
+            return;
+        }
+        if self.candidates.iter().any(|candidate| candidate.home.node.0 == message.from) {
+            self.candidate_heard_at = Some(Instant::now());
+        }
+        if self.take_call(&message, from, peers) {
             return;
         }
         self.shared.note_table_elsewhere(message.newest_table);
--- a/crates/proxy/tests/crashing_requests.rs
+++ b/crates/proxy/tests/crashing_requests.rs
@@ -147,6 +147,36 @@
     }
 }
 
+/// A harmless request runs beside the cause at each of its servers. Only the nodes that
+/// weigh the evidence hear of both: the node that sent it saw three servers end under it
+/// and knows of nothing else there.
+#[tokio::test]
+async fn who_runs_beside_it_is_not_held_for_it_by_a_node_that_hears_of_nothing_else() {
+    const MANY_NODES: usize = 10;
+    let fleet = Fleet::start(MANY_NODES, 5).await;
+    let sender = MANY_NODES - 1;
+    for round in 0..3 {
+        fleet.list_only(round);
+        let beside = fleet.run_long_at(sender, &format!("beside-{round}"), 0).await;
+        fleet.send(0, &format!("poison-{round}"), POISON).await;
+        beside.await.unwrap();
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    // Longer than any node waits before it weighs what it knows.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    // The next server ends under the cause alone, which tells it from the other.
+    fleet.list_only(3);
+    fleet.send(1, "poison-3", POISON).await;
+    fleet.list_only(4);
+    fleet.release();
+    for node in 0..MANY_NODES {
+        fleet.nodes[node].learns().await;
+        assert_refuses(&fleet, node).await;
+        let answer = fleet.send(node, &format!("after-{node}"), &long_body(0)).await.expect("an answer");
+        assert_eq!(answer.status().as_u16(), 200, "node {node}");
+    }
+}
+
 #[tokio::test]
 async fn a_reset_connection_is_held_against_nobody() {
     let fleet = Fleet::start(NODES, 4).await;
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -247,9 +247,8 @@
             .map(|number| self.spawn_send(number % self.nodes.len(), &format!("{id}-{number}"), &long_body(number)))
             .collect();
         let end = Instant::now() + LIMIT;
-        let run = || self.servers.iter().map(|server| server.long.load(Ordering::SeqCst)).sum::<usize>();
-        while run() + sent.iter().filter(|request| request.is_finished()).count() < count {
-            assert!(Instant::now() < end, "{} of {count} run", run());
+        while self.long_running() + sent.iter().filter(|request| request.is_finished()).count() < count {
+            assert!(Instant::now() < end, "{} of {count} run", self.long_running());
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
         sent
@@ -260,6 +259,29 @@
         self.servers.iter().for_each(|server| server.release());
     }
 
+    /// All nodes send to this server alone.
+    pub fn list_only(&self, server: usize) {
+        let record = self.servers[server].record();
+        self.nodes.iter().for_each(|node| node.shared.dispatcher().set_ready([&record].into_iter()));
+    }
+
+    /// Sends a long request of that number at a node, and waits until it runs.
+    pub async fn run_long_at(&self, node: usize, id: &str, number: usize) -> JoinHandle<Option<Response<Bytes>>> {
+        self.servers.iter().for_each(|server| server.hold());
+        let before = self.long_running();
+        let sent = self.spawn_send(node, id, &long_body(number));
+        let end = Instant::now() + LIMIT;
+        while self.long_running() == before {
+            assert!(Instant::now() < end && !sent.is_finished(), "it does not run");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        sent
+    }
+
+    fn long_running(&self) -> usize {
+        self.servers.iter().map(|server| server.long.load(Ordering::SeqCst)).sum()
+    }
+
     /// The registrations of servers that ended lapse.
     pub fn unlist_ended(&self) {
         let alive = self.servers.iter().filter(|server| !server.has_ended());
