--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -12,7 +12,7 @@
 use latchwheel_proxy::{exchange_shares, Peer, PeerDuties, Peers, Shared};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -21,7 +21,7 @@
 
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Body of the request that ends its server.
+/// Body of the request that ends its server; bodies that begin so do the same.
 pub const POISON: &str = "poison";
 /// Body of a request whose connection is reset by a server that lives on.
 pub const RESET: &str = "reset";
@@ -43,7 +43,8 @@
     pub address: String,
     end: watch::Sender<bool>,
     release: Arc<watch::Sender<bool>>,
-    poisons: Arc<AtomicUsize>,
+    /// Bodies of the requests that ended it.
+    poisons: Arc<Mutex<Vec<String>>>,
     long: Arc<AtomicUsize>,
 }
 
@@ -53,7 +54,7 @@
         let address = listener.local_addr().unwrap().to_string();
         let (end, ended) = watch::channel(false);
         let release = Arc::new(watch::channel(false).0);
-        let poisons = Arc::new(AtomicUsize::new(0));
+        let poisons = Arc::new(Mutex::new(Vec::new()));
         let long = Arc::new(AtomicUsize::new(0));
         let server = Self {
             name,
@@ -120,7 +121,7 @@
 struct Work {
     end: watch::Sender<bool>,
     release: watch::Receiver<bool>,
-    poisons: Arc<AtomicUsize>,
+    poisons: Arc<Mutex<Vec<String>>>,
     long: Arc<AtomicUsize>,
 }
 
@@ -147,8 +148,8 @@
             let head =
                 format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: {}\r\n\r\n", ANSWER.len());
             match seen.body.as_str() {
-                POISON => {
-                    self.poisons.fetch_add(1, Ordering::SeqCst);
+                body if body.starts_with(POISON) => {
+                    self.poisons.lock().unwrap().push(body.to_owned());
                     let _ = stream.write_all(head.as_bytes()).await;
                     self.end.send_replace(true);
                     return;
@@ -246,9 +247,8 @@
             .map(|number| self.spawn_send(number % self.nodes.len(), &format!("{id}-{number}"), &long_body(number)))
             .collect();
         let end = Instant::now() + LIMIT;
-        let run = || self.servers.iter().map(|server| server.long.load(Ordering::SeqCst)).sum::<usize>();
-        while run() + sent.iter().filter(|request| request.is_finished()).count() < count {
-            assert!(Instant::now() < end, "{} of {count} run", run());
+        while self.long_running() + sent.iter().filter(|request| request.is_finished()).count() < count {
+            assert!(Instant::now() < end, "{} of {count} run", self.long_running());
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
         sent
@@ -259,6 +259,29 @@
         self.servers.iter().for_each(|server| server.release());
     }
 
+    /// All nodes send to this server alone.
+    pub fn list_only(&self, server: usize) {
+        let record = self.servers[server].record();
+        self.nodes.iter().for_each(|node| node.shared.dispatcher().set_ready([&record].into_iter()));
+    }
+
+    /// Sends a long request of that number at a node, and waits until it runs.
+    pub async fn run_long_at(&self, node: usize, id: &str, number: usize) -> JoinHandle<Option<Response<Bytes>>> {
+        self.servers.iter().for_each(|server| server.hold());
+        let before = self.long_running();
+        let sent = self.spawn_send(node, id, &long_body(number));
+        let end = Instant::now() + LIMIT;
+        while self.long_running() == before {
+            assert!(Instant::now() < end && !sent.is_finished(), "it does not run");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        sent
+    }
+
+    fn long_running(&self) -> usize {
+        self.servers.iter().map(|server| server.long.load(Ordering::SeqCst)).sum()
+    }
+
     /// The registrations of servers that ended lapse.
     pub fn unlist_ended(&self) {
         let alive = self.servers.iter().filter(|server| !server.has_ended());
@@ -304,7 +327,13 @@
 
     /// Times that the poison began to run.
     pub fn poisons(&self) -> usize {
-        self.servers.iter().map(|server| server.poisons.load(Ordering::SeqCst)).sum()
+        self.servers.iter().map(|server| server.poisons.lock().unwrap().len()).sum()
+    }
+
+    /// Times that the poison of this body began to run.
+    pub fn runs_of(&self, body: &str) -> usize {
+        let runs = |server: &MortalServer| server.poisons.lock().unwrap().iter().filter(|run| *run == body).count();
+        self.servers.iter().map(runs).sum()
     }
 
     /// Sends a request of that body at a node; `None` if there was no whole answer.
