Ends that a node still owes are a state machine in core, with tests of its limits

Cause: the queue of ends that the store had not taken was kept in crates/jobs, where its limits (so many, so long, in turn, growing pauses) had no test. Change: core::outstanding_ends decides, jobs::asked_ends makes the calls. A test of nodes of the former version beside new ones: a job that one of them makes passes over its early end, and can be ended as before. Ruled out: nothing new. Behaviour: unchanged but for the first pause after a further end is put, which is 60 ms again where the last try had succeeded. What a node of the former version makes runs until its job is ended once more; that ends with the restart of the last one.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod limits;
 pub mod live_workers;
 pub mod membership;
+pub mod outstanding_ends;
 pub mod ownership;
 pub mod permits;
 pub mod placement;
--- a/crates/jobs/src/asked_ends.rs
+++ b/crates/jobs/src/asked_ends.rs
@@ -4,36 +4,22 @@
 //! until then was asked for all the same: this node goes on trying, one such end after
 //! the other, until the store has taken it.
 
-use crate::desk::{DeskFault, LONGEST_PAUSE, PAUSE};
-use crate::early_end::EARLY_END_LEASE;
+use crate::desk::{DeskFault, PAUSE};
 use crate::ending::Ender;
-use latchwheel_core::retry::doubled_pause;
+use latchwheel_core::outstanding_ends::{GivenUp, OutstandingEnd, OutstandingEnds};
 use latchwheel_events::{emit, Event};
 use latchwheel_records::RecordStore;
-use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Most ends that wait; some hundred bytes each.
-const MOST_OUTSTANDING: usize = 1024;
-/// Time for one try: a few calls to a store that answers late, and the disks.
+/// Time for one try: a few calls to a store that answers late, each of which its client
+/// gives up after 1.5 s.
 const TRY_TIME: Duration = Duration::from_secs(5);
-/// Time for which an end is tried: as long as one that the store has taken is kept for
-/// a job that doesn't come.
-const TRIED_FOR: Duration = EARLY_END_LEASE;
-
-/// An end that a caller asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct AskedEnd {
-    job: String,
-    caller: Option<String>,
-    until: Instant,
-}
 
 #[derive(Debug, Default)]
 struct Waiting {
-    ends: VecDeque<AskedEnd>,
+    ends: OutstandingEnds,
     is_worked_on: bool,
 }
 
@@ -42,12 +28,13 @@
 pub(crate) struct AskedEnds<S> {
     store: Arc<S>,
     ender: Ender,
+    started: Instant,
     waiting: Mutex<Waiting>,
 }
 
 impl<S: RecordStore> AskedEnds<S> {
     pub(crate) fn new(store: Arc<S>) -> Arc<Self> {
-        Arc::new(Self { store, ender: Ender::default(), waiting: Mutex::default() })
+        Arc::new(Self { store, ender: Ender::default(), started: Instant::now(), waiting: Mutex::default() })
     }
 
     /// Ends a job, and tells by `until` what came of it.
@@ -64,7 +51,7 @@
         let ended = tokio::time::timeout_at(until.into(), self.try_until(&job, caller.as_deref(), until.into())).await;
         let ended = ended.unwrap_or(Err(DeskFault::Unknown));
         if !is_settled(&ended) {
-            self.put(&job, caller);
+            self.put(&job, caller.as_deref());
         }
         ended
     }
@@ -80,19 +67,11 @@
     }
 
     /// Goes on trying to end a job after its caller was answered.
-    fn put(self: &Arc<Self>, job: &str, caller: Option<String>) {
+    fn put(self: &Arc<Self>, job: &str, caller: Option<&str>) {
         let mut waiting = self.lock();
-        if waiting.ends.iter().any(|end| end.job == job && end.caller == caller) {
-            return;
-        }
-        let until = Instant::now() + TRIED_FOR;
-        waiting.ends.push_back(AskedEnd { job: job.to_owned(), caller, until });
+        let given_up = waiting.ends.put(self.now(), job, caller);
         emit(job, &Event::EndOutstanding { job, waiting: waiting.ends.len() });
-        if waiting.ends.len() > MOST_OUTSTANDING {
-            if let Some(oldest) = waiting.ends.pop_front() {
-                log_given_up(&oldest, "too_many");
-            }
-        }
+        log_given_up(given_up);
         if !std::mem::replace(&mut waiting.is_worked_on, true) {
             tokio::spawn(self.clone().work_off());
         }
@@ -100,22 +79,17 @@
 
     /// Tries the ends in turn until none is left.
     async fn work_off(self: Arc<Self>) {
-        // The first caller's own tries have just failed.
-        let mut failures = 1;
-        while let Some(end) = self.next() {
-            if failures > 0 {
-                tokio::time::sleep(doubled_pause(PAUSE, LONGEST_PAUSE, failures - 1)).await;
-            }
+        while let Some((end, pause)) = self.next() {
+            tokio::time::sleep(pause).await;
             if is_settled(&self.try_one(&end).await) {
-                failures = 0;
+                self.lock().ends.note_settled();
             } else {
-                failures += 1;
-                self.put_back(end);
+                log_given_up(self.lock().ends.note_failed(self.now(), end));
             }
         }
     }
 
-    async fn try_one(&self, end: &AskedEnd) -> Result<(), DeskFault> {
+    async fn try_one(&self, end: &OutstandingEnd) -> Result<(), DeskFault> {
         let ending = self.ender.end(&*self.store, &end.job, end.caller.as_deref());
         let outcome = tokio::time::timeout(TRY_TIME, ending).await.unwrap_or(Err(DeskFault::Unknown));
         if is_settled(&outcome) {
@@ -125,21 +99,18 @@
         outcome
     }
 
-    /// The next end to try; without one, the next that is put starts the work anew.
-    fn next(&self) -> Option<AskedEnd> {
+    /// The next end to try, and the pause before that; without one, the next that is put
+    /// starts the work anew.
+    fn next(&self) -> Option<(OutstandingEnd, Duration)> {
         let mut waiting = self.lock();
-        let next = waiting.ends.pop_front();
+        let pause = waiting.ends.pause();
+        let next = waiting.ends.next_end();
         waiting.is_worked_on = next.is_some();
-        next
+        next.map(|end| (end, pause))
     }
 
-    /// Another one is tried first, so that one that can't be done holds up none.
-    fn put_back(&self, end: AskedEnd) {
-        if Instant::now() >= end.until {
-            log_given_up(&end, "too_old");
-            return;
-        }
-        self.lock().ends.push_back(end);
+    fn now(&self) -> latchwheel_core::time::Instant {
+        latchwheel_core::time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
@@ -153,6 +124,8 @@
     matches!(ended, Ok(()) | Err(DeskFault::Absent))
 }
 
-fn log_given_up(end: &AskedEnd, reason: &str) {
-    emit(&end.job, &Event::EndGivenUp { job: &end.job, reason });
+fn log_given_up(given_up: Option<GivenUp>) {
+    if let Some((end, reason)) = given_up {
+        emit(&end.job, &Event::EndGivenUp { job: &end.job, reason: reason.word() });
+    }
 }
--- a/crates/jobs/src/early_end.rs
+++ b/crates/jobs/src/early_end.rs
@@ -16,7 +16,7 @@
 
 /// Time after which such a record ends by itself, so that ends of jobs that never come
 /// don't pile up: the longest lease that stores grant.
-pub(crate) const EARLY_END_LEASE: Duration = Duration::from_secs(600);
+const EARLY_END_LEASE: Duration = Duration::from_secs(600);
 /// Records are written under one lease for this time, and thus last for the other half
 /// at least: an end costs no call for a lease of its own.
 const LEASE_SHARED_FOR: Duration = Duration::from_secs(300);
--- a/crates/jobs/tests/ends.rs
+++ b/crates/jobs/tests/ends.rs
@@ -320,6 +320,26 @@
     assert_eq!(node.end(JOB, None, soon()).await, Ok(()));
 }
 
+/// While nodes of two versions run side by side, one of the former version makes a job
+/// whose end is on record already: it knows of no such records. That does no harm, and
+/// the next end of the job counts.
+#[tokio::test]
+async fn a_job_that_a_node_of_the_former_version_makes_can_be_ended() {
+    let (store, former) = (MemoryStore::default(), MemoryStore::default());
+    let node = desk(&store);
+    assert_eq!(node.end(JOB, None, soon()).await, Err(DeskFault::Absent));
+    desk(&former).take(JOB, &SUBMISSION, body(), much_later()).await.unwrap();
+    let records = former.list("latchwheel/").await.unwrap().records;
+    let writes = records.into_iter().map(|record| Write { key: record.key, value: record.value, lease: 0 });
+    let expected = vec![(job_key(JOB), 0), (closed_key(JOB), 0)];
+    let made = Transaction { expected, writes: writes.collect(), removes: Vec::new() };
+    store.commit(&made).await.unwrap();
+    assert!(node.take(JOB, &SUBMISSION, body(), much_later()).await.unwrap().resent);
+    assert!(!is_ended(&store).await);
+    assert_eq!(node.end(JOB, None, soon()).await, Ok(()));
+    assert!(is_ended(&store).await);
+}
+
 /// A client leaves before its end is answered, and closes its connection: the call is
 /// dropped. The store is back a moment later.
 #[tokio::test]
