Store: the log tells of writes to the disk that take long

Change: E6104 for each write of a replica that took more than 0.3 s.

Tests: crate store and the documents test pass. No decision is changed.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -31,10 +31,10 @@
 const LOST_TOGETHER: usize = 3;
 const LOST_WITHIN: Duration = Duration::from_millis(100);
 /// Two servers that end within this time under one request, which ran at no third one of
-/// that moment, count once: what ends them from outside cuts two copies of a harmless
-/// request as well, and where other servers of the fault were idle, nobody tells of these.
-/// A request that goes on elsewhere ends its next server as long after the first as it
-/// takes to run; one word of an end takes 10 ms.
+/// that moment, count once: a fault cuts two copies of a harmless request as well. Its
+/// servers have a request in common then, and of idle ones nobody tells, so that they
+/// don't count as lost together. A request that goes on elsewhere ends its next server as
+/// long after the first as it takes to run; one word of an end takes 10 ms.
 const SAME_MOMENT: Duration = Duration::from_millis(20);
 /// Evidence is kept for this time.
 const EVIDENCE_LIFE: Duration = Duration::from_secs(3600);
--- a/crates/store/src/group/runner.rs
+++ b/crates/store/src/group/runner.rs
@@ -31,6 +31,9 @@
 const REQUESTS_TOGETHER: usize = 512;
 /// The log is compacted once it holds so many payload bytes.
 const LOG_BYTES: usize = 8 << 20;
+/// A write to the disk that takes longer is told: half of the time without a heartbeat
+/// after which the others elect a leader (600 ms), since none is sent meanwhile.
+const SLOW_WRITE: Duration = Duration::from_millis(300);
 /// Entries that stay behind a compaction, for replicas that lag a little.
 const LOG_TAIL: u64 = 64;
 
@@ -275,7 +278,9 @@
             }
         }
         if let Some(hard) = hard {
+            let begun = self.now();
             self.disk.as_ref().ok_or_else(no_disk)?.persist(hard, &changes)?;
+            self.note_write(begun, "to persist entries");
             let last = changes.iter().rev().find_map(|change| change.entries.last());
             if let Some((term, index)) = last.map(|entry| (entry.term, entry.index)) {
                 next.extend(self.core.handle(now, Event::Persisted(term, index)));
@@ -366,10 +371,20 @@
             self.proposals.applied(entry.index, entry.term, applied.outcome);
         }
         let base = self.core.base_at_applied();
+        let begun = self.now();
         self.disk.as_ref().ok_or_else(no_disk)?.apply(&base, &effects)?;
+        self.note_write(begun, "to apply entries");
         self.compact(base)
     }
 
+    /// Tells of a write that took long: elections and refused requests follow from it.
+    fn note_write(&self, begun: Instant, what: &str) {
+        let took = self.now().since(begun);
+        if took > SLOW_WRITE {
+            log::warn!(target: "E6104", "store group {}: {what} took {} ms on the disk", self.group, took.as_millis());
+        }
+    }
+
     /// Answers whoever waits for entries up to an index.
     fn acknowledge(&mut self, index: u64) {
         for (waiter, outcome) in self.proposals.acknowledged(index) {
