Jobs: a test that an item of an ended job doesn't arrive later

The server reads late, the job is ended while its item is on the way, and the server reads on afterwards. Ruled out: nothing further. Conclusion: this is one way in which an item reaches a server after the end of its job; on links that were cut for seconds the system sends on for much longer than on loopback, which was not played here.

--- a/crates/jobs/tests/item_requests.rs
+++ b/crates/jobs/tests/item_requests.rs
@@ -4,17 +4,18 @@
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{
     outgoing_of, run_worker, ItemBody, JobBody, JobDesk, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
-    Submission,
+    Submission, WorkerHandle,
 };
 use latchwheel_proxy::{Clock, Shared};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, GuardedStore, WatchCache};
-use raw::{whole, RawAct, RawNode, RawRequest, RawServer};
+use raw::{head_of, until, whole, RawAct, RawNode, RawRequest, RawServer, LONG};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{TestDialect, HOST};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 #[path = "../../proxy/tests/support/raw.rs"]
 mod raw;
@@ -31,36 +32,65 @@
     ItemBody { id: id.into(), path: path.into(), headers: headers.collect(), body: body.into(), tokens: 1 }
 }
 
+/// A worker with one server, and a desk on their store.
+struct Site {
+    desk: JobDesk<MemoryStore>,
+    node: RawNode,
+    server: RawServer,
+    _worker: WorkerHandle,
+    _membership: Membership<GuardedStore<MemoryStore>>,
+}
+
+impl Site {
+    async fn start(acts: Vec<RawAct>) -> Self {
+        let server = RawServer::start("server", acts).await;
+        let node = RawNode::start(RequestKind::Batch, 3, &[&server]).await;
+        let records = MemoryStore::default();
+        let contact = Contact::default();
+        let store = Arc::new(GuardedStore::new(records.clone(), contact.clone()));
+        let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
+        let (shared, keep) = (node.shared.clone(), Duration::from_secs(3600));
+        let owned = OwnedJobs::new(contact.clone());
+        let worker = run_worker(store.clone(), &cache, shared.clone(), owned, "worker", keep);
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let address = socket.local_addr().unwrap().to_string();
+        let record = NodeRecord { role: NodeRole::Worker, address, is_upstream: false };
+        let own = OwnNode { name: "worker".into(), record, sum_bytes_per_second: 1e6 };
+        let membership = Membership::join(store, &cache, contact, shared, &own, socket);
+        let desk = JobDesk::new(Arc::new(records), Nodes::default(), 2);
+        Self { desk, node, server, _worker: worker, _membership: membership }
+    }
+
+    async fn hand_in(&self, items: Vec<ItemBody>) {
+        self.desk.take(JOB, &SUBMISSION, JobBody { items }, soon()).await.unwrap();
+    }
+
+    /// Runs of the worker at the server.
+    fn runs(&self) -> u32 {
+        let reports = self.node.shared.dispatcher().reports(self.node.shared.clock.now());
+        reports.iter().map(|report| report.own).sum()
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(20)
+}
+
 /// Hands the items in as one job, and gives back what a server got of each, by identity.
 async fn run(items: Vec<ItemBody>) -> BTreeMap<String, RawRequest> {
     let count = items.len();
     let answer = RawAct::Write(whole(200, "", "id: 1\ndata: a\n\n"));
-    let server = RawServer::start("server", vec![answer; count]).await;
-    let node = RawNode::start(RequestKind::Batch, 3, &[&server]).await;
-    let records = MemoryStore::default();
-    let contact = Contact::default();
-    let store = Arc::new(GuardedStore::new(records.clone(), contact.clone()));
-    let cache = WatchCache::new(store.clone(), contact.clone(), Vec::new(), 0);
-    let (shared, keep) = (node.shared.clone(), Duration::from_secs(3600));
-    let owned = OwnedJobs::new(contact.clone());
-    let _worker = run_worker(store.clone(), &cache, shared.clone(), owned, "worker", keep);
-    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let address = socket.local_addr().unwrap().to_string();
-    let record = NodeRecord { role: NodeRole::Worker, address, is_upstream: false };
-    let own = OwnNode { name: "worker".into(), record, sum_bytes_per_second: 1e6 };
-    let _membership = Membership::join(store, &cache, contact, shared, &own, socket);
-
-    let desk = JobDesk::new(Arc::new(records), Nodes::default(), 2);
-    let end = Instant::now() + Duration::from_secs(20);
-    desk.take(JOB, &SUBMISSION, JobBody { items }, end).await.unwrap();
+    let site = Site::start(vec![answer; count]).await;
+    site.hand_in(items).await;
+    let end = soon();
     loop {
-        let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(200)).await;
+        let page = site.desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(200)).await;
         if page.is_ok_and(|page| page.results.len() == count) {
             break;
         }
-        assert!(Instant::now() < end, "not every item has a result: {:?}", server.requests());
+        assert!(Instant::now() < end, "not every item has a result: {:?}", site.server.requests());
     }
-    let requests = server.requests().into_iter();
+    let requests = site.server.requests().into_iter();
     requests.map(|request| (String::from_utf8(request.values("t-id").concat()).unwrap(), request)).collect()
 }
 
@@ -172,3 +202,19 @@
         assert!(!forms(&item("1", "/path/a", &[], body)), "body {body:?}");
     }
 }
+
+/// A server reads late, and the job is ended meanwhile: what it reads afterwards is not
+/// the item.
+#[tokio::test]
+async fn an_item_of_an_ended_job_does_not_arrive_later() {
+    let go_on = Arc::new(Notify::new());
+    let site = Site::start(vec![RawAct::WriteEarly(String::new(), go_on.clone())]).await;
+    let body = "YWJj".repeat(LONG / 3);
+    site.hand_in(vec![item("Id-1", "/path/a", &[], &body)]).await;
+    until(|| site.server.received().iter().any(|bytes| head_of(bytes).is_some())).await;
+    site.desk.end(JOB, None, soon()).await.unwrap();
+    until(|| site.runs() == 0).await;
+    go_on.notify_one();
+    until(|| site.server.ended() == 1).await;
+    assert_eq!(site.server.requests(), []);
+}
