Jobs: tests that a job is kept whole by way of a disk, a crash and another front

Cause looked for: a job that reaches the store by another way than its client's is not the one that was handed in, so that servers get items that nobody sent. Ruled out: changed items, host, path or tenant by way of the store, another front and a worker's disk that another process empties after a crash; jobs made of a file that a crash cut short; a job replaced by another of its identity. Change: 4 tests.

--- /dev/null
+++ b/crates/jobs/tests/kept_jobs.rs
@@ -0,0 +1,144 @@
+//! A job that goes to the store by way of a disk or of another front is the job that its
+//! client handed in: every byte of its items, its host, path and tenant.
+
+use latchwheel_jobs::layout::{body_key, job_key, JobRecord, JobState};
+use latchwheel_jobs::{serve_relay, ItemBody, JobBody, JobDesk, NodeRole, Nodes, OwnedJobs, Spool, Submission};
+use latchwheel_records::memory::MemoryStore;
+use latchwheel_records::{Contact, RecordStore, RecordsFault};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const JOB: &str = "job-1";
+const SUBMISSION: Submission<'_> = Submission { host: "host.example", path: "/path/x?y=%20", tenant: Some("red") };
+const OTHER: Submission<'_> = Submission { host: "other.example", ..SUBMISSION };
+
+/// Items with what an encoding may change: escapes, quotes, blanks, empty texts, signs
+/// beyond ASCII, names that differ in case only, and one identity in two jobs.
+fn body(mark: &str) -> JobBody {
+    let headers =
+        [("Model", mark), ("model", "m"), ("a", " \"b\\c\" \t"), ("empty", ""), ("caf", "caf\u{e9}\u{1f980}")];
+    let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let item = |id: &str, path: &str, body: &str| ItemBody {
+        id: id.into(),
+        path: path.into(),
+        headers: headers.clone().into(),
+        body: body.into(),
+        tokens: u64::MAX,
+    };
+    JobBody { items: vec![item("i1", "/path//a?b=%2F\u{e9}&", "q83vEjRWeJA="), item("I1", "/", "")] }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+async fn until<F: std::future::Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds().await {
+        assert!(Instant::now() < end, "it never came about");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn nodes(role: NodeRole, address: &str, hears: bool) -> Nodes {
+    let nodes = Nodes::new(move |_| hears.then_some(0));
+    nodes.put("node", role, address.parse().unwrap());
+    nodes
+}
+
+/// Serves a worker's disk at an address; dropping what is given back stops it.
+async fn disk(store: &MemoryStore, folder: &Path, listener: TcpListener) -> watch::Sender<bool> {
+    let address = listener.local_addr().unwrap().to_string();
+    let spool = Spool::open(Arc::new(store.clone()), "node", &address, folder).unwrap();
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(spool.serve(OwnedJobs::new(Contact::default()), listener, stopped));
+    until(|| async { folder.join("spool/on-record").exists() }).await;
+    stop
+}
+
+/// The job as the store has it.
+async fn stored(store: &MemoryStore) -> (JobRecord, JobBody) {
+    until(|| async { store.get(&job_key(JOB)).await.is_ok_and(|record| record.is_some()) }).await;
+    let record = store.get(&job_key(JOB)).await.unwrap().unwrap();
+    let record: JobRecord = serde_json::from_slice(&record.value).unwrap();
+    let mut bytes = Vec::new();
+    for part in 0..record.body_parts {
+        bytes.extend_from_slice(&store.get(&body_key(JOB, part)).await.unwrap().unwrap().value);
+    }
+    (record, serde_json::from_slice(&bytes).unwrap())
+}
+
+async fn assert_kept_whole(store: &MemoryStore, mark: &str) {
+    let (record, kept) = stored(store).await;
+    assert_eq!(kept, body(mark));
+    assert_eq!((record.host.as_str(), record.path.as_str()), (SUBMISSION.host, SUBMISSION.path));
+    assert_eq!((record.tenant.as_deref(), record.state, record.items), (Some("red"), JobState::Open, 2));
+}
+
+#[tokio::test]
+async fn a_job_is_whole_in_the_store() {
+    let store = MemoryStore::default();
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 1);
+    desk.take(JOB, &SUBMISSION, body("first"), soon()).await.unwrap();
+    assert_kept_whole(&store, "first").await;
+}
+
+/// Another front writes it; the one that took it reaches neither store nor worker.
+#[tokio::test]
+async fn a_job_is_whole_by_way_of_another_front() {
+    let (store, away) = (MemoryStore::default(), MemoryStore::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (_stop, stopped) = watch::channel(false);
+    let other = Arc::new(JobDesk::new(Arc::new(store.clone()), Nodes::default(), 1));
+    tokio::spawn(serve_relay(other, listener, stopped));
+    away.set_fault(Some(RecordsFault::Unknown));
+    let desk = JobDesk::new(Arc::new(away), nodes(NodeRole::Front, &address, false), 1);
+    desk.take(JOB, &SUBMISSION, body("first"), soon()).await.unwrap();
+    assert_kept_whole(&store, "first").await;
+}
+
+/// The worker that kept it ends before the store is back, and another process finds it on
+/// the disk, beside what a crash left: a part of a job's file, and a job's file cut short.
+#[tokio::test]
+async fn a_job_is_whole_by_way_of_a_disk_and_a_crash() {
+    let (store, folder) = (MemoryStore::default(), tempfile::tempdir().unwrap());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let stop = disk(&store, folder.path(), listener).await;
+    store.set_fault(Some(RecordsFault::Refused));
+    let desk = JobDesk::new(Arc::new(store.clone()), nodes(NodeRole::Worker, &address, true), 1);
+    assert_eq!(desk.take(JOB, &SUBMISSION, body("first"), soon()).await.unwrap().disks, 1);
+    drop(stop);
+
+    // What another process finds: the same files, in a folder that nobody else empties.
+    let (after, crashed) = (MemoryStore::default(), tempfile::tempdir().unwrap());
+    std::fs::create_dir(crashed.path().join("spool")).unwrap();
+    let file = |name: &str| crashed.path().join("spool").join(name);
+    let bytes = std::fs::read(folder.path().join(format!("spool/{JOB}.job"))).unwrap();
+    std::fs::write(file(&format!("{JOB}.job")), &bytes).unwrap();
+    std::fs::write(file("job-2.part"), &bytes).unwrap();
+    std::fs::write(file("job-3.job"), &bytes[..bytes.len() - 1]).unwrap();
+    std::fs::write(file("job-4.job"), b"").unwrap();
+    let _stop = disk(&after, crashed.path(), TcpListener::bind("127.0.0.1:0").await.unwrap()).await;
+    until(|| async { !file(&format!("{JOB}.job")).exists() }).await;
+    assert_kept_whole(&after, "first").await;
+    let jobs = after.list("latchwheel/active/job/").await.unwrap().records;
+    assert_eq!(jobs.len(), 1, "what was cut short is no job");
+}
+
+/// The same identity with other items, another host, path or tenant: what was taken first
+/// stays as it is.
+#[tokio::test]
+async fn a_job_is_never_replaced_by_another_of_its_identity() {
+    let store = MemoryStore::default();
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 1);
+    desk.take(JOB, &SUBMISSION, body("first"), soon()).await.unwrap();
+    assert!(desk.take(JOB, &SUBMISSION, body("second"), soon()).await.is_err());
+    assert!(desk.take(JOB, &Submission { tenant: None, ..SUBMISSION }, body("first"), soon()).await.is_err());
+    let _: Result<_, _> = desk.take(JOB, &OTHER, body("first"), soon()).await;
+    assert_kept_whole(&store, "first").await;
+}
