Proxy: a test that a server that is tried gets no request

Cause looked for: something that nobody sent runs at a server because a node looks whether the server has ended. Ruled out: the node opens a connection and sends no byte; no other call of a node goes to a server beside clients' requests and items (the health path of a service is read from the operator's document and used nowhere). Change: a test; a comment on what a connection is. Conclusion: refuted.

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -24,7 +24,7 @@
 /// Connections kept idle for each server.
 const IDLE_LIMIT: usize = 32;
 
-/// A connection that carries a request now.
+/// A connection to a server.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
--- a/crates/proxy/tests/server_connections.rs
+++ b/crates/proxy/tests/server_connections.rs
@@ -175,3 +175,15 @@
     }
     assert_eq!(identities(&server.requests()), ["1", "2"]);
 }
+
+/// A server that lost a connection is tried, to tell whether it has ended: it gets a
+/// connection, and no byte on it.
+#[tokio::test]
+async fn a_server_that_is_tried_gets_no_request() {
+    let server = RawServer::start("server", vec![RawAct::CloseEarly]).await;
+    let node = RawNode::start(ONCE, 1, &[&server]).await;
+    assert_eq!(statuses(&node.write_and_read(&with_length("1", &binary(LONG))).await), [502]);
+    // The first connection, and the tries, of which each has ended.
+    until(|| server.received().len() > 1 && server.ended() == server.received().len()).await;
+    assert!(server.received()[1..].iter().all(Vec::is_empty));
+}
