Jobs: a job that some disk may hold is never answered as refused

Cause: while the store refuses every write and disks are asked, the answer at the end of the caller's time was that of the last write, Refused, which promises that nothing runs; a disk that has kept the job by then writes it to the store later, and it runs. Ruled out: the other branch of the same choice, which says that it can't be told. Change: it can't be told there either.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -151,7 +151,8 @@
         let spooling = hand_out(&workers, job, handed, self.copies);
         tokio::select! {
             written = &mut writing, if !writing.is_finished() => match written.unwrap_or(Err(DeskFault::Unknown)) {
-                Err(fault) => Err(fault),
+                // Some disk may hold it by now, so that it may run.
+                Err(DeskFault::Refused) => Err(DeskFault::Unknown),
                 settled => settled,
             },
             kept = spooling => match kept {
