--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -188,11 +188,12 @@
         while !matches!(self.store.commit(&transaction).await, Ok(Committed::Done(_))) {
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
+        // Whoever sees the note may hand a job over at once.
+        self.on_record.store(true, Ordering::Relaxed);
         let (folder, address) = (self.folder.clone(), record.address);
         let noted = tokio::task::spawn_blocking(move || write_synced(&folder.join(RECORDED), address.as_bytes()));
         // Without the note the disk only has to be put on record again.
         let _ = noted.await;
-        self.on_record.store(true, Ordering::Relaxed);
     }
 
     async fn holds(&self, job: &str) -> bool {
