--- a/crates/jobs/tests/refused_jobs.rs
+++ b/crates/jobs/tests/refused_jobs.rs
@@ -55,8 +55,13 @@
     let desk = JobDesk::new(Arc::new(store.clone()), nodes, 2);
 
     store.set_fault(Some(RecordsFault::Refused));
-    let answer = desk.take(JOB, &SUBMISSION, body(), Instant::now() + Duration::from_millis(900)).await;
-    until(|| async { folder.path().join(format!("spool/{JOB}.job")).exists() }).await;
+    let kept = folder.path().join(format!("spool/{JOB}.job"));
+    let hand_in = || desk.take(JOB, &SUBMISSION, body(), Instant::now() + Duration::from_millis(900));
+    let mut answer = hand_in().await;
+    // The worker notes that its disk is on record a moment before it takes jobs.
+    while !kept.exists() {
+        answer = hand_in().await;
+    }
     store.set_fault(None);
     until(|| async { store.get(&job_key(JOB)).await.is_ok_and(|record| record.is_some()) }).await;
     assert_eq!(answer, Err(DeskFault::Unknown), "the job is in the store now");
