Review: a refusal for want of room is no outage, ages are not made smaller, unreadable records hold

Change: the store's faults tell 'no room' (429) from 'unavailable' (503, no connection); only the latter and silence may be an outage for all. The held time is taken first. A job whose record can't be read is left; a listing that differed pauses. A worker that leaves a job to another is not believed any more that nothing is listed. Two comments said more than is so. Ruled out: counting 503 as an answer; batch work would stop in each outage of that form.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -325,7 +325,7 @@
 
 pub(crate) fn desk_fault(fault: RecordsFault) -> DeskFault {
     match fault {
-        RecordsFault::Refused | RecordsFault::Rejected => DeskFault::Refused,
+        RecordsFault::Refused | RecordsFault::Unavailable | RecordsFault::Rejected => DeskFault::Refused,
         RecordsFault::Unknown | RecordsFault::HistoryLost | RecordsFault::BadAnswer => DeskFault::Unknown,
     }
 }
--- a/crates/jobs/src/handed.rs
+++ b/crates/jobs/src/handed.rs
@@ -66,7 +66,7 @@
             }
             Ok(Entered::Present(Some(_))) => return Err(DeskFault::Conflict),
             Ok(Entered::Present(None)) => return Err(DeskFault::Unknown),
-            Err(RecordsFault::Refused | RecordsFault::Rejected) => {}
+            Err(RecordsFault::Refused | RecordsFault::Unavailable | RecordsFault::Rejected) => {}
             Err(_) => fault = DeskFault::Unknown,
         }
         let pause = doubled_pause(PAUSE, LONGEST_PAUSE, failures);
--- a/crates/jobs/src/job_confirmation.rs
+++ b/crates/jobs/src/job_confirmation.rs
@@ -68,7 +68,7 @@
     /// left, if it has to.
     pub(crate) fn note_present(&mut self, asked_at: Instant, present: Option<&Record>) -> Option<LeaveReason> {
         let Some(present) = present else { return Some(LeaveReason::RecordGone) };
-        let record = read_record(&present.value)?;
+        let Some(record) = read_record(&present.value) else { return Some(LeaveReason::RecordUnreadable) };
         let state = record.state;
         self.record = record;
         self.revision = present.revision;
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -159,6 +159,8 @@
         emit(&self.job, &Event::ListingFailed { job: &self.job, first, reason });
         if matches!(committed, Ok(Committed::Differs(_))) {
             self.settled |= self.reload().await && self.context.shared.clock.now() >= self.lists_from;
+            // What was read may differ again, or could not be read.
+            self.lists_from = self.lists_from.max(self.context.shared.clock.now() + STORE_PAUSE);
             return;
         }
         let pause = doubled_pause(STORE_PAUSE, LONGEST_STORE_PAUSE, failures);
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -62,6 +62,8 @@
     Finished,
     /// Its record is gone.
     RecordGone,
+    /// Its record can't be read: whether it is open is not known.
+    RecordUnreadable,
     /// Another worker runs it from now on.
     FallsToAnother,
     /// This worker leaves, or the process stops.
@@ -75,6 +77,7 @@
             LeaveReason::Ended => "ended",
             LeaveReason::Finished => "finished",
             LeaveReason::RecordGone => "record_gone",
+            LeaveReason::RecordUnreadable => "record_unreadable",
             LeaveReason::FallsToAnother => "falls_to_another",
             LeaveReason::WorkerLeaves => "worker_leaves",
         }
@@ -121,6 +124,9 @@
     let reason = run.run(&mut orders).await;
     run.context.forget_unfinished(&run.job);
     if reason.goes_on_elsewhere() {
+        // The other worker may list before this one is done: readers ask the store.
+        run.settled = false;
+        run.show_list();
         run.list_before_leaving().await;
     }
     emit(&run.job, &Event::JobLeft { job: &run.job, reason: reason.word(), listed: run.list.results.len() });
--- a/crates/jobs/src/start_permission.rs
+++ b/crates/jobs/src/start_permission.rs
@@ -29,8 +29,9 @@
         self.lease().note_open(at);
     }
 
-    /// Whether items may be sent now. While the store answers nobody no end can be
-    /// acknowledged, and work goes on.
+    /// Whether items may be sent now. While the store answers nobody work goes on: no
+    /// further end can be acknowledged then. One that was acknowledged just before, and not
+    /// heard of, is in force after the outage only.
     pub(crate) fn allows(&self, now: Instant) -> bool {
         let is_left = matches!(*self.orders.borrow(), JobOrder::Leave(_));
         !is_left && (self.lease().allows(now) || self.contact.answers_nobody())
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -220,7 +220,10 @@
             }
         }
         let Some(job) = job_of_key(&record.key) else { return };
-        let Some(job_record) = read_record(&record.value) else { return };
+        let Some(job_record) = read_record(&record.value) else {
+            self.drop_job(job, LeaveReason::RecordUnreadable);
+            return;
+        };
         if job_record.state != JobState::Open {
             let ended = job_record.state == JobState::Ended;
             let reason = if ended { LeaveReason::Ended } else { LeaveReason::Finished };
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -1,6 +1,7 @@
 //! When the record store was last known to answer this process, and whether it
 //! may be called now.
 
+use crate::RecordsFault;
 use latchwheel_core::circuit_breaker::{CircuitBreaker, ProbePolicy};
 use latchwheel_core::time::Instant as CoreInstant;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -36,6 +37,9 @@
     /// outage.
     answering_since: Option<Instant>,
     told: Option<ToldContact>,
+    /// Since when calls fail in a way that may be an outage for all, if they do: a store
+    /// without room for calls may take others.
+    unreached_since: Option<Instant>,
     /// When an upstream told last that the store doesn't answer it.
     told_away: Option<Instant>,
     /// Other nodes judge the store by this one, and it asks none of them.
@@ -59,6 +63,7 @@
         if unobserved || outage >= SHORT_FAILURE {
             self.answering_since = Some(start);
         }
+        self.unreached_since = None;
         self.answered = self.answered.max(Some(end));
         self.heard = Some(Instant::now());
     }
@@ -92,6 +97,7 @@
             failing_since: None,
             answering_since: None,
             told: None,
+            unreached_since: None,
             told_away: None,
             relied_on,
         };
@@ -151,6 +157,14 @@
         self.note_span(sent_at, Instant::now());
     }
 
+    /// A call to the store failed so, that should have been answered from that time on.
+    pub(crate) fn note_fault(&self, fault: RecordsFault, due_at: Instant) {
+        self.note_failure(due_at);
+        let mut state = self.lock();
+        let since = state.failing_since.filter(|_| fault.may_be_outage());
+        state.unreached_since = since.map(|since| state.unreached_since.unwrap_or(since));
+    }
+
     /// A call to the store failed that should have been answered from that
     /// time on.
     pub fn note_failure(&self, due_at: Instant) {
@@ -212,12 +226,13 @@
         self.lock().failing_since.map(|since| since.elapsed()).unwrap_or_default()
     }
 
-    /// Whether the store is believed to answer nobody: it fails this process, and an
-    /// upstream as well, if this process asks one.
+    /// Whether the store is believed to answer nobody: this process doesn't reach it, and
+    /// an upstream says the same, if this process asks one. A refusal for want of room is
+    /// an answer: it tells nothing of others.
     pub fn answers_nobody(&self) -> bool {
         let state = self.lock();
         let fails_upstream = state.told_away.is_some_and(|at| at.elapsed() <= TOLD_AWAY_LIFE);
-        state.failing_since.is_some() && (state.relied_on || fails_upstream)
+        state.unreached_since.is_some() && (state.relied_on || fails_upstream)
     }
 
     /// Time for which the store has answered, this process or an upstream that
--- a/crates/records/src/follow.rs
+++ b/crates/records/src/follow.rs
@@ -6,8 +6,9 @@
 use tokio::time::Instant;
 
 /// Time that a watch waits for changes. A watch whose connection has died without a word
-/// is noticed after this time and that of a call, 2.5 s: the operator's document and the
-/// ends of servers have to be in force within 2 to 3 s.
+/// is noticed after this time and that of a call, 2.5 s. The operator's document and the
+/// drains of servers have to be in force within 2 to 3 s, to which nodes are held from 3 s
+/// after their connections died.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// A watch that told so many changes is followed by the next one at once: waiting would
 /// bring few more together, and there may be more than one watch tells. With a pause of
--- a/crates/records/src/guarded_store.rs
+++ b/crates/records/src/guarded_store.rs
@@ -37,7 +37,7 @@
         let outcome = call.await;
         count(kind, &outcome);
         match &outcome {
-            Err(fault) if !fault.shows_contact() => self.contact.note_failure(sent_at),
+            Err(fault) if !fault.shows_contact() => self.contact.note_fault(*fault, sent_at),
             _ => self.contact.note_answer(sent_at),
         }
         outcome
@@ -79,7 +79,7 @@
             Ok(_) => self.contact.note_held(sent_at),
             Err(fault) if fault.shows_contact() => self.contact.note_answer(sent_at),
             // It may have been cut while it waited for changes.
-            Err(_) => self.contact.note_failure(Instant::now().min(sent_at + wait)),
+            Err(fault) => self.contact.note_fault(*fault, Instant::now().min(sent_at + wait)),
         }
         outcome
     }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -114,8 +114,10 @@
 /// Why a call brought no result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordsFault {
-    /// The store did not do it, and won't.
+    /// The store did not do it, and won't: it answers, and has no room for the call.
     Refused,
+    /// Nothing was done: the store can't be reached, or says that it can't serve anybody.
+    Unavailable,
     /// The store answers, but it does not take such a call; nothing was done.
     Rejected,
     /// It can't be told; a change may yet be made if its condition holds.
@@ -131,6 +133,7 @@
     pub fn word(self) -> &'static str {
         match self {
             RecordsFault::Refused => "refused",
+            RecordsFault::Unavailable => "unavailable",
             RecordsFault::Rejected => "rejected",
             RecordsFault::Unknown => "no_answer",
             RecordsFault::HistoryLost => "history_lost",
@@ -138,6 +141,11 @@
         }
     }
 
+    /// Whether it may be that the store answers nobody.
+    pub fn may_be_outage(self) -> bool {
+        matches!(self, RecordsFault::Unavailable | RecordsFault::Unknown)
+    }
+
     /// Whether the store is there nevertheless.
     pub fn shows_contact(self) -> bool {
         matches!(self, RecordsFault::Rejected | RecordsFault::HistoryLost)
--- a/crates/records/src/watch_cache.rs
+++ b/crates/records/src/watch_cache.rs
@@ -248,8 +248,9 @@
         // Without news the answer says only how fresh the asker's state is.
         let arrived_at = Instant::now();
         let _ = tokio::time::timeout(wait, self.ready_to_answer(&asked)).await;
-        let mut answer = self.news(&asked);
-        answer.held_ms = whole_milliseconds(arrived_at.elapsed());
+        // Taken before the ages: what follows takes time, and must not make them smaller.
+        let held_ms = whole_milliseconds(arrived_at.elapsed());
+        let answer = v1::RecordsAnswer { held_ms, ..self.news(&asked) };
         Response::new(full(Bytes::from(answer.encode_to_vec())))
     }
 
