Quarantine: several causes at one pace don't pass for a rack that is lost

Cause: three servers that end within 100 ms with no request in common counted as lost together, and for good. Three requests that crash their servers and come again at the same pace look so each time, and were never stopped. Change: which servers were lost together is found anew at each decision, over all that has settled; a group is no loss where each of its servers ended under a request that has ended enough servers to be quarantined.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -50,9 +50,12 @@
     requests: Vec<RequestKey>,
     /// Requests that ran to their end elsewhere; news that come again don't count.
     cleared: HashSet<Fingerprint>,
-    /// A quarantined request was among them, or the server was lost with others: no
-    /// other request is held to be the cause.
+    /// A quarantined request was among them: no other request is held to be the cause.
     explained: bool,
+    /// The server was lost with others, as far as can be told: no request is held to be
+    /// the cause. Three causes that come again at the same pace look so until each of them
+    /// has come often enough.
+    lost: bool,
 }
 
 impl Crash {
@@ -73,7 +76,7 @@
 
     /// Whether it has settled and nothing explains it.
     fn is_open(&self, now: Instant) -> bool {
-        !self.explained && self.settled_at <= now
+        !self.explained && !self.lost && self.settled_at <= now
     }
 }
 
@@ -132,7 +135,7 @@
         let crash = self.crashes.entry(server).or_insert_with(|| {
             self.order.push_back(server);
             let settled_at = now + SETTLE_TIME + RANK_PAUSE * rank.min(LAST_RANK) as u32;
-            Crash { at: now, settled_at, requests: Vec::new(), cleared: HashSet::new(), explained: false }
+            Crash { at: now, settled_at, requests: Vec::new(), cleared: HashSet::new(), explained: false, lost: false }
         });
         let before = crash.requests.len();
         for request in requests {
@@ -170,7 +173,7 @@
     /// Decides by all that has settled.
     pub fn decide(&mut self, now: Instant, standing: impl Fn(Fingerprint) -> Standing) -> Decisions {
         self.decide_at = self.crashes.values().map(|crash| crash.settled_at).filter(|at| *at > now).min();
-        let mut decisions = Decisions { lost: self.explain_losses(now), ..Decisions::default() };
+        let mut decisions = Decisions { lost: self.find_losses(now), ..Decisions::default() };
         loop {
             let suspects = self.suspects(now);
             let causes = causes_among(&suspects, &standing);
@@ -198,34 +201,50 @@
         ends.into_iter().map(|(request, ends)| (request, Suspect::of(ends))).collect()
     }
 
-    /// Explains the ends of servers that were lost together; gives back the groups.
-    fn explain_losses(&mut self, now: Instant) -> Vec<Vec<ServerKey>> {
-        let mut lost = Vec::new();
-        let mut open: Vec<(Instant, ServerKey)> = self
-            .crashes
-            .iter()
-            .filter(|(_, crash)| crash.is_open(now))
-            .map(|(server, crash)| (crash.at, *server))
-            .collect();
-        open.sort_unstable();
+    /// Tells which servers were lost together; gives back the groups that were not known.
+    fn find_losses(&mut self, now: Instant) -> Vec<Vec<ServerKey>> {
+        let settled = self.crashes.iter().filter(|(_, crash)| crash.settled_at <= now && !crash.explained);
+        let mut settled: Vec<(Instant, ServerKey)> = settled.map(|(server, crash)| (crash.at, *server)).collect();
+        settled.sort_unstable();
+        let ends = self.ends_by_request();
+        let mut groups: Vec<Vec<ServerKey>> = Vec::new();
         let mut first = 0;
-        while first < open.len() {
-            let start = open[first].0;
-            let count = open[first..].iter().take_while(|(at, _)| at.since(start) <= LOST_WITHIN).count();
-            let group = &open[first..first + count];
-            if count < LOST_TOGETHER || self.have_a_request_in_common(group) {
+        while first < settled.len() {
+            let start = settled[first].0;
+            let count = settled[first..].iter().take_while(|(at, _)| at.since(start) <= LOST_WITHIN).count();
+            let group = &settled[first..first + count];
+            if count < LOST_TOGETHER || self.have_a_request_in_common(group) || self.have_a_suspect_each(group, &ends) {
                 first += 1;
                 continue;
             }
-            for (_, server) in group {
-                if let Some(crash) = self.crashes.get_mut(server) {
-                    crash.explained = true;
-                }
-            }
-            lost.push(group.iter().map(|(_, server)| *server).collect());
+            groups.push(group.iter().map(|(_, server)| *server).collect());
             first += count;
         }
-        lost
+        let lost: HashSet<ServerKey> = groups.iter().flatten().copied().collect();
+        groups.retain(|group| group.iter().any(|server| self.crashes.get(server).is_some_and(|crash| !crash.lost)));
+        for (server, crash) in &mut self.crashes {
+            crash.lost = lost.contains(server);
+        }
+        groups
+    }
+
+    /// How many servers ended under each request.
+    fn ends_by_request(&self) -> HashMap<RequestKey, usize> {
+        let mut ends: HashMap<RequestKey, usize> = HashMap::new();
+        for request in self.crashes.values().flat_map(|crash| &crash.requests) {
+            *ends.entry(*request).or_default() += 1;
+        }
+        ends
+    }
+
+    /// Whether each of these servers ended under a request that would be quarantined for
+    /// the servers that ended under it.
+    fn have_a_suspect_each(&self, group: &[(Instant, ServerKey)], ends: &HashMap<RequestKey, usize>) -> bool {
+        let is_suspect = |request: &RequestKey| ends[request] >= CRASHES_TO_QUARANTINE;
+        group
+            .iter()
+            .filter_map(|(_, server)| self.crashes.get(server))
+            .all(|crash| crash.requests.iter().any(is_suspect))
     }
 
     fn have_a_request_in_common(&self, group: &[(Instant, ServerKey)]) -> bool {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -591,3 +591,20 @@
     println!("{wronged} innocent requests stopped in {} schedules of {INNOCENT}", SEEDS.end);
     assert!(wronged > 0);
 }
+
+/// Three causes that come again at the same pace end three servers at nearly the same
+/// moments, with no request in common: that looks like a rack that is lost, for as long as
+/// none of them has ended enough servers.
+#[test]
+fn causes_that_end_servers_at_the_same_moments_are_stopped() {
+    let mut evidence = CrashEvidence::default();
+    let mut stopped = Vec::new();
+    for round in 0..4_u32 {
+        for cause in 0..3_u32 {
+            let now = at(u64::from(round * 1000 + cause * 10));
+            evidence.note_crash(now, ServerKey(round * 3 + cause), &[request(u64::from(cause) + 1)], 0, free);
+        }
+        stopped.extend(quarantined(&evidence.decide(at(u64::from(round * 1000) + 900), free)));
+    }
+    assert_eq!(stopped, [1, 2, 3]);
+}
--- a/crates/proxy/tests/crashing_requests.rs
+++ b/crates/proxy/tests/crashing_requests.rs
@@ -83,8 +83,17 @@
 /// Two contents that end servers come beside each other: each is stopped by itself.
 #[tokio::test]
 async fn two_such_requests_are_stopped_beside_each_other() {
+    are_stopped_beside_each_other(["poison of one caller", "poison of another"]).await;
+}
+
+/// Three at the same pace end three servers at nearly the same moments, as a lost rack does.
+#[tokio::test]
+async fn three_such_requests_are_stopped_beside_each_other() {
+    are_stopped_beside_each_other(["poison of one caller", "poison of another", "poison of a third"]).await;
+}
+
+async fn are_stopped_beside_each_other<const COUNT: usize>(bodies: [&str; COUNT]) {
     let fleet = Fleet::start(NODES, SERVERS).await;
-    let bodies = ["poison of one caller", "poison of another"];
     futures::future::join_all(bodies.map(|body| assert_body_is_stopped(&fleet, 0..NODES, body))).await;
     assert_eq!(fleet.nodes[0].shared.crashes.quarantined().len(), bodies.len());
     fleet.unlist_ended();
