Log the software version of servers and what a request continues

Change: the version of a registration is read and logged with ServerReady, RequestSent and ItemSent; RequestSent also has the event after which the server continues and the request that the client names. No decision uses them yet.

Tests of core, proxy, events and the adapter pass.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -33,6 +33,8 @@
     pub address: Arc<str>,
     /// Zone.
     pub zone: Arc<str>,
+    /// Version of the server's software. Versions have no order.
+    pub version: Arc<str>,
     /// Number of requests that the server handles concurrently.
     pub slots: u32,
     /// Whether the server accepts no new work.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -91,6 +91,8 @@
     pub server: Arc<str>,
     /// Address of the server.
     pub address: Arc<str>,
+    /// Version of the server's software.
+    pub version: Arc<str>,
     /// Expected wait for a free slot.
     pub expected_wait: Duration,
     /// Prompt tokens that are expected not to be in the server's prefix cache.
@@ -179,6 +181,7 @@
                 let placement = Placement {
                     server: id.clone(),
                     address: server.address.clone(),
+                    version: server.version.clone(),
                     expected_wait: Duration::from_secs_f64(wait.min(3600.0)),
                     uncached,
                     load: view.load(),
@@ -213,6 +216,7 @@
         (!view.is_avoided()).then(|| Placement {
             server: id.clone(),
             address: state.address.clone(),
+            version: state.version.clone(),
             expected_wait: wait,
             uncached,
             load: view.load(),
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -89,6 +89,8 @@
 pub(super) struct ServerState {
     pub(super) service: Arc<str>,
     pub(super) address: Arc<str>,
+    /// Version of the server's software; a server that starts anew has a new identity.
+    pub(super) version: Arc<str>,
     pub(super) ready: bool,
     /// Whether this node is one of the preferred workers of the server.
     pub(super) is_preferred: bool,
@@ -296,6 +298,7 @@
         Self {
             service: record.service.clone(),
             address: record.address.clone(),
+            version: record.version.clone(),
             ready: true,
             is_preferred: true,
             key: ServerKey::of(&record.id),
--- a/crates/core/tests/deferrable.rs
+++ b/crates/core/tests/deferrable.rs
@@ -35,6 +35,7 @@
         service: "s".into(),
         address: format!("address-{number}").into(),
         zone: "z".into(),
+        version: "1".into(),
         slots: SLOTS,
         draining: false,
         sequence: 1,
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -10,6 +10,7 @@
         service: "s".into(),
         address: "127.0.0.1:1".into(),
         zone: "z".into(),
+        version: "1".into(),
         slots: 4,
         draining,
         sequence,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -25,6 +25,7 @@
             service: "s".into(),
             address: format!("{name}:1").into(),
             zone: "z".into(),
+            version: "1".into(),
             slots: SLOTS,
             draining: false,
             sequence: 1,
@@ -141,6 +142,7 @@
         let placement = Placement {
             server: "a".into(),
             address: "a:1".into(),
+            version: "1".into(),
             expected_wait: Duration::ZERO,
             uncached: 0,
             load: 0.0,
@@ -207,6 +209,7 @@
     let placement = Placement {
         server: "a".into(),
         address: "a:1".into(),
+        version: "1".into(),
         expected_wait: Duration::ZERO,
         uncached: 0,
         load: 0.0,
@@ -247,6 +250,7 @@
     let placement = Placement {
         server: "a".into(),
         address: "a:1".into(),
+        version: "1".into(),
         expected_wait: Duration::ZERO,
         uncached: 0,
         load: 0.0,
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -28,6 +28,7 @@
         service: SERVICE.into(),
         address: format!("10.0.0.1:{number}").into(),
         zone: "zone".into(),
+        version: "1".into(),
         slots: SLOTS,
         draining: false,
         sequence: 1,
--- a/crates/core/tests/second_attempts.rs
+++ b/crates/core/tests/second_attempts.rs
@@ -36,6 +36,7 @@
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
+        version: "1".into(),
         slots: SLOTS,
         draining: false,
         sequence: 1,
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -29,6 +29,7 @@
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
+        version: "1".into(),
         slots,
         draining: false,
         sequence: 1,
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -29,6 +29,7 @@
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
+        version: "1".into(),
         slots: SLOTS,
         draining: false,
         sequence: 1,
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -189,6 +189,8 @@
         service: &'a str,
         /// Address of the server.
         address: &'a str,
+        /// Version of its software.
+        version: &'a str,
         /// Sequence number of its registration.
         sequence: u64
     };
@@ -300,6 +302,13 @@
         route: &'a str,
         /// Server id.
         server: &'a str,
+        /// Version of the server's software.
+        version: &'a str,
+        /// Last event that the client has of the stream; the server continues after it.
+        after_event: Option<u64>,
+        /// Id of the client's request that brought the first event of the stream, where the
+        /// client names one.
+        resumes: &'a str,
         /// Number of the attempt, from 1.
         attempt: u32,
         /// Expected wait for a slot.
@@ -611,6 +620,8 @@
         item: &'a str,
         /// Server id.
         server: &'a str,
+        /// Version of the server's software.
+        version: &'a str,
         /// Estimated load of the server.
         load: f64,
         /// Events kept from earlier runs of the item.
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -272,6 +272,7 @@
             job: &self.job,
             item: &self.item,
             server: exchange.server(),
+            version: exchange.version(),
             load: exchange.load(),
             events_kept: progress.events(),
             chosen_ms: now.since(self.chosen_at).as_millis() as u64,
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -16,6 +16,9 @@
     pub not_run: HeaderName,
     /// Number of the last event that the asker has.
     pub last_event: HeaderName,
+    /// Identity of the request that brought the first event of the stream that a request
+    /// continues.
+    pub resumes: HeaderName,
     /// Name of the tenant that a request is run for.
     pub tenant: HeaderName,
     /// What a request asks for beside its path and body.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -219,6 +219,11 @@
         self.placement.load
     }
 
+    /// Version of the software of its server.
+    pub fn version(&self) -> &Arc<str> {
+        &self.placement.version
+    }
+
     /// Server that works on it.
     pub fn server(&self) -> &Arc<str> {
         &self.placement.server
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -148,7 +148,7 @@
     pub(crate) async fn attempt(&mut self, last_event: Option<u64>) -> Result<Started<D>, Option<Response<Body>>> {
         let placement = self.place_unless_suspected().await.map_err(Some)?;
         let left = self.left();
-        self.log_sent(&placement, left, self.attempts.made() + 1);
+        self.log_sent(&placement, left, self.attempts.made() + 1, last_event);
         let expected = self.expected_if_repeatable(&placement).filter(|_| last_event.is_none());
         if let Some(expected) = expected {
             return self.attempt_in_time(placement, expected).await;
@@ -214,11 +214,17 @@
         error_answer(code, retry_after)
     }
 
-    pub(crate) fn log_sent(&self, placement: &Placement, left: Duration, attempt: u32) {
+    /// Logs that the request is sent; `last_event` is the last event that was passed on, if any.
+    pub(crate) fn log_sent(&self, placement: &Placement, left: Duration, attempt: u32, last_event: Option<u64>) {
+        let names = self.shared.dialect.names();
+        let header = |name| self.outgoing.headers.get(name).and_then(|value| value.to_str().ok());
         let event = Event::RequestSent {
             id: &self.id,
             route: &self.route.name,
             server: &placement.server,
+            version: &placement.version,
+            after_event: last_event.or_else(|| header(&names.last_event)?.trim().parse().ok()),
+            resumes: header(&names.resumes).unwrap_or_default(),
             attempt,
             expected_wait_ms: placement.expected_wait.as_millis() as u64,
             uncached_tokens: placement.uncached,
--- a/crates/proxy/src/second_attempt.rs
+++ b/crates/proxy/src/second_attempt.rs
@@ -290,7 +290,7 @@
             begins.then(|| Sent { placement: placement.clone(), at: now, expected })
         });
         match &second {
-            Some(second) => self.log_sent(&second.placement, self.left(), self.attempts.made() + 2),
+            Some(second) => self.log_sent(&second.placement, self.left(), self.attempts.made() + 2, None),
             // The keeper that gave the place is told that it isn't taken.
             None => drop(Exchange::reserve(&self.shared, placement, &self.outgoing)),
         }
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -111,6 +111,7 @@
             service: SERVICE.into(),
             address: self.address.as_str().into(),
             zone: "zone".into(),
+            version: "1".into(),
             slots: 8,
             draining: false,
             sequence: 1,
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -33,6 +33,7 @@
             expected_server: HeaderName::from_static("t-server"),
             not_run: HeaderName::from_static("t-not-run"),
             last_event: HeaderName::from_static("t-last-event"),
+            resumes: HeaderName::from_static("t-resumes"),
             tenant: HeaderName::from_static("t-tenant"),
             prompt: vec![HeaderName::from_static("model"), HeaderName::from_static("prefix")],
         })
@@ -213,6 +214,7 @@
             service: SERVICE.into(),
             address: self.address.as_str().into(),
             zone: "zone".into(),
+            version: "1".into(),
             slots: 8,
             draining: false,
             sequence: 1,
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -115,6 +115,7 @@
             service: SERVICE.into(),
             address: self.address.as_str().into(),
             zone: "zone".into(),
+            version: "1".into(),
             slots: 8,
             draining: false,
             sequence: 1,
