--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -208,6 +208,11 @@
         false
     }
 
+    /// Its registration with a version of its software.
+    pub fn record_at(&self, version: &str) -> ServerRecord {
+        ServerRecord { version: version.into(), ..self.record() }
+    }
+
     pub fn record(&self) -> ServerRecord {
         ServerRecord {
             id: self.name.as_str().into(),
