--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -110,6 +110,10 @@
     NotReady = 3006, 503, NotRun;
     /// Servers crashed while running this request; it is quarantined for a limited time.
     Quarantined = 3007, 503, NotRun;
+    /// No server of the version that began the stream accepts requests.
+    StreamVersionAway = 3008, 503, NotRun;
+    /// It is unknown which version began the stream that the request continues.
+    StreamOriginUnknown = 3009, 503, NotRun;
     /// Other requests go first for the free slots, by precedence or by tenant share.
     CrowdedOut = 3010, 429, NotRun;
     /// The request was started before and its result is unknown.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -33,12 +33,14 @@
 pub use tracker::{select_trackers, tracker_of, TrackerQuery, TrackerReply};
 
 use crate::identity::{stable_hash, NodeId};
+use crate::software::SoftwareKey;
 use crate::time::Instant;
 use cost::ServiceCost;
 use peers::PeerReports;
 use queues::LocalQueues;
 use ring::ServerRing;
 use server::{ServerState, ServerView};
+use server_set::{Candidates, SoftwareRing};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,6 +59,9 @@
 pub struct PlacementQuery<'a> {
     /// Name of the service.
     pub service: &'a str,
+    /// Software that wrote the events after which the request continues; only its servers are
+    /// considered.
+    pub software: Option<SoftwareKey>,
     /// Prompt of the request.
     pub prompt: &'a Prompt,
     /// Servers of earlier attempts, skipped while other servers are ready.
@@ -80,7 +85,7 @@
     Send(Placement),
     /// The wait is too long at every server; retry after this time.
     Full(Duration),
-    /// The service has no ready server.
+    /// The service has no ready server, or none of the software.
     NoServer,
 }
 
@@ -93,6 +98,8 @@
     pub address: Arc<str>,
     /// Version of the server's software.
     pub version: Arc<str>,
+    /// Key of the server's software.
+    pub software: SoftwareKey,
     /// Expected wait for a free slot.
     pub expected_wait: Duration,
     /// Prompt tokens that are expected not to be in the server's prefix cache.
@@ -130,6 +137,8 @@
     servers: HashMap<Arc<str>, ServerState>,
     /// Servers that accept new requests, by service.
     rings: HashMap<Arc<str>, ServerRing>,
+    /// The same by their software, with the service.
+    software_rings: HashMap<SoftwareKey, SoftwareRing>,
     /// Incremented when a server is added, updated or removed.
     servers_version: u64,
     services: HashMap<Arc<str>, ServiceCost>,
@@ -153,9 +162,10 @@
         let affinity = key.and_then(|key| self.affinity_server(query.service, key));
         let mut best: Option<(f64, f64, Placement)> = None;
         let mut shortest_wait = f64::INFINITY;
+        let candidates = Candidates { service: query.service, software: query.software };
         // Servers of earlier attempts are used again once no other server is left.
-        let skips_avoided = !query.avoid.is_empty() && self.ready_count(query.service) > query.avoid.len();
-        for (id, server) in self.sampled_servers(query.service, key, query.spread) {
+        let skips_avoided = !query.avoid.is_empty() && self.has_others(&candidates, query.avoid);
+        for (id, server) in self.sampled_servers(&candidates, key, query.spread) {
             if skips_avoided && query.avoid.contains(id) {
                 continue;
             }
@@ -182,6 +192,7 @@
                     server: id.clone(),
                     address: server.address.clone(),
                     version: server.version.clone(),
+                    software: server.software,
                     expected_wait: Duration::from_secs_f64(wait.min(3600.0)),
                     uncached,
                     load: view.load(),
@@ -217,6 +228,7 @@
             server: id.clone(),
             address: state.address.clone(),
             version: state.version.clone(),
+            software: state.software,
             expected_wait: wait,
             uncached,
             load: view.load(),
@@ -391,7 +403,7 @@
     /// is extrapolated from a sample that changes with each call.
     pub fn free_slots_of(&self, now: Instant, service: &str, reserve: f64) -> f64 {
         let spread = now.since(Instant::default()).as_micros() as u64;
-        let sampled_servers = self.sampled_servers(service, None, spread);
+        let sampled_servers = self.sampled_servers(&Candidates { service, software: None }, None, spread);
         let free = sampled_servers.map(|(_, server)| self.view(now, server).free_slots(reserve).max(0.0).floor());
         let (servers, sum) = free.fold((0_usize, 0.0), |(servers, sum), free| (servers + 1, sum + free));
         sum * self.ready_count(service) as f64 / servers.max(1) as f64
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -7,6 +7,7 @@
 use super::{Congestion, Ending, Placement, PlacementQuery};
 use crate::directory::ServerRecord;
 use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap};
+use crate::software::SoftwareKey;
 use crate::time::Instant;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -91,6 +92,7 @@
     pub(super) address: Arc<str>,
     /// Version of the server's software; a server that starts anew has a new identity.
     pub(super) version: Arc<str>,
+    pub(super) software: SoftwareKey,
     pub(super) ready: bool,
     /// Whether this node is one of the preferred workers of the server.
     pub(super) is_preferred: bool,
@@ -299,6 +301,7 @@
             service: record.service.clone(),
             address: record.address.clone(),
             version: record.version.clone(),
+            software: SoftwareKey::of(&record.service, &record.version),
             ready: true,
             is_preferred: true,
             key: ServerKey::of(&record.id),
@@ -330,6 +333,11 @@
         self.slots = record.slots.max(1);
     }
 
+    /// Whether it runs this software, if any is required.
+    pub(super) fn runs(&self, software: Option<SoftwareKey>) -> bool {
+        software.is_none_or(|software| software == self.software)
+    }
+
     pub(super) fn own(&self) -> u32 {
         self.own
     }
--- a/crates/core/src/dispatch/server_set.rs
+++ b/crates/core/src/dispatch/server_set.rs
@@ -5,9 +5,25 @@
 use super::{is_preferred_worker, Dispatcher};
 use crate::directory::ServerRecord;
 use crate::identity::{stable_hash, NodeId};
+use crate::software::SoftwareKey;
 use std::collections::HashSet;
 use std::sync::Arc;
 
+/// Servers with the same software that accept new requests.
+#[derive(Debug)]
+pub(super) struct SoftwareRing {
+    service: Arc<str>,
+    ring: ServerRing,
+}
+
+/// Servers that a request may go to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidates<'a> {
+    pub(super) service: &'a str,
+    /// Only servers with this software, if one is named.
+    pub(super) software: Option<SoftwareKey>,
+}
+
 impl Dispatcher {
     /// Replaces the set of servers that accept new requests. Other servers stay only while
     /// requests run there.
@@ -36,6 +52,11 @@
         }
         let hash = stable_hash(record.id.as_bytes());
         self.rings.entry(record.service.clone()).or_default().insert(hash, &record.id);
+        let of_software = self
+            .software_rings
+            .entry(SoftwareKey::of(&record.service, &record.version))
+            .or_insert_with(|| SoftwareRing { service: record.service.clone(), ring: ServerRing::default() });
+        of_software.ring.insert(hash, &record.id);
     }
 
     /// Stops new requests to a server, and removes it if no request runs there.
@@ -44,12 +65,19 @@
         self.servers_version += 1;
         server.ready = false;
         let (service, hash, idle) = (server.service.clone(), server.id_hash, server.own() == 0);
+        let software = server.software;
         if let Some(ring) = self.rings.get_mut(&service) {
             ring.remove(hash, id);
             if ring.len() == 0 {
                 self.rings.remove(&service);
             }
         }
+        if let Some(of_software) = self.software_rings.get_mut(&software) {
+            of_software.ring.remove(hash, id);
+            if of_software.ring.len() == 0 {
+                self.software_rings.remove(&software);
+            }
+        }
         if idle {
             self.forget(id);
         }
@@ -100,14 +128,45 @@
         ring.filter_map(|id| Some((id, self.servers.get(id)?)))
     }
 
-    /// Servers of a service to examine for a request.
+    /// Returns the service of a software that servers which accept new requests run.
+    pub fn service_of(&self, software: SoftwareKey) -> Option<Arc<str>> {
+        self.software_rings.get(&software).map(|of_software| of_software.service.clone())
+    }
+
+    /// Returns the software of the servers that accept new requests, each with the hash of its
+    /// service.
+    pub fn ready_software(&self) -> Vec<(u64, SoftwareKey)> {
+        let of_service =
+            |(software, ring): (&SoftwareKey, &SoftwareRing)| (stable_hash(ring.service.as_bytes()), *software);
+        self.software_rings.iter().map(of_service).collect()
+    }
+
+    fn ring_of(&self, candidates: &Candidates<'_>) -> Option<&ServerRing> {
+        match candidates.software {
+            Some(software) => self.software_rings.get(&software).map(|of_software| &of_software.ring),
+            None => self.rings.get(candidates.service),
+        }
+    }
+
+    /// Whether there are more candidates than those of them in `avoid`.
+    pub(super) fn has_others(&self, candidates: &Candidates<'_>, avoid: &[Arc<str>]) -> bool {
+        let avoided = match candidates.software {
+            None => avoid.len(),
+            software => {
+                avoid.iter().filter(|id| self.servers.get(*id).is_some_and(|state| state.runs(software))).count()
+            }
+        };
+        self.ring_of(candidates).map_or(0, ServerRing::len) > avoided
+    }
+
+    /// Candidates to examine for a request.
     pub(super) fn sampled_servers<'a>(
         &'a self,
-        service: &str,
+        candidates: &Candidates<'_>,
         key: Option<u64>,
         spread: u64,
     ) -> impl Iterator<Item = (&'a Arc<str>, &'a ServerState)> {
-        let ring = self.rings.get(service).into_iter().flat_map(move |ring| ring.sampled_servers(key, spread));
+        let ring = self.ring_of(candidates).into_iter().flat_map(move |ring| ring.sampled_servers(key, spread));
         ring.filter_map(|id| Some((id, self.servers.get(id)?)))
     }
 
--- a/crates/core/src/dispatch/tracker.rs
+++ b/crates/core/src/dispatch/tracker.rs
@@ -14,6 +14,7 @@
 use super::{Coverage, Dispatcher, Prompt, ServerKey, ServerShare, ServerView};
 use crate::identity::{stable_hash, stable_pair_hash, NodeId};
 use crate::permits::Coordinator;
+use crate::software::SoftwareKey;
 use crate::time::Instant;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -37,6 +38,9 @@
     pub from: NodeId,
     /// Hash of the service's name.
     pub service: u64,
+    /// Software that wrote the events after which the request continues; only its servers are
+    /// considered.
+    pub software: Option<SoftwareKey>,
     /// Prompt of the request.
     pub prompt: &'a Prompt,
     /// Servers of earlier attempts, skipped while there are others.
@@ -70,7 +74,7 @@
     /// No server is available within the wait limit; contains the expected wait, or the retry
     /// time if a deferrable request would take a slot of the reserve.
     Full(Duration),
-    /// This node tracks no server of the service.
+    /// This node tracks no server of the service, or none of the software.
     TracksNone,
 }
 
@@ -79,6 +83,8 @@
 pub(super) struct TrackedServers {
     /// Tracked servers by the hash of the service name.
     rings: HashMap<u64, ServerRing>,
+    /// The same by their software.
+    software_rings: HashMap<SoftwareKey, ServerRing>,
     /// Inputs from which the tracked servers were computed.
     computed_from: Option<TrackingInputs>,
     /// Servers with changes that were not sent to their trackers yet.
@@ -109,6 +115,14 @@
     pub(super) fn note_change(&mut self, server: ServerKey) {
         self.changed.insert(server);
     }
+
+    /// Tracked servers that a query may get.
+    fn ring_of(&self, query: &TrackerQuery<'_>) -> Option<&ServerRing> {
+        match query.software {
+            Some(software) => self.software_rings.get(&software),
+            None => self.rings.get(&query.service),
+        }
+    }
 }
 
 /// Server that a tracker selected.
@@ -151,10 +165,12 @@
         }
         self.tracked.computed_from = Some(present);
         self.tracked.rings.clear();
+        self.tracked.software_rings.clear();
         for (id, server) in self.servers.iter().filter(|(_, server)| server.ready) {
             if tracker_of(server.key, trackers) == Some(own) {
                 let service = stable_hash(server.service.as_bytes());
                 self.tracked.rings.entry(service).or_default().insert(server.id_hash, id);
+                self.tracked.software_rings.entry(server.software).or_default().insert(server.id_hash, id);
             }
         }
     }
@@ -230,16 +246,17 @@
 
     /// Selects the server with the lowest cost from a sample of the tracked servers.
     fn choose_tracked(&self, now: Instant, query: &TrackerQuery<'_>) -> Option<TrackedChoice> {
-        let ring = self.tracked.rings.get(&query.service)?;
+        let ring = self.tracked.ring_of(query)?;
         // The tracked servers may include one that was removed since they were computed.
         let first = ring.all().find_map(|id| self.servers.get(id))?;
         let cost = self.services.get(&first.service).copied().unwrap_or_default();
         let key = query.prompt.affinity_key();
         let affinity = key.and_then(|key| self.affinity_server(&first.service, key));
+        let has_others = self.has_others_tracked(ring, query);
         let mut best: Option<(f64, f64, TrackedChoice)> = None;
         for id in ring.sampled_servers(key, query.spread) {
             let Some(server) = self.servers.get(id).filter(|server| server.ready) else { continue };
-            let avoided = query.avoid.contains(&server.key) && ring.len() > query.avoid.len();
+            let avoided = query.avoid.contains(&server.key) && has_others;
             if avoided {
                 continue;
             }
@@ -262,6 +279,19 @@
         best.map(|(_, _, chosen)| chosen)
     }
 
+    /// Whether the ring has more servers than those of earlier attempts.
+    fn has_others_tracked(&self, ring: &ServerRing, query: &TrackerQuery<'_>) -> bool {
+        let runs = |key: &&ServerKey| {
+            let state = self.ids.get(*key).and_then(|id| self.servers.get(id));
+            state.is_some_and(|state| state.runs(query.software))
+        };
+        let avoided = match query.software {
+            None => query.avoid.len(),
+            Some(_) => query.avoid.iter().filter(runs).count(),
+        };
+        ring.len() > avoided
+    }
+
     /// Records the changes at servers that another node sent.
     pub fn note_peer_changes(&mut self, now: Instant, from: NodeId, sequence: u64, mut changed: Vec<ServerShare>) {
         self.take_speed_updates(now, &mut changed);
--- /dev/null
+++ b/crates/core/src/stream_origins.rs
@@ -0,0 +1,169 @@
+//! Which software began a stream, recorded where any node finds it.
+//!
+//! A client that takes a stream up again names the request that brought its first event, and
+//! may reach any node. The node that begins a stream therefore sends a record to a few other
+//! nodes, its *homes*. Rendezvous hashing of the stream's key selects them, so that every node
+//! finds them without a directory, and each node keeps an equal share of the records.
+//!
+//! Records are soft state. A stream without one is continued only if a single version of the
+//! software has served for longer than any stream lasts; otherwise it is refused, because its
+//! events would be mixed with those of another version.
+
+use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap, NodeId};
+use crate::software::{SoftwareKey, VersionsSeen};
+use crate::time::Instant;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Number of homes of a stream: the record survives the loss of all but one of them.
+pub const HOMES: usize = 3;
+/// Nodes that follow a stream's key in ring order, among which its homes are selected.
+const NEAR_KEY: usize = 16;
+/// Maximum number of records that a node keeps.
+const MAX_RECORDS: usize = 1 << 17;
+/// Longest time for which a record is kept.
+const MAX_KEEP: Duration = Duration::from_secs(600);
+
+/// Key of a stream, from the identity of the request that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Derives the key from the identity of a request.
+    pub fn of(request: &str) -> Self {
+        Self(stable_hash(request.as_bytes()))
+    }
+}
+
+/// Records of streams at one node.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    records: HashKeyMap<u64, (SoftwareKey, Instant)>,
+    /// Keys in the order in which they were recorded or renewed, each with the end of the record.
+    order: VecDeque<(Instant, u64)>,
+}
+
+impl StreamOrigins {
+    /// Records which software began a stream, for this time.
+    pub fn record(&mut self, now: Instant, stream: StreamKey, software: SoftwareKey, keep: Duration) {
+        let until = now + keep.min(MAX_KEEP);
+        self.records.insert(stream.0, (software, until));
+        self.order.push_back((until, stream.0));
+        self.drop_expired(now);
+    }
+
+    /// The software that began a stream, if that is recorded.
+    pub fn software(&self, now: Instant, stream: StreamKey) -> Option<SoftwareKey> {
+        self.records.get(&stream.0).filter(|(_, until)| now <= *until).map(|(software, _)| *software)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        while let Some((until, key)) = self.order.front().copied() {
+            if until >= now && self.order.len() <= MAX_RECORDS {
+                return;
+            }
+            self.order.pop_front();
+            // A record that was renewed has a later entry.
+            if self.records.get(&key).is_some_and(|(_, end)| *end == until) {
+                self.records.remove(&key);
+            }
+        }
+    }
+}
+
+/// Nodes in the order of the hashes of their identities.
+#[derive(Clone, Debug, Default)]
+pub struct NodeRing {
+    nodes: Vec<(u64, NodeId)>,
+}
+
+impl NodeRing {
+    /// Creates a ring of these nodes.
+    pub fn new(nodes: impl IntoIterator<Item = NodeId>) -> Self {
+        let hashed = nodes.into_iter().map(|node| (stable_hash(&node.0.to_le_bytes()), node));
+        let mut nodes: Vec<(u64, NodeId)> = hashed.collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        Self { nodes }
+    }
+
+    /// The homes of a stream. What it costs doesn't grow with the nodes.
+    pub fn homes(&self, stream: StreamKey) -> Vec<NodeId> {
+        let start = self.nodes.partition_point(|(hash, _)| *hash < stream.0);
+        let following = self.nodes[start..].iter().chain(&self.nodes[..start]).take(NEAR_KEY);
+        let mut near: Vec<NodeId> = following.map(|(_, node)| *node).collect();
+        near.sort_unstable_by_key(|node| std::cmp::Reverse(stable_pair_hash(node.0, stream.0)));
+        near.truncate(HOMES);
+        near
+    }
+}
+
+/// What a home replies about a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OriginReply {
+    /// The software that began the stream, if the home has a record.
+    pub software: Option<SoftwareKey>,
+    /// Versions that the home saw in the services of the stream's route.
+    pub seen: VersionsSeen,
+}
+
+/// State of the search for the software of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A home has a record.
+    Recorded(SoftwareKey),
+    /// No home has a record, and only this software can have begun the stream.
+    OnlyVersion(SoftwareKey),
+    /// Homes have not replied yet.
+    Pending,
+    /// It can't be found out.
+    Unknown,
+}
+
+/// Search for the software of a stream: collects the replies of its homes.
+#[derive(Clone, Debug)]
+pub struct OriginSearch {
+    waiting: Vec<NodeId>,
+    recorded: Option<SoftwareKey>,
+    seen: VersionsSeen,
+}
+
+impl OriginSearch {
+    /// Starts with what this node itself knows, and the other homes that were queried.
+    pub fn new(own: OriginReply, queried: Vec<NodeId>) -> Self {
+        Self { waiting: queried, recorded: own.software, seen: own.seen }
+    }
+
+    /// Records the reply of a home.
+    pub fn note_reply(&mut self, from: NodeId, reply: OriginReply) {
+        self.waiting.retain(|node| *node != from);
+        self.recorded = self.recorded.or(reply.software);
+        self.seen = self.seen.and(reply.seen);
+    }
+
+    /// Homes that have not replied.
+    pub fn waiting(&self) -> &[NodeId] {
+        &self.waiting
+    }
+
+    /// The result so far. Without a record all homes must have replied: one that is
+    /// unreachable may have it.
+    pub fn origin(&self) -> Origin {
+        match (self.recorded, self.seen) {
+            (Some(software), _) => Origin::Recorded(software),
+            (None, _) if !self.waiting.is_empty() => Origin::Pending,
+            (None, VersionsSeen::One(software)) => Origin::OnlyVersion(software),
+            (None, VersionsSeen::Several | VersionsSeen::Unknown) => Origin::Unknown,
+        }
+    }
+}
--- a/crates/core/tests/deferrable.rs
+++ b/crates/core/tests/deferrable.rs
@@ -127,6 +127,7 @@
         let prompt = Prompt::default();
         while self.budget.take() {
             let query = PlacementQuery {
+                software: None,
                 service: "s",
                 prompt: &prompt,
                 avoid: &[],
@@ -159,6 +160,7 @@
     for step in 0..STEPS {
         while (front.runs.len() as u32) < online_at(step) {
             let query = PlacementQuery {
+                software: None,
                 service: "s",
                 prompt: &prompt,
                 avoid: &[],
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -6,6 +6,7 @@
     ServerKey, ServerLoad, ServerShare, REPORT_TTL,
 };
 use latchwheel_core::identity::NodeId;
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -47,6 +48,7 @@
 
 fn query<'a>(prompt: &'a Prompt, spread: u64) -> PlacementQuery<'a> {
     PlacementQuery {
+        software: None,
         service: "s",
         prompt,
         avoid: &[],
@@ -143,6 +145,7 @@
             server: "a".into(),
             address: "a:1".into(),
             version: "1".into(),
+            software: SoftwareKey::of("s", "1"),
             expected_wait: Duration::ZERO,
             uncached: 0,
             load: 0.0,
@@ -210,6 +213,7 @@
         server: "a".into(),
         address: "a:1".into(),
         version: "1".into(),
+        software: SoftwareKey::of("s", "1"),
         expected_wait: Duration::ZERO,
         uncached: 0,
         load: 0.0,
@@ -251,6 +255,7 @@
         server: "a".into(),
         address: "a:1".into(),
         version: "1".into(),
+        software: SoftwareKey::of("s", "1"),
         expected_wait: Duration::ZERO,
         uncached: 0,
         load: 0.0,
@@ -410,3 +415,35 @@
     assert!(work.len() == 10 && work.values().all(|servers| (45..=135).contains(servers)), "{work:?}");
     assert_eq!(preferred_workers(ServerKey::of("a"), [NodeId(7)].into_iter()), [NodeId(7)]);
 }
+
+#[test]
+fn a_request_that_continues_goes_only_to_servers_of_its_software() {
+    let mut dispatcher = dispatcher(&["a", "b", "c", "d"]);
+    let second = ServerRecord {
+        id: "other".into(),
+        service: "s".into(),
+        address: "other:1".into(),
+        zone: "z".into(),
+        version: "2".into(),
+        slots: SLOTS,
+        draining: false,
+        sequence: 1,
+    };
+    dispatcher.set_one_ready(&second);
+    let empty = Prompt::default();
+    let avoid: Vec<Arc<str>> = vec!["a".into(), "other".into()];
+    for spread in 0..32 {
+        let of = |version| PlacementQuery {
+            software: Some(SoftwareKey::of("s", version)),
+            avoid: &avoid,
+            ..query(&empty, spread)
+        };
+        let first = placed(dispatcher.choose(at(0), &of("1")));
+        assert!(!avoid.contains(&first.server) && &*first.version == "1", "{first:?}");
+        // The only server of a version is used again.
+        assert_eq!(&*placed(dispatcher.choose(at(0), &of("2"))).server, "other");
+        assert_eq!(dispatcher.choose(at(0), &of("3")), Choice::NoServer);
+    }
+    let service = |version| dispatcher.service_of(SoftwareKey::of("s", version));
+    assert_eq!((service("2").as_deref(), service("3")), (Some("s"), None));
+}
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -129,6 +129,7 @@
 
 fn free_slot(prompt: &Prompt, spread: u64) -> TrackerQuery<'_> {
     TrackerQuery {
+        software: None,
         from: FRONT,
         service: stable_hash(SERVICE.as_bytes()),
         prompt,
--- a/crates/core/tests/second_attempts.rs
+++ b/crates/core/tests/second_attempts.rs
@@ -336,6 +336,7 @@
 
     fn choose(&mut self, now: u64, avoid: &[Arc<str>], wait_limit: Duration) -> Option<(Placement, Duration)> {
         let query = PlacementQuery {
+            software: None,
             service: SERVICE,
             prompt: &self.prompt,
             avoid,
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -7,6 +7,7 @@
 };
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::permits::Coordinator;
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -46,6 +47,7 @@
 
 fn query(prompt: &Prompt) -> TrackerQuery<'_> {
     TrackerQuery {
+        software: None,
         from: FRONT,
         service: stable_hash(SERVICE.as_bytes()),
         prompt,
@@ -251,6 +253,7 @@
             self.fronts[front].place_at(now, server, 0, Duration::ZERO, false).unwrap()
         } else {
             let query = PlacementQuery {
+                software: None,
                 service: SERVICE,
                 prompt: &prompt,
                 avoid: &[],
@@ -309,3 +312,38 @@
     assert!(by_tracker > 0.99, "{by_tracker}");
     assert!(by_reports < by_tracker - 0.02, "{by_reports}");
 }
+
+#[test]
+fn a_query_for_a_software_gets_its_servers_only() {
+    let records: Vec<ServerRecord> = (0..6)
+        .map(|number| ServerRecord { version: if number == 4 { "2".into() } else { "1".into() }, ..record(number, 2) })
+        .collect();
+    let mut tracker = Dispatcher::default();
+    tracker.set_ready(records.iter());
+    tracker.set_tracked(TRACKER, &[TRACKER]);
+    let (prompt, second) = (Prompt::default(), ServerKey::of("server-4"));
+    let of = |version| Some(SoftwareKey::of(SERVICE, version));
+    for _ in 0..2 {
+        let reply = tracker.reserve_server(at(0), &TrackerQuery { software: of("2"), ..query(&prompt) });
+        assert_eq!(server_of(&reply), second);
+    }
+    let full = tracker.reserve_server(at(0), &TrackerQuery { software: of("2"), ..query(&prompt) });
+    assert!(matches!(full, TrackerReply::Full(_)), "{full:?}");
+    let other = tracker.reserve_server(at(0), &TrackerQuery { software: of("1"), ..query(&prompt) });
+    assert_ne!(server_of(&other), second);
+    let none = tracker.reserve_server(at(0), &TrackerQuery { software: of("3"), ..query(&prompt) });
+    assert_eq!(none, TrackerReply::TracksNone);
+}
+
+#[test]
+fn a_software_whose_servers_left_is_tracked_no_more() {
+    let mut tracker = tracker(2, 2);
+    tracker.set_draining("server-0");
+    tracker.set_draining("server-1");
+    tracker.set_tracked(TRACKER, &[TRACKER]);
+    let prompt = Prompt::default();
+    let software = Some(SoftwareKey::of(SERVICE, "1"));
+    let reply = tracker.reserve_server(at(0), &TrackerQuery { software, ..query(&prompt) });
+    assert_eq!(reply, TrackerReply::TracksNone);
+    assert_eq!(tracker.service_of(SoftwareKey::of(SERVICE, "1")), None);
+}
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -112,6 +112,7 @@
             continue;
         }
         let query = TrackerQuery {
+            software: None,
             from: FRONT,
             service: stable_hash(SERVICE.as_bytes()),
             prompt: &prompt,
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -402,6 +402,18 @@
         /// Whether the request got a slot in the end.
         served: bool
     };
+    /// A request continues a stream that another request began, at the version that began it.
+    StreamContinued = 8109, Essential {
+        /// Request id.
+        id: &'a str,
+        /// Route of the request.
+        route: &'a str,
+        /// Whether a node had a record of the version; otherwise only one version has served for
+        /// longer than any stream lasts.
+        recorded: bool,
+        /// Time since the request was read.
+        after_ms: u64
+    };
     /// A second attempt at another server ended, or the first attempt ended meanwhile.
     SecondAttempt = 8120, Essential {
         /// Request id.
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -217,13 +217,14 @@
 ) -> Option<Placement> {
     let shared = &context.shared;
     let wait_limit = Duration::ZERO;
-    let ask = PlaceAsk { service, prompt, avoid, wait_limit, deferrable: true, reserve };
+    let ask = PlaceAsk { service, software: None, prompt, avoid, wait_limit, deferrable: true, reserve };
     let choice = match shared.placements.ask(shared, &ask).await {
         Some(choice) => choice,
         None if !context.take_start() => return None,
         None => {
             let ask = PlacementQuery {
                 service,
+                software: None,
                 prompt,
                 avoid,
                 wait_limit,
--- a/crates/proxy/src/accept.rs
+++ b/crates/proxy/src/accept.rs
@@ -14,6 +14,7 @@
 use latchwheel_core::attempts::Attempts;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::routes::{RequestKind, Route};
+use latchwheel_core::stream_origins::StreamKey;
 use latchwheel_core::time::Instant;
 use latchwheel_http::{read_bounded, Body, BodyFault};
 use std::sync::Arc;
@@ -104,8 +105,10 @@
     let service = shared.next_service(&route).ok_or_else(|| refuse(ResultCode::NoServer, Some(route.clone())))?;
     Ok(Context {
         shared: shared.clone(),
+        stream: StreamKey::of(&id),
         id,
         service,
+        software: None,
         table_version: table.version,
         received,
         until,
--- a/crates/proxy/src/ambiguity.rs
+++ b/crates/proxy/src/ambiguity.rs
@@ -6,11 +6,14 @@
 const CHUNKED: &str = "chunked";
 
 /// Whether a server may take a request for another one than the node does: it carries
-/// two identities or hosts, of which each may choose one, or a body in a coding that is
+/// two identities, of itself or of what it continues, or two hosts, of which each may choose one, or a body in a coding that is
 /// told in a header of this connection only, so that the server would take the coded
 /// bytes for the body.
 pub(crate) fn is_ambiguous(headers: &HeaderMap, names: &HeaderNames) -> bool {
-    stands_twice(headers, &names.request_id) || stands_twice(headers, &HOST) || has_coded_body(headers)
+    let identities = [&names.request_id, &names.resumes];
+    identities.into_iter().any(|name| stands_twice(headers, name))
+        || stands_twice(headers, &HOST)
+        || has_coded_body(headers)
 }
 
 fn stands_twice(headers: &HeaderMap, name: &HeaderName) -> bool {
--- /dev/null
+++ b/crates/proxy/src/continued.rs
@@ -0,0 +1,84 @@
+//! Requests that continue a stream which another request began.
+
+use crate::dialect::{Dialect, HeaderNames};
+use crate::exchange::Exchange;
+use crate::forward::Context;
+use crate::stream_origins::{NewRecord, OriginQuery};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::Response;
+use latchwheel_core::code::ResultCode;
+use latchwheel_core::identity::stable_hash;
+use latchwheel_core::software::SoftwareKey;
+use latchwheel_core::stream_origins::{Origin, StreamKey};
+use latchwheel_events::{emit, Event};
+use latchwheel_http::Body;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which the record of a stream is kept after the deadline of its request.
+const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(30);
+/// Added to the longest time of a stream, for changes that nodes see at different times.
+const WINDOW_MARGIN: Duration = Duration::from_secs(5);
+/// Retry time while no server of a stream's version accepts requests.
+const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The stream that a request continues; `None` if it begins one.
+pub(crate) fn continued_stream(headers: &HeaderMap, names: &HeaderNames, id: &str) -> Option<StreamKey> {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
+    match text(&names.resumes).filter(|first_request| !first_request.is_empty()) {
+        Some(first_request) => Some(StreamKey::of(first_request)),
+        // A client that names no request may send the same one again.
+        None => text(&names.last_event).filter(|event| !matches!(*event, "" | "0")).map(|_| StreamKey::of(id)),
+    }
+}
+
+impl<D: Dialect> Context<D> {
+    /// Where the request continues a stream, restricts it to the software that began the
+    /// stream.
+    ///
+    /// # Errors
+    /// The answer, if that software is unknown or none of its servers can be used.
+    pub(crate) async fn find_software(&mut self) -> Result<(), Response<Body>> {
+        let names = self.shared.dialect.names();
+        let continued = continued_stream(&self.outgoing.headers, names, &self.id).filter(|_| self.is_stream());
+        let Some(stream) = continued else { return Ok(()) };
+        let services = self.route.targets.iter().map(|target| stable_hash(target.service.as_bytes())).collect();
+        let query = OriginQuery { stream, services, window: self.route.timeout + WINDOW_MARGIN };
+        let origin = self.shared.stream_origins.find(&self.shared, &query).await;
+        let (software, recorded) = match origin {
+            Origin::Recorded(software) => (software, true),
+            Origin::OnlyVersion(software) => (software, false),
+            Origin::Pending | Origin::Unknown => return Err(self.refuse(ResultCode::StreamOriginUnknown, None)),
+        };
+        self.stream = stream;
+        self.software = Some(software);
+        match self.service_of(software) {
+            Some(service) => self.service = service,
+            None => return Err(self.refuse_version_away()),
+        }
+        let after_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
+        emit(&self.id, &Event::StreamContinued { id: &self.id, route: &self.route.name, recorded, after_ms });
+        Ok(())
+    }
+
+    /// The service of the route whose servers run the software.
+    fn service_of(&self, software: SoftwareKey) -> Option<Arc<str>> {
+        let service = self.shared.dispatcher().service_of(software)?;
+        self.route.targets.iter().any(|target| target.service == service).then_some(service)
+    }
+
+    /// Refuses a stream whose version has no server that accepts requests.
+    pub(crate) fn refuse_version_away(&self) -> Response<Body> {
+        self.refuse(ResultCode::StreamVersionAway, Some(VERSION_RETRY_AFTER))
+    }
+
+    /// Events of this attempt go to the client: the rest of the stream must come from the same
+    /// software, also at other nodes.
+    pub(crate) fn note_events_passed(&mut self, exchange: &Exchange<D>) {
+        let software = exchange.software();
+        self.software = Some(software);
+        let keep = self.left() + KEEP_AFTER_DEADLINE;
+        let record = NewRecord { stream: self.stream, software, keep };
+        self.shared.stream_origins.note_begun(self.shared.clock.now(), record);
+    }
+}
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -26,10 +26,10 @@
 }
 
 impl HeaderNames {
-    /// Whether a header says which request it is or what it asks for: it is meant for the
-    /// server, also where a caller names it as a matter of its connection.
+    /// Whether a header says which request it is, what it asks for or what it continues: it is
+    /// not a matter of the connection, also where a caller names it as one.
     pub(crate) fn is_for_server(&self, name: &HeaderName) -> bool {
-        let own = [&HOST, &self.request_id, &self.last_event];
+        let own = [&HOST, &self.request_id, &self.last_event, &self.resumes];
         own.contains(&name) || self.prompt.contains(name)
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -11,6 +11,7 @@
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::{Ending, Placement, Prompt, ServerKey};
 use latchwheel_core::fingerprint::RequestContent;
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use latchwheel_http::{full, read_bounded};
 use std::sync::Arc;
@@ -224,6 +225,11 @@
         &self.placement.version
     }
 
+    /// Software of its server.
+    pub fn software(&self) -> SoftwareKey {
+        self.placement.software
+    }
+
     /// Server that works on it.
     pub fn server(&self) -> &Arc<str> {
         &self.placement.server
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -15,6 +15,8 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::Placement;
 use latchwheel_core::routes::{RequestKind, Route};
+use latchwheel_core::software::SoftwareKey;
+use latchwheel_core::stream_origins::StreamKey;
 use latchwheel_core::tenants::Tenant;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
@@ -35,6 +37,10 @@
     pub(crate) id: String,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
+    /// The stream that is answered with: its own, or the one that it continues.
+    pub(crate) stream: StreamKey,
+    /// Software that wrote the events which the client has; only its servers may continue.
+    pub(crate) software: Option<SoftwareKey>,
     pub(crate) table_version: u64,
     pub(crate) received: Instant,
     pub(crate) until: Instant,
@@ -67,6 +73,9 @@
 
 /// Attempts until there is an answer or the request is given up.
 async fn run<D: Dialect>(mut context: Context<D>, guard: crate::shared::InProgress<D>) -> Response<Body> {
+    if let Err(refusal) = context.find_software().await {
+        return refusal;
+    }
     loop {
         let mut departure = Departure::new(&context);
         let attempt = context.attempt(None).await;
--- a/crates/proxy/src/own_claims.rs
+++ b/crates/proxy/src/own_claims.rs
@@ -192,6 +192,7 @@
     fn place<D: Dialect>(&self, shared: &Shared<D>, now: Instant, service: &str) -> Option<Placement> {
         let ask = PlacementQuery {
             service,
+            software: None,
             prompt: &self.prompt,
             avoid: &self.avoid,
             wait_limit: self.wait_limit,
--- a/crates/proxy/src/peers/known.rs
+++ b/crates/proxy/src/peers/known.rs
@@ -106,6 +106,17 @@
         self.lock().by_name.len()
     }
 
+    /// Number of changes so far.
+    pub(super) fn changes(&self) -> u64 {
+        self.lock().version
+    }
+
+    /// Addresses of all nodes.
+    pub(super) fn addresses(&self) -> HashMap<NodeId, SocketAddr> {
+        let known = self.lock();
+        known.by_name.iter().map(|(name, peer)| (NodeId::of_name(name), peer.address)).collect()
+    }
+
     /// A number that stays while [`Self::candidates`] gives the same; `None` while that
     /// can change by the passing of time.
     pub(super) fn version(&self) -> Option<u64> {
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod duties;
 mod known;
 mod messages;
+mod origins;
 mod sums;
 
 pub use known::{Peer, Peers};
@@ -25,6 +26,7 @@
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use messages::{coverage_of, hearing_number, message_of, queue_message_of, queue_of, share_of};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,6 +88,8 @@
     let mut keeper_calls = teller.shared.placements.calls.take_receiver();
     let mut claim_answers = teller.shared.keeper_claims.answers.take_receiver();
     let mut withdrawals = teller.shared.placements.withdrawals.take_receiver();
+    let mut new_records = teller.shared.stream_origins.new_records.take_receiver();
+    let mut origin_queries = teller.shared.stream_origins.queries.take_receiver();
     let mut changes_due: Option<Instant> = None;
     loop {
         let until_changes = changes_due.map(|due| due.saturating_duration_since(Instant::now()));
@@ -93,6 +97,10 @@
             Some(call) = next_of(&mut keeper_calls) => teller.call_keeper(call),
             Some(answer) = next_of(&mut claim_answers) => teller.answer_claim(answer, &peers),
             Some(withdrawal) = next_of(&mut withdrawals) => teller.withdraw_claim(withdrawal),
+            Some(record) = next_of(&mut new_records) => {
+                teller.send_new_records(record, new_records.as_mut(), &peers);
+            }
+            Some(query) = next_of(&mut origin_queries) => teller.send_origin_query(query, &peers),
             () = sleep_or_never(teller.claims_due()) => teller.renew_claims(&peers),
             () = teller.shared.load_changed.notified(), if changes_due.is_none() => {
                 changes_due = Some(Instant::now() + TELL_CHANGES_AFTER);
@@ -115,6 +123,7 @@
             () = tokio::time::sleep_until(next) => {
                 teller.look_at_room(next.elapsed());
                 teller.look_around(&peers);
+                teller.update_members(&peers);
                 teller.tell_deciding_rank();
                 let many = peers.count() > DIRECT_LIMIT;
                 let sent = if many { teller.tell_some(&peers) } else { teller.tell_directly(&peers.all()) };
@@ -171,6 +180,9 @@
     candidates: Vec<Candidate>,
     /// Version of the nodes for which these were named.
     candidates_version: Option<u64>,
+    /// Addresses of all other nodes, and the number of changes to which they are current.
+    members: HashMap<NodeId, SocketAddr>,
+    members_version: Option<u64>,
     /// When another one of them was heard last.
     candidate_heard_at: Option<Instant>,
     /// Whether deputies are told too: no other candidate is known to hear enough.
@@ -208,6 +220,8 @@
             duties,
             candidates: Vec::new(),
             candidates_version: None,
+            members: HashMap::new(),
+            members_version: None,
             candidate_heard_at: None,
             deputies_needed: false,
             told_keepers: Vec::new(),
@@ -271,6 +285,12 @@
             self.shared.keeper_claims.withdraw(NodeId(message.from), &message.withdrawn_claims);
         } else if let Some(news) = &message.quarantine {
             self.shared.crashes.take_news(news);
+        } else if !message.stream_origins.is_empty() {
+            self.shared.stream_origins.take_records(self.shared.clock.now(), &message.stream_origins);
+        } else if let Some(query) = &message.stream_origin_query {
+            self.reply_origin(query, from);
+        } else if let Some(reply) = &message.stream_origin_reply {
+            self.shared.stream_origins.take_reply(NodeId(message.from), reply);
         } else {
             return false;
         }
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -35,6 +35,7 @@
                     let code = if self.takes_turns() { ResultCode::CrowdedOut } else { ResultCode::WaitTooLong };
                     return Err(self.refuse(code, Some(retry_after)));
                 }
+                Choice::NoServer if self.software.is_some() => return Err(self.refuse_version_away()),
                 Choice::NoServer => return Err(self.refuse(ResultCode::NoServer, None)),
             };
             // It may have been held, and servers may have ended under it meanwhile.
@@ -139,6 +140,7 @@
     pub(crate) fn place_ask(&self) -> PlaceAsk<'_> {
         PlaceAsk {
             service: &self.service,
+            software: self.software,
             prompt: &self.outgoing.prompt,
             avoid: &self.asked,
             wait_limit: timely_wait(self.route.latency_target).min(self.left()),
@@ -161,6 +163,7 @@
     pub(crate) fn choose_among(&self, avoid: &[Arc<str>], wait_limit: Duration) -> Choice {
         let ask = PlacementQuery {
             service: &self.service,
+            software: self.software,
             prompt: &self.outgoing.prompt,
             avoid,
             wait_limit,
--- a/crates/proxy/src/placements.rs
+++ b/crates/proxy/src/placements.rs
@@ -10,6 +10,7 @@
 use crate::shared::Shared;
 use latchwheel_core::dispatch::{Choice, Placement, Prompt, PromptPart, ServerKey, TrackerQuery, TrackerReply};
 use latchwheel_core::identity::{stable_hash, NodeId};
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_protocol::v1;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -37,6 +38,8 @@
 pub struct PlaceAsk<'a> {
     /// Service that it goes to.
     pub service: &'a str,
+    /// Software that wrote the events after which it continues; only its servers are considered.
+    pub software: Option<SoftwareKey>,
     /// Its prompt.
     pub prompt: &'a Prompt,
     /// Servers that were asked before.
@@ -249,6 +252,7 @@
         };
         let (now, key) = (shared.clock.now(), ServerKey(server.server));
         let placement = shared.dispatcher().place_at(now, key, server.uncached, wait, ask.deferrable);
+        let placement = placement.filter(|placement| ask.software.is_none_or(|only| only == placement.software));
         placement.map_or(Told::Nothing, Told::Place)
     }
 
@@ -297,6 +301,7 @@
         let request = v1::PlacementRequest {
             number,
             service: stable_hash(ask.service.as_bytes()),
+            software: ask.software.map_or(0, SoftwareKey::number),
             parts: parts.collect(),
             avoid: ask.avoid.iter().map(|server| ServerKey::of(server).0).collect(),
             wait_limit_ms: terms.wait_limit.as_millis() as u32,
@@ -366,6 +371,7 @@
     let ask = TrackerQuery {
         from,
         service: request.service,
+        software: SoftwareKey::from_number(request.software),
         prompt: &prompt,
         avoid: &avoid,
         wait_limit: Duration::from_millis(u64::from(request.wait_limit_ms)),
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -2,7 +2,7 @@
 //!
 //! Events of a resumable stream leave only when they are whole. When its
 //! server breaks off or falls silent, the connection to it is closed first;
-//! then another server is asked for what follows the last event. The client
+//! then another server of the same software is asked for what follows the last event. The client
 //! sees one answer, with the head of the first server.
 
 use crate::dialect::Dialect;
@@ -42,6 +42,8 @@
     framer: EventFramer,
     last_event: Option<u64>,
     first_piece: Option<Instant>,
+    /// Whether events were passed on.
+    passed_events: bool,
     ended: bool,
     _guard: InProgress<D>,
 }
@@ -72,6 +74,7 @@
             framer: EventFramer::default(),
             last_event: None,
             first_piece: None,
+            passed_events: false,
             ended: false,
             _guard: guard,
         }
@@ -116,6 +119,7 @@
         }
         let Ok(events) = self.framer.push(&data) else { return Step::Broken(EVENT_TOO_LONG, Ending::Broken) };
         self.last_event = events.iter().filter_map(|event| event.id).next_back().or(self.last_event);
+        self.note_events(!events.is_empty());
         match events.as_slice() {
             [] => Step::Wait,
             [only] => Step::Pass(only.bytes.clone()),
@@ -131,6 +135,16 @@
         }
     }
 
+    /// Events of the present attempt are passed on.
+    fn note_events(&mut self, any: bool) {
+        if !any || std::mem::replace(&mut self.passed_events, true) {
+            return;
+        }
+        if let Some(exchange) = &self.exchange {
+            self.context.note_events_passed(exchange);
+        }
+    }
+
     fn end(&mut self) {
         self.ended = true;
         if let Some(exchange) = self.exchange.take() {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::placements::Placements;
 use crate::pool::Pool;
 use crate::start::Start;
+use crate::stream_origins::StreamOrigins;
 use latchwheel_clock::Clock;
 use latchwheel_core::directory::DirectoryChange;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
@@ -45,6 +46,8 @@
     pub(crate) own_claims: OwnClaims,
     /// Servers that ended, and the requests that they worked on.
     pub crashes: CrashWatch,
+    /// Software that began the streams of clients.
+    pub stream_origins: StreamOrigins,
     /// Room of this machine and of the others.
     pub machine_room: MachineRoom,
     /// Something changed that keepers are to be told soon.
@@ -87,6 +90,7 @@
             keeper_claims: KeeperClaims::default(),
             own_claims: OwnClaims::default(),
             crashes: CrashWatch::new(clock),
+            stream_origins: StreamOrigins::default(),
             machine_room: MachineRoom::default(),
             load_changed: Notify::new(),
             clock,
@@ -182,6 +186,7 @@
                 DirectoryChange::Unconfirmed(_) => {}
             }
         }
+        self.stream_origins.observe(self.clock.now(), &dispatcher.ready_software());
         self.pool.retain(|server| dispatcher.is_ready(server));
     }
 
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -17,9 +17,10 @@
 const PART_AT_SERVER: f64 = 0.5;
 
 impl<D: Dialect> Context<D> {
-    /// Whether the requests of the service get slots in the order of their claims.
+    /// Whether the request gets a slot in the order of the claims on the service. A stream that
+    /// continues had a slot already, and only some of the servers can take it.
     pub(crate) fn takes_turns(&self) -> bool {
-        self.shared.table().orders_requests(&self.service)
+        self.software.is_none() && self.shared.table().orders_requests(&self.service)
     }
 
     /// A place at a server, in its turn: by a keeper, or by this node itself while none
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -50,6 +50,7 @@
 fn send(node: &Node, server: &TestServer, count: usize) {
     let prompt = Prompt::default();
     let ask = PlacementQuery {
+        software: None,
         service: &server.record().service,
         prompt: &prompt,
         avoid: &[],
@@ -117,6 +118,7 @@
     let mut wanted = nodes[0].shared.take_room_wanted().unwrap();
     let prompt = Prompt::default();
     let ask = PlacementQuery {
+        software: None,
         service: &server.record().service,
         prompt: &prompt,
         avoid: &[],
--- a/crates/proxy/tests/placements.rs
+++ b/crates/proxy/tests/placements.rs
@@ -37,7 +37,7 @@
 
 fn ask(prompt: &Prompt) -> PlaceAsk<'_> {
     let wait_limit = Duration::from_millis(100);
-    PlaceAsk { service: SERVICE, prompt, avoid: &[], wait_limit, deferrable: false, reserve: 0.0 }
+    PlaceAsk { software: None, service: SERVICE, prompt, avoid: &[], wait_limit, deferrable: false, reserve: 0.0 }
 }
 
 /// Asks until the outcome is one that was waited for.
--- a/crates/proxy/tests/second_attempts.rs
+++ b/crates/proxy/tests/second_attempts.rs
@@ -106,7 +106,11 @@
 
     /// Status, and the body or `None` if it broke.
     async fn ask(&self) -> (u16, Option<String>) {
-        let response = Client::http1().send(self.request()).await.unwrap();
+        self.send(self.request()).await
+    }
+
+    async fn send(&self, request: Request<latchwheel_http::Body>) -> (u16, Option<String>) {
+        let response = Client::http1().send(request).await.unwrap();
         let status = response.status().as_u16();
         let body = response.into_body().collect().await.ok();
         (status, body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned()))
@@ -137,15 +141,26 @@
 
     /// The first answer comes long after a second attempt was due, and no second attempt was made.
     async fn assert_makes_one_attempt(&self, told: &Notify) {
+        assert_eq!(self.send_without_second(self.request(), told).await, (200, Some("first".into())));
+    }
+
+    /// Sends a request whose answer comes long after a second attempt was due, and asserts that
+    /// none was made.
+    async fn send_without_second(
+        &self,
+        request: Request<latchwheel_http::Body>,
+        told: &Notify,
+    ) -> (u16, Option<String>) {
+        let before = self.sent();
         let late = async {
-            until(|| self.sent() > 0).await;
+            until(|| self.sent() > before).await;
             // Whatever time this takes, a node that does right makes one attempt.
             tokio::time::sleep(LATE + LATE / 2).await;
             told.notify_one();
         };
-        let (answer, ()) = tokio::join!(self.ask(), late);
-        assert_eq!(answer, (200, Some("first".into())));
-        assert_eq!(self.sent(), 1);
+        let (answer, ()) = tokio::join!(self.send(request), late);
+        assert_eq!(self.sent(), before + 1);
+        answer
     }
 }
 
@@ -327,6 +342,21 @@
     fleet.assert_makes_one_attempt(&told).await;
 }
 
+#[tokio::test]
+async fn a_second_attempt_keeps_to_the_version_of_the_stream() {
+    let (told, late) = once_told(Act::StreamTo(4));
+    let fleet = Fleet::ready(RESUMABLE, 2, vec![Act::StreamTo(2), late, Act::StreamTo(4)]).await;
+    fleet.shared.dispatcher().set_draining(&fleet.second.name);
+    assert_eq!(fleet.ask().await, (200, Some(events(1..=2))));
+    fleet.shared.dispatcher().set_one_ready(&fleet.second.record_at("2"));
+    fleet.tell_pace();
+    let mut request = fleet.request();
+    request.headers_mut().insert("t-resumes", "id-1".parse().unwrap());
+    request.headers_mut().insert("t-last-event", 2.into());
+    assert_eq!(fleet.send_without_second(request, &told).await, (200, Some(events(3..=4))));
+    assert!(fleet.second.seen().is_empty());
+}
+
 #[tokio::test]
 async fn there_is_no_second_attempt_where_no_other_slot_is_free() {
     let (told, first) = once_told(answer("first"));
--- a/crates/proxy/tests/sent_as_received.rs
+++ b/crates/proxy/tests/sent_as_received.rs
@@ -233,14 +233,19 @@
     let acts = || vec![RawAct::WriteAndClose(stream("")), RawAct::Write(stream("0\r\n\r\n"))];
     let one = RawServer::start("one", acts()).await;
     let other = RawServer::start("other", acts()).await;
-    let node = RawNode::start(RequestKind::Stream { resumable: true }, 3, &[&one, &other]).await;
+    let began = RawServer::start("began", vec![RawAct::Write(stream("0\r\n\r\n"))]).await;
+    let node = RawNode::start(RequestKind::Stream { resumable: true }, 3, &[&began]).await;
     let body = binary(5000);
-    let lines = format!("model: m\r\nt-last-event: 3\r\nt-last-event: 2\r\ncontent-length: {}\r\n", body.len());
+    let lines = format!("model: m\r\ncontent-length: {}\r\n", body.len());
+    assert_eq!(statuses(&node.write_and_read(&post("first", &lines, &body)).await), [200]);
+    node.shared.dispatcher().set_ready([one.record(), other.record()].iter());
+    let lines = format!("{lines}t-resumes: first\r\nt-last-event: 3\r\nt-last-event: 2\r\n");
     assert_eq!(statuses(&node.write_and_read(&post("1", &lines, &body)).await), [200]);
     let mut requests = [one.requests(), other.requests()].concat();
     requests.sort_by_key(|request| request.values("t-last-event").len() == 1);
     assert!(requests.len() >= 2);
     assert_eq!(requests[0].values("t-last-event"), [b"3", b"2"]);
+    assert_eq!(requests[0].values("t-resumes"), [b"first"]);
     for resumed in &requests[1..] {
         assert_eq!(resumed.values("t-last-event"), [b"4"]);
         let (mut first, mut resumed) = (requests[0].clone(), resumed.clone());
--- a/crates/proxy/tests/software_versions.rs
+++ b/crates/proxy/tests/software_versions.rs
@@ -207,3 +207,25 @@
     assert_eq!((answer.status, answer.has_retry_time), (503, true));
     assert!(other.seen().is_empty(), "{:?}", other.seen());
 }
+
+#[tokio::test]
+async fn a_stream_that_nobody_recorded_is_refused_where_its_version_is_unknown() {
+    let (same, other) = (server("same").await, server("other").await);
+    let nodes = start_nodes(3, &[same.record_at("1"), other.record_at("2")]).await;
+    let answer = send(&nodes[1], "again", Some(Continued { first_request: "lost", last_event: 2 })).await;
+    assert_eq!((answer.status, answer.has_retry_time), (503, true));
+    assert_eq!((same.seen().len(), other.seen().len()), (0, 0));
+}
+
+#[tokio::test]
+async fn a_stream_that_continued_elsewhere_continues_once_more_under_its_first_request() {
+    let same = TestServer::start("same", vec![Act::CutStream(vec![3]), Act::StreamTo(4)]).await;
+    let other = server("other").await;
+    let nodes = start_nodes(3, &[same.record_at("1"), other.record_at("2")]).await;
+    let (answer, _) = begin_and_cut(&nodes[0], "id", &[]).await;
+    assert!(!answer.whole);
+    let answer = send(&nodes[1], "second", Some(Continued { first_request: "id", last_event: 2 })).await;
+    assert_eq!((answer.whole, answer.text), (true, events(3..=4)));
+    let answer = send(&nodes[2], "third", Some(Continued { first_request: "id", last_event: 3 })).await;
+    assert_eq!((answer.status, other.seen().len()), (200, 0));
+}
