Continue a batch item only at the software version that wrote its events

A worker kept an item's events and continued after the last one at any server of the service.

Change: an item's progress holds the software that wrote its events. The next run goes to that software while one of its servers accepts work; a run at any other software drops the events and starts over. An item starts over if its version is away, or if it has waited for a slot there longer than a run needs to write the events again (at least half a second). Other items of the job are not held up meanwhile.

--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -4,9 +4,11 @@
 //! given up only if a server rejects it as impossible, if it failed as often as its
 //! route allows, or if it expired. Failures at a single server count less, since one
 //! server may fail at every item. A broken connection is not a failure of the item:
-//! the next run continues after the last complete event.
+//! the next run continues after the last complete event, at the software that wrote the kept
+//! events; at any other one the item starts over.
 
 use crate::retry::exponential_backoff;
+use crate::software::SoftwareKey;
 use crate::time::Instant;
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,6 +79,8 @@
     first_run: Option<RunStart>,
     events: u64,
     last_event: Option<u64>,
+    /// Software of the server of the last run, which wrote all kept events.
+    software: Option<SoftwareKey>,
     text: Vec<u8>,
 }
 
@@ -90,6 +94,7 @@
             first_run: None,
             events: 0,
             last_event: None,
+            software: None,
             text: Vec::new(),
         }
     }
@@ -131,6 +136,23 @@
         self.last_event
     }
 
+    /// Software that wrote the kept events; `None` without any.
+    pub fn software(&self) -> Option<SoftwareKey> {
+        self.software.filter(|_| self.events > 0)
+    }
+
+    /// Prepares a run at a server with this software. Returns the number of kept events that
+    /// are dropped because other software wrote them.
+    pub fn begin_run(&mut self, software: SoftwareKey) -> u64 {
+        let dropped = if self.software() == Some(software) { 0 } else { std::mem::take(&mut self.events) };
+        if dropped > 0 {
+            self.text.clear();
+            self.last_event = None;
+        }
+        self.software = Some(software);
+        dropped
+    }
+
     /// Data of all kept events, joined by line feeds.
     pub fn text(&self) -> &[u8] {
         &self.text
@@ -141,6 +163,14 @@
         matches!(self.state, ItemState::Waiting(from) if from <= now)
     }
 
+    /// Time for which the item has been waiting although it may start; zero if it runs.
+    pub fn waited(&self, now: Instant) -> Duration {
+        match self.state {
+            ItemState::Waiting(from) => now.since(from),
+            ItemState::Running | ItemState::Completed | ItemState::GivenUp => Duration::ZERO,
+        }
+    }
+
     /// Makes the item wait until this time before its next run.
     pub fn wait_until(&mut self, from: Instant) {
         self.state = ItemState::Waiting(from);
--- a/crates/core/src/run_times.rs
+++ b/crates/core/src/run_times.rs
@@ -52,6 +52,11 @@
         means.remaining_events(events).mul_f64(means.seconds_per_event)
     }
 
+    /// Time that a run needs to write `events` events; zero before the first completed item.
+    pub fn time_of(&self, events: u64) -> Duration {
+        self.runs.map_or(Duration::ZERO, |means| Duration::from_secs_f64(means.seconds_per_event * events as f64))
+    }
+
     /// Expected time to completion of an item that has `events` events and starts now,
     /// if it is preempted as often as other items; zero before the first completed item.
     pub fn remaining_with_waits(&self, events: u64) -> Duration {
--- a/crates/core/tests/item_progress.rs
+++ b/crates/core/tests/item_progress.rs
@@ -1,6 +1,7 @@
 //! Progress of batch items: kept events, waits between runs, and giving up.
 
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,3 +113,25 @@
     item.end_run(at(1), &server(1), RunEnd::Interrupted, &RULES);
     assert!(item.may_start(at(2)), "preemptions must not lengthen the backoff");
 }
+
+#[test]
+fn events_of_other_software_are_dropped_at_the_start_of_a_run() {
+    let (first, second) = (SoftwareKey::of("s", "1"), SoftwareKey::of("s", "2"));
+    let mut item = ItemProgress::default();
+    assert_eq!((item.begin_run(first), item.software()), (0, None));
+    assert!(item.push_event(Some(1), b"a") && item.push_event(Some(2), b"b"));
+    assert_eq!((item.begin_run(first), item.software(), item.last_event()), (0, Some(first), Some(2)));
+    assert_eq!((item.begin_run(second), item.software()), (2, None));
+    assert_eq!((item.text(), item.events(), item.last_event()), (&b""[..], 0, None));
+    assert!(item.push_event(Some(1), b"c"));
+    assert_eq!((item.text(), item.software()), (&b"c"[..], Some(second)));
+}
+
+#[test]
+fn an_item_waits_from_the_time_at_which_it_may_start() {
+    let mut item = ItemProgress::default();
+    item.start();
+    assert_eq!(item.waited(at(9)), Duration::ZERO);
+    item.wait_until(at(2));
+    assert_eq!((item.waited(at(1)), item.waited(at(5))), (Duration::ZERO, at(5).since(at(2))));
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -643,6 +643,17 @@
         /// Age of the last confirmed state of the job; the job may have been ended since.
         known_ms: u64
     };
+    /// An item starts over: the version that wrote its kept events is away or was too long full.
+    ItemStartsOver = 8227, Essential {
+        /// Job id.
+        job: &'a str,
+        /// Item id.
+        item: &'a str,
+        /// Events that are dropped.
+        events: u64,
+        /// Version of the software of its next server.
+        version: &'a str
+    };
     /// No waiting item of a job can finish in time any more: the items start after those of all
     /// other jobs.
     JobOverdue = 8240, Essential {
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -86,7 +86,7 @@
     if !start.is_allowed() {
         return (RunEnd::Preempted, "may_be_ended");
     }
-    start.note_sent(&exchange, progress);
+    start.begin_run(&exchange, progress);
     let last_event = progress.last_event();
     let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
         Ok(started) => started,
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -7,11 +7,12 @@
 use crate::start_permission::StartPermission;
 use crate::worker_context::WorkerContext;
 use futures::FutureExt;
-use latchwheel_core::dispatch::{Choice, Placement, PlacementQuery, Prompt};
+use latchwheel_core::dispatch::{Choice, Placement, PlacementQuery};
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, RunEnd};
 use latchwheel_core::item_urgency::{plan_starts, RemainingTime, StartPlan};
 use latchwheel_core::listing_pause::PAUSE_NEAR_DUE;
 use latchwheel_core::routes::Route;
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event, ItemOutcome};
 use latchwheel_proxy::{Dialect, Exchange, Outgoing, PlaceAsk};
@@ -27,6 +28,9 @@
 /// quarantine may be lifted.
 const QUARANTINE_LOOK: Duration = Duration::from_secs(5);
 
+/// Time for which an item waits at least for a slot at the version that wrote its events.
+const LEAST_WAIT_FOR_VERSION: Duration = Duration::from_millis(500);
+
 /// Items of a job that start before the job looks at what else has happened.
 const STARTS_IN_A_LOOK: usize = 16;
 
@@ -142,6 +146,20 @@
         plan_starts(&times, with_events.collect(), left)
     }
 
+    /// Software at which an item continues after its kept events; `None` if it has none or
+    /// starts over: because no server of the software accepts work, or because the item has
+    /// waited for one longer than a run needs to write the events again.
+    fn software_to_continue_at(&self, position: usize, route: &Route) -> Option<SoftwareKey> {
+        let shared = &self.context.shared;
+        let progress = &self.progress[position];
+        let software = progress.software()?;
+        let service = shared.dispatcher().service_of(software)?;
+        let is_in_route = route.targets.iter().any(|target| target.service == service);
+        let waited = progress.waited(shared.clock.now());
+        let rewriting = self.context.run_times(route).time_of(progress.events()).max(LEAST_WAIT_FOR_VERSION);
+        (is_in_route && waited <= rewriting).then_some(software)
+    }
+
     /// Starts an item; `false` if no server has room.
     async fn start_item(&mut self, position: usize, rules: &GiveUpRules, route: &Route, rank: &StartRank) -> bool {
         let shared = &self.context.shared;
@@ -158,11 +176,23 @@
             self.progress[position].wait_until(shared.clock.now() + left);
             return true;
         }
-        let Some(service) = shared.next_service(route) else { return false };
-        let reserve = self.reserve(route, rank.late);
+        let software = self.software_to_continue_at(position, route);
+        let of_software = software.and_then(|software| shared.dispatcher().service_of(software));
+        let Some(service) = of_software.or_else(|| shared.next_service(route)) else { return false };
         let avoid = self.progress[position].failed_at().to_vec();
+        let (prompt, reserve) = (&outgoing.prompt, self.reserve(route, rank.late));
+        let ask = PlaceAsk {
+            service: &service,
+            software,
+            prompt,
+            avoid: &avoid,
+            wait_limit: Duration::ZERO,
+            deferrable: true,
+            reserve,
+        };
         let context = self.context.clone();
-        let Some(placement) = place(&context, &service, &outgoing.prompt, &avoid, reserve).await else { return false };
+        // Where one version is full, items without events may find a slot at another.
+        let Some(placement) = place(&context, &ask).await else { return software.is_some() };
         let shared = &self.context.shared;
         let now = shared.clock.now();
         if let Some(left) = shared.begin_run(&outgoing) {
@@ -208,29 +238,21 @@
 
 /// A place for an item: one that a keeper of servers has free, or where no keeper can
 /// tell one that looks free from here, within this worker's share of the room.
-async fn place<S: RecordStore, D: Dialect>(
-    context: &WorkerContext<S, D>,
-    service: &str,
-    prompt: &Prompt,
-    avoid: &[Arc<str>],
-    reserve: f64,
-) -> Option<Placement> {
+async fn place<S: RecordStore, D: Dialect>(context: &WorkerContext<S, D>, ask: &PlaceAsk<'_>) -> Option<Placement> {
     let shared = &context.shared;
-    let wait_limit = Duration::ZERO;
-    let ask = PlaceAsk { service, software: None, prompt, avoid, wait_limit, deferrable: true, reserve };
-    let choice = match shared.placements.ask(shared, &ask).await {
+    let choice = match shared.placements.ask(shared, ask).await {
         Some(choice) => choice,
         None if !context.take_start() => return None,
         None => {
             let ask = PlacementQuery {
-                service,
-                software: None,
-                prompt,
-                avoid,
-                wait_limit,
-                reserve,
+                service: ask.service,
+                software: ask.software,
+                prompt: ask.prompt,
+                avoid: ask.avoid,
+                wait_limit: ask.wait_limit,
+                reserve: ask.reserve,
                 spread: rand::random(),
-                deferrable: true,
+                deferrable: ask.deferrable,
             };
             shared.dispatcher().choose(shared.clock.now(), &ask)
         }
@@ -266,8 +288,14 @@
         self.permission.allows(self.context.shared.clock.now())
     }
 
-    /// It is sent now.
-    pub(crate) fn note_sent(&self, exchange: &Exchange<D>, progress: &ItemProgress) {
+    /// It is sent now: events of other software than its server's are dropped.
+    pub(crate) fn begin_run(&self, exchange: &Exchange<D>, progress: &mut ItemProgress) {
+        let events = progress.begin_run(exchange.software());
+        if events > 0 {
+            let version = exchange.version();
+            let event = Event::ItemStartsOver { job: &self.job, item: &self.item, events, version };
+            emit(&self.job, &event);
+        }
         let now = self.context.shared.clock.now();
         let event = Event::ItemSent {
             job: &self.job,
--- a/crates/jobs/tests/software_versions.rs
+++ b/crates/jobs/tests/software_versions.rs
@@ -1,12 +1,14 @@
 //! Items that continue while servers run several versions of their software side by side.
 
+use latchwheel_core::dispatch::{Prompt, ServerKey};
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{ListedResult, WorkerRules};
+use latchwheel_proxy::Shared;
 use latchwheel_records::memory::MemoryStore;
 use one_worker::{desk, hand_in, start_worker, until, Worker, PATIENCE};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::{node, route, Act, TestServer};
+use support::{node, route, Act, TestDialect, TestServer};
 use tokio::sync::Notify;
 
 mod one_worker;
@@ -25,6 +27,11 @@
 impl CutItem {
     /// The servers are added before the cut, with the versions of their software.
     async fn start(added: &[(&TestServer, &str)]) -> Self {
+        Self::start_with(added, |_| {}).await
+    }
+
+    /// The same, where `occupy` takes slots before the cut.
+    async fn start_with(added: &[(&TestServer, &str)], occupy: impl Fn(&Shared<TestDialect>)) -> Self {
         let cut = Arc::new(Notify::new());
         let act = Act::Await(cut.clone(), Box::new(Act::CutStream(vec![1, 2])));
         let first = TestServer::start("first", vec![act]).await;
@@ -36,6 +43,7 @@
         until("the item runs", async || !first.seen().is_empty()).await;
         shared.dispatcher().set_draining("first");
         added.iter().for_each(|(server, version)| shared.dispatcher().set_one_ready(&server.record_at(version)));
+        occupy(&shared);
         cut.notify_one();
         Self { store, _worker: worker }
     }
@@ -81,3 +89,17 @@
     assert_eq!(item.result().await.text, WHOLE_TEXT);
     assert_eq!(last_events(&other), [None]);
 }
+
+#[tokio::test]
+async fn an_item_starts_over_where_the_version_that_wrote_its_events_stays_full() {
+    let (same, other) = (server("same").await, server("other").await);
+    let occupy = |shared: &Shared<TestDialect>| {
+        let now = shared.clock.now();
+        let mut dispatcher = shared.dispatcher();
+        let placement = dispatcher.place_at(now, ServerKey::of("same"), 0, Duration::ZERO, false).unwrap();
+        (0..8).for_each(|_| dispatcher.note_sent(now, &placement, &Prompt::default()));
+    };
+    let item = CutItem::start_with(&[(&same, "1"), (&other, "2")], occupy).await;
+    assert_eq!(item.result().await.text, WHOLE_TEXT);
+    assert_eq!((last_events(&same), last_events(&other)), (vec![], vec![None]));
+}
