Accept one home's reply for clients that name no stream; move servers that change version

Cause: the rule that all homes must reply protects a record that an unreachable home may have, and such a request names no record. One reply beside this node's own observation is enough for it now; a request that names its stream still needs all replies before it is placed without a record.

Also: a server that registers another version under its identity leaves the servers of the former one, instead of being offered for both.

Tests: a_client_that_names_no_stream_needs_one_reply, a_server_that_registers_another_version_leaves_the_former_one.

--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -90,7 +90,7 @@
 pub(super) struct ServerState {
     pub(super) service: Arc<str>,
     pub(super) address: Arc<str>,
-    /// Version of the server's software; a server that starts anew has a new identity.
+    /// Version of the server's software.
     pub(super) version: Arc<str>,
     pub(super) software: SoftwareKey,
     pub(super) ready: bool,
@@ -330,6 +330,8 @@
     pub(super) fn update(&mut self, record: &ServerRecord) {
         self.ready = true;
         self.address = record.address.clone();
+        self.version = record.version.clone();
+        self.software = SoftwareKey::of(&record.service, &record.version);
         self.slots = record.slots.max(1);
     }
 
--- a/crates/core/src/dispatch/server_set.rs
+++ b/crates/core/src/dispatch/server_set.rs
@@ -38,6 +38,10 @@
     /// Adds or updates a server that accepts new requests.
     pub fn set_one_ready(&mut self, record: &ServerRecord) {
         self.servers_version += 1;
+        let software = SoftwareKey::of(&record.service, &record.version);
+        if let Some(former) = self.servers.get(&record.id).map(|server| server.software) {
+            self.leave_software_ring(former, &record.id);
+        }
         match self.servers.get_mut(&record.id) {
             Some(server) => server.update(record),
             None => {
@@ -54,7 +58,7 @@
         self.rings.entry(record.service.clone()).or_default().insert(hash, &record.id);
         let of_software = self
             .software_rings
-            .entry(SoftwareKey::of(&record.service, &record.version))
+            .entry(software)
             .or_insert_with(|| SoftwareRing { service: record.service.clone(), ring: ServerRing::default() });
         of_software.ring.insert(hash, &record.id);
     }
@@ -72,17 +76,20 @@
                 self.rings.remove(&service);
             }
         }
-        if let Some(of_software) = self.software_rings.get_mut(&software) {
-            of_software.ring.remove(hash, id);
-            if of_software.ring.len() == 0 {
-                self.software_rings.remove(&software);
-            }
-        }
+        self.leave_software_ring(software, id);
         if idle {
             self.forget(id);
         }
     }
 
+    fn leave_software_ring(&mut self, software: SoftwareKey, id: &str) {
+        let Some(of_software) = self.software_rings.get_mut(&software) else { return };
+        of_software.ring.remove(stable_hash(id.as_bytes()), id);
+        if of_software.ring.len() == 0 {
+            self.software_rings.remove(&software);
+        }
+    }
+
     pub(super) fn forget(&mut self, id: &str) {
         let Some(server) = self.servers.remove(id) else { return };
         if self.ids.get(&server.key).is_some_and(|present| **present == *id) {
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -130,9 +130,22 @@
     Unknown,
 }
 
+/// Whose replies a search needs before it concludes that there is no record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quorum {
+    /// All homes: the client names the stream, and a home that is unreachable may have its
+    /// record.
+    AllHomes,
+    /// Any home: the client names no stream, so that there is nothing to find but which
+    /// versions other nodes saw.
+    AnyHome,
+}
+
 /// Search for the software of a stream: collects the replies of its homes.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
+    quorum: Quorum,
+    has_reply: bool,
     waiting: Vec<NodeId>,
     recorded: Option<SoftwareKey>,
     seen: VersionsSeen,
@@ -140,13 +153,14 @@
 
 impl OriginSearch {
     /// Starts with what this node itself knows, and the other homes that were queried.
-    pub fn new(own: OriginReply, queried: Vec<NodeId>) -> Self {
-        Self { waiting: queried, recorded: own.software, seen: own.seen }
+    pub fn new(quorum: Quorum, own: OriginReply, queried: Vec<NodeId>) -> Self {
+        Self { quorum, has_reply: false, waiting: queried, recorded: own.software, seen: own.seen }
     }
 
     /// Records the reply of a home.
     pub fn note_reply(&mut self, from: NodeId, reply: OriginReply) {
         self.waiting.retain(|node| *node != from);
+        self.has_reply = true;
         self.recorded = self.recorded.or(reply.software);
         self.seen = self.seen.and(reply.seen);
     }
@@ -156,14 +170,15 @@
         &self.waiting
     }
 
-    /// The result so far. Without a record all homes must have replied: one that is
-    /// unreachable may have it.
+    /// The result so far.
     pub fn origin(&self) -> Origin {
+        let all_replied = self.waiting.is_empty();
+        let has_quorum = all_replied || (self.quorum == Quorum::AnyHome && self.has_reply);
         match (self.recorded, self.seen) {
             (Some(software), _) => Origin::Recorded(software),
-            (None, _) if !self.waiting.is_empty() => Origin::Pending,
-            (None, VersionsSeen::One(software)) => Origin::OnlyVersion(software),
-            (None, VersionsSeen::Several | VersionsSeen::Unknown) => Origin::Unknown,
+            (None, VersionsSeen::One(software)) if has_quorum => Origin::OnlyVersion(software),
+            (None, _) if !all_replied => Origin::Pending,
+            (None, _) => Origin::Unknown,
         }
     }
 }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -447,3 +447,25 @@
     let service = |version| dispatcher.service_of(SoftwareKey::of("s", version));
     assert_eq!((service("2").as_deref(), service("3")), (Some("s"), None));
 }
+
+#[test]
+fn a_server_that_registers_another_version_leaves_the_former_one() {
+    let mut dispatcher = dispatcher(&["a"]);
+    let empty = Prompt::default();
+    let running = placed(dispatcher.choose(at(0), &query(&empty, 0)));
+    dispatcher.note_sent(at(0), &running, &empty);
+    let record = ServerRecord {
+        id: "a".into(),
+        service: "s".into(),
+        address: "a:1".into(),
+        zone: "z".into(),
+        version: "2".into(),
+        slots: SLOTS,
+        draining: false,
+        sequence: 2,
+    };
+    dispatcher.set_one_ready(&record);
+    let of = |version| PlacementQuery { software: Some(SoftwareKey::of("s", version)), ..query(&empty, 0) };
+    assert_eq!(dispatcher.choose(at(1), &of("1")), Choice::NoServer);
+    assert_eq!(&*placed(dispatcher.choose(at(1), &of("2"))).version, "2");
+}
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -2,7 +2,9 @@
 
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::software::{SoftwareHistory, SoftwareKey, VersionsSeen};
-use latchwheel_core::stream_origins::{NodeRing, Origin, OriginReply, OriginSearch, StreamKey, StreamOrigins, HOMES};
+use latchwheel_core::stream_origins::{
+    NodeRing, Origin, OriginReply, OriginSearch, Quorum, StreamKey, StreamOrigins, HOMES,
+};
 use latchwheel_core::time::Instant;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -104,7 +106,7 @@
 fn a_recorded_stream_needs_one_home() {
     let homes: Vec<NodeId> = nodes(2).collect();
     let nothing = OriginReply { software: None, seen: VersionsSeen::Several };
-    let mut search = OriginSearch::new(nothing, homes.clone());
+    let mut search = OriginSearch::new(Quorum::AllHomes, nothing, homes.clone());
     assert_eq!(search.origin(), Origin::Pending);
     search.note_reply(homes[1], OriginReply { software: Some(software("1")), ..nothing });
     assert_eq!(search.origin(), Origin::Recorded(software("1")));
@@ -124,7 +126,7 @@
         (one, VersionsSeen::One(software("2")), one, Origin::Unknown),
     ];
     for (own, first, second, origin) in cases {
-        let mut search = OriginSearch::new(saw(own), homes.clone());
+        let mut search = OriginSearch::new(Quorum::AllHomes, saw(own), homes.clone());
         search.note_reply(homes[0], saw(first));
         assert_eq!(search.origin(), Origin::Pending, "a silent home may have the record");
         search.note_reply(homes[1], saw(second));
@@ -132,6 +134,25 @@
     }
 }
 
+/// A node that is cut off may see fewer versions than there are.
+#[test]
+fn a_client_that_names_no_stream_needs_one_reply() {
+    let homes: Vec<NodeId> = nodes(2).collect();
+    let saw = |seen| OriginReply { software: None, seen };
+    let one = VersionsSeen::One(software("1"));
+    let mut search = OriginSearch::new(Quorum::AnyHome, saw(one), homes.clone());
+    assert_eq!(search.origin(), Origin::Pending);
+    search.note_reply(homes[0], saw(one));
+    assert_eq!(search.origin(), Origin::OnlyVersion(software("1")));
+    let mut search = OriginSearch::new(Quorum::AnyHome, saw(one), homes.clone());
+    search.note_reply(homes[0], saw(VersionsSeen::Several));
+    assert_eq!(search.origin(), Origin::Pending);
+    search.note_reply(homes[1], saw(one));
+    assert_eq!(search.origin(), Origin::Unknown);
+    let alone = OriginSearch::new(Quorum::AnyHome, saw(one), Vec::new());
+    assert_eq!(alone.origin(), Origin::OnlyVersion(software("1")));
+}
+
 #[test]
 fn a_version_that_left_counts_for_the_window() {
     let service = stable_hash(b"service");
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -403,7 +403,7 @@
         served: bool
     };
     /// A request continues a stream that another request began, at the version that began it.
-    StreamContinued = 8109, Essential {
+    StreamContinued = 8109, Routine {
         /// Request id.
         id: &'a str,
         /// Route of the request.
--- a/crates/proxy/src/continued.rs
+++ b/crates/proxy/src/continued.rs
@@ -9,7 +9,7 @@
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::stable_hash;
 use latchwheel_core::software::SoftwareKey;
-use latchwheel_core::stream_origins::{Origin, StreamKey};
+use latchwheel_core::stream_origins::{Origin, Quorum, StreamKey};
 use latchwheel_events::{emit, Event};
 use latchwheel_http::Body;
 use std::sync::Arc;
@@ -22,14 +22,16 @@
 /// Retry time while no server of a stream's version accepts requests.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The stream that a request continues; `None` if it begins one.
-pub(crate) fn continued_stream(headers: &HeaderMap, names: &HeaderNames, id: &str) -> Option<StreamKey> {
+/// The stream that a request continues, and the replies that show that it is not recorded;
+/// `None` if the request begins a stream.
+fn continued_stream(headers: &HeaderMap, names: &HeaderNames, id: &str) -> Option<(StreamKey, Quorum)> {
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
-    match text(&names.resumes).filter(|first_request| !first_request.is_empty()) {
-        Some(first_request) => Some(StreamKey::of(first_request)),
-        // A client that names no request may send the same one again.
-        None => text(&names.last_event).filter(|event| !matches!(*event, "" | "0")).map(|_| StreamKey::of(id)),
+    if let Some(first_request) = text(&names.resumes).filter(|first_request| !first_request.is_empty()) {
+        return Some((StreamKey::of(first_request), Quorum::AllHomes));
     }
+    let has_events = text(&names.last_event).is_some_and(|event| !matches!(event, "" | "0"));
+    // A client that names no request may have sent the same one before.
+    has_events.then(|| (StreamKey::of(id), Quorum::AnyHome))
 }
 
 impl<D: Dialect> Context<D> {
@@ -41,9 +43,9 @@
     pub(crate) async fn find_software(&mut self) -> Result<(), Response<Body>> {
         let names = self.shared.dialect.names();
         let continued = continued_stream(&self.outgoing.headers, names, &self.id).filter(|_| self.is_stream());
-        let Some(stream) = continued else { return Ok(()) };
+        let Some((stream, quorum)) = continued else { return Ok(()) };
         let services = self.route.targets.iter().map(|target| stable_hash(target.service.as_bytes())).collect();
-        let query = OriginQuery { stream, services, window: self.route.timeout + WINDOW_MARGIN };
+        let query = OriginQuery { stream, quorum, services, window: self.route.timeout + WINDOW_MARGIN };
         let origin = self.shared.stream_origins.find(&self.shared, &query).await;
         let (software, recorded) = match origin {
             Origin::Recorded(software) => (software, true),
--- a/crates/proxy/src/stream_origins.rs
+++ b/crates/proxy/src/stream_origins.rs
@@ -9,7 +9,7 @@
 use latchwheel_core::identity::NodeId;
 use latchwheel_core::software::{SoftwareHistory, SoftwareKey, VersionsSeen};
 use latchwheel_core::stream_origins::{
-    NodeRing, Origin, OriginReply, OriginSearch, StreamKey, StreamOrigins as Records,
+    NodeRing, Origin, OriginReply, OriginSearch, Quorum, StreamKey, StreamOrigins as Records,
 };
 use latchwheel_core::time::Instant as CoreInstant;
 use latchwheel_protocol::v1;
@@ -55,6 +55,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OriginQuery {
     pub(crate) stream: StreamKey,
+    pub(crate) quorum: Quorum,
     /// Hashes of the names of the services of the stream's route.
     pub(crate) services: Vec<u64>,
     /// Longest time since the stream can have begun.
@@ -155,7 +156,7 @@
         }
         self.await_members(deadline).await;
         let own = self.lock().known(shared.clock.now(), query.stream, &query.services, query.window);
-        let mut search = OriginSearch::new(own, self.other_homes(query.stream));
+        let mut search = OriginSearch::new(query.quorum, own, self.other_homes(query.stream));
         let mut replies = Replies::new(self);
         while search.origin() == Origin::Pending && Instant::now() < deadline {
             self.query_homes(query, replies.number, search.waiting());
