Call the nodes that keep a stream's record its replicas

Old names: homes, HomeQuery, other_homes, Quorum::AllHomes and AnyHome, HOMES; RunTimes::time_of is time_for_events.

--- a/crates/core/src/run_times.rs
+++ b/crates/core/src/run_times.rs
@@ -52,8 +52,8 @@
         means.remaining_events(events).mul_f64(means.seconds_per_event)
     }
 
-    /// Time that a run needs to write `events` events; zero before the first completed item.
-    pub fn time_of(&self, events: u64) -> Duration {
+    /// Time that a run takes for `events` events; zero before the first completed item.
+    pub fn time_for_events(&self, events: u64) -> Duration {
         self.runs.map_or(Duration::ZERO, |means| Duration::from_secs_f64(means.seconds_per_event * events as f64))
     }
 
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -2,7 +2,7 @@
 //!
 //! A client that takes a stream up again names the request that brought its first event, and
 //! may reach any node. The node that begins a stream therefore sends a record to a few other
-//! nodes, its *homes*. Rendezvous hashing of the stream's key selects them, so that every node
+//! nodes, the *replicas* of the record. Rendezvous hashing of the stream's key selects them, so that every node
 //! finds them without a directory, and each node keeps an equal share of the records.
 //!
 //! Records are soft state. A stream without one is continued only if a single version of the
@@ -15,9 +15,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Number of homes of a stream: the record survives the loss of all but one of them.
-pub const HOMES: usize = 3;
-/// Nodes that follow a stream's key in ring order, among which its homes are selected.
+/// Number of replicas of a record, which survives the loss of all but one of them.
+pub const REPLICAS: usize = 3;
+/// Nodes that follow a stream's key in ring order, among which its replicas are selected.
 const NEAR_KEY: usize = 16;
 /// Maximum number of records that a node keeps.
 const MAX_RECORDS: usize = 1 << 17;
@@ -97,34 +97,34 @@
         Self { nodes }
     }
 
-    /// The homes of a stream. What it costs doesn't grow with the nodes.
-    pub fn homes(&self, stream: StreamKey) -> Vec<NodeId> {
+    /// The replicas of a stream's record. What it costs doesn't grow with the nodes.
+    pub fn replicas(&self, stream: StreamKey) -> Vec<NodeId> {
         let start = self.nodes.partition_point(|(hash, _)| *hash < stream.0);
         let following = self.nodes[start..].iter().chain(&self.nodes[..start]).take(NEAR_KEY);
         let mut near: Vec<NodeId> = following.map(|(_, node)| *node).collect();
         near.sort_unstable_by_key(|node| std::cmp::Reverse(stable_pair_hash(node.0, stream.0)));
-        near.truncate(HOMES);
+        near.truncate(REPLICAS);
         near
     }
 }
 
-/// What a home replies about a stream.
+/// What a replica replies about a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OriginReply {
-    /// The software that began the stream, if the home has a record.
+    /// The software that began the stream, if the replica has a record.
     pub software: Option<SoftwareKey>,
-    /// Versions that the home saw in the services of the stream's route.
+    /// Versions that the replica saw in the services of the stream's route.
     pub seen: VersionsSeen,
 }
 
 /// State of the search for the software of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
-    /// A home has a record.
+    /// A replica has a record.
     Recorded(SoftwareKey),
-    /// No home has a record, and only this software can have begun the stream.
+    /// No replica has a record, and only this software can have begun the stream.
     OnlyVersion(SoftwareKey),
-    /// Homes have not replied yet.
+    /// Replicas have not replied yet.
     Pending,
     /// It can't be found out.
     Unknown,
@@ -133,15 +133,15 @@
 /// Whose replies a search needs before it concludes that there is no record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Quorum {
-    /// All homes: the client names the stream, and a home that is unreachable may have its
+    /// All replicas: the client names the stream, and a replica that is unreachable may have its
     /// record.
-    AllHomes,
-    /// Any home: the client names no stream, so that there is nothing to find but which
+    AllReplicas,
+    /// Any replica: the client names no stream, so that there is nothing to find but which
     /// versions other nodes saw.
-    AnyHome,
+    AnyReplica,
 }
 
-/// Search for the software of a stream: collects the replies of its homes.
+/// Search for the software of a stream: collects the replies of its replicas.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
     quorum: Quorum,
@@ -152,12 +152,12 @@
 }
 
 impl OriginSearch {
-    /// Starts with what this node itself knows, and the other homes that were queried.
+    /// Starts with what this node itself knows, and the other replicas that were queried.
     pub fn new(quorum: Quorum, own: OriginReply, queried: Vec<NodeId>) -> Self {
         Self { quorum, has_reply: false, waiting: queried, recorded: own.software, seen: own.seen }
     }
 
-    /// Records the reply of a home.
+    /// Records the reply of a replica.
     pub fn note_reply(&mut self, from: NodeId, reply: OriginReply) {
         self.waiting.retain(|node| *node != from);
         self.has_reply = true;
@@ -165,7 +165,7 @@
         self.seen = self.seen.and(reply.seen);
     }
 
-    /// Homes that have not replied.
+    /// Replicas that have not replied.
     pub fn waiting(&self) -> &[NodeId] {
         &self.waiting
     }
@@ -173,7 +173,7 @@
     /// The result so far.
     pub fn origin(&self) -> Origin {
         let all_replied = self.waiting.is_empty();
-        let has_quorum = all_replied || (self.quorum == Quorum::AnyHome && self.has_reply);
+        let has_quorum = all_replied || (self.quorum == Quorum::AnyReplica && self.has_reply);
         match (self.recorded, self.seen) {
             (Some(software), _) => Origin::Recorded(software),
             (None, VersionsSeen::One(software)) if has_quorum => Origin::OnlyVersion(software),
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -3,7 +3,7 @@
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::software::{SoftwareHistory, SoftwareKey, VersionsSeen};
 use latchwheel_core::stream_origins::{
-    NodeRing, Origin, OriginReply, OriginSearch, Quorum, StreamKey, StreamOrigins, HOMES,
+    NodeRing, Origin, OriginReply, OriginSearch, Quorum, StreamKey, StreamOrigins, REPLICAS,
 };
 use latchwheel_core::time::Instant;
 use std::collections::HashMap;
@@ -72,50 +72,50 @@
 }
 
 #[test]
-fn homes_share_the_streams() {
-    for count in [HOMES, 7, 40, 400] {
+fn replicas_share_the_streams() {
+    for count in [REPLICAS, 7, 40, 400] {
         let ring = NodeRing::new(nodes(count));
         let mut kept: HashMap<NodeId, usize> = HashMap::new();
         for stream in streams(20_000) {
-            let homes = ring.homes(stream);
-            assert_eq!(homes.len(), HOMES);
-            homes.into_iter().for_each(|home| *kept.entry(home).or_default() += 1);
+            let replicas = ring.replicas(stream);
+            assert_eq!(replicas.len(), REPLICAS);
+            replicas.into_iter().for_each(|replica| *kept.entry(replica).or_default() += 1);
         }
-        let fair = 20_000 * HOMES / count;
+        let fair = 20_000 * REPLICAS / count;
         let most = kept.values().max().copied().unwrap_or_default();
         assert!(most <= 2 * fair, "{most} records at one of {count} nodes, {fair} on average");
     }
 }
 
-/// Nodes that know different members find a common home as long as one is left.
+/// Nodes that know different members find a common replica as long as one is left.
 #[test]
-fn a_change_of_one_node_moves_one_home() {
+fn a_change_of_one_node_moves_one_replica() {
     let all: Vec<NodeId> = nodes(40).collect();
     let ring = NodeRing::new(all.iter().copied());
     for gone in &all {
         let without = NodeRing::new(all.iter().copied().filter(|node| node != gone));
         for stream in streams(200) {
-            let (before, after) = (ring.homes(stream), without.homes(stream));
-            let common = before.iter().filter(|home| after.contains(home)).count();
-            assert!(common >= HOMES - 1, "{before:?} and {after:?}");
+            let (before, after) = (ring.replicas(stream), without.replicas(stream));
+            let common = before.iter().filter(|replica| after.contains(replica)).count();
+            assert!(common >= REPLICAS - 1, "{before:?} and {after:?}");
         }
     }
 }
 
 #[test]
-fn a_recorded_stream_needs_one_home() {
-    let homes: Vec<NodeId> = nodes(2).collect();
+fn a_recorded_stream_needs_one_replica() {
+    let replicas: Vec<NodeId> = nodes(2).collect();
     let nothing = OriginReply { software: None, seen: VersionsSeen::Several };
-    let mut search = OriginSearch::new(Quorum::AllHomes, nothing, homes.clone());
+    let mut search = OriginSearch::new(Quorum::AllReplicas, nothing, replicas.clone());
     assert_eq!(search.origin(), Origin::Pending);
-    search.note_reply(homes[1], OriginReply { software: Some(software("1")), ..nothing });
+    search.note_reply(replicas[1], OriginReply { software: Some(software("1")), ..nothing });
     assert_eq!(search.origin(), Origin::Recorded(software("1")));
-    assert_eq!(search.waiting(), &homes[..1]);
+    assert_eq!(search.waiting(), &replicas[..1]);
 }
 
 #[test]
 fn a_stream_without_a_record_continues_only_where_one_version_served() {
-    let homes: Vec<NodeId> = nodes(2).collect();
+    let replicas: Vec<NodeId> = nodes(2).collect();
     let saw = |seen| OriginReply { software: None, seen };
     let one = VersionsSeen::One(software("1"));
     let cases = [
@@ -126,10 +126,10 @@
         (one, VersionsSeen::One(software("2")), one, Origin::Unknown),
     ];
     for (own, first, second, origin) in cases {
-        let mut search = OriginSearch::new(Quorum::AllHomes, saw(own), homes.clone());
-        search.note_reply(homes[0], saw(first));
-        assert_eq!(search.origin(), Origin::Pending, "a silent home may have the record");
-        search.note_reply(homes[1], saw(second));
+        let mut search = OriginSearch::new(Quorum::AllReplicas, saw(own), replicas.clone());
+        search.note_reply(replicas[0], saw(first));
+        assert_eq!(search.origin(), Origin::Pending, "a silent replica may have the record");
+        search.note_reply(replicas[1], saw(second));
         assert_eq!(search.origin(), origin, "{own:?} {first:?} {second:?}");
     }
 }
@@ -137,19 +137,19 @@
 /// A node that is cut off may see fewer versions than there are.
 #[test]
 fn a_client_that_names_no_stream_needs_one_reply() {
-    let homes: Vec<NodeId> = nodes(2).collect();
+    let replicas: Vec<NodeId> = nodes(2).collect();
     let saw = |seen| OriginReply { software: None, seen };
     let one = VersionsSeen::One(software("1"));
-    let mut search = OriginSearch::new(Quorum::AnyHome, saw(one), homes.clone());
+    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one), replicas.clone());
     assert_eq!(search.origin(), Origin::Pending);
-    search.note_reply(homes[0], saw(one));
+    search.note_reply(replicas[0], saw(one));
     assert_eq!(search.origin(), Origin::OnlyVersion(software("1")));
-    let mut search = OriginSearch::new(Quorum::AnyHome, saw(one), homes.clone());
-    search.note_reply(homes[0], saw(VersionsSeen::Several));
+    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one), replicas.clone());
+    search.note_reply(replicas[0], saw(VersionsSeen::Several));
     assert_eq!(search.origin(), Origin::Pending);
-    search.note_reply(homes[1], saw(one));
+    search.note_reply(replicas[1], saw(one));
     assert_eq!(search.origin(), Origin::Unknown);
-    let alone = OriginSearch::new(Quorum::AnyHome, saw(one), Vec::new());
+    let alone = OriginSearch::new(Quorum::AnyReplica, saw(one), Vec::new());
     assert_eq!(alone.origin(), Origin::OnlyVersion(software("1")));
 }
 
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -156,7 +156,7 @@
         let service = shared.dispatcher().service_of(software)?;
         let is_in_route = route.targets.iter().any(|target| target.service == service);
         let waited = progress.waited(shared.clock.now());
-        let rewriting = self.context.run_times(route).time_of(progress.events()).max(LEAST_WAIT_FOR_VERSION);
+        let rewriting = self.context.run_times(route).time_for_events(progress.events()).max(LEAST_WAIT_FOR_VERSION);
         (is_in_route && waited <= rewriting).then_some(software)
     }
 
--- a/crates/proxy/src/continued.rs
+++ b/crates/proxy/src/continued.rs
@@ -27,11 +27,11 @@
 fn continued_stream(headers: &HeaderMap, names: &HeaderNames, id: &str) -> Option<(StreamKey, Quorum)> {
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim);
     if let Some(first_request) = text(&names.resumes).filter(|first_request| !first_request.is_empty()) {
-        return Some((StreamKey::of(first_request), Quorum::AllHomes));
+        return Some((StreamKey::of(first_request), Quorum::AllReplicas));
     }
     let has_events = text(&names.last_event).is_some_and(|event| !matches!(event, "" | "0"));
     // A client that names no request may have sent the same one before.
-    has_events.then(|| (StreamKey::of(id), Quorum::AnyHome))
+    has_events.then(|| (StreamKey::of(id), Quorum::AnyReplica))
 }
 
 impl<D: Dialect> Context<D> {
--- a/crates/proxy/src/peers/origins.rs
+++ b/crates/proxy/src/peers/origins.rs
@@ -2,7 +2,7 @@
 
 use super::{Peers, Teller, SHARE_LIMIT};
 use crate::dialect::Dialect;
-use crate::stream_origins::{HomeQuery, NewRecord};
+use crate::stream_origins::{NewRecord, ReplicaQuery};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::v1;
 use std::collections::HashMap;
@@ -22,7 +22,7 @@
         self.shared.stream_origins.set_nodes(self.own, &others);
     }
 
-    /// Sends a new record, and those that wait behind it, to the homes of their streams.
+    /// Sends a new record, and those that wait behind it, to the replicas of their streams.
     pub(super) fn send_new_records(
         &mut self,
         first: NewRecord,
@@ -34,21 +34,21 @@
         if let Some(waiting) = waiting {
             records.extend(std::iter::from_fn(|| waiting.try_recv().ok()).take(SHARE_LIMIT));
         }
-        let mut by_home: HashMap<SocketAddr, Vec<v1::StreamOrigin>> = HashMap::new();
+        let mut by_replica: HashMap<SocketAddr, Vec<v1::StreamOrigin>> = HashMap::new();
         for record in records {
-            let homes = self.shared.stream_origins.other_homes(record.stream);
-            for address in homes.iter().filter_map(|home| self.members.get(home)) {
-                by_home.entry(*address).or_default().push(record.message());
+            let replicas = self.shared.stream_origins.other_replicas(record.stream);
+            for address in replicas.iter().filter_map(|replica| self.members.get(replica)) {
+                by_replica.entry(*address).or_default().push(record.message());
             }
         }
-        for (address, stream_origins) in by_home {
+        for (address, stream_origins) in by_replica {
             self.send(&v1::ServerShares { from: self.own.0, stream_origins, ..Default::default() }, address);
         }
     }
 
-    pub(super) fn send_origin_query(&mut self, query: HomeQuery, peers: &Peers) {
+    pub(super) fn send_origin_query(&mut self, query: ReplicaQuery, peers: &Peers) {
         self.update_members(peers);
-        let Some(address) = self.members.get(&query.home) else { return };
+        let Some(address) = self.members.get(&query.replica) else { return };
         let stream_origin_query = Some(query.query);
         self.send(&v1::ServerShares { from: self.own.0, stream_origin_query, ..Default::default() }, *address);
     }
--- a/crates/proxy/src/stream_origins.rs
+++ b/crates/proxy/src/stream_origins.rs
@@ -21,12 +21,12 @@
 
 /// Time in which the origin of a stream must be found.
 const SEARCH_TIME: Duration = Duration::from_millis(150);
-/// Time after which homes that did not reply are queried again.
+/// Time after which replicas that did not reply are queried again.
 const RESEND_AFTER: Duration = Duration::from_millis(25);
 /// Pause between two checks for other nodes while none is known.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(10);
 
-/// A record to be sent to the homes of its stream.
+/// A record to be sent to the replicas of its stream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NewRecord {
     pub(crate) stream: StreamKey,
@@ -44,10 +44,10 @@
     }
 }
 
-/// A query to a home.
+/// A query to a replica.
 #[derive(Clone, Debug)]
-pub(crate) struct HomeQuery {
-    pub(crate) home: NodeId,
+pub(crate) struct ReplicaQuery {
+    pub(crate) replica: NodeId,
     pub(crate) query: v1::StreamOriginQuery,
 }
 
@@ -79,7 +79,7 @@
 pub struct StreamOrigins {
     state: Mutex<State>,
     pub(crate) new_records: Handoff<NewRecord>,
-    pub(crate) queries: Handoff<HomeQuery>,
+    pub(crate) queries: Handoff<ReplicaQuery>,
 }
 
 impl StreamOrigins {
@@ -96,13 +96,13 @@
         state.has_members = !others.is_empty();
     }
 
-    /// Homes of a stream other than this node.
-    pub(crate) fn other_homes(&self, stream: StreamKey) -> Vec<NodeId> {
+    /// Replicas of a stream other than this node.
+    pub(crate) fn other_replicas(&self, stream: StreamKey) -> Vec<NodeId> {
         let state = self.lock();
-        state.ring.homes(stream).into_iter().filter(|home| *home != state.own).collect()
+        state.ring.replicas(stream).into_iter().filter(|replica| *replica != state.own).collect()
     }
 
-    /// A stream began at this node, or continues here: it is recorded here and at its homes.
+    /// A stream began at this node, or continues here: it is recorded here and at its replicas.
     pub(crate) fn note_begun(&self, now: CoreInstant, record: NewRecord) {
         self.lock().records.record(now, record.stream, record.software, record.keep);
         self.new_records.put(record);
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Takes the reply of a home.
+    /// Takes the reply of a replica.
     pub(crate) fn take_reply(&self, from: NodeId, reply: &v1::StreamOriginReply) {
         let seen = match SoftwareKey::from_number(reply.only_software) {
             _ if reply.several => VersionsSeen::Several,
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Searches for the software that began a stream, at this node and at the stream's homes.
+    /// Searches for the software that began a stream, at this node and at the stream's replicas.
     pub(crate) async fn find<D: Dialect>(&self, shared: &Shared<D>, query: &OriginQuery) -> Origin {
         let deadline = Instant::now() + SEARCH_TIME;
         if let Some(software) = self.lock().records.software(shared.clock.now(), query.stream) {
@@ -156,10 +156,10 @@
         }
         self.await_members(deadline).await;
         let own = self.lock().known(shared.clock.now(), query.stream, &query.services, query.window);
-        let mut search = OriginSearch::new(query.quorum, own, self.other_homes(query.stream));
+        let mut search = OriginSearch::new(query.quorum, own, self.other_replicas(query.stream));
         let mut replies = Replies::new(self);
         while search.origin() == Origin::Pending && Instant::now() < deadline {
-            self.query_homes(query, replies.number, search.waiting());
+            self.query_replicas(query, replies.number, search.waiting());
             let resend_at = deadline.min(Instant::now() + RESEND_AFTER);
             while search.origin() == Origin::Pending {
                 let Ok(Some((from, reply))) = tokio::time::timeout_at(resend_at, replies.received.recv()).await else {
@@ -178,15 +178,15 @@
         }
     }
 
-    fn query_homes(&self, query: &OriginQuery, number: u64, homes: &[NodeId]) {
-        for home in homes {
+    fn query_replicas(&self, query: &OriginQuery, number: u64, replicas: &[NodeId]) {
+        for replica in replicas {
             let query = v1::StreamOriginQuery {
                 number,
                 stream: query.stream.0,
                 services: query.services.clone(),
                 window_ms: u32::try_from(query.window.as_millis()).unwrap_or(u32::MAX),
             };
-            self.queries.put(HomeQuery { home: *home, query });
+            self.queries.put(ReplicaQuery { replica: *replica, query });
         }
     }
 
