Rename Teller to PeerExchange

Why: a reader of peers/ met a verb of people for what exchanges messages with the other nodes. Old names: Teller, teller.

--- a/crates/proxy/src/peers/crash_news.rs
+++ b/crates/proxy/src/peers/crash_news.rs
@@ -1,12 +1,12 @@
 //! News of requests that end servers, among nodes.
 
-use super::{Peers, Teller, AGGREGATOR_SILENCE};
+use super::{PeerExchange, Peers, AGGREGATOR_SILENCE};
 use crate::crashes::{Audience, DecidingRank};
 use crate::dialect::Dialect;
 use latchwheel_protocol::v1;
 use std::net::SocketAddr;
 
-impl<D: Dialect> Teller<D> {
+impl<D: Dialect> PeerExchange<D> {
     /// Sends what is to be sent to other nodes.
     pub(super) fn tell_crash_news(&self, peers: &Peers) {
         self.tell_deciding_rank();
--- a/crates/proxy/src/peers/duties.rs
+++ b/crates/proxy/src/peers/duties.rs
@@ -3,7 +3,7 @@
 
 use super::known::{Candidate, OwnDuty};
 use super::messages::message_of;
-use super::{Peers, Teller, AGGREGATOR_SILENCE, DIRECT_LIMIT, SHARE_LIMIT};
+use super::{PeerExchange, Peers, AGGREGATOR_SILENCE, DIRECT_LIMIT, SHARE_LIMIT};
 use crate::claims::Withdrawal;
 use crate::dialect::Dialect;
 use crate::keeper_claims::{ClaimAnswer, RENEW_EVERY};
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-impl<D: Dialect> Teller<D> {
+impl<D: Dialect> PeerExchange<D> {
     /// Whether this node may have to sum up what all tell.
     pub(super) fn is_candidate(&self) -> bool {
         self.candidates.iter().any(|candidate| candidate.address.is_none())
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -81,52 +81,52 @@
     duties: PeerDuties,
     peers: Peers,
 ) {
-    let mut teller = Teller::new(shared, socket, name, duties);
+    let mut exchange = PeerExchange::new(shared, socket, name, duties);
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next = Instant::now() + TELL_EVERY;
-    let mut room_asked = teller.shared.room_asked.take_receiver();
-    let mut keeper_calls = teller.shared.placements.calls.take_receiver();
-    let mut claim_answers = teller.shared.keeper_claims.answers.take_receiver();
-    let mut withdrawals = teller.shared.placements.withdrawals.take_receiver();
-    let mut new_records = teller.shared.stream_origins.new_records.take_receiver();
-    let mut origin_queries = teller.shared.stream_origins.queries.take_receiver();
+    let mut room_asked = exchange.shared.room_asked.take_receiver();
+    let mut keeper_calls = exchange.shared.placements.calls.take_receiver();
+    let mut claim_answers = exchange.shared.keeper_claims.answers.take_receiver();
+    let mut withdrawals = exchange.shared.placements.withdrawals.take_receiver();
+    let mut new_records = exchange.shared.stream_origins.new_records.take_receiver();
+    let mut origin_queries = exchange.shared.stream_origins.queries.take_receiver();
     let mut changes_due: Option<Instant> = None;
     loop {
         let until_changes = changes_due.map(|due| due.saturating_duration_since(Instant::now()));
         tokio::select! {
-            Some(call) = next_of(&mut keeper_calls) => teller.call_keeper(call),
-            Some(answer) = next_of(&mut claim_answers) => teller.answer_claim(answer, &peers),
-            Some(withdrawal) = next_of(&mut withdrawals) => teller.withdraw_claim(withdrawal),
+            Some(call) = next_of(&mut keeper_calls) => exchange.call_keeper(call),
+            Some(answer) = next_of(&mut claim_answers) => exchange.answer_claim(answer, &peers),
+            Some(withdrawal) = next_of(&mut withdrawals) => exchange.withdraw_claim(withdrawal),
             Some(record) = next_of(&mut new_records) => {
-                teller.send_new_records(record, new_records.as_mut(), &peers);
+                exchange.send_new_records(record, new_records.as_mut(), &peers);
             }
-            Some(query) = next_of(&mut origin_queries) => teller.send_origin_query(query, &peers),
-            () = sleep_or_never(teller.claims_due()) => teller.renew_claims(&peers),
-            () = teller.shared.load_changed.notified(), if changes_due.is_none() => {
+            Some(query) = next_of(&mut origin_queries) => exchange.send_origin_query(query, &peers),
+            () = sleep_or_never(exchange.claims_due()) => exchange.renew_claims(&peers),
+            () = exchange.shared.load_changed.notified(), if changes_due.is_none() => {
                 changes_due = Some(Instant::now() + TELL_CHANGES_AFTER);
             }
             () = sleep_or_never(until_changes) => {
                 changes_due = None;
-                teller.tell_changes();
-                teller.grant_claims(&peers);
+                exchange.tell_changes();
+                exchange.grant_claims(&peers);
             }
             Some(server) = next_of(&mut room_asked) => {
-                teller.ask_for_room(server, &peers.holders(server)).await;
+                exchange.ask_for_room(server, &peers.holders(server)).await;
             }
-            received = teller.socket.recv_from(&mut buffer) => {
+            received = exchange.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
-                    teller.take(&buffer[..length], from, &peers);
+                    exchange.take(&buffer[..length], from, &peers);
                 }
             }
-            () = permits_due(&teller.shared.permits) => teller.ask_for_permits(&peers),
-            () = crash_news_due(&teller.shared.crashes) => teller.tell_crash_news(&peers),
+            () = permits_due(&exchange.shared.permits) => exchange.ask_for_permits(&peers),
+            () = crash_news_due(&exchange.shared.crashes) => exchange.tell_crash_news(&peers),
             () = tokio::time::sleep_until(next) => {
-                teller.look_at_room(next.elapsed());
-                teller.look_around(&peers);
-                teller.update_members(&peers);
-                teller.tell_deciding_rank();
+                exchange.look_at_room(next.elapsed());
+                exchange.look_around(&peers);
+                exchange.update_members(&peers);
+                exchange.tell_deciding_rank();
                 let many = peers.count() > DIRECT_LIMIT;
-                let sent = if many { teller.tell_some(&peers) } else { teller.tell_directly(&peers.all()) };
+                let sent = if many { exchange.tell_some(&peers) } else { exchange.tell_directly(&peers.all()) };
                 next = Instant::now() + pause_after(sent).max(if many { TELL_AGGREGATORS_EVERY } else { TELL_EVERY });
             }
         }
@@ -170,7 +170,8 @@
     time.as_millis() as u64
 }
 
-struct Teller<D: Dialect> {
+/// Sends the reports and calls of this node to the others, and handles theirs.
+struct PeerExchange<D: Dialect> {
     shared: Arc<Shared<D>>,
     socket: UdpSocket,
     name: String,
@@ -207,7 +208,7 @@
     sum: PreparedSum,
 }
 
-impl<D: Dialect> Teller<D> {
+impl<D: Dialect> PeerExchange<D> {
     fn new(shared: Arc<Shared<D>>, socket: UdpSocket, name: &str, duties: PeerDuties) -> Self {
         let now = Instant::now();
         let own = NodeId::of_name(name);
--- a/crates/proxy/src/peers/origins.rs
+++ b/crates/proxy/src/peers/origins.rs
@@ -1,6 +1,6 @@
 //! Messages about the software that began a stream.
 
-use super::{Peers, Teller, SHARE_LIMIT};
+use super::{PeerExchange, Peers, SHARE_LIMIT};
 use crate::dialect::Dialect;
 use crate::stream_origins::{NewRecord, ReplicaQuery};
 use latchwheel_core::identity::NodeId;
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
-impl<D: Dialect> Teller<D> {
+impl<D: Dialect> PeerExchange<D> {
     /// Takes over which nodes there are, if that changed.
     pub(super) fn update_members(&mut self, peers: &Peers) {
         let version = Some(peers.changes());
--- a/crates/proxy/src/peers/sums.rs
+++ b/crates/proxy/src/peers/sums.rs
@@ -1,6 +1,6 @@
 //! Sums over all nodes: making and sending them as an aggregator, and taking them over.
 
-use super::{Teller, SHARE_LIMIT};
+use super::{PeerExchange, SHARE_LIMIT};
 use crate::dialect::Dialect;
 use latchwheel_core::dispatch::{NodeShares, SharesSum};
 use latchwheel_core::headroom::PeerHeadroomCounts;
@@ -21,7 +21,7 @@
     datagrams: Vec<Vec<u8>>,
 }
 
-impl<D: Dialect> Teller<D> {
+impl<D: Dialect> PeerExchange<D> {
     /// Sends the sum over all nodes to one that asked for it, if the budget
     /// allows.
     pub(super) fn send_sum(&mut self, to: SocketAddr) {
