--- a/crates/core/src/admission/drain.rs
+++ b/crates/core/src/admission/drain.rs
@@ -3,7 +3,8 @@
 use crate::time::Instant;
 use std::time::Duration;
 
-/// Time with waiting claims after which the rate is updated.
+/// Time with waiting claims after which the rate is updated. Long enough for some slots to come
+/// free, and short against the seconds for which callers wait.
 const RATE_WINDOW: Duration = Duration::from_millis(200);
 /// Weight of a new window in the running mean where the rate falls.
 const FALL_WEIGHT: f64 = 0.2;
@@ -14,7 +15,8 @@
 const MAX_IDLE: Duration = Duration::from_millis(500);
 /// Upper bound of an expected wait.
 const MAX_ESTIMATE: Duration = Duration::from_secs(3600);
-/// Retry time while no slot comes free or no rate is measured yet.
+/// Retry time while no slot comes free or no rate is measured yet. Callers that returned at once
+/// would be refused again; one that returns a second after an outage loses little.
 const RETRY_AFTER_WITHOUT_RATE: Duration = Duration::from_secs(1);
 /// Lower bound of a retry time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -10,10 +10,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Maximum number of waiting claims.
+/// Maximum number of waiting claims. That is more than the servers of a tracker can serve while
+/// callers wait; a claim takes some hundred bytes.
 pub const CLAIM_LIMIT: usize = 2048;
 /// Maximum number of slots in a row granted to higher precedences while a lower one waits, so
-/// that no precedence starves.
+/// that no precedence starves. A lower precedence gets at least a ninth of the slots.
 pub const PASSED_OVER_LIMIT: u32 = 8;
 /// Part of its remaining time within which a claim has to expect a slot; the rest is for
 /// claims that arrive later and are served first.
--- a/crates/core/src/circuit_breaker.rs
+++ b/crates/core/src/circuit_breaker.rs
@@ -20,10 +20,12 @@
 const MIN_FAILURES: u32 = 2;
 /// Probe interval of a node that others rely on, and the minimum for all others.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum probe interval of a node that gets no answers while others do.
+/// Maximum probe interval of a node that gets no answers while others do. The node must be in
+/// contact again well within the bounds on configuration, which are 2 s and more.
 const MAX_OWN_PROBE_INTERVAL: Duration = Duration::from_millis(1600);
 /// Maximum probe interval while no other node reports answers; with [`SPREAD`] it bounds the
-/// time to notice the store's return without an upstream.
+/// time to notice the store's return without an upstream. That is four seconds at most; the
+/// strictest bound on a change is three seconds of contact and two for the change itself.
 pub const MAX_SHARED_PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// Probe interval of a node that has no contact with other nodes.
 const SINGLE_NODE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/core/src/dispatch/deferrable.rs
+++ b/crates/core/src/dispatch/deferrable.rs
@@ -8,7 +8,8 @@
 use crate::time::Instant;
 use std::time::Duration;
 
-/// Time until other nodes have received a report of a started or preempted run.
+/// Time until other nodes have received a report of a started or preempted run. A longer time
+/// leaves slots unused, a shorter one preempts more runs.
 const REPORT_DELAY: Duration = Duration::from_millis(450);
 /// Share of each server's slots that new deferrable work leaves free for online requests.
 const EARLY_RESERVE: f64 = 0.12;
--- a/crates/core/src/permits/client.rs
+++ b/crates/core/src/permits/client.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// An unanswered call is sent again after this time.
+/// An unanswered call is sent again after this time. A coordinator replies within 4 ms, and
+/// datagrams may be lost.
 const RESEND_AFTER: Duration = Duration::from_millis(30);
 /// Redirects in a row before the client waits for [`RESEND_AFTER`].
 const REDIRECTS_BEFORE_BACKOFF: usize = 3;
--- a/crates/core/src/permits/mod.rs
+++ b/crates/core/src/permits/mod.rs
@@ -45,8 +45,9 @@
     }
 }
 
-/// Shares of the margin: one for the bucket, one for each coordinator that starts (up to
-/// four per window); the rest covers nodes that reach no coordinator.
+/// Shares of the margin: one for the bucket, one for each coordinator that starts (up to four
+/// per window); the rest covers nodes that reach no coordinator. Larger shares of the first two
+/// exceed the limit in the seeded schedules.
 const BUCKET_SHARE: f64 = 0.4;
 const START_SHARE: f64 = 0.1;
 
--- a/crates/core/src/quarantine/entries.rs
+++ b/crates/core/src/quarantine/entries.rs
@@ -8,8 +8,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Length of the first quarantine of a request. With the factor below, a request that
-/// crashes every server runs at most three more times within a day.
+/// Length of the first quarantine of a request. With the factor below, a request that crashes
+/// every server runs at most three more times within a day. These runs follow after 10, 70 and
+/// 430 minutes; operators allow three retries.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
 /// Ratio of the lengths of consecutive quarantines of a request.
 const QUARANTINE_FACTOR: u32 = 6;
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -13,7 +13,8 @@
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 /// Number of crashes after which all requests that explain them equally well are quarantined.
 const CRASHES_TO_QUARANTINE_ALL: usize = 6;
-/// Number of crashes under a request after which all nodes report its success.
+/// Number of crashes under a request after which all nodes report its success. With two, a
+/// request whose second crash has another cause could succeed at other nodes without a report.
 const CRASHES_TO_WATCH: usize = 1;
 /// Number of crashes under a request after which it is held while the last one is evaluated.
 /// With fewer, many requests that only ran on the same servers as the cause would be held
--- a/crates/core/src/quarantine/holds.rs
+++ b/crates/core/src/quarantine/holds.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time for which a request is held after a crash report: until the first two nodes that
-/// evaluate the crash have decided.
+/// evaluate the crash have decided. They decide 400 and 500 ms after the report.
 pub const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Time for which other copies wait after one was sent. A crash usually follows sooner, and
 /// a harmless request is not delayed for long.
--- a/crates/core/src/record_source.rs
+++ b/crates/core/src/record_source.rs
@@ -21,12 +21,14 @@
 /// Time of failing calls to the store after which an upstream is unreliable. Shorter failures are
 /// interrupted long polls.
 pub const OUTAGE_LIMIT: Duration = Duration::from_millis(300);
-/// Time for which a starting node waits for a reliable upstream.
+/// Time for which a starting node waits for a reliable upstream. A longer time only delays nodes
+/// whose upstreams have more to send than they can.
 const START_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Initial backoff between two polls while starting.
 const START_BACKOFF: Duration = Duration::from_millis(80);
-/// Time for which a starting node waits for upstreams that will send missing records later, since
-/// the store can't list all records for many nodes that start together.
+/// Time for which a starting node waits for upstreams that will send missing records later,
+/// since the store can't list all records for many nodes that start together. With 10,000
+/// servers that takes 50 calls to the store for each node.
 pub const DEFERRAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum backoff between two polls while starting.
 const MAX_START_BACKOFF: Duration = Duration::from_millis(640);
--- a/crates/core/src/start_lease.rs
+++ b/crates/core/src/start_lease.rs
@@ -10,12 +10,13 @@
 use crate::time::Instant;
 use std::time::Duration;
 
-/// Time from the lease check until the request reaches its server on an open connection.
+/// Time from the lease check until the request reaches its server on an open connection. Covers
+/// a one-way delay of some milliseconds and the scheduling of two busy processes.
 const SEND_ALLOWANCE: Duration = Duration::from_millis(500);
 /// The allowance is at most the cancellation deadline divided by this.
 const ALLOWANCE_DIVISOR: u32 = 2;
-/// Share of the lease after which it is due for renewal; the rest leaves time for a read of
-/// the store.
+/// Share of the lease after which it is due for renewal; the rest leaves time for a read of the
+/// store. A lease of 2.5 s leaves one second for a read that takes some milliseconds.
 const RENEW_AFTER_SHARE: f64 = 0.6;
 
 /// The right to start items of a job.
--- a/crates/core/src/startup_hold.rs
+++ b/crates/core/src/startup_hold.rs
@@ -19,7 +19,7 @@
 const MAX_HOLD: Duration = Duration::from_secs(30);
 /// Memory of a held request: the bytes read from its connection, and its task.
 const REQUEST_BYTES: usize = 16 << 10;
-/// Memory bound for all held requests.
+/// Memory bound for all held requests. The smallest machines have 120 MB.
 const MAX_HELD_BYTES: usize = 16 << 20;
 
 /// Maximum hold time of a request whose caller waits for `left`, if it has a deadline.
--- a/crates/core/src/startup_pacing.rs
+++ b/crates/core/src/startup_pacing.rs
@@ -13,7 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum duration of pacing if no tracker becomes available.
+/// Maximum duration of pacing if no tracker becomes available. Nodes in contact know trackers
+/// within half a second; a node without contact is better served by the loads that servers
+/// report.
 const MAX_PACING: Duration = Duration::from_secs(2);
 
 /// A request that is ready to be sent.
--- a/crates/core/src/startup_snapshot.rs
+++ b/crates/core/src/startup_snapshot.rs
@@ -16,8 +16,9 @@
 
 /// Time after a start to wait for the store, or for an upstream that reaches it.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum age of a snapshot that is used. Bounds how long a revoked tenant key is accepted
-/// by a node that cannot reach the store.
+/// Maximum age of a snapshot that is used. Bounds how long a revoked tenant key is accepted by a
+/// node that cannot reach the store. An hour is longer than a power cut with a restart, and
+/// shorter than a working day.
 pub const MAX_SNAPSHOT_AGE: Duration = Duration::from_secs(3600);
 /// Minimum interval between two fetches of the same prefix.
 const FETCH_INTERVAL: Duration = Duration::from_millis(300);
