Log how servers mark the end of an answer

The logs could not tell an answer that ends with its connection from one that has a length or chunks. RequestAnswered and AnswerCut name the framing now. core::answer_end tells whether an event stream that ends at some point is complete; nothing decides by it yet.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -81,6 +81,55 @@
     }
 }
 
+/// What has arrived of the current line of an event stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+/// Position in an event stream relative to its events, without buffering any bytes. Lines
+/// end with a line feed, a carriage return, or both; comment lines belong to no event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventBoundary {
+    line: Line,
+    /// Whether a field line of an unterminated event has arrived.
+    has_field: bool,
+    /// Whether the last byte was a carriage return, so that a line feed ends the same line.
+    after_carriage_return: bool,
+}
+
+impl EventBoundary {
+    /// Advances over the bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            let ends_same_line = std::mem::replace(&mut self.after_carriage_return, *byte == b'\r');
+            match byte {
+                b'\n' if ends_same_line => {}
+                b'\n' | b'\r' => self.end_line(),
+                b':' if self.line == Line::Empty => self.line = Line::Comment,
+                _ if self.line == Line::Empty => self.line = Line::Field,
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether an event, or a line, has begun and is not terminated.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_field || self.line != Line::Empty
+    }
+
+    fn end_line(&mut self) {
+        match std::mem::take(&mut self.line) {
+            Line::Empty => self.has_field = false,
+            Line::Field => self.has_field = true,
+            Line::Comment => {}
+        }
+    }
+}
+
 /// Value of the last field with this name in an event.
 fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     lines(event).filter_map(|line| field_value(line, name)).next_back()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod abandoned_requests;
 pub mod admission;
+pub mod answer_end;
 pub mod attempts;
 pub mod byte_budget;
 pub mod circuit_breaker;
--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Framing of event streams.
 
-use latchwheel_core::event_stream::{event_data, EventFramer, EventTooLong};
+use latchwheel_core::event_stream::{event_data, EventBoundary, EventFramer, EventTooLong};
 use proptest::prelude::*;
 
 #[test]
@@ -65,3 +65,40 @@
         prop_assert!(taken <= bytes.len());
     }
 }
+
+fn is_inside_event(bytes: &[u8]) -> bool {
+    let mut boundary = EventBoundary::default();
+    boundary.push(bytes);
+    boundary.is_inside_event()
+}
+
+#[test]
+fn an_event_ends_with_an_empty_line_of_any_line_ending() {
+    for whole in ["", "data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\n\n\n", "data: a\n\n: ping\n", "\n"] {
+        assert!(!is_inside_event(whole.as_bytes()), "{whole:?}");
+    }
+    for cut in ["d", "data: a", "data: a\n", "data: a\r\n", "data: a\r", "data: a\n\n: pi", "data: a\n: ping\n"] {
+        assert!(is_inside_event(cut.as_bytes()), "{cut:?}");
+    }
+}
+
+proptest! {
+    /// The position does not depend on how the bytes are split.
+    #[test]
+    fn the_position_does_not_depend_on_chunk_boundaries(bytes in "[a:\r\n]{0,40}", cut in 0_usize..40) {
+        let (first, rest) = bytes.as_bytes().split_at(cut.min(bytes.len()));
+        let mut boundary = EventBoundary::default();
+        boundary.push(first);
+        boundary.push(rest);
+        prop_assert_eq!(boundary.is_inside_event(), is_inside_event(bytes.as_bytes()));
+    }
+
+    /// Bytes up to the end of the framer's last event are outside of any event.
+    #[test]
+    fn a_framed_event_ends_outside_of_any_event(texts in prop::collection::vec("[a-z ]{0,12}", 1..8)) {
+        let whole: Vec<u8> = texts.iter().flat_map(|text| format!("data: {text}\r\n\r\n").into_bytes()).collect();
+        let mut framer = EventFramer::default();
+        let framed: usize = framer.push(&whole).unwrap().iter().map(|event| event.bytes.len()).sum();
+        prop_assert!(!is_inside_event(&whole[..framed]));
+    }
+}
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -337,7 +337,9 @@
         /// Time from reading the request to the first chunk of the answer.
         first_piece_ms: u64,
         /// Number of attempts.
-        attempts: u32
+        attempts: u32,
+        /// How the server marked the end of the answer: length, chunks or connection.
+        framing: &'a str
     };
     /// An attempt at a server failed.
     AttemptFailed = 8102, Essential {
@@ -379,6 +381,8 @@
         server: &'a str,
         /// Observed failure.
         reason: &'a str,
+        /// How the server marked the end of the answer: length, chunks or connection.
+        framing: &'a str,
         /// Time since the request was read.
         after_ms: u64
     };
--- a/crates/events/tests/lines.rs
+++ b/crates/events/tests/lines.rs
@@ -52,8 +52,15 @@
     for _ in 0..300 {
         emit("id", &Event::DependencyLost { dependency: "store", reason: &reason });
     }
-    let answered =
-        Event::RequestAnswered { id: "id", route: "route", status: 200, total_ms: 20, first_piece_ms: 10, attempts: 1 };
+    let answered = Event::RequestAnswered {
+        id: "id",
+        route: "route",
+        status: 200,
+        total_ms: 20,
+        first_piece_ms: 10,
+        attempts: 1,
+        framing: "chunks",
+    };
     emit("id", &answered);
     for number in 0..300 {
         let route = format!("route-{number}");
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use latchwheel_core::answer_end::Framing;
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::{Ending, Placement, Prompt, ServerKey};
 use latchwheel_core::fingerprint::RequestContent;
@@ -140,6 +141,8 @@
     pieces: Pieces,
     /// The server said that it failed at the request.
     failed: bool,
+    /// How its server marks the end of the answer.
+    framing: Framing,
     /// Its answer is a success whose end can be told from a broken connection.
     succeeds: bool,
     ending: Ending,
@@ -163,6 +166,7 @@
             started: false,
             pieces: Pieces::default(),
             failed: false,
+            framing: Framing::Length,
             succeeds: false,
             ending: Ending::Withdrawn,
         }
@@ -235,6 +239,11 @@
         &self.placement.server
     }
 
+    /// How its server marks the end of the answer.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// The answer came to its end: where it is a success, the request ended no server.
     pub fn note_served(&self, outgoing: &Outgoing) {
         if self.succeeds {
@@ -328,8 +337,8 @@
         self.keep = keep_time(headers);
         // At the deadline a sound server answers so too.
         let status = response.status();
-        let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        self.succeeds = status.is_success() && framed;
+        self.framing = framing_of(&outgoing.method, status, headers);
+        self.succeeds = status.is_success() && self.framing != Framing::Connection;
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
@@ -347,6 +356,18 @@
     }
 }
 
+/// How a server marks the end of an answer with this head.
+fn framing_of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Framing {
+    let has_no_body = *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if headers.contains_key(TRANSFER_ENCODING) {
+        Framing::Chunks
+    } else if has_no_body || headers.contains_key(CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
+    }
+}
+
 impl<D: Dialect> Drop for Exchange<D> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_LENGTH};
 use hyper::{Request, Response};
+use latchwheel_core::answer_end::Framing;
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::Placement;
@@ -245,11 +246,12 @@
         emit(&self.id, &event);
     }
 
-    pub(crate) fn log_answered(&self, status: u16, first_piece_ms: u64) {
+    pub(crate) fn log_answered(&self, status: u16, first_piece_ms: u64, framing: Framing) {
         let total_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let attempts = self.attempts.made() + 1;
         let (id, route) = (&self.id, &self.route.name);
-        emit(id, &Event::RequestAnswered { id, route, status, total_ms, first_piece_ms, attempts });
+        let framing = framing.as_str();
+        emit(id, &Event::RequestAnswered { id, route, status, total_ms, first_piece_ms, attempts, framing });
     }
 }
 
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use latchwheel_core::answer_end::Framing;
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::EventFramer;
@@ -37,6 +38,8 @@
     context: Context<D>,
     exchange: Option<Exchange<D>>,
     incoming: Pieces,
+    /// How the server of the present attempt marks the end of its answer.
+    framing: Framing,
     status: u16,
     resumable: bool,
     framer: EventFramer,
@@ -67,6 +70,7 @@
     ) -> Self {
         Self {
             context,
+            framing: exchange.framing(),
             exchange: Some(exchange),
             incoming,
             status,
@@ -153,7 +157,7 @@
         }
         let first = self.first_piece.unwrap_or(self.context.received);
         let first_piece_ms = first.since(self.context.received).as_millis() as u64;
-        self.context.log_answered(self.status, first_piece_ms);
+        self.context.log_answered(self.status, first_piece_ms, self.framing);
     }
 
     /// Goes on at another server; `false` if the answer has to be broken off.
@@ -173,7 +177,8 @@
         }
         self.ended = true;
         let after_ms = self.context.shared.clock.now().since(self.context.received).as_millis() as u64;
-        let event = Event::AnswerCut { id: &self.context.id, server: &server, reason, after_ms };
+        let framing = self.framing.as_str();
+        let event = Event::AnswerCut { id: &self.context.id, server: &server, reason, framing, after_ms };
         emit(&self.context.id, &event);
         false
     }
@@ -186,6 +191,7 @@
         loop {
             match self.context.attempt(self.last_event).await {
                 Ok(started) if started.response.status().is_success() => {
+                    self.framing = started.exchange.framing();
                     self.exchange = Some(started.exchange);
                     self.incoming = Pieces { first: started.first_frame, rest: started.response.into_body() };
                     return true;
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -28,17 +28,18 @@
         exchange.note_piece();
         let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let sent_at = self.shared.clock.now();
+        let framing = exchange.framing();
         let mut whole = BytesMut::new();
         let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole)).await;
         match read {
             Ok(WholeRead::Whole) => {
                 exchange.note_served(&self.outgoing);
                 exchange.finish();
-                self.log_answered(head.status.as_u16(), first_piece_ms);
+                self.log_answered(head.status.as_u16(), first_piece_ms, framing);
                 Ok(Response::from_parts(head, full(Bytes::from(whole))))
             }
             Ok(WholeRead::TooLong) => {
-                self.log_answered(head.status.as_u16(), first_piece_ms);
+                self.log_answered(head.status.as_u16(), first_piece_ms, framing);
                 let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange };
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
