--- a/crates/proxy/tests/second_attempts.rs
+++ b/crates/proxy/tests/second_attempts.rs
@@ -259,6 +259,18 @@
     assert_eq!(answer, (200, Some("first".into())), "{status}");
 }
 
+#[tokio::test]
+async fn a_stream_that_ends_before_its_first_event_does_not_win() {
+    let (answers, first) = once_told(Act::StreamTo(2));
+    let fleet = Fleet::ready(RESUMABLE, 2, vec![first, Act::UntilClose(String::new())]).await;
+    let tell = async {
+        until(|| fleet.sent() == 2 && fleet.in_progress() <= 1).await;
+        answers.notify_one();
+    };
+    let (answer, ()) = tokio::join!(fleet.ask(), tell);
+    assert_eq!(answer, (200, Some(events(1..=2))));
+}
+
 /// Nothing better comes: the server's own answer is the caller's.
 #[tokio::test]
 async fn the_answer_of_a_server_that_fails_is_passed_on_where_the_other_attempt_failed() {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -78,6 +78,8 @@
     StallAfterFirst,
     /// Sends the head of a stream, then nothing.
     StallAfterHead,
+    /// Sends this body with neither a length nor chunks, and closes.
+    UntilClose(String),
     /// Does it once it is told to.
     Await(Arc<Notify>, Box<Act>),
 }
@@ -187,6 +189,11 @@
                 (after + 1..=last).for_each(|event| bytes.push_str(&chunk(&event_text(event))));
                 bytes + "0\r\n\r\n"
             }
+            Act::UntilClose(body) => {
+                let answer = format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\n\r\n{body}");
+                let _ = stream.write_all(answer.as_bytes()).await;
+                return false;
+            }
             Act::Await(..) => return false,
             Act::StallAfterHead => {
                 let _ = stream.write_all(stream_head(&id).as_bytes()).await;
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -79,6 +79,21 @@
 
 impl RawServer {
     pub async fn start(name: &str, acts: Vec<RawAct>) -> Self {
+        Self::start_sharing(name, Arc::new(Mutex::new(acts.into()))).await
+    }
+
+    /// A server for each act; whichever gets a request first does the first one.
+    pub async fn start_for_each(acts: Vec<RawAct>) -> Vec<Self> {
+        let acts = Arc::new(Mutex::new(VecDeque::from(acts)));
+        let count = acts.lock().unwrap().len();
+        let mut servers = Vec::new();
+        for number in 0..count {
+            servers.push(Self::start_sharing(&format!("server-{number}"), acts.clone()).await);
+        }
+        servers
+    }
+
+    async fn start_sharing(name: &str, acts: Arc<Mutex<VecDeque<RawAct>>>) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
         socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
@@ -86,7 +101,7 @@
         let server = Self {
             name: name.into(),
             address: listener.local_addr().unwrap().to_string(),
-            acts: Arc::new(Mutex::new(acts.into())),
+            acts,
             received: Arc::default(),
             ended: Arc::default(),
         };
@@ -290,6 +305,26 @@
     }
 }
 
+impl RawNode {
+    /// Writes these bytes on a connection of their own; whether the connection ends with a
+    /// reset after the answer has begun.
+    pub async fn ends_with_reset(&self, bytes: &[u8]) -> bool {
+        let mut stream = self.connect().await;
+        stream.write_all(bytes).await.unwrap();
+        let mut answer = Vec::new();
+        let read = tokio::time::timeout(LIMIT, async {
+            loop {
+                match stream.read_buf(&mut answer).await {
+                    Ok(0) => return false,
+                    Ok(_) => {}
+                    Err(_) => return true,
+                }
+            }
+        });
+        read.await.expect("the node closes the connection")
+    }
+}
+
 /// Statuses of the answers among these bytes.
 pub fn statuses(answers: &[u8]) -> Vec<u16> {
     let text = String::from_utf8_lossy(answers);
