Break off a stream whose connection ends it inside an event

Callers got streams of crashed servers as complete ones. An answer with neither a length nor chunks ends with its connection, and so does one whose server crashes; a stream that can't be resumed was passed on without a look at its events, and the end of its body was taken for its end.

A stream's progress through its events is tracked now, in constant space. One that ends inside an event, or with its connection before its first event, is broken off, and goes on at another server if it is resumable. The tracker reads event streams only: a body of another stated type, and one of no stated type whose end is marked, pass as before. A stated length is not passed on with an event stream, since its last byte would make a cut one complete.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,14 +1,15 @@
 //! One attempt at a server, up to the head of its answer.
 
+use crate::answer_head::{framing_of, states_event_stream};
 use crate::dialect::{Dialect, HeaderNames};
 use crate::pool::{keep_time, Connection};
 use crate::shared::Shared;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION, HOST, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use latchwheel_core::answer_end::Framing;
+use latchwheel_core::answer_end::{Framing, StreamProgress};
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::{Ending, Placement, Prompt, ServerKey};
 use latchwheel_core::fingerprint::RequestContent;
@@ -143,6 +144,8 @@
     failed: bool,
     /// How its server marks the end of the answer.
     framing: Framing,
+    /// Whether its answer is an event stream, if its head says so.
+    is_event_stream: Option<bool>,
     /// Its answer is a success whose end can be told from a broken connection.
     succeeds: bool,
     ending: Ending,
@@ -167,6 +170,7 @@
             pieces: Pieces::default(),
             failed: false,
             framing: Framing::Length,
+            is_event_stream: None,
             succeeds: false,
             ending: Ending::Withdrawn,
         }
@@ -244,6 +248,13 @@
         self.framing
     }
 
+    /// Progress of its answer's event stream; `None` if the answer is none. Where its head
+    /// doesn't say, it is one on a route of streams if only the connection ends it.
+    pub fn stream_progress(&self, on_stream_route: bool) -> Option<StreamProgress> {
+        let assumed = on_stream_route && self.framing == Framing::Connection;
+        self.is_event_stream.unwrap_or(assumed).then(|| StreamProgress::new(self.framing))
+    }
+
     /// The answer came to its end: where it is a success, the request ended no server.
     pub fn note_served(&self, outgoing: &Outgoing) {
         if self.succeeds {
@@ -338,6 +349,7 @@
         // At the deadline a sound server answers so too.
         let status = response.status();
         self.framing = framing_of(&outgoing.method, status, headers);
+        self.is_event_stream = states_event_stream(headers);
         self.succeeds = status.is_success() && self.framing != Framing::Connection;
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -356,18 +368,6 @@
     }
 }
 
-/// How a server marks the end of an answer with this head.
-fn framing_of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Framing {
-    let has_no_body = *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if headers.contains_key(TRANSFER_ENCODING) {
-        Framing::Chunks
-    } else if has_no_body || headers.contains_key(CONTENT_LENGTH) {
-        Framing::Length
-    } else {
-        Framing::Connection
-    }
-}
-
 impl<D: Dialect> Drop for Exchange<D> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -107,7 +107,8 @@
     let (mut head, incoming) = response.into_parts();
     Outgoing::strip(&mut head.headers, context.shared.dialect.names());
     let resumable = context.route.kind == RequestKind::Stream { resumable: true };
-    if resumable {
+    // An answer of the stated length could not be broken off at its end any more.
+    if resumable || exchange.stream_progress(true).is_some() {
         head.headers.remove(CONTENT_LENGTH);
     }
     let incoming = Pieces { first: first_frame, rest: incoming };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod ambiguity;
 mod answer;
+mod answer_head;
 mod caller;
 mod claims;
 mod continued;
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use latchwheel_core::answer_end::Framing;
+use latchwheel_core::answer_end::{Framing, StreamProgress};
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::EventFramer;
@@ -40,6 +40,8 @@
     incoming: Pieces,
     /// How the server of the present attempt marks the end of its answer.
     framing: Framing,
+    /// What came of the events of the present attempt; `None` if its answer has none.
+    progress: Option<StreamProgress>,
     status: u16,
     resumable: bool,
     framer: EventFramer,
@@ -71,6 +73,7 @@
         Self {
             context,
             framing: exchange.framing(),
+            progress: exchange.stream_progress(true),
             exchange: Some(exchange),
             incoming,
             status,
@@ -113,11 +116,14 @@
         };
         let data = match frame {
             None if self.framer.has_partial_event() => return Step::Broken("ended_within_an_event", Ending::Broken),
-            None => return Step::End,
+            None => return self.at_end_of_body(),
             Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         self.note_piece(is_noted);
+        if let Some(progress) = &mut self.progress {
+            progress.push(&data);
+        }
         if !self.resumable {
             return Step::Pass(data);
         }
@@ -131,6 +137,15 @@
         }
     }
 
+    /// What follows where the body of the present attempt ends without an error: a server that
+    /// crashes ends a body that its connection delimits, too.
+    fn at_end_of_body(&self) -> Step {
+        match self.progress.and_then(|progress| progress.interruption()) {
+            Some(interruption) => Step::Broken(interruption.as_str(), Ending::Broken),
+            None => Step::End,
+        }
+    }
+
     /// A piece came; `is_noted` if the exchange knows it.
     fn note_piece(&mut self, is_noted: bool) {
         self.first_piece.get_or_insert_with(|| self.context.shared.clock.now());
@@ -192,6 +207,7 @@
             match self.context.attempt(self.last_event).await {
                 Ok(started) if started.response.status().is_success() => {
                     self.framing = started.exchange.framing();
+                    self.progress = started.exchange.stream_progress(true);
                     self.exchange = Some(started.exchange);
                     self.incoming = Pieces { first: started.first_frame, rest: started.response.into_body() };
                     return true;
