Don't let an empty stream win over another attempt

An attempt whose connection ended its answer before the first event counted as the first piece: the other attempt was dropped, and the caller got an empty stream that looked complete (now one that is broken off). It counts as lost now, so the other attempt goes on.

a_stream_that_ends_before_its_first_event_does_not_win failed before and passes.

--- a/crates/proxy/src/started.rs
+++ b/crates/proxy/src/started.rs
@@ -44,6 +44,12 @@
         }
         if frame.is_some() {
             self.exchange.note_piece();
+        } else if let Some(interruption) =
+            self.exchange.stream_progress(true).and_then(|progress| progress.interruption())
+        {
+            self.exchange.note_connection_lost(outgoing);
+            self.exchange.fail(Ending::Broken);
+            return Err(AttemptEnd { failure: AttemptFailure::Lost, reason: interruption.as_str() });
         }
         self.first_frame = Some(frame);
         Ok(self)
