Break off cut event streams on routes of other kinds

An event stream on a route whose answers are read whole was delivered with status 200 although its connection had ended it inside an event. It counts as lost now: the request is repeated where its route allows, else the caller gets 502; an answer whose head has left is broken off. A stated length is not passed on with a long event stream, as for streams.

The two tests for short and long answers failed before and pass.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
+/// Error of a streamed body.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Body of every request and response that the program sends.
 pub type Body = UnsyncBoxBody<Bytes, BoxError>;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,8 @@
 mod client;
 mod server;
 
-pub use body::{boxed, channel, empty, full, json, read_bounded, read_with_timeouts, Body, BodyFault, BodySender};
+pub use body::{
+    boxed, channel, empty, full, json, read_bounded, read_with_timeouts, Body, BodyFault, BodySender, BoxError,
+};
 pub use client::{AnswerTimeouts, CallFault, Client};
 pub use server::{serve, serve_with_idle_timeout, Version};
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -5,12 +5,14 @@
 use crate::forward::Context;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
-use http_body_util::{BodyExt, BodyStream, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
+use latchwheel_core::answer_end::StreamProgress;
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
-use latchwheel_http::{full, Body};
+use latchwheel_http::{full, Body, BoxError};
 
 /// Answers up to this length are read whole before their head is passed on,
 /// so that a broken one can be asked for again.
@@ -29,8 +31,9 @@
         let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let sent_at = self.shared.clock.now();
         let framing = exchange.framing();
+        let mut progress = exchange.stream_progress(false);
         let mut whole = BytesMut::new();
-        let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole)).await;
+        let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole, &mut progress)).await;
         match read {
             Ok(WholeRead::Whole) => {
                 exchange.note_served(&self.outgoing);
@@ -40,7 +43,10 @@
             }
             Ok(WholeRead::TooLong) => {
                 self.log_answered(head.status.as_u16(), first_piece_ms, framing);
-                let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange };
+                if progress.is_some() {
+                    head.headers.remove(CONTENT_LENGTH);
+                }
+                let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange, progress };
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
@@ -63,35 +69,65 @@
     Broken,
 }
 
-async fn read_whole(incoming: &mut Incoming, whole: &mut BytesMut) -> WholeRead {
+async fn read_whole(incoming: &mut Incoming, whole: &mut BytesMut, progress: &mut Option<StreamProgress>) -> WholeRead {
     while let Some(frame) = incoming.frame().await {
         let Ok(frame) = frame else { return WholeRead::Broken };
         if let Ok(data) = frame.into_data() {
+            if let Some(progress) = progress {
+                progress.push(&data);
+            }
             whole.extend_from_slice(&data);
         }
         if whole.len() > WHOLE_ANSWER_LIMIT {
             return WholeRead::TooLong;
         }
     }
-    WholeRead::Whole
+    let is_interrupted = progress.is_some_and(|progress| progress.interruption().is_some());
+    if is_interrupted {
+        WholeRead::Broken
+    } else {
+        WholeRead::Whole
+    }
 }
 
 /// An answer whose head was passed on before it was whole. The exchange ends with it.
 struct LongAnswer<D: Dialect> {
     outgoing: Outgoing,
     exchange: Exchange<D>,
+    progress: Option<StreamProgress>,
 }
 
 impl<D: Dialect> LongAnswer<D> {
     /// The part that was read and the rest.
     fn body(self, read: Bytes, rest: Incoming) -> Body {
         let first = futures::stream::iter([Ok(Frame::data(read))]);
-        let rest = BodyStream::new(latchwheel_http::boxed(rest)).map(move |frame| {
-            if frame.is_err() {
-                self.exchange.note_connection_lost(&self.outgoing);
-            }
-            frame
+        let rest = futures::stream::unfold(Some((self, rest)), |state| async move {
+            let (mut answer, mut rest) = state?;
+            let frame = answer.next(&mut rest).await?;
+            let goes_on = frame.is_ok().then_some((answer, rest));
+            Some((frame, goes_on))
         });
         StreamBody::new(first.chain(rest)).boxed_unsync()
     }
+
+    /// The next frame; `None` at the end of a complete answer.
+    async fn next(&mut self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, BoxError>> {
+        match rest.frame().await {
+            Some(Ok(frame)) => {
+                if let (Some(progress), Some(data)) = (&mut self.progress, frame.data_ref()) {
+                    progress.push(data);
+                }
+                Some(Ok(frame))
+            }
+            Some(Err(error)) => {
+                self.exchange.note_connection_lost(&self.outgoing);
+                Some(Err(error.into()))
+            }
+            None => {
+                let interruption = self.progress.and_then(|progress| progress.interruption())?;
+                self.exchange.note_connection_lost(&self.outgoing);
+                Some(Err(interruption.as_str().into()))
+            }
+        }
+    }
 }
