Deliver answers without events on resumable routes

A sound answer of another stated type, such as JSON, was broken off on a route of resumable streams: it was split into events, of which it has none. Only event streams, and answers of no stated type, are resumed now; another one passes as it comes, and silence ends it no earlier than its deadline.

an_answer_without_events_is_delivered_on_a_resumable_route failed before and passes.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -248,6 +248,11 @@
         self.framing
     }
 
+    /// Whether its answer is an event stream, if its head says so.
+    pub fn is_event_stream(&self) -> Option<bool> {
+        self.is_event_stream
+    }
+
     /// Progress of its answer's event stream; `None` if the answer is none. Where its head
     /// doesn't say, it is one on a route of streams if only the connection ends it.
     pub fn stream_progress(&self, on_stream_route: bool) -> Option<StreamProgress> {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -106,7 +106,8 @@
     let Started { exchange, response, first_frame } = started;
     let (mut head, incoming) = response.into_parts();
     Outgoing::strip(&mut head.headers, context.shared.dialect.names());
-    let resumable = context.route.kind == RequestKind::Stream { resumable: true };
+    let is_resumable_route = context.route.kind == RequestKind::Stream { resumable: true };
+    let resumable = is_resumable_route && exchange.is_event_stream().unwrap_or(true);
     // An answer of the stated length could not be broken off at its end any more.
     if resumable || exchange.stream_progress(true).is_some() {
         head.headers.remove(CONTENT_LENGTH);
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -108,7 +108,7 @@
     }
 
     async fn step(&mut self) -> Step {
-        let limit = self.context.pause_limit(0);
+        let limit = if self.resumable { self.context.pause_limit(0) } else { self.context.left() };
         let is_noted = self.incoming.first.is_some();
         let Ok(frame) = tokio::time::timeout(limit, self.incoming.next()).await else {
             let reason = if self.context.left().is_zero() { "time_is_over" } else { "no_event" };
