Deliver what follows the last event of a resumable stream

A sound resumable stream that closed with a comment or a further empty line was broken off as if it had ended inside an event, since any bytes after the last event counted as one. The progress of the stream decides now, and these bytes are delivered.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -49,9 +49,9 @@
         Ok(events)
     }
 
-    /// Whether a partial event is buffered.
-    pub fn has_partial_event(&self) -> bool {
-        !self.pending.is_empty()
+    /// Bytes after the last complete event: a partial event, or lines that belong to none.
+    pub fn remainder(&self) -> &[u8] {
+        &self.pending
     }
 
     /// Drops the buffered partial event.
--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -7,7 +7,7 @@
 fn only_complete_events_are_returned() {
     let mut framer = EventFramer::default();
     assert!(framer.push(b"id: 1\ndata: a").unwrap().is_empty());
-    assert!(framer.has_partial_event());
+    assert_eq!(framer.remainder(), b"id: 1\ndata: a");
     let events = framer.push(b"\n\nid: 2\n").unwrap();
     assert_eq!(events.len(), 1);
     assert_eq!((events[0].id, &*events[0].bytes), (Some(1), &b"id: 1\ndata: a\n\n"[..]));
@@ -15,7 +15,7 @@
     let events = framer.push(b"id: 2\r\ndata: b\r\n\r\n").unwrap();
     assert_eq!(events[0].id, Some(2));
     assert_eq!(event_data(&events[0].bytes), b"b");
-    assert!(!framer.has_partial_event());
+    assert_eq!(framer.remainder(), b"");
 }
 
 #[test]
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -124,7 +124,7 @@
             return (RunEnd::Interrupted, "no_event");
         };
         let data = match frame {
-            None if framer.has_partial_event() => {
+            None if !framer.remainder().is_empty() => {
                 exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
                 return (RunEnd::Interrupted, "ended_within_an_event");
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -254,9 +254,8 @@
     }
 
     /// Progress of its answer's event stream; `None` if the answer is none. Where its head
-    /// doesn't say, it is one on a route of streams if only the connection ends it.
-    pub fn stream_progress(&self, on_stream_route: bool) -> Option<StreamProgress> {
-        let assumed = on_stream_route && self.framing == Framing::Connection;
+    /// doesn't say, `assumed` does.
+    pub fn stream_progress(&self, assumed: bool) -> Option<StreamProgress> {
         self.is_event_stream.unwrap_or(assumed).then(|| StreamProgress::new(self.framing))
     }
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,7 +4,7 @@
 use crate::answer::{error_answer, DEFAULT_RETRY_AFTER};
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
-use crate::resumable::{stream_body, Streaming};
+use crate::resumable::{progress_of, stream_body, Streaming};
 use crate::shared::Shared;
 use crate::start_pacing::StartTurn;
 use crate::started::{Pieces, Started};
@@ -109,7 +109,7 @@
     let is_resumable_route = context.route.kind == RequestKind::Stream { resumable: true };
     let resumable = is_resumable_route && exchange.is_event_stream().unwrap_or(true);
     // An answer of the stated length could not be broken off at its end any more.
-    if resumable || exchange.stream_progress(true).is_some() {
+    if progress_of(&exchange, resumable).is_some() {
         head.headers.remove(CONTENT_LENGTH);
     }
     let incoming = Pieces { first: first_frame, rest: incoming };
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -73,7 +73,7 @@
         Self {
             context,
             framing: exchange.framing(),
-            progress: exchange.stream_progress(true),
+            progress: progress_of(&exchange, resumable),
             exchange: Some(exchange),
             incoming,
             status,
@@ -115,7 +115,6 @@
             return Step::Broken(reason, Ending::Unresponsive);
         };
         let data = match frame {
-            None if self.framer.has_partial_event() => return Step::Broken("ended_within_an_event", Ending::Broken),
             None => return self.at_end_of_body(),
             Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -139,10 +138,16 @@
 
     /// What follows where the body of the present attempt ends without an error: a server that
     /// crashes ends a body that its connection delimits, too.
-    fn at_end_of_body(&self) -> Step {
-        match self.progress.and_then(|progress| progress.interruption()) {
-            Some(interruption) => Step::Broken(interruption.as_str(), Ending::Broken),
-            None => Step::End,
+    fn at_end_of_body(&mut self) -> Step {
+        if let Some(interruption) = self.progress.and_then(|progress| progress.interruption()) {
+            return Step::Broken(interruption.as_str(), Ending::Broken);
+        }
+        let remainder = Bytes::copy_from_slice(self.framer.remainder());
+        self.framer.reset();
+        if remainder.is_empty() {
+            Step::End
+        } else {
+            Step::Pass(remainder)
         }
     }
 
@@ -207,7 +212,7 @@
             match self.context.attempt(self.last_event).await {
                 Ok(started) if started.response.status().is_success() => {
                     self.framing = started.exchange.framing();
-                    self.progress = started.exchange.stream_progress(true);
+                    self.progress = progress_of(&started.exchange, self.resumable);
                     self.exchange = Some(started.exchange);
                     self.incoming = Pieces { first: started.first_frame, rest: started.response.into_body() };
                     return true;
@@ -223,6 +228,12 @@
     }
 }
 
+/// What comes of the events of an attempt. All answers of a resumable stream are event
+/// streams unless they state another type.
+pub(crate) fn progress_of<D: Dialect>(exchange: &Exchange<D>, resumable: bool) -> Option<StreamProgress> {
+    exchange.stream_progress(resumable || exchange.framing() == Framing::Connection)
+}
+
 impl<D: Dialect> Context<D> {
     /// Longest pause to wait for the next piece, with so many other attempts in progress:
     /// silence ends an attempt only where the stream can go on elsewhere.
