Judge the end of an item's output as that of a stream

An item whose server closed the connection after the head was listed as completed with an empty text, and one whose output closed with a comment ran again and again. An output's end is judged by the progress of its events now, as for streams.

Two tests in jobs/tests/unmarked_ends.rs failed before and pass; a third, for an output that ends inside an event, passed before.

--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response, Uri};
+use latchwheel_core::answer_end::{Interruption, StreamProgress};
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
@@ -114,26 +115,18 @@
     mut exchange: Exchange<D>,
     outgoing: &Outgoing,
     response: Response<Incoming>,
-    progress: &mut ItemProgress,
+    item: &mut ItemProgress,
 ) -> (RunEnd, &'static str) {
     let mut incoming = response.into_body();
     let mut framer = EventFramer::default();
+    let mut progress = StreamProgress::new(exchange.framing());
     loop {
         let Ok(frame) = tokio::time::timeout(SILENCE, incoming.frame()).await else {
             exchange.fail(Ending::Unresponsive);
             return (RunEnd::Interrupted, "no_event");
         };
         let data = match frame {
-            None if !framer.remainder().is_empty() => {
-                exchange.note_connection_lost(outgoing);
-                exchange.fail(Ending::Broken);
-                return (RunEnd::Interrupted, "ended_within_an_event");
-            }
-            None => {
-                exchange.note_served(outgoing);
-                exchange.finish();
-                return (RunEnd::Completed, "whole");
-            }
+            None => return end_of_body(exchange, outgoing, progress.interruption()),
             Some(Err(_)) => {
                 exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
@@ -142,12 +135,29 @@
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         exchange.note_piece();
+        progress.push(&data);
         let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, "event_too_long") };
         for event in events {
-            progress.push_event(event.id, &event_data(&event.bytes));
+            item.push_event(event.id, &event_data(&event.bytes));
         }
-        if progress.text().len() > TEXT_LIMIT {
+        if item.text().len() > TEXT_LIMIT {
             return (RunEnd::Interrupted, "output_too_long");
         }
     }
 }
+
+/// The body of a run's output has ended without an error.
+fn end_of_body<D: Dialect>(
+    exchange: Exchange<D>,
+    outgoing: &Outgoing,
+    interruption: Option<Interruption>,
+) -> (RunEnd, &'static str) {
+    if let Some(interruption) = interruption {
+        exchange.note_connection_lost(outgoing);
+        exchange.fail(Ending::Broken);
+        return (RunEnd::Interrupted, interruption.as_str());
+    }
+    exchange.note_served(outgoing);
+    exchange.finish();
+    (RunEnd::Completed, "whole")
+}
