Don't take a cut answer of an engine for a whole one

An engine's whole answer with neither a length nor chunks reached the caller cut where the engine crashed, since its end is that of its connection. Such answers are JSON documents: one that is not complete counts as interrupted and takes the way of every interrupted request.

a_json_answer_that_is_cut_is_not_taken_for_a_whole_one failed before and passes.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::{Method, Request};
 use latchwheel_http::{full, read_bounded, CallFault, Client};
+use serde::de::IgnoredAny;
 use serde::Serialize;
 use std::time::Duration;
 
@@ -100,7 +101,8 @@
             let bytes = read_bounded(response.into_body(), MAX_ANSWER_BYTES, time).await;
             let bytes = bytes.map_err(|_| EngineFault::Interrupted)?;
             match status {
-                200 => Ok(EngineAnswer::Whole(bytes)),
+                200 if is_complete_json(&bytes) => Ok(EngineAnswer::Whole(bytes)),
+                200 => Err(EngineFault::Interrupted),
                 410 => Err(EngineFault::RunNotFound),
                 429 | 503 => Err(EngineFault::Refused),
                 400..=499 => Err(EngineFault::InvalidRequest(status, bytes)),
@@ -157,3 +159,9 @@
         }
     }
 }
+
+/// Whether an answer is a complete JSON document: one with neither a length nor chunks ends
+/// with its connection, also when its engine crashes.
+fn is_complete_json(bytes: &[u8]) -> bool {
+    serde_json::from_slice::<IgnoredAny>(bytes).is_ok()
+}
