Reset connections of HTTP/1.0 clients whose answers are broken off

A client of HTTP/1.0 gets answers of unknown length without chunks, so that the end of the connection ends them. A node that broke off a stream closed the connection as after a whole one. It is reset now. The stream that resets at its close moves from proxy to http, where both sides use it (ServerStream to ResetStream, GivenUp to ResetFlag).

a_client_of_an_older_version_sees_that_an_answer_is_broken_off failed before and passes.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod body;
 mod client;
+mod reset_stream;
 mod server;
 
 pub use body::{
     boxed, channel, empty, full, json, read_bounded, read_with_timeouts, Body, BodyFault, BodySender, BoxError,
 };
 pub use client::{AnswerTimeouts, CallFault, Client};
+pub use reset_stream::{ResetFlag, ResetStream};
 pub use server::{serve, serve_with_idle_timeout, Version};
--- a/crates/proxy/src/server_stream.rs
+++ b/crates/http/src/reset_stream.rs
@@ -1,8 +1,7 @@
-//! A stream to a server that can be given up.
+//! A TCP stream that can be reset when it is closed.
 //!
-//! The system goes on sending what it holds of a closed stream: over a link that was cut
-//! or to a server that doesn't read, the request would arrive long after it was given up.
-//! A stream that is given up is reset instead, so that nothing more of it is sent.
+//! Closing a stream normally sends what the system still holds of it, and its end looks like
+//! the end of what was sent. A reset does neither.
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
@@ -12,13 +11,13 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether a stream is to be reset when it is closed.
+/// Whether a stream is reset when it is closed.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct GivenUp(Arc<AtomicBool>);
+pub struct ResetFlag(Arc<AtomicBool>);
 
-impl GivenUp {
-    /// The stream is reset when it is closed.
-    pub(crate) fn set(&self) {
+impl ResetFlag {
+    /// Has the stream reset when it is closed.
+    pub fn set(&self) {
         self.0.store(true, Ordering::Release);
     }
 
@@ -27,17 +26,17 @@
     }
 }
 
-/// A stream to a server.
+/// A TCP stream that is reset when it is closed if its flag is set by then.
 #[derive(Debug)]
-pub(crate) struct ServerStream {
+pub struct ResetStream {
     stream: TcpStream,
-    given_up: GivenUp,
+    reset: ResetFlag,
 }
 
-impl ServerStream {
-    /// A stream that is reset at its end if it is given up by then.
-    pub(crate) fn new(stream: TcpStream, given_up: GivenUp) -> Self {
-        Self { stream, given_up }
+impl ResetStream {
+    /// Wraps a connected stream.
+    pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
+        Self { stream, reset }
     }
 
     fn inner(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -45,22 +44,22 @@
     }
 }
 
-impl Drop for ServerStream {
+impl Drop for ResetStream {
     fn drop(&mut self) {
-        if self.given_up.is_set() {
+        if self.reset.is_set() {
             // Without it the stream is closed as any other.
             let _ = self.stream.set_zero_linger();
         }
     }
 }
 
-impl AsyncRead for ServerStream {
+impl AsyncRead for ResetStream {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         self.inner().poll_read(context, buffer)
     }
 }
 
-impl AsyncWrite for ServerStream {
+impl AsyncWrite for ResetStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
         self.inner().poll_write(context, bytes)
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,8 @@
 //! HTTP server with graceful shutdown.
 
 use crate::body::Body;
+use crate::reset_stream::{ResetFlag, ResetStream};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -85,10 +87,15 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let io = TokioIo::new(stream);
-    let service = service_fn(move |request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let reset = ResetFlag::default();
+    let io = TokioIo::new(ResetStream::new(stream, reset.clone()));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let knows_chunks = request.version() > hyper::Version::HTTP_10;
+        let (answer, reset) = (handler(request), reset.clone());
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(if knows_chunks { answer } else { reset_if_aborted(answer, reset) })
+        }
     });
     let stopped = async move {
         let _ = stop.wait_for(|stop| *stop).await;
@@ -125,3 +132,13 @@
         }
     }
 }
+
+/// Has the connection reset if the body is aborted: without chunks, a regular close would mark
+/// the end of a complete body.
+fn reset_if_aborted(answer: Response<Body>, reset: ResetFlag) -> Response<Body> {
+    let on_error = move |error| {
+        reset.set();
+        error
+    };
+    answer.map(|body| body.map_err(on_error).boxed_unsync())
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -28,7 +28,6 @@
 mod pool;
 mod resumable;
 mod second_attempt;
-mod server_stream;
 mod shared;
 mod start;
 mod start_pacing;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,11 +4,10 @@
 //! answer, and dropped before the server would close it. One that is dropped
 //! while it carries a request is reset: nothing more of the request is sent.
 
-use crate::server_stream::{GivenUp, ServerStream};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::HeaderMap;
 use hyper_util::rt::TokioIo;
-use latchwheel_http::Body;
+use latchwheel_http::{Body, ResetFlag, ResetStream};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -42,14 +41,14 @@
 #[derive(Debug)]
 struct Driver {
     task: AbortHandle,
-    given_up: GivenUp,
+    reset: ResetFlag,
     carries_request: bool,
 }
 
 impl Drop for Driver {
     fn drop(&mut self) {
         if self.carries_request {
-            self.given_up.set();
+            self.reset.set();
         }
         self.task.abort();
     }
@@ -122,13 +121,13 @@
 async fn connect(address: &str) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     let _ = stream.set_nodelay(true);
-    let given_up = GivenUp::default();
-    let stream = ServerStream::new(stream, given_up.clone());
+    let reset = ResetFlag::default();
+    let stream = ResetStream::new(stream, reset.clone());
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     // Its end shows in the requests that it carries.
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
-    let driver = Driver { task: task.abort_handle(), given_up, carries_request: false };
+    let driver = Driver { task: task.abort_handle(), reset, carries_request: false };
     Some(Connection { sender, driver })
 }
