Don't deliver an answer as complete if its server crashed at its end

A server that crashes between two events of an answer with neither a length nor chunks, or anywhere in such an answer that is no event stream, ends it with bytes that look whole.

A node asks now whether the server still accepts connections before it takes such an end for that of the answer: 10 ms and one connection for each success with an unmarked end, none for any other. Refused means cut: streams continue elsewhere or are broken off, whole answers and items count as lost. A draining server is not asked, since it ends as planned after its last answer. An end that was verified so is evidence for the quarantine, which took none from such answers before.

an_answer_whose_server_crashes_between_events_is_not_delivered_as_complete and a_whole_answer_whose_server_crashes_is_asked_for_again failed before and pass; the_last_answer_of_a_draining_server_is_delivered guards the other side.

--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response, Uri};
-use latchwheel_core::answer_end::{Interruption, StreamProgress};
+use latchwheel_core::answer_end::StreamProgress;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
@@ -126,7 +126,7 @@
             return (RunEnd::Interrupted, "no_event");
         };
         let data = match frame {
-            None => return end_of_body(exchange, outgoing, progress.interruption()),
+            None => return end_of_body(exchange, outgoing, progress).await,
             Some(Err(_)) => {
                 exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
@@ -147,15 +147,15 @@
 }
 
 /// The body of a run's output has ended without an error.
-fn end_of_body<D: Dialect>(
-    exchange: Exchange<D>,
+async fn end_of_body<D: Dialect>(
+    mut exchange: Exchange<D>,
     outgoing: &Outgoing,
-    interruption: Option<Interruption>,
+    progress: StreamProgress,
 ) -> (RunEnd, &'static str) {
-    if let Some(interruption) = interruption {
+    if let Some(reason) = exchange.cut_reason(Some(progress)).await {
         exchange.note_connection_lost(outgoing);
         exchange.fail(Ending::Broken);
-        return (RunEnd::Interrupted, interruption.as_str());
+        return (RunEnd::Interrupted, reason);
     }
     exchange.note_served(outgoing);
     exchange.finish();
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -21,6 +21,7 @@
 use latchwheel_core::fingerprint::Fingerprint;
 use latchwheel_events::{emit, Event};
 use probe::has_ended;
+pub(crate) use probe::has_just_ended;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/proxy/src/crashes/probe.rs
+++ b/crates/proxy/src/crashes/probe.rs
@@ -15,11 +15,20 @@
 /// connections.
 pub(super) async fn has_ended(address: &str) -> bool {
     for pause in PAUSES {
-        tokio::time::sleep(pause).await;
-        let tried = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
-        if matches!(tried, Ok(Err(fault)) if fault.kind() == ErrorKind::ConnectionRefused) {
+        if refuses_connections_after(pause, address).await {
             return true;
         }
     }
     false
 }
+
+/// Whether a server whose connection has just been closed refuses new ones.
+pub(crate) async fn has_just_ended(address: &str) -> bool {
+    refuses_connections_after(PAUSES[0], address).await
+}
+
+async fn refuses_connections_after(pause: Duration, address: &str) -> bool {
+    tokio::time::sleep(pause).await;
+    let tried = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+    matches!(tried, Ok(Err(fault)) if fault.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt at a server, up to the head of its answer.
 
 use crate::answer_head::{framing_of, states_event_stream};
+use crate::crashes::has_just_ended;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::pool::{keep_time, Connection};
 use crate::shared::Shared;
@@ -146,8 +147,10 @@
     framing: Framing,
     /// Whether its answer is an event stream, if its head says so.
     is_event_stream: Option<bool>,
-    /// Its answer is a success whose end can be told from a broken connection.
-    succeeds: bool,
+    /// Its answer is a success.
+    is_success: bool,
+    /// The end of its answer can't be that of a server that crashed.
+    has_verified_end: bool,
     ending: Ending,
 }
 
@@ -171,7 +174,8 @@
             failed: false,
             framing: Framing::Length,
             is_event_stream: None,
-            succeeds: false,
+            is_success: false,
+            has_verified_end: false,
             ending: Ending::Withdrawn,
         }
     }
@@ -259,9 +263,30 @@
         self.is_event_stream.unwrap_or(assumed).then(|| StreamProgress::new(self.framing))
     }
 
+    /// Why the answer is not complete although its body has ended without an error; `None` if
+    /// it is. `progress` is that of its event stream, if it is one.
+    pub async fn cut_reason(&mut self, progress: Option<StreamProgress>) -> Option<&'static str> {
+        match progress.and_then(|progress| progress.interruption()) {
+            Some(interruption) => Some(interruption.as_str()),
+            None => self.is_cut_by_crash().await.then_some("server_crashed"),
+        }
+    }
+
+    /// Whether the server crashed where its answer ended: a success that only the end of its
+    /// connection marks, whose server accepts no further connections. A draining server ends
+    /// as planned after its last answer.
+    async fn is_cut_by_crash(&mut self) -> bool {
+        if !self.is_success || self.has_verified_end || !self.shared.dispatcher().is_ready(&self.placement.server) {
+            return false;
+        }
+        let has_crashed = has_just_ended(&self.placement.address).await;
+        self.has_verified_end = !has_crashed;
+        has_crashed
+    }
+
     /// The answer came to its end: where it is a success, the request ended no server.
     pub fn note_served(&self, outgoing: &Outgoing) {
-        if self.succeeds {
+        if self.is_success && self.has_verified_end {
             self.shared.crashes.note_served(&outgoing.content(self.shared.dialect.names()));
         }
     }
@@ -288,7 +313,7 @@
     /// The answer is whole: its connection may be kept.
     pub fn finish(mut self) {
         self.ending = if self.failed { Ending::Failed } else { Ending::Answered };
-        if self.succeeds {
+        if self.is_success && self.has_verified_end {
             let (now, pieces) = (self.shared.clock.now(), &self.pieces);
             self.shared.dispatcher().note_pieces(now, &self.placement, pieces.count, pieces.last.since(pieces.first));
         }
@@ -354,7 +379,8 @@
         let status = response.status();
         self.framing = framing_of(&outgoing.method, status, headers);
         self.is_event_stream = states_event_stream(headers);
-        self.succeeds = status.is_success() && self.framing != Framing::Connection;
+        self.is_success = status.is_success();
+        self.has_verified_end = self.framing != Framing::Connection;
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/resumable.rs
@@ -115,7 +115,7 @@
             return Step::Broken(reason, Ending::Unresponsive);
         };
         let data = match frame {
-            None => return self.at_end_of_body(),
+            None => return self.at_end_of_body().await,
             Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
@@ -138,9 +138,11 @@
 
     /// What follows where the body of the present attempt ends without an error: a server that
     /// crashes ends a body that its connection delimits, too.
-    fn at_end_of_body(&mut self) -> Step {
-        if let Some(interruption) = self.progress.and_then(|progress| progress.interruption()) {
-            return Step::Broken(interruption.as_str(), Ending::Broken);
+    async fn at_end_of_body(&mut self) -> Step {
+        if let Some(exchange) = &mut self.exchange {
+            if let Some(reason) = exchange.cut_reason(self.progress).await {
+                return Step::Broken(reason, Ending::Broken);
+            }
         }
         let remainder = Bytes::copy_from_slice(self.framer.remainder());
         self.framer.reset();
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -34,6 +34,10 @@
         let mut progress = exchange.stream_progress(false);
         let mut whole = BytesMut::new();
         let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole, &mut progress)).await;
+        let read = match read {
+            Ok(WholeRead::Whole) if exchange.cut_reason(progress).await.is_some() => Ok(WholeRead::Broken),
+            read => read,
+        };
         match read {
             Ok(WholeRead::Whole) => {
                 exchange.note_served(&self.outgoing);
@@ -82,12 +86,7 @@
             return WholeRead::TooLong;
         }
     }
-    let is_interrupted = progress.is_some_and(|progress| progress.interruption().is_some());
-    if is_interrupted {
-        WholeRead::Broken
-    } else {
-        WholeRead::Whole
-    }
+    WholeRead::Whole
 }
 
 /// An answer whose head was passed on before it was whole. The exchange ends with it.
@@ -124,9 +123,9 @@
                 Some(Err(error.into()))
             }
             None => {
-                let interruption = self.progress.and_then(|progress| progress.interruption())?;
+                let reason = self.exchange.cut_reason(self.progress).await?;
                 self.exchange.note_connection_lost(&self.outgoing);
-                Some(Err(interruption.as_str().into()))
+                Some(Err(reason.into()))
             }
         }
     }
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -58,6 +58,9 @@
     WriteLater(String, Arc<Notify>, String),
     /// Reads the whole request, writes these bytes and closes.
     WriteAndClose(String),
+    /// As `WriteAndClose` once it is told to, and accepts no connection any more, as a process
+    /// that crashes.
+    WriteAndCrash(String, Arc<Notify>),
     /// Closes once the head is there.
     CloseEarly,
 }
@@ -75,6 +78,7 @@
     acts: Arc<Mutex<VecDeque<RawAct>>>,
     received: Arc<Mutex<Vec<Vec<u8>>>>,
     ended: Arc<Mutex<usize>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl RawServer {
@@ -104,6 +108,7 @@
             acts,
             received: Arc::default(),
             ended: Arc::default(),
+            crashed: watch::channel(false).0,
         };
         tokio::spawn(server.clone().accept(listener));
         server
@@ -138,7 +143,13 @@
     }
 
     async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+        let mut crashed = self.crashed.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = crashed.wait_for(|crashed| *crashed) => return,
+            };
+            let Ok((stream, _)) = accepted else { return };
             let number = {
                 let mut received = self.received.lock().unwrap();
                 received.push(Vec::new());
@@ -174,7 +185,7 @@
                     }
                     go_on.notified().await;
                 }
-                RawAct::Write(_) | RawAct::WriteLater(..) | RawAct::WriteAndClose(_) => {}
+                RawAct::Write(_) | RawAct::WriteLater(..) | RawAct::WriteAndClose(_) | RawAct::WriteAndCrash(..) => {}
             }
             let end = served + start + body_length(&head);
             while self.received.lock().unwrap()[number].len() < end {
@@ -189,6 +200,13 @@
                     let _ = stream.write_all(&fill(bytes)).await;
                     false
                 }
+                RawAct::WriteAndCrash(bytes, crash) => {
+                    crash.notified().await;
+                    self.crashed.send_replace(true);
+                    until(|| std::net::TcpStream::connect(&self.address).is_err()).await;
+                    let _ = stream.write_all(&fill(bytes)).await;
+                    false
+                }
                 RawAct::WriteLater(bytes, later, more) => {
                     let _ = stream.write_all(&fill(bytes)).await;
                     later.notified().await;
--- a/crates/proxy/tests/unmarked_ends.rs
+++ b/crates/proxy/tests/unmarked_ends.rs
@@ -9,8 +9,10 @@
 use latchwheel_core::routes::RequestKind;
 use latchwheel_http::{full, read_bounded, Client};
 use raw::{RawAct, RawNode, RawServer};
+use std::sync::Arc;
 use std::time::Duration;
 use support::{event_text, HOST};
+use tokio::sync::Notify;
 
 const STREAM: RequestKind = RequestKind::Stream { resumable: false };
 const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
@@ -64,6 +66,10 @@
 async fn ask(kind: RequestKind, acts: Vec<RawAct>) -> Received {
     let servers = RawServer::start_for_each(acts).await;
     let node = RawNode::start(kind, servers.len() as u32, &servers.iter().collect::<Vec<_>>()).await;
+    ask_node(&node).await
+}
+
+async fn ask_node(node: &RawNode) -> Received {
     let request = Request::post(format!("http://{}/path/x", node.address))
         .header("host", HOST)
         .header("t-id", "1")
@@ -132,6 +138,45 @@
     assert!(node.ends_with_reset(request.as_bytes()).await);
 }
 
+/// An answer whose server crashes after these bytes.
+fn until_crash(headers: &str, body: &str) -> RawAct {
+    let crash = Arc::new(Notify::new());
+    crash.notify_one();
+    RawAct::WriteAndCrash(format!("HTTP/1.1 200 OK\r\nt-id: ID\r\n{headers}\r\n{body}"), crash)
+}
+
+#[tokio::test]
+async fn an_answer_whose_server_crashes_between_events_is_not_delivered_as_complete() {
+    assert_eq!(ask(STREAM, vec![until_crash(EVENT_STREAM, &event_text(1))]).await.body, None);
+    assert_eq!(ask(STREAM, vec![until_crash(JSON, TEXT)]).await.body, None);
+    let acts = vec![until_crash(EVENT_STREAM, &event_text(1)), until_close(EVENT_STREAM, &event_text(2))];
+    assert_eq!(ask(RESUMABLE, acts).await, Received::complete(&(event_text(1) + &event_text(2))));
+}
+
+#[tokio::test]
+async fn a_whole_answer_whose_server_crashes_is_asked_for_again() {
+    let acts = vec![until_crash(JSON, "{\"te"), until_close(JSON, TEXT)];
+    assert_eq!(ask(RequestKind::Idempotent, acts).await, Received::complete(TEXT));
+    let long = format!("data: {}\n\n", "x".repeat(LONG_EVENT));
+    assert_eq!(ask(RequestKind::AtMostOnce, vec![until_crash(EVENT_STREAM, &long)]).await, Received::broken());
+}
+
+/// A planned end follows the last answer at any time.
+#[tokio::test]
+async fn the_last_answer_of_a_draining_server_is_delivered() {
+    let ends = Arc::new(Notify::new());
+    let answer = format!("HTTP/1.1 200 OK\r\nt-id: ID\r\n\r\n{}", event_text(1));
+    let server = RawServer::start("server", vec![RawAct::WriteAndCrash(answer, ends.clone())]).await;
+    let node = RawNode::start(STREAM, 1, &[&server]).await;
+    let drain = async {
+        raw::until(|| !server.requests().is_empty()).await;
+        node.shared.dispatcher().set_draining("server");
+        ends.notify_one();
+    };
+    let (received, ()) = tokio::join!(ask_node(&node), drain);
+    assert_eq!(received, Received::complete(&event_text(1)));
+}
+
 #[tokio::test]
 async fn whole_answers_that_end_with_their_connection_are_delivered() {
     let stream = event_text(1) + &event_text(2);
