Answer in the node's own HTTP version

A node passed on the version of a server's answer. An answer of HTTP/1.0 left as one: without chunks, so that the end of the connection ended it, and one that the node broke off looked complete. The version is one of the connection, as the headers are that a node takes out; answers leave as HTTP/1.1 now.

a_cut_answer_of_a_server_of_an_older_version_is_not_delivered_as_complete failed before and passes.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::accept::accept;
 use crate::answer::{error_answer, DEFAULT_RETRY_AFTER};
+use crate::answer_head::strip_connection;
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::resumable::{progress_of, stream_body, Streaming};
@@ -105,7 +106,7 @@
 ) -> Response<Body> {
     let Started { exchange, response, first_frame } = started;
     let (mut head, incoming) = response.into_parts();
-    Outgoing::strip(&mut head.headers, context.shared.dialect.names());
+    strip_connection(&mut head, context.shared.dialect.names());
     let is_resumable_route = context.route.kind == RequestKind::Stream { resumable: true };
     let resumable = is_resumable_route && exchange.is_event_stream().unwrap_or(true);
     // An answer of the stated length could not be broken off at its end any more.
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -1,5 +1,6 @@
 //! Answers that are read whole before their head is passed on.
 
+use crate::answer_head::strip_connection;
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::forward::Context;
@@ -26,7 +27,7 @@
         response: Response<Incoming>,
     ) -> Result<Response<Body>, Option<Response<Body>>> {
         let (mut head, mut incoming) = response.into_parts();
-        Outgoing::strip(&mut head.headers, self.shared.dialect.names());
+        strip_connection(&mut head, self.shared.dialect.names());
         exchange.note_piece();
         let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let sent_at = self.shared.clock.now();
--- a/crates/proxy/tests/unmarked_ends.rs
+++ b/crates/proxy/tests/unmarked_ends.rs
@@ -128,6 +128,16 @@
     assert_eq!(answer, Received::broken());
 }
 
+#[tokio::test]
+async fn a_cut_answer_of_a_server_of_an_older_version_is_not_delivered_as_complete() {
+    let cut = format!("HTTP/1.0 200 OK\r\nt-id: ID\r\n{EVENT_STREAM}\r\n{}", event_text(1) + CUT_EVENT);
+    for kind in [STREAM, RESUMABLE] {
+        assert_eq!(ask(kind, vec![RawAct::WriteAndClose(cut.clone())]).await, Received::broken());
+    }
+    let long = format!("HTTP/1.0 200 OK\r\nt-id: ID\r\n{EVENT_STREAM}\r\ndata: {}", "x".repeat(LONG_EVENT));
+    assert_eq!(ask(RequestKind::AtMostOnce, vec![RawAct::WriteAndClose(long)]).await, Received::broken());
+}
+
 /// A client of this version gets an answer that ends with its connection too.
 #[tokio::test]
 async fn a_client_of_an_older_version_sees_that_an_answer_is_broken_off() {
