Log the prompt parts of requests whose connections were lost

The log could not tell contents that share a part from contents that only look alike. ConnectionLost names the parts that other requests may share, as keys by which they can be looked up. No logic is changed.

--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -37,6 +37,11 @@
         self.parts.iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the prefixes of whole parts with their lengths in tokens, the shortest first;
     /// each key covers all parts up to its end.
     pub fn prefixes(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -4,7 +4,8 @@
 //! method, host, target, caller and body. Only a digest of the content is stored, so that no
 //! log line, message or record contains a caller's key or a body.
 
-use crate::identity::stable_hash;
+use crate::dispatch::PromptPart;
+use crate::identity::{stable_hash, stable_pair_hash};
 use sha2::{Digest, Sha256};
 use std::fmt::{Debug, Display, Formatter};
 
@@ -47,6 +48,26 @@
     pub fingerprint: Fingerprint,
 }
 
+/// High half of the fingerprint of a prompt part; a digest of a content practically never
+/// begins so.
+const PART_MARK: u64 = u64::MAX;
+
+impl RequestKey {
+    /// Key of all requests whose prompts share a part. Parts are named by their clients, so
+    /// that a digest of the name would protect no better than the name's hash.
+    pub fn of_part(part: u64) -> Self {
+        let fingerprint = Fingerprint(u128::from(PART_MARK) << 64 | u128::from(part));
+        Self { shape: RequestShape(stable_pair_hash(part, PART_MARK)), fingerprint }
+    }
+}
+
+impl Fingerprint {
+    /// Whether this identifies a prompt part instead of a content.
+    pub fn is_part(self) -> bool {
+        (self.0 >> 64) as u64 == PART_MARK
+    }
+}
+
 /// Content of a request.
 #[derive(Clone, Copy)]
 pub struct RequestContent<'a> {
@@ -60,8 +81,13 @@
     pub caller: &'a [u8],
     /// Complete body.
     pub body: &'a [u8],
+    /// Parts of the prompt that other requests may share. They don't belong to the content.
+    pub shared_parts: &'a [PromptPart],
 }
 
+/// Number of shared parts of a request that are considered.
+pub const MAX_SHARED_PARTS: usize = 16;
+
 impl RequestContent<'_> {
     /// Computes the shape in time independent of the length of the body.
     pub fn shape(&self) -> RequestShape {
@@ -70,6 +96,11 @@
         RequestShape(stable_hash(&parts.map(stable_hash).map(u64::to_le_bytes).concat()))
     }
 
+    /// Keys of the shared parts, in their order.
+    pub fn part_keys(&self) -> impl Iterator<Item = RequestKey> + '_ {
+        self.shared_parts.iter().take(MAX_SHARED_PARTS).map(|part| RequestKey::of_part(part.key))
+    }
+
     /// Computes the shape and the digest; reads the complete body.
     pub fn key(&self) -> RequestKey {
         let mut digest = Sha256::new();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -214,7 +214,8 @@
 
 #[test]
 fn only_requests_of_a_suspected_shape_are_digested() {
-    let content = |path, body| RequestContent { method: "POST", host: b"h", target: path, caller: b"", body };
+    let content =
+        |path, body| RequestContent { method: "POST", host: b"h", target: path, caller: b"", body, shared_parts: &[] };
     let mut quarantine = Quarantine::default();
     let watched = content("/a", b"body").key();
     assert!(!quarantine.has_shape(watched.shape));
@@ -230,7 +231,7 @@
 #[test]
 fn a_fingerprint_covers_the_whole_content() {
     let content = |host: &'static [u8], target, caller: &'static [u8], body: &'static [u8]| {
-        RequestContent { method: "POST", host, target, caller, body }.key().fingerprint
+        RequestContent { method: "POST", host, target, caller, body, shared_parts: &[] }.key().fingerprint
     };
     let first = content(b"h", "/a", b"caller", b"body");
     assert_eq!(first, content(b"h", "/a", b"caller", b"body"));
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -516,6 +516,8 @@
         server: &'a str,
         /// Digest of the content; a resend has the same digest.
         request: &'a str,
+        /// Keys of the parts of its prompt that other requests may share.
+        parts: &'a str,
         /// Time since the request was sent.
         after_ms: u64
     };
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -62,10 +62,13 @@
     /// A connection was lost while its server worked on a request or an item.
     pub(crate) fn note_connection_lost(self: &Arc<Self>, outgoing: &Outgoing, work: &ServerWork<'_>) {
         let Placement { server, address, .. } = work.placement;
-        let request = outgoing.content(self.dialect.names()).key();
+        let content = outgoing.content(self.dialect.names());
+        let request = content.key();
+        let parts: Vec<String> = content.part_keys().map(|part| part.fingerprint.to_string()).collect();
         let after_ms = self.clock.now().since(work.sent_at).as_millis() as u64;
         let (id, fingerprint) = (outgoing.id.to_str().unwrap_or_default(), request.fingerprint.to_string());
-        emit(id, &Event::ConnectionLost { id, server, request: &fingerprint, after_ms });
+        let parts = parts.join(" ");
+        emit(id, &Event::ConnectionLost { id, server, request: &fingerprint, parts: &parts, after_ms });
         // A server that was told to leave, or whose registration is gone, ends as planned.
         if !self.dispatcher().is_ready(server) {
             return;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -68,6 +68,7 @@
             target: self.uri.path_and_query().map_or("/", PathAndQuery::as_str),
             caller: caller.map_or(&[], HeaderValue::as_bytes),
             body: &self.body,
+            shared_parts: self.prompt.shared_parts(),
         }
     }
 
--- a/crates/proxy/tests/second_attempts.rs
+++ b/crates/proxy/tests/second_attempts.rs
@@ -340,7 +340,7 @@
     let (told, first) = once_told(answer("first"));
     let fleet = Fleet::ready(RequestKind::Idempotent, 2, vec![first]).await;
     let (host, body) = (HOST.as_bytes(), b"response");
-    let content = RequestContent { method: "POST", host, target: "/path/a", caller: b"", body };
+    let content = RequestContent { method: "POST", host, target: "/path/a", caller: b"", body, shared_parts: &[] };
     let now = fleet.shared.clock.wall_time();
     let verdict = QuarantineEntry {
         request: content.key(),
