Add failing tests for prompt parts that crash servers

Servers that crash when they answer a prompt with one part, whatever else the request holds; requests with it come at any node, no two alike, and items of jobs hold it.

--- a/crates/jobs/tests/quarantine.rs
+++ b/crates/jobs/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::fingerprint::RequestKey;
+use latchwheel_core::identity::stable_hash;
 use latchwheel_core::routes::RequestKind;
 use latchwheel_http::Client;
 use latchwheel_jobs::layout::QUARANTINE_PREFIX;
@@ -14,7 +16,7 @@
 use latchwheel_records::{Contact, GuardedStore, Record, RecordStore, Transaction, WatchCache};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::fleet::{send, MortalServer, POISON};
+use support::fleet::{send, MortalServer, POISON, POISON_PART};
 use support::{node, route, serve_node, TestDialect, TestServer, HOST};
 use tokio::net::UdpSocket;
 
@@ -153,3 +155,40 @@
     let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await.unwrap();
     assert!(page.results.iter().all(|result| result.item != "ends-servers"), "given up without a reason");
 }
+
+#[tokio::test]
+async fn items_with_a_part_that_ends_servers_are_kept_back_and_others_are_done() {
+    const JOB: &str = "job-1";
+    let (store, servers) = (MemoryStore::default(), servers().await);
+    let shared = new_node(RequestKind::Batch, &servers);
+    let joined = join(&store, &shared, "worker", NodeRole::Worker).await;
+    let owned = OwnedJobs::new(joined.contact.clone());
+    let rules = WorkerRules::default();
+    let _worker = run_worker(joined.store.clone(), &joined.cache, shared.clone(), owned, "worker", rules);
+    let item = |id: &str, part: &str| ItemBody {
+        id: id.into(),
+        path: "/path/item".into(),
+        headers: [("parts".to_owned(), format!("first,{part},own-{id}"))].into_iter().collect(),
+        body: BASE64_STANDARD.encode(id),
+        ..ItemBody::default()
+    };
+    let sound = (0..6).map(|number| item(&format!("sound-{number}"), "second"));
+    let crashing = (0..3).map(|number| item(&format!("crashing-{number}"), POISON_PART));
+    let items: Vec<ItemBody> = sound.chain(crashing).collect();
+    let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 2);
+    let submission = Submission { host: HOST, path: "/path/x", tenant: None };
+    desk.take(JOB, &submission, JobBody { items }, Instant::now() + LIMIT).await.unwrap();
+    let part = RequestKey::of_part(stable_hash(POISON_PART.as_bytes()));
+    until("the part is never kept back", async || shared.crashes.quarantined().contains(&part)).await;
+    // One run of each item may have been on its way.
+    let most_ended = ended(&servers) + 3;
+    until("the other items are not done", async || {
+        let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await;
+        page.is_ok_and(|page| page.results.iter().filter(|result| result.completed).count() == 6)
+    })
+    .await;
+    tokio::time::sleep(LONGEST_PAUSE).await;
+    assert!(ended(&servers) <= most_ended, "{} servers ended", ended(&servers));
+    let page = desk.read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await.unwrap();
+    assert!(page.results.iter().all(|result| result.completed), "given up without a reason");
+}
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -23,6 +23,8 @@
 
 /// Body of the request that ends its server; bodies that begin so do the same.
 pub const POISON: &str = "poison";
+/// A part of the prompt that ends each server that begins to answer a request with it.
+pub const POISON_PART: &str = "poison-part";
 /// Body of a request whose connection is reset by a server that lives on.
 pub const RESET: &str = "reset";
 /// Body of a request that takes as long as its server lives or until it is released.
@@ -148,8 +150,9 @@
             let id = seen.header("t-id").unwrap_or_default();
             let head =
                 format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-stamp: stamp\r\ncontent-length: {}\r\n\r\n", ANSWER.len());
+            let parts = seen.header("parts").unwrap_or_default();
             match seen.body.as_str() {
-                body if body.starts_with(POISON) => {
+                body if body.starts_with(POISON) || parts.split(',').any(|part| part == POISON_PART) => {
                     self.poisons.lock().unwrap().push(body.to_owned());
                     let _ = stream.write_all(head.as_bytes()).await;
                     self.end.send_replace(true);
@@ -342,6 +345,11 @@
         send(&self.client, &self.nodes[node].callers, id, body).await
     }
 
+    /// Sends a request with a content of its own for a prompt of these parts.
+    pub async fn send_parts(&self, node: usize, id: &str, parts: &str) -> Option<Response<Bytes>> {
+        send_with_parts(&self.client, &self.nodes[node].callers, id, id, parts).await
+    }
+
     /// The same as a task.
     pub fn spawn_send(&self, node: usize, id: &str, body: &str) -> JoinHandle<Option<Response<Bytes>>> {
         let (callers, id, body) = (self.nodes[node].callers.clone(), id.to_owned(), body.to_owned());
@@ -351,9 +359,21 @@
 
 /// Sends a request of that body to a node's address; `None` if there was no whole answer.
 pub async fn send(client: &Client, callers: &str, id: &str, body: &str) -> Option<Response<Bytes>> {
+    send_with_parts(client, callers, id, body, "").await
+}
+
+/// The same for a prompt of these parts.
+pub async fn send_with_parts(
+    client: &Client,
+    callers: &str,
+    id: &str,
+    body: &str,
+    parts: &str,
+) -> Option<Response<Bytes>> {
     let request = Request::post(format!("http://{callers}/path/x"))
         .header("host", HOST)
         .header("t-id", id)
+        .header("parts", parts)
         .body(full(Bytes::copy_from_slice(body.as_bytes())))
         .unwrap();
     let response: Response<Incoming> = client.send(request).await.ok()?;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -5,7 +5,8 @@
 
 use hyper::header::{HeaderMap, HeaderName};
 use latchwheel_core::directory::ServerRecord;
-use latchwheel_core::dispatch::{Prompt, ServerLoad};
+use latchwheel_core::dispatch::{Prompt, PromptPart, ServerLoad};
+use latchwheel_core::identity::stable_hash;
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable, WeightedService};
 use latchwheel_core::tenants::Tenants;
 use latchwheel_proxy::{Clock, Dialect, HeaderNames, Shared};
@@ -45,8 +46,11 @@
         &self.0
     }
 
-    fn prompt(&self, _headers: &HeaderMap) -> Prompt {
-        Prompt::default()
+    fn prompt(&self, headers: &HeaderMap) -> Prompt {
+        let listed = headers.get("parts").and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let names = listed.split(',').filter(|name| !name.is_empty());
+        let parts = names.map(|name| PromptPart { key: stable_hash(name.as_bytes()), tokens: 10 }).collect();
+        Prompt { parts, output_tokens: 10 }
     }
 
     fn load(&self, _headers: &HeaderMap) -> Option<ServerLoad> {
