Quarantine prompt parts that crash servers

Callers saw server after server crash under requests that had one part of their prompts in common and nothing else. The quarantine knew contents, and each crash was the first one of its content; the class is a lesson keyed by the whole of an object while the cause is in one of its properties.

Nodes report with a crash which shared parts (all but the last) its requests had. A part is quarantined, by the entries that contents have, after three crashes that a content, a later part of the same prompts, or another part does not explain as well. Crashes within 100 ms count once, since servers that are lost together ran requests with a common part. One successful run with a part clears it of all crashes before, and lifts its quarantine: nodes report the first success after a crash to the nodes that weigh the evidence, and these tell all, so that no node's messages grow with the nodes.

--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -62,9 +62,10 @@
 }
 
 impl Fingerprint {
-    /// Whether this identifies a prompt part instead of a content.
-    pub fn is_part(self) -> bool {
-        (self.0 >> 64) as u64 == PART_MARK
+    /// The prompt part that this identifies; `None` for a content.
+    pub fn part(self) -> Option<u64> {
+        let is_part = (self.0 >> 64) as u64 == PART_MARK;
+        is_part.then_some(self.0 as u64)
     }
 }
 
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,6 +1,7 @@
-//! Evaluates which request crashed a server.
+//! Evaluates which request, or which part of prompts, crashed a server.
 
 use super::entries::QuarantineStatus;
+use super::parts::{find_crashing_parts, CrashedParts, PartCrash};
 use crate::dispatch::ServerKey;
 use crate::fingerprint::{Fingerprint, RequestKey};
 use crate::time::Instant;
@@ -12,7 +13,7 @@
 /// the same servers as the cause.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 /// Number of crashes after which all requests that explain them equally well are quarantined.
-const CRASHES_TO_QUARANTINE_ALL: usize = 6;
+pub(super) const CRASHES_TO_QUARANTINE_ALL: usize = 6;
 /// Number of crashes under a request after which all nodes report its success. With two, a
 /// request whose second crash has another cause could succeed at other nodes without a report.
 const CRASHES_TO_WATCH: usize = 1;
@@ -32,7 +33,7 @@
 /// Minimum number of servers in a group loss: crashes within [`GROUP_LOSS_WINDOW`] without a
 /// common request, as from a failed rack or a bad release. They count against no request.
 const MIN_GROUP_LOSS: usize = 3;
-const GROUP_LOSS_WINDOW: Duration = Duration::from_millis(100);
+pub(super) const GROUP_LOSS_WINDOW: Duration = Duration::from_millis(100);
 /// Two crashes under a request within this time count once unless there is a third one: a
 /// group loss may interrupt two copies of a harmless request, and is not recognised then as
 /// its servers have a request in common. A retried request crashes its next server later.
@@ -52,8 +53,11 @@
     requests: Vec<RequestKey>,
     /// Requests that have succeeded elsewhere. Further reports don't add them again.
     cleared: HashSet<Fingerprint>,
-    /// Whether one of the requests is quarantined. The crash counts against no other request.
-    explained: bool,
+    /// Shared parts of the requests' prompts.
+    parts: CrashedParts,
+    /// The request or part that was quarantined for the crash, which counts against no other
+    /// request.
+    explained_by: Option<Fingerprint>,
     /// Whether the crash is part of a group loss and counts against no request; updated at
     /// each decision.
     lost: bool,
@@ -68,6 +72,11 @@
     }
 
     fn clear(&mut self, request: Fingerprint) {
+        if let Some(part) = request.part() {
+            self.parts.clear(part);
+            self.explained_by = self.explained_by.filter(|cause| *cause != request);
+            return;
+        }
         let before = self.requests.len();
         self.requests.retain(|present| present.fingerprint != request);
         if self.requests.len() < before {
@@ -78,7 +87,27 @@
     /// Whether the crash has settled, without a quarantined request or group loss that
     /// explains it.
     fn is_unexplained(&self, now: Instant) -> bool {
-        !self.explained && !self.lost && self.settled_at <= now
+        self.explained_by.is_none() && !self.lost && self.settled_at <= now
+    }
+
+    /// Whether the crash has settled, without a quarantined part that explains it.
+    fn may_count_against_parts(&self, now: Instant) -> bool {
+        self.settled_at <= now && self.explained_by.is_none_or(|cause| cause.part().is_none())
+    }
+
+    /// Whether a request, or one with this part, was running.
+    fn was_running(&self, request: Fingerprint) -> bool {
+        match request.part() {
+            Some(part) => self.parts.contains(part),
+            None => self.requests.iter().any(|present| present.fingerprint == request),
+        }
+    }
+
+    /// A part may explain a crash although a content did before, but not the reverse.
+    fn explain(&mut self, cause: Fingerprint) {
+        if self.explained_by.is_none() || cause.part().is_some() {
+            self.explained_by = Some(cause);
+        }
     }
 }
 
@@ -137,26 +166,53 @@
         let crash = self.crashes.entry(server).or_insert_with(|| {
             self.order.push_back(server);
             let settled_at = now + SETTLE_TIME + RANK_DELAY * rank.min(MAX_RANK) as u32;
-            Crash { at: now, settled_at, requests: Vec::new(), cleared: HashSet::new(), explained: false, lost: false }
+            Crash {
+                at: now,
+                settled_at,
+                requests: Vec::new(),
+                cleared: HashSet::new(),
+                parts: CrashedParts::default(),
+                explained_by: None,
+                lost: false,
+            }
         });
         let before = crash.requests.len();
         for request in requests {
             crash.note_request(*request);
         }
-        crash.explained |= requests.iter().any(|request| status(request.fingerprint) == QuarantineStatus::Quarantined);
-        if crash.requests.len() > before && !crash.explained {
+        let is_quarantined = |request: &&RequestKey| status(request.fingerprint) == QuarantineStatus::Quarantined;
+        if let Some(cause) = requests.iter().find(is_quarantined) {
+            crash.explain(cause.fingerprint);
+        }
+        if crash.requests.len() > before && crash.explained_by.is_none() {
             let due = crash.settled_at.max(now);
             self.decide_at = Some(self.decide_at.map_or(due, |at| at.min(due)));
         }
         is_first_report
     }
 
+    /// Records the shared parts of a request's prompt, which was running at a server when it
+    /// crashed.
+    pub fn note_parts(
+        &mut self,
+        server: ServerKey,
+        request: Fingerprint,
+        parts: &[RequestKey],
+        status: impl Fn(Fingerprint) -> QuarantineStatus,
+    ) {
+        let Some(crash) = self.crashes.get_mut(&server) else { return };
+        crash.parts.note(request, parts);
+        let is_quarantined = |part: &&RequestKey| status(part.fingerprint) == QuarantineStatus::Quarantined;
+        if let Some(cause) = parts.iter().find(is_quarantined) {
+            crash.explain(cause.fingerprint);
+        }
+    }
+
     /// Number of crashes under a request, if they are enough to hold it while the last one is
     /// evaluated.
     pub fn crashes_for_hold(&self, request: Fingerprint) -> Option<usize> {
-        let counts = |crash: &&Crash| !crash.explained && !crash.lost;
-        let ran_there = |crash: &&Crash| crash.requests.iter().any(|present| present.fingerprint == request);
-        let crashes = self.crashes.values().filter(counts).filter(ran_there).count();
+        let counts = |crash: &&Crash| crash.explained_by.is_none() && !crash.lost;
+        let crashes = self.crashes.values().filter(counts).filter(|crash| crash.was_running(request)).count();
         (crashes >= CRASHES_TO_HOLD).then_some(crashes)
     }
 
@@ -176,8 +232,9 @@
     /// other crashes under the request count against no other request.
     pub fn note_quarantined(&mut self, request: Fingerprint, servers: &[ServerKey]) {
         for (server, crash) in &mut self.crashes {
-            let ran_there = crash.requests.iter().any(|present| present.fingerprint == request);
-            crash.explained |= ran_there || servers.contains(server);
+            if crash.was_running(request) || servers.contains(server) {
+                crash.explain(request);
+            }
         }
     }
 
@@ -189,6 +246,9 @@
             let suspects = self.suspects(now);
             let causes = find_causes(&suspects, &status);
             if causes.is_empty() {
+                if self.decide_on_parts(now, &mut decisions, &status) {
+                    continue;
+                }
                 let watched = suspects.into_iter().filter(|(_, suspect)| suspect.servers.len() >= CRASHES_TO_WATCH);
                 decisions.watch = watched.map(|(request, _)| request).collect();
                 return decisions;
@@ -201,6 +261,31 @@
         }
     }
 
+    /// Decides which parts are quarantined; returns whether there are any.
+    fn decide_on_parts(
+        &mut self,
+        now: Instant,
+        decisions: &mut Decisions,
+        status: impl Fn(Fingerprint) -> QuarantineStatus,
+    ) -> bool {
+        let counting = self.crashes.iter().filter(|(_, crash)| crash.may_count_against_parts(now));
+        let crashes: Vec<PartCrash<'_>> = counting
+            .map(|(server, crash)| PartCrash {
+                server: *server,
+                at: crash.at,
+                parts: &crash.parts,
+                content: crash.explained_by,
+            })
+            .collect();
+        let causes = find_crashing_parts(&crashes, status);
+        let is_any = !causes.is_empty();
+        for (part, servers) in causes {
+            self.note_quarantined(part.fingerprint, &servers);
+            decisions.quarantine.push((part, servers));
+        }
+        is_any
+    }
+
     /// Requests with the unexplained crashes under them.
     fn suspects(&self, now: Instant) -> HashMap<RequestKey, Suspect> {
         let mut crashes: HashMap<RequestKey, Vec<(Instant, ServerKey)>> = HashMap::new();
@@ -215,7 +300,7 @@
     /// Marks crashes that are part of a group loss. Returns the groups with a crash that was
     /// not marked before.
     fn find_group_losses(&mut self, now: Instant) -> Vec<Vec<ServerKey>> {
-        let settled = self.crashes.iter().filter(|(_, crash)| crash.settled_at <= now && !crash.explained);
+        let settled = self.crashes.iter().filter(|(_, crash)| crash.settled_at <= now && crash.explained_by.is_none());
         let mut settled: Vec<(Instant, ServerKey)> = settled.map(|(server, crash)| (crash.at, *server)).collect();
         settled.sort_unstable();
         let crashes = self.crashes_by_request();
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,6 +6,10 @@
 //! resulting entries to all nodes. Each node stores the entries ([`Quarantine`]) and checks
 //! them before it sends a request to a server.
 //!
+//! A part of a prompt that many requests share may crash servers, too, whatever else these
+//! requests hold. It is quarantined by the same entries, with a key of its own
+//! ([`crate::fingerprint::RequestKey::of_part`]).
+//!
 //! A crash interrupts all requests of the server, and only one of them is the cause. To
 //! protect the others, a request needs [`CRASHES_TO_QUARANTINE`] crashes that no other
 //! request explains as well; a successful run clears it and lifts its entry. Entries expire,
@@ -14,6 +18,7 @@
 mod entries;
 mod evidence;
 mod holds;
+mod parts;
 
 pub use entries::{
     ClearedState, Quarantine, QuarantineEntry, QuarantineStatus, QUARANTINE_LIMIT, QUARANTINE_RETENTION,
--- a/crates/proxy/src/crashes/messages.rs
+++ b/crates/proxy/src/crashes/messages.rs
@@ -1,7 +1,7 @@
 //! News of requests that end servers, as messages between nodes.
 
 use latchwheel_core::dispatch::ServerKey;
-use latchwheel_core::fingerprint::{Fingerprint, RequestKey, RequestShape};
+use latchwheel_core::fingerprint::{Fingerprint, RequestContent, RequestKey, RequestShape, MAX_SHARED_PARTS};
 use latchwheel_core::quarantine::QuarantineEntry;
 use latchwheel_core::time::WallTime;
 use latchwheel_protocol::v1;
@@ -16,6 +16,40 @@
     RequestKey { shape: RequestShape(message.shape), fingerprint: Fingerprint(fingerprint) }
 }
 
+/// A request that was running at a server when its connection was lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct RunningRequest {
+    pub(super) key: RequestKey,
+    /// Keys of the parts of its prompt that other requests may share.
+    pub(super) parts: Vec<RequestKey>,
+}
+
+impl RunningRequest {
+    pub(super) fn of(content: &RequestContent<'_>) -> Self {
+        Self { key: content.key(), parts: content.part_keys().collect() }
+    }
+}
+
+pub(super) fn crash_message(server: ServerKey, requests: &[RunningRequest]) -> v1::ServerCrash {
+    let parts_of = |request: &RunningRequest| v1::SharedParts {
+        parts: request.parts.iter().filter_map(|part| part.fingerprint.part()).collect(),
+    };
+    v1::ServerCrash {
+        server: server.0,
+        requests: requests.iter().map(|request| request_message(&request.key)).collect(),
+        parts: requests.iter().map(parts_of).collect(),
+    }
+}
+
+pub(super) fn running_requests_of(crash: &v1::ServerCrash) -> Vec<RunningRequest> {
+    let parts_of = |number: usize| {
+        let parts = crash.parts.get(number).map(|shared| shared.parts.as_slice()).unwrap_or_default();
+        parts.iter().take(MAX_SHARED_PARTS).copied().map(RequestKey::of_part).collect()
+    };
+    let requests = crash.requests.iter().enumerate();
+    requests.map(|(number, key)| RunningRequest { key: request_of(key), parts: parts_of(number) }).collect()
+}
+
 pub(super) fn verdict_message(verdict: &QuarantineEntry) -> v1::QuarantineVerdict {
     v1::QuarantineVerdict {
         request: Some(request_message(&verdict.request)),
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -20,6 +20,7 @@
 use latchwheel_core::dispatch::{Placement, ServerKey};
 use latchwheel_core::fingerprint::Fingerprint;
 use latchwheel_events::{emit, Event};
+use messages::RunningRequest;
 use probe::has_ended;
 pub(crate) use probe::has_just_ended;
 use std::sync::Arc;
@@ -63,10 +64,10 @@
     pub(crate) fn note_connection_lost(self: &Arc<Self>, outgoing: &Outgoing, work: &ServerWork<'_>) {
         let Placement { server, address, .. } = work.placement;
         let content = outgoing.content(self.dialect.names());
-        let request = content.key();
-        let parts: Vec<String> = content.part_keys().map(|part| part.fingerprint.to_string()).collect();
+        let request = RunningRequest::of(&content);
+        let parts: Vec<String> = request.parts.iter().map(|part| part.fingerprint.to_string()).collect();
         let after_ms = self.clock.now().since(work.sent_at).as_millis() as u64;
-        let (id, fingerprint) = (outgoing.id.to_str().unwrap_or_default(), request.fingerprint.to_string());
+        let (id, fingerprint) = (outgoing.id.to_str().unwrap_or_default(), request.key.fingerprint.to_string());
         let parts = parts.join(" ");
         emit(id, &Event::ConnectionLost { id, server, request: &fingerprint, parts: &parts, after_ms });
         // A server that was told to leave, or whose registration is gone, ends as planned.
--- a/crates/proxy/src/crashes/outbox.rs
+++ b/crates/proxy/src/crashes/outbox.rs
@@ -1,6 +1,6 @@
 //! News for other nodes, each sent several times since datagrams may be lost.
 
-use super::messages::{request_message, verdict_message};
+use super::messages::{crash_message, request_message, verdict_message, RunningRequest};
 use latchwheel_core::dispatch::ServerKey;
 use latchwheel_core::fingerprint::RequestKey;
 use latchwheel_core::quarantine::QuarantineEntry;
@@ -14,7 +14,7 @@
 /// News that wait at most.
 const WAITING_LIMIT: usize = 2048;
 /// Requests in one piece of news, and bytes of one message: it fits into a datagram.
-const REQUESTS_IN_NEWS: usize = 32;
+const REQUESTS_IN_NEWS: usize = 16;
 const MESSAGE_BYTES: usize = 1200;
 
 /// Who has to know.
@@ -49,25 +49,25 @@
 
 impl Outbox {
     /// A server ended while it worked on these requests.
-    pub(super) fn put_crash(&mut self, now: Instant, server: ServerKey, requests: &[RequestKey]) {
+    pub(super) fn put_crash(&mut self, now: Instant, server: ServerKey, requests: &[RunningRequest]) {
         for part in requests.chunks(REQUESTS_IN_NEWS) {
-            let crash = v1::ServerCrash { server: server.0, requests: part.iter().map(request_message).collect() };
-            let news = v1::QuarantineNews { crashes: vec![crash], ..v1::QuarantineNews::default() };
-            self.put(now, Audience::Deciding, news);
+            let crashes = vec![crash_message(server, part)];
+            self.put(now, Audience::Deciding, v1::QuarantineNews { crashes, ..v1::QuarantineNews::default() });
         }
     }
 
     /// A suspected request ran to its end.
-    pub(super) fn put_success(&mut self, now: Instant, request: &RequestKey) {
+    pub(super) fn put_success(&mut self, now: Instant, audience: Audience, request: &RequestKey) {
         let succeeded = vec![request_message(request)];
-        // Copies of it may be held at any node.
-        self.put(now, Audience::All, v1::QuarantineNews { succeeded, ..v1::QuarantineNews::default() });
+        self.put(now, audience, v1::QuarantineNews { succeeded, ..v1::QuarantineNews::default() });
     }
 
-    /// The good end of a request has to be told.
-    pub(super) fn put_watch(&mut self, now: Instant, request: &RequestKey) {
-        let watched = vec![request_message(request)];
-        self.put(now, Audience::All, v1::QuarantineNews { watched, ..v1::QuarantineNews::default() });
+    /// Successful runs of these requests have to be reported.
+    pub(super) fn put_watch(&mut self, now: Instant, requests: &[RequestKey]) {
+        for part in requests.chunks(REQUESTS_IN_NEWS) {
+            let watched = part.iter().map(request_message).collect();
+            self.put(now, Audience::All, v1::QuarantineNews { watched, ..v1::QuarantineNews::default() });
+        }
     }
 
     /// A request waits while the last of so many ends under it is weighed.
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -1,7 +1,7 @@
 //! What a node knows of requests that end servers.
 
-use super::messages::{request_of, verdict_of};
-use super::outbox::{table_messages, CrashMessage, Outbox};
+use super::messages::{request_of, running_requests_of, verdict_of, RunningRequest};
+use super::outbox::{table_messages, Audience, CrashMessage, Outbox};
 use latchwheel_clock::Clock;
 use latchwheel_core::dispatch::ServerKey;
 use latchwheel_core::fingerprint::{Fingerprint, RequestContent, RequestKey};
@@ -9,7 +9,7 @@
 use latchwheel_core::time::{Instant, WallTime};
 use latchwheel_events::{emit, Event};
 use latchwheel_protocol::v1;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -84,7 +84,7 @@
     quarantine: Quarantine,
     evidence: CrashEvidence,
     /// Requests that ran at servers which are being tried now.
-    probed: HashMap<Arc<str>, Vec<RequestKey>>,
+    probed: HashMap<Arc<str>, Vec<RunningRequest>>,
     outbox: Outbox,
     rank: DecidingRank,
     /// Until when all verdicts are not sent again, whoever lacks some.
@@ -110,20 +110,34 @@
         Self { clock, state: Mutex::default(), changed: Notify::new(), stores: Notify::new() }
     }
 
-    /// The request and the time for which it is not to be sent to any server; `None` if
-    /// it may be. The body is read only if something is known of requests of its shape.
+    /// The content, or the part of the prompt, for which a request is not to be sent to any
+    /// server, and for how long; `None` if it may be sent. The body is read only if something is
+    /// known of requests of its shape.
     pub fn quarantine_remaining(&self, content: &RequestContent<'_>) -> Option<(Fingerprint, Duration)> {
-        if !self.lock().quarantine.has_shape(content.shape()) {
-            return None;
-        }
-        let fingerprint = content.key().fingerprint;
-        let left = self.lock().quarantine.quarantine_remaining(fingerprint, self.clock.wall_time())?;
-        Some((fingerprint, left))
+        let wall = self.clock.wall_time();
+        let remaining = |key: RequestKey| {
+            let left = self.lock().quarantine.quarantine_remaining(key.fingerprint, wall)?;
+            Some((key.fingerprint, left))
+        };
+        let of_content = self.known_content(content).and_then(remaining);
+        of_content.or_else(|| self.known_parts(content).into_iter().find_map(remaining))
+    }
+
+    /// Key of a request if anything is known of requests of its shape.
+    fn known_content(&self, content: &RequestContent<'_>) -> Option<RequestKey> {
+        let is_known = self.lock().quarantine.has_shape(content.shape());
+        is_known.then(|| content.key())
+    }
+
+    /// Keys of the shared parts of a request's prompt of which anything is known.
+    fn known_parts(&self, content: &RequestContent<'_>) -> Vec<RequestKey> {
+        let state = self.lock();
+        content.part_keys().filter(|part| state.quarantine.has_shape(part.shape)).collect()
     }
 
-    /// Whether anything is known of requests of this shape.
+    /// Whether anything is known of requests of this shape, or of a part of the prompt.
     pub(crate) fn concerns(&self, content: &RequestContent<'_>) -> bool {
-        self.lock().quarantine.has_shape(content.shape())
+        self.lock().quarantine.has_shape(content.shape()) || !self.known_parts(content).is_empty()
     }
 
     /// The request and the time for which it waits until the ends of servers under it are
@@ -167,23 +181,28 @@
 
     /// A server ran a request to its end and said so.
     pub fn note_served(&self, content: &RequestContent<'_>) {
-        if !self.lock().quarantine.has_shape(content.shape()) {
-            return;
-        }
-        let request = content.key();
-        let now = self.clock.now();
+        let (known_content, known_parts) = (self.known_content(content), self.known_parts(content));
+        let (now, wall) = (self.clock.now(), self.clock.wall_time());
         let mut state = self.lock();
-        let Some(end) = state.clear(now, self.clock.wall_time(), &request, VerdictSource::Own) else { return };
-        state.outbox.put_success(now, &request);
+        let (mut any, mut any_lifted) = (false, false);
+        for request in known_content.into_iter().chain(known_parts) {
+            let Some(cleared) = state.clear(now, wall, &request, VerdictSource::Own) else { continue };
+            let audience = state.success_audience(&request);
+            state.outbox.put_success(now, audience, &request);
+            any = true;
+            any_lifted |= cleared == Cleared::Lifted;
+        }
         drop(state);
-        if end == Cleared::Lifted {
+        if any_lifted {
             self.stores.notify_one();
         }
-        self.changed.notify_one();
+        if any {
+            self.changed.notify_one();
+        }
     }
 
     /// Adds a request to those of a server; `true` if the server has to be tried.
-    pub(super) fn put_probed(&self, server: &Arc<str>, request: RequestKey) -> bool {
+    pub(super) fn put_probed(&self, server: &Arc<str>, request: RunningRequest) -> bool {
         let mut state = self.lock();
         if let Some(requests) = state.probed.get_mut(server) {
             if requests.len() < REQUEST_LIMIT && !requests.contains(&request) {
@@ -199,20 +218,20 @@
     }
 
     /// Takes the requests of a server that was tried.
-    pub(super) fn take_probed(&self, server: &Arc<str>) -> Vec<RequestKey> {
+    pub(super) fn take_probed(&self, server: &Arc<str>) -> Vec<RunningRequest> {
         self.lock().probed.remove(server).unwrap_or_default()
     }
 
     /// A server ended while it worked on these requests of this node.
-    pub(super) fn note_ended(&self, server: &str, requests: &[RequestKey]) {
+    pub(super) fn note_ended(&self, server: &str, requests: &[RunningRequest]) {
         let now = self.clock.now();
         let key = ServerKey::of(server);
         let mut state = self.lock();
-        for request in requests {
-            state.quarantine.watch(*request, now);
-        }
         state.outbox.put_crash(now, key, requests);
         state.take_crash(now, self.clock.wall_time(), key, requests);
+        for request in requests.iter().flat_map(|request| request.parts.iter().chain([&request.key])) {
+            state.quarantine.watch(*request, now);
+        }
         drop(state);
         self.changed.notify_one();
     }
@@ -222,14 +241,17 @@
         let (now, wall) = (self.clock.now(), self.clock.wall_time());
         let mut state = self.lock();
         for crash in &news.crashes {
-            let requests: Vec<RequestKey> = crash.requests.iter().map(request_of).collect();
-            state.take_crash(now, wall, ServerKey(crash.server), &requests);
+            state.take_crash(now, wall, ServerKey(crash.server), &running_requests_of(crash));
         }
         for request in news.succeeded.iter().map(request_of) {
             // The verdict may have been decided while this was on its way.
-            if state.clear(now, wall, &request, VerdictSource::Node) == Some(Cleared::Lifted) {
+            let cleared = state.clear(now, wall, &request, VerdictSource::Node);
+            if cleared == Some(Cleared::Lifted) {
                 self.stores.notify_one();
             }
+            if cleared.is_some() && request.fingerprint.part().is_some() && state.tells_all() {
+                state.outbox.put_success(now, Audience::All, &request);
+            }
         }
         for request in news.watched.iter().map(request_of) {
             state.quarantine.watch(request, now);
@@ -366,24 +388,54 @@
 }
 
 impl State {
-    fn take_crash(&mut self, now: Instant, wall: WallTime, server: ServerKey, requests: &[RequestKey]) {
+    fn take_crash(&mut self, now: Instant, wall: WallTime, server: ServerKey, requests: &[RunningRequest]) {
         if !self.rank.weighs() {
             return;
         }
+        let keys: Vec<RequestKey> = requests.iter().map(|request| request.key).collect();
         let quarantine = &self.quarantine;
         let status = |request| quarantine.status(request, wall);
-        if self.evidence.note_crash(now, server, requests, self.rank.place, status) {
-            let digests: Vec<String> = requests.iter().map(|request| request.fingerprint.to_string()).collect();
+        if self.evidence.note_crash(now, server, &keys, self.rank.place, status) {
+            let digests: Vec<String> = keys.iter().map(|request| request.fingerprint.to_string()).collect();
             emit("", &Event::ServerEndNoted { key: &server.to_string(), requests: &digests.join(" ") });
         }
-        requests.iter().for_each(|request| self.hold(now, request));
+        for request in requests {
+            self.evidence.note_parts(server, request.key.fingerprint, &request.parts, status);
+        }
+        keys.iter().for_each(|request| self.hold(now, request));
+        self.watch_parts(now, requests);
+    }
+
+    /// Has all nodes report successful runs with the parts of these requests. Sound requests with
+    /// a part run at any node, and a single success clears it.
+    fn watch_parts(&mut self, now: Instant, requests: &[RunningRequest]) {
+        let parts: HashSet<RequestKey> = requests.iter().flat_map(|request| request.parts.iter().copied()).collect();
+        let new_parts: Vec<RequestKey> = parts.into_iter().filter(|part| self.quarantine.watch(*part, now)).collect();
+        if self.tells_all() && !new_parts.is_empty() {
+            self.outbox.put_watch(now, &new_parts);
+        }
+    }
+
+    /// Whether this node is one of those that tell all others what is held and watched.
+    fn tells_all(&self) -> bool {
+        self.rank.hears_all && self.rank.place < HOLD_TELLERS
+    }
+
+    /// Nodes that are told of a success. Copies of a content may be held at any node; parts are
+    /// run by many nodes at the same time, so that the nodes that weigh the evidence tell all.
+    fn success_audience(&self, request: &RequestKey) -> Audience {
+        if request.fingerprint.part().is_none() || self.tells_all() {
+            Audience::All
+        } else {
+            Audience::Deciding
+        }
     }
 
     /// Holds a request, here and at all nodes, until its last end is weighed.
     fn hold(&mut self, now: Instant, request: &RequestKey) {
         let Some(ends) = self.evidence.crashes_for_hold(request.fingerprint) else { return };
         let is_news = self.quarantine.hold(*request, ends, now);
-        if is_news && self.rank.hears_all && self.rank.place < HOLD_TELLERS {
+        if is_news && self.tells_all() {
             self.outbox.put_hold(now, request, ends);
         }
     }
@@ -419,7 +471,7 @@
         }
         for request in decisions.watch {
             self.quarantine.watch(request, now);
-            self.outbox.put_watch(now, &request);
+            self.outbox.put_watch(now, &[request]);
         }
     }
 
