--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -67,6 +67,14 @@
         let is_part = (self.0 >> 64) as u64 == PART_MARK;
         is_part.then_some(self.0 as u64)
     }
+
+    /// What this identifies, for logs.
+    pub fn kind(self) -> &'static str {
+        match self.part() {
+            Some(_) => "part",
+            None => "content",
+        }
+    }
 }
 
 /// Content of a request.
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -218,26 +218,31 @@
         /// Requests of this node that the server worked on.
         requests: usize
     };
-    /// Requests with this content are quarantined: each server that ran them ended.
+    /// Requests with this content, or with this part in their prompts, are quarantined: each server
+    /// that ran them ended.
     RequestQuarantined = 8040, Essential {
-        /// Digest of the request content.
+        /// Digest of the request content, or key of the prompt part.
         request: &'a str,
-        /// Servers that ended while running this content, as far as this node knows.
+        /// Whether a content or a prompt part is quarantined.
+        kind: &'a str,
+        /// Servers that ended while running requests with it, as far as this node knows.
         servers: usize,
         /// Keys of the servers listed in the verdict.
         ended: &'a str,
-        /// How often this content was quarantined.
+        /// How often it was quarantined.
         offences: u32,
         /// Length of the quarantine.
         for_ms: u64,
         /// Source of the verdict: this node, another node, or the store.
         source: &'a str
     };
-    /// Requests with this content are sent to servers again: one ran to completion, or an operator
+    /// Requests with this content or prompt part are sent to servers again: one ran to completion, or an operator
     /// lifted the quarantine.
     QuarantineLifted = 8041, Essential {
-        /// Digest of the request content.
+        /// Digest of the request content, or key of the prompt part.
         request: &'a str,
+        /// Whether a content or a prompt part was quarantined.
+        kind: &'a str,
         /// Source of the change: this node, another node, or the store.
         source: &'a str
     };
@@ -521,12 +526,15 @@
         /// Time since the request was sent.
         after_ms: u64
     };
-    /// A request or item was not sent to any server, because its content is quarantined.
+    /// A request or item was not sent to any server, because its content or a part of its prompt
+    /// is quarantined.
     RequestKeptBack = 8108, Essential {
         /// Request or item id.
         id: &'a str,
-        /// Digest of the request content.
+        /// Digest of the request content, or key of the prompt part.
         request: &'a str,
+        /// Whether the content or a prompt part is quarantined.
+        kind: &'a str,
         /// Time until the end of the quarantine.
         left_ms: u64
     };
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -33,7 +33,8 @@
         let (request, left) = self.crashes.quarantine_remaining(&content)?;
         let left_ms = left.as_millis() as u64;
         let id = outgoing.id.to_str().unwrap_or_default();
-        emit(id, &Event::RequestKeptBack { id, request: &request.to_string(), left_ms });
+        let kind = request.kind();
+        emit(id, &Event::RequestKeptBack { id, request: &request.to_string(), kind, left_ms });
         Some(left)
     }
 
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -502,13 +502,14 @@
 }
 
 fn log_verdict(verdict: &QuarantineEntry, source: VerdictSource, now: WallTime) {
-    let request = verdict.request.fingerprint.to_string();
+    let (request, kind) = (verdict.request.fingerprint.to_string(), verdict.request.fingerprint.kind());
     if verdict.lifted {
-        emit("", &Event::QuarantineLifted { request: &request, source: source.word() });
+        emit("", &Event::QuarantineLifted { request: &request, kind, source: source.word() });
         return;
     }
     let event = Event::RequestQuarantined {
         request: &request,
+        kind,
         servers: verdict.servers.len(),
         ended: &keys_text(&verdict.servers),
         offences: verdict.offences,
