Bound the cost of a decision about prompt parts

Comparing each pair of suspected parts over all crashes took time that grew with the square of a crash's parts.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -108,7 +108,8 @@
     DeadlinePassed = 3005, 504, NotRun;
     /// The node does not have the current state needed to serve this request.
     NotReady = 3006, 503, NotRun;
-    /// Servers crashed while running this request, or requests with the same prompt part; it is quarantined for a limited time.
+    /// Servers crashed while running this request, or requests with the same prompt part; it is
+    /// quarantined for a limited time.
     Quarantined = 3007, 503, NotRun;
     /// No server of the version that began the stream accepts requests.
     StreamVersionAway = 3008, 503, NotRun;
--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -21,7 +21,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct RunningPart {
     part: u64,
-    position: u8,
     request: Fingerprint,
 }
 
@@ -36,9 +35,8 @@
 impl CrashedParts {
     /// Records the parts of a running request, in their order.
     pub(super) fn note(&mut self, request: Fingerprint, parts: &[RequestKey]) {
-        let parts = parts.iter().filter_map(|part| part.fingerprint.part());
-        for (position, part) in (0..=u8::MAX).zip(parts) {
-            let running = RunningPart { part, position, request };
+        for part in parts.iter().filter_map(|part| part.fingerprint.part()) {
+            let running = RunningPart { part, request };
             let is_full = self.running.len() + self.cleared.len() >= PART_LIMIT;
             if !is_full && !self.cleared.contains(&part) && !self.running.contains(&running) {
                 self.running.push(running);
@@ -59,15 +57,6 @@
     pub(super) fn contains(&self, part: u64) -> bool {
         self.running.iter().any(|running| running.part == part)
     }
-
-    /// Whether a running request had a part and, after it, a later one.
-    fn has_nested(&self, part: u64, later: u64) -> bool {
-        let of_part = self.running.iter().filter(|running| running.part == part);
-        of_part.into_iter().any(|first| {
-            let follows = |second: &RunningPart| second.request == first.request && second.position > first.position;
-            self.running.iter().any(|second| second.part == later && follows(second))
-        })
-    }
 }
 
 /// A crash that may count against parts.
@@ -81,6 +70,26 @@
     pub(super) content: Option<Fingerprint>,
 }
 
+impl PartCrash<'_> {
+    /// Parts of the requests against which the crash counts; those of a request are adjacent.
+    fn running(&self) -> impl Iterator<Item = &RunningPart> {
+        let counts = |running: &&RunningPart| self.content.is_none_or(|content| running.request == content);
+        self.parts.running.iter().filter(counts)
+    }
+
+    /// Pairs of suspected parts of which the second one follows the first one in a prompt.
+    fn nested_pairs(&self, suspects: &HashMap<u64, PartSuspect>) -> HashSet<(u64, u64)> {
+        let suspected: Vec<&RunningPart> =
+            self.running().filter(|running| suspects.contains_key(&running.part)).collect();
+        let mut pairs = HashSet::new();
+        for (place, first) in suspected.iter().enumerate() {
+            let later = suspected[place + 1..].iter().take_while(|later| later.request == first.request);
+            pairs.extend(later.map(|later| (first.part, later.part)));
+        }
+        pairs
+    }
+}
+
 /// Evidence against one part.
 #[derive(Debug, Default)]
 struct PartSuspect {
@@ -136,13 +145,10 @@
         return vec![(RequestKey::of_part(*part), servers_of(suspect))];
     }
     suspects.retain(|_, suspect| suspect.is_strong());
-    let is_accounted_for = |part: u64| {
-        let others = suspects.keys().filter(|other| **other != part);
-        others.into_iter().any(|later| accounts_for(crashes, *later, part, &suspects[&part]))
-    };
+    let accounted_for = parts_accounted_for(crashes, &suspects);
     let causes: Vec<(u64, usize)> = suspects
         .iter()
-        .filter(|(part, _)| !is_accounted_for(**part))
+        .filter(|(part, _)| !accounted_for.contains(part))
         .map(|(part, suspect)| (*part, suspect.counted()))
         .collect();
     let most = causes.iter().map(|(_, counted)| *counted).max().unwrap_or(0);
@@ -162,10 +168,9 @@
 fn suspects(crashes: &[PartCrash<'_>]) -> HashMap<u64, PartSuspect> {
     let mut suspects: HashMap<u64, PartSuspect> = HashMap::new();
     for crash in crashes {
-        let counts = |running: &&RunningPart| crash.content.is_none_or(|content| running.request == content);
-        let running = crash.parts.running.iter().filter(counts);
         // A prompt may list a part twice.
-        let contents: HashSet<(u64, Fingerprint)> = running.map(|running| (running.part, running.request)).collect();
+        let contents: HashSet<(u64, Fingerprint)> =
+            crash.running().map(|running| (running.part, running.request)).collect();
         for (part, content) in contents {
             let suspect = suspects.entry(part).or_default();
             *suspect.contents.entry(content).or_default() += 1;
@@ -177,9 +182,13 @@
     suspects
 }
 
-/// Whether a later part of the same prompts accounts for most crashes under a part.
-fn accounts_for(crashes: &[PartCrash<'_>], later: u64, part: u64, suspect: &PartSuspect) -> bool {
-    let under_part = crashes.iter().filter(|crash| suspect.includes(crash.server));
-    let nested = under_part.filter(|crash| crash.parts.has_nested(part, later)).count();
-    suspect.is_most(nested)
+/// Parts for most of whose crashes a later part of the same prompts accounts.
+fn parts_accounted_for(crashes: &[PartCrash<'_>], suspects: &HashMap<u64, PartSuspect>) -> HashSet<u64> {
+    let mut crashes_by_pair: HashMap<(u64, u64), usize> = HashMap::new();
+    for pair in crashes.iter().flat_map(|crash| crash.nested_pairs(suspects)) {
+        *crashes_by_pair.entry(pair).or_default() += 1;
+    }
+    let accounts_for =
+        |((part, later), crashes): &((u64, u64), usize)| part != later && suspects[part].is_most(*crashes);
+    crashes_by_pair.into_iter().filter(accounts_for).map(|((part, _), _)| part).collect()
 }
