--- a/crates/core/src/answer_end.rs
+++ b/crates/core/src/answer_end.rs
@@ -1,7 +1,7 @@
 //! Whether the end of an answer's body is the end of the answer.
 //!
 //! An answer with neither a length nor chunks ends with its connection, and so does one whose
-//! server crashes. Only the content tells them apart: an event stream that ends inside an
+//! server crashes. Only the content distinguishes the two: an event stream that ends inside an
 //! event, or before its first one, was interrupted.
 
 use crate::event_stream::EventBoundary;
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -19,9 +19,9 @@
 const PROBE_LIMIT: usize = 256;
 /// Requests that are kept of one server.
 const REQUEST_LIMIT: usize = 64;
-/// Nodes that tell all others which requests wait: those that weigh the evidence first,
+/// Number of nodes that send holds and watches to all others: the first that weigh the evidence,
 /// two for the case that one of them is lost.
-const HOLD_TELLERS: usize = 2;
+const BROADCASTERS: usize = 2;
 /// Pause for each message in which all verdicts were sent to a node that knows others:
 /// 24 KB a second at most.
 const TABLE_PAUSE: Duration = Duration::from_millis(50);
@@ -111,33 +111,33 @@
     }
 
     /// The content, or the part of the prompt, for which a request is not to be sent to any
-    /// server, and for how long; `None` if it may be sent. The body is read only if something is
-    /// known of requests of its shape.
+    /// server, and for how long; `None` if it may be sent. The body is read only if a request of
+    /// its shape is listed.
     pub fn quarantine_remaining(&self, content: &RequestContent<'_>) -> Option<(Fingerprint, Duration)> {
         let wall = self.clock.wall_time();
         let remaining = |key: RequestKey| {
             let left = self.lock().quarantine.quarantine_remaining(key.fingerprint, wall)?;
             Some((key.fingerprint, left))
         };
-        let of_content = self.known_content(content).and_then(remaining);
-        of_content.or_else(|| self.known_parts(content).into_iter().find_map(remaining))
+        let of_content = self.listed_content(content).and_then(remaining);
+        of_content.or_else(|| self.listed_parts(content).into_iter().find_map(remaining))
     }
 
-    /// Key of a request if anything is known of requests of its shape.
-    fn known_content(&self, content: &RequestContent<'_>) -> Option<RequestKey> {
-        let is_known = self.lock().quarantine.has_shape(content.shape());
-        is_known.then(|| content.key())
+    /// Key of a request if a request of its shape has an entry or is watched.
+    fn listed_content(&self, content: &RequestContent<'_>) -> Option<RequestKey> {
+        let is_listed = self.lock().quarantine.has_shape(content.shape());
+        is_listed.then(|| content.key())
     }
 
-    /// Keys of the shared parts of a request's prompt of which anything is known.
-    fn known_parts(&self, content: &RequestContent<'_>) -> Vec<RequestKey> {
+    /// Keys of the shared parts of a request's prompt that have an entry or are watched.
+    fn listed_parts(&self, content: &RequestContent<'_>) -> Vec<RequestKey> {
         let state = self.lock();
         content.part_keys().filter(|part| state.quarantine.has_shape(part.shape)).collect()
     }
 
-    /// Whether anything is known of requests of this shape, or of a part of the prompt.
+    /// Whether a request of this shape, or a part of the prompt, has an entry or is watched.
     pub(crate) fn concerns(&self, content: &RequestContent<'_>) -> bool {
-        self.lock().quarantine.has_shape(content.shape()) || !self.known_parts(content).is_empty()
+        self.lock().quarantine.has_shape(content.shape()) || !self.listed_parts(content).is_empty()
     }
 
     /// The request and the time for which it waits until the ends of servers under it are
@@ -181,11 +181,11 @@
 
     /// A server ran a request to its end and said so.
     pub fn note_served(&self, content: &RequestContent<'_>) {
-        let (known_content, known_parts) = (self.known_content(content), self.known_parts(content));
+        let (listed_content, listed_parts) = (self.listed_content(content), self.listed_parts(content));
         let (now, wall) = (self.clock.now(), self.clock.wall_time());
         let mut state = self.lock();
         let (mut any, mut any_lifted) = (false, false);
-        for request in known_content.into_iter().chain(known_parts) {
+        for request in listed_content.into_iter().chain(listed_parts) {
             let Some(cleared) = state.clear(now, wall, &request, VerdictSource::Own) else { continue };
             let audience = state.success_audience(&request);
             state.outbox.put_success(now, audience, &request);
@@ -249,7 +249,7 @@
             if cleared == Some(Cleared::Lifted) {
                 self.stores.notify_one();
             }
-            if cleared.is_some() && request.fingerprint.part().is_some() && state.tells_all() {
+            if cleared.is_some() && request.fingerprint.part().is_some() && state.is_broadcaster() {
                 state.outbox.put_success(now, Audience::All, &request);
             }
         }
@@ -411,20 +411,20 @@
     fn watch_parts(&mut self, now: Instant, requests: &[RunningRequest]) {
         let parts: HashSet<RequestKey> = requests.iter().flat_map(|request| request.parts.iter().copied()).collect();
         let new_parts: Vec<RequestKey> = parts.into_iter().filter(|part| self.quarantine.watch(*part, now)).collect();
-        if self.tells_all() && !new_parts.is_empty() {
+        if self.is_broadcaster() && !new_parts.is_empty() {
             self.outbox.put_watch(now, &new_parts);
         }
     }
 
-    /// Whether this node is one of those that tell all others what is held and watched.
-    fn tells_all(&self) -> bool {
-        self.rank.hears_all && self.rank.place < HOLD_TELLERS
+    /// Whether this node sends holds, watches and cleared parts to all others.
+    fn is_broadcaster(&self) -> bool {
+        self.rank.hears_all && self.rank.place < BROADCASTERS
     }
 
-    /// Nodes that are told of a success. Copies of a content may be held at any node; parts are
-    /// run by many nodes at the same time, so that the nodes that weigh the evidence tell all.
+    /// Recipients of a success report. Copies of a content may be held at any node. Many nodes run
+    /// a part at the same time: if each sent to all, messages would grow with their square.
     fn success_audience(&self, request: &RequestKey) -> Audience {
-        if request.fingerprint.part().is_none() || self.tells_all() {
+        if request.fingerprint.part().is_none() || self.is_broadcaster() {
             Audience::All
         } else {
             Audience::Deciding
@@ -435,7 +435,7 @@
     fn hold(&mut self, now: Instant, request: &RequestKey) {
         let Some(ends) = self.evidence.crashes_for_hold(request.fingerprint) else { return };
         let is_news = self.quarantine.hold(*request, ends, now);
-        if is_news && self.tells_all() {
+        if is_news && self.is_broadcaster() {
             self.outbox.put_hold(now, request, ends);
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,7 +4,7 @@
 //! second process on a request's way. The choice, what follows a failed
 //! attempt, and the framing of event streams are decided in
 //! `latchwheel-core`; this crate carries them out. The headers that a site
-//! uses are told by its [`Dialect`].
+//! uses are described by its [`Dialect`].
 
 mod accept;
 mod ambiguity;
@@ -26,13 +26,13 @@
 mod place;
 mod placements;
 mod pool;
-mod resumable;
 mod second_attempt;
 mod shared;
 mod start;
 mod start_pacing;
 mod started;
 mod stream_origins;
+mod streaming;
 mod turn;
 mod waiting;
 mod whole_answer;
--- a/crates/proxy/src/resumable.rs
+++ b/crates/proxy/src/streaming.rs
@@ -1,9 +1,10 @@
-//! Passing a stream on, and going on with it at another server.
+//! Forwards the body of a stream, and continues it at another server.
 //!
-//! Events of a resumable stream leave only when they are whole. When its
-//! server breaks off or falls silent, the connection to it is closed first;
-//! then another server of the same software is asked for what follows the last event. The client
-//! sees one answer, with the head of the first server.
+//! A body that ends inside an event, or whose server crashed at its end, is broken off at the
+//! client too. Only complete events of a resumable stream are forwarded. When its server breaks
+//! off or becomes unresponsive, the connection to it is closed, and another server of the same
+//! software continues after the last event. The client receives one answer, with the head of
+//! the first server.
 
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
@@ -23,10 +24,10 @@
 use latchwheel_http::Body;
 use std::time::Duration;
 
-/// A resumable stream goes on elsewhere after a pause of this many of the
-/// longest pauses that are in time.
+/// A resumable stream continues elsewhere after a pause of this many of the longest pauses that
+/// are in time.
 const PAUSE_TARGETS: u32 = 2;
-/// The longest pause in time where the route tells none.
+/// The longest pause in time where the route states none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
 /// What is logged of an event that is beyond the framer's limit.
@@ -99,7 +100,7 @@
                     return None;
                 }
                 Step::Broken(reason, ending) => {
-                    if !self.go_on(reason, ending).await {
+                    if !self.continue_elsewhere(reason, ending).await {
                         return Some(Err(reason));
                     }
                 }
@@ -182,8 +183,8 @@
         self.context.log_answered(self.status, first_piece_ms, self.framing);
     }
 
-    /// Goes on at another server; `false` if the answer has to be broken off.
-    async fn go_on(&mut self, reason: &'static str, ending: Ending) -> bool {
+    /// Continues at another server; `false` if the answer has to be broken off.
+    async fn continue_elsewhere(&mut self, reason: &'static str, ending: Ending) -> bool {
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
         let lost = ending == Ending::Broken && reason != EVENT_TOO_LONG;
         if let Some(exchange) = self.exchange.take() {
