--- a/review/stand-ins/src/late_result.rs
+++ b/review/stand-ins/src/late_result.rs
@@ -1,5 +1,7 @@
 //! A worker is killed while the store has its write of results but has not answered it; the
 //! write is done seconds later. Who has read a result must find it from then on.
+//!
+//! No case of its own (`review/REPORT.md`).
 
 use crate::client::read;
 use crate::server::Pace;
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -13,6 +13,7 @@
 mod same_identity;
 mod server;
 mod site;
+mod surplus;
 
 use record::Record;
 use std::path::{Path, PathBuf};
@@ -93,6 +94,7 @@
     match case {
         "cut-short" => cut_short::run(run).await,
         "same-identity" => same_identity::run(run).await,
+        "surplus" => surplus::run(run).await,
         "late-leave" => late_leave::run(run).await,
         "late-result" => late_result::run(run).await,
         _ => Outcome::NotRun(format!("no case {case}")),
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -263,7 +263,7 @@
     }
 }
 
-async fn write_whole(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> Option<()> {
+pub async fn write_whole(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> Option<()> {
     let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     stream.write_all(head.as_bytes()).await.ok()?;
     stream.write_all(body).await.ok()
