--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/latchwheel-adapter target/review/release/review-stand-ins; do
     [ -x "$program" ] || { echo "not built: $program"; exit 2; }
 done
-exec target/review/release/review-stand-ins cut-short "$folder"
+exec target/review/release/review-stand-ins late-leave "$folder"
