Log registrations of this node and their loss

A node whose registration was removed left no line of its own: only other nodes logged NodeGone, which an ended lease and a planned stop log as well.

NodeRegistered names the lease and the revision of a registration, and RegistrationLost the revision of a change that this node finds at its own key. No decision changes.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -800,6 +800,20 @@
         /// Name of the node.
         peer: &'a str
     };
+    /// This node wrote its registration to the record store.
+    NodeRegistered = 8228, Essential {
+        /// Lease that the registration ends with.
+        lease: u64,
+        /// Revision of the write.
+        revision: u64
+    };
+    /// The record store holds another registration of this node than the one it wrote, or none.
+    RegistrationLost = 8229, Essential {
+        /// Revision of the change.
+        revision: u64,
+        /// Whether another write replaced the registration; otherwise it was removed.
+        replaced: bool
+    };
     /// This machine is close to a resource limit: answers may soon be late.
     MachineBusy = 8130, Essential {
         /// Processor time left, in percent.
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -270,6 +270,10 @@
 
     /// Gives back a node that is news.
     fn take_change(&self, change: &Change) -> Option<(String, SocketAddr)> {
+        if change.key() == node_key(&self.own) {
+            let replaced = matches!(change, Change::Written(_));
+            emit("", &Event::RegistrationLost { revision: change.revision(), replaced });
+        }
         match change {
             Change::Written(record) => self.note(record),
             Change::Removed { key, .. } => {
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -59,6 +59,14 @@
 }
 
 impl Change {
+    /// Key of the record.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Written(record) => &record.key,
+            Change::Removed { key, .. } => key,
+        }
+    }
+
     /// Revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -3,6 +3,7 @@
 use crate::{Committed, Contact, RecordStore, RecordsFault, Transaction, Write};
 use bytes::Bytes;
 use latchwheel_core::retry::exponential_backoff;
+use latchwheel_events::{emit, Event};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -63,7 +64,10 @@
     let write = Write { key: registration.key.clone(), value: registration.value.clone(), lease };
     let transaction = Transaction { writes: vec![write], ..Transaction::default() };
     match store.commit(&transaction).await? {
-        Committed::Done(_) => Ok(Some(lease)),
+        Committed::Done(revision) => {
+            emit("", &Event::NodeRegistered { lease, revision });
+            Ok(Some(lease))
+        }
         Committed::Differs(_) | Committed::NoLease => Ok(None),
     }
 }
