Keep a worker's registration from late calls of its earlier process

What callers saw: accepted batch items were never run (LOST) after a worker was stopped and started again while the store lost answers.

Cause: an earlier process's last call, the removal of the node's key, had no condition. The store executed it seconds later and removed the registration of the next process, which renewed its lease and never looked at the key again. A worker without a registration gets no jobs. The registration had no condition either: executed late, it put the key under a lease that nobody renews.

Change: OwnedKey makes each write and removal of a key conditional on the revision at which this process knows it (core::own_record). A registration finds out from the records that every node follows anyway whether it was removed or replaced, and is written again at once. A process removes only the registration that it wrote itself. A repeated registration uses its first lease again.

Why it works: a late call names a revision that a later write has changed. Where the key was absent before and is again, the record is under a lease that ends.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod listing_pause;
 pub mod live_workers;
 pub mod membership;
+pub mod own_record;
 pub mod ownership;
 pub mod pending_cancellations;
 pub mod permits;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -814,6 +814,11 @@
         /// Whether another write replaced the registration; otherwise it was removed.
         replaced: bool
     };
+    /// The registration of a node that stops was not removed; it ends with its lease.
+    RegistrationNotRemoved = 8232, Essential {
+        /// Why the store did not remove it.
+        reason: &'a str
+    };
     /// This machine is close to a resource limit: answers may soon be late.
     MachineBusy = 8130, Essential {
         /// Processor time left, in percent.
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -5,9 +5,7 @@
 use latchwheel_core::identity::{stable_hash, stable_pair_hash, NodeId};
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::{exchange_shares, Dialect, Peer, PeerDuties, Peers, Shared};
-use latchwheel_records::{
-    keep_registered, unregister, Change, Contact, Followed, Record, RecordStore, Registration, WatchCache,
-};
+use latchwheel_records::{Change, Contact, Followed, Record, RecordStore, Registrar, Registration, WatchCache};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -159,8 +157,7 @@
 /// This process among the nodes.
 #[derive(Debug)]
 pub struct Membership<S> {
-    store: Arc<S>,
-    name: String,
+    registrar: Arc<Registrar<S>>,
     registration: JoinHandle<()>,
     /// The other nodes as they are known.
     pub nodes: Nodes,
@@ -181,7 +178,9 @@
         let hearing = shared.clone();
         let hears = move |node: &str| hearing.dispatcher().waiting_at(hearing.clock.now(), NodeId::of_name(node));
         let nodes = Nodes::new(hears);
-        let registration = tokio::spawn(keep_registered(store.clone(), contact.clone(), own.registration()));
+        let registrar = Arc::new(Registrar::new(store.clone(), contact.clone(), own.registration()));
+        let keeping = registrar.clone();
+        let registration = tokio::spawn(async move { keeping.keep().await });
         let name = own.name.clone();
         let (sharing, own_id) = (shared.clone(), NodeId::of_name(&name));
         let runs_items = own.record.role == NodeRole::Worker;
@@ -199,8 +198,10 @@
             contact: contact.clone(),
         };
         let (verdicts, senders) = (shared.clone(), shared.clone());
+        let registered = registrar.clone();
         cache.follow(FLEET_PREFIX, FOLLOW_PACE, move |followed| {
             take_verdicts(&verdicts, &followed);
+            note_own_record(&registered, &followed);
             follower.take(followed);
             senders.note_senders(follower.nodes.front_count() + 1);
         });
@@ -221,13 +222,27 @@
             }
         });
         tokio::spawn(async move { exchange_shares(shared, socket, &name, duties, peers).await });
-        Self { store, name: own.name.clone(), registration, nodes }
+        Self { registrar, registration, nodes }
     }
 
-    /// Takes the registration back.
+    /// Withdraws the registration.
     pub async fn leave(&self) {
         self.registration.abort();
-        unregister(&*self.store, &node_key(&self.name)).await;
+        self.registrar.withdraw().await;
+    }
+}
+
+/// The store may lose this node's registration while its lease lives: a call of an earlier
+/// process of the node may be executed late.
+fn note_own_record<S: RecordStore>(registrar: &Registrar<S>, followed: &Followed) {
+    match followed {
+        Followed::All(listing) => registrar.note_listing(listing),
+        Followed::Changed(changes) => changes.changes.iter().for_each(|change| registrar.note_change(change)),
+        Followed::Kept(_)
+        | Followed::CompleteAsOf(_)
+        | Followed::Lost(_)
+        | Followed::StillLost
+        | Followed::Regained(_) => {}
     }
 }
 
@@ -270,10 +285,6 @@
 
     /// Gives back a node that is news.
     fn take_change(&self, change: &Change) -> Option<(String, SocketAddr)> {
-        if change.key() == node_key(&self.own) {
-            let replaced = matches!(change, Change::Written(_));
-            emit("", &Event::RegistrationLost { revision: change.revision(), replaced });
-        }
         match change {
             Change::Written(record) => self.note(record),
             Change::Removed { key, .. } => {
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -13,6 +13,7 @@
 mod kept;
 pub mod memory;
 mod origin;
+mod owned_key;
 mod prefix_ages;
 mod registration;
 mod snapshot_folder;
@@ -25,7 +26,8 @@
 pub use guarded_store::GuardedStore;
 pub use kept::KeptPrefix;
 pub use origin::Origin;
-pub use registration::{keep_registered, unregister, Registration};
+pub use owned_key::OwnedKey;
+pub use registration::{Registrar, Registration};
 pub use snapshot_folder::{SnapshotFiles, SnapshotFolder, UnusableFile};
 pub use watch_cache::{WatchCache, CACHE_PATH};
 
--- a/crates/records/src/memory.rs
+++ b/crates/records/src/memory.rs
@@ -22,7 +22,7 @@
     failing_list: Option<String>,
     /// Commits are done at once and answered after this time.
     answer_after: Duration,
-    /// The next commit that writes this key is held back.
+    /// The next commit that writes or removes this key is held back.
     hold_commit_of: Option<String>,
     /// Commits that were held back, in their order.
     held_commits: Vec<Transaction>,
@@ -77,7 +77,7 @@
         self.lock().answer_after = time;
     }
 
-    /// The next commit that writes this key is not answered, and done only by
+    /// The next commit that writes or removes this key is not answered, and done only by
     /// [`MemoryStore::do_held_commits`], if its conditions hold then.
     pub fn hold_commit_of(&self, key: &str) {
         self.lock().hold_commit_of = Some(key.to_owned());
@@ -143,6 +143,11 @@
         state.forgotten = state.revision;
     }
 
+    /// Lease of a record; zero if it has none or is absent.
+    pub fn lease_of(&self, key: &str) -> u64 {
+        self.lock().records.get(key).map_or(0, |(_, lease)| *lease)
+    }
+
     /// Ends a lease with its records.
     pub fn end_lease(&self, lease: u64) {
         let mut state = self.lock();
@@ -171,8 +176,8 @@
 
 impl State {
     fn is_to_be_held(&self, transaction: &Transaction) -> bool {
-        let held = self.hold_commit_of.as_ref();
-        held.is_some_and(|key| transaction.writes.iter().any(|write| write.key == *key))
+        let mut keys = transaction.writes.iter().map(|write| &write.key).chain(&transaction.removes);
+        self.hold_commit_of.as_ref().is_some_and(|held| keys.any(|key| key == held))
     }
 
     fn remove(&mut self, key: &str) {
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -1,19 +1,20 @@
 //! Registration of this process in the store, under a lease.
 
-use crate::{Committed, Contact, RecordStore, RecordsFault, Transaction, Write};
+use crate::{Change, Contact, Listing, OwnedKey, RecordStore, RecordsFault};
 use bytes::Bytes;
 use latchwheel_core::retry::exponential_backoff;
 use latchwheel_events::{emit, Event};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Pause before the store is asked again, doubled at each failure in a row up to
 /// half of the time between renewals: whose lease is long is in no hurry.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time in which a registration must be taken back.
-const UNREGISTER_TIME: Duration = Duration::from_millis(300);
+/// Time in which a registration must be withdrawn.
+const WITHDRAW_TIME: Duration = Duration::from_millis(300);
 
 /// A record that lasts as long as its process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,52 +30,122 @@
     pub renew_every: Duration,
 }
 
-/// Keeps a record in the store for as long as the process lives; never
-/// completes. A lease that ended is taken anew.
-pub async fn keep_registered<S: RecordStore>(store: Arc<S>, contact: Contact, registration: Registration) {
-    let longest_pause = (registration.renew_every / 2).max(STORE_PAUSE);
-    let mut lease = None;
-    let mut failures = 0;
-    loop {
+/// A lease that was granted or renewed by a call sent at `held_since`.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    held_since: Instant,
+}
+
+/// Keeps the registration of this process in the store.
+#[derive(Debug)]
+pub struct Registrar<S> {
+    store: Arc<S>,
+    contact: Contact,
+    registration: Registration,
+    record: OwnedKey<S>,
+    lost: Notify,
+}
+
+impl<S: RecordStore> Registrar<S> {
+    /// Creates the registrar of a process that is not registered yet.
+    pub fn new(store: Arc<S>, contact: Contact, registration: Registration) -> Self {
+        let record = OwnedKey::new(store.clone(), registration.key.clone());
+        Self { store, contact, registration, record, lost: Notify::new() }
+    }
+
+    /// Keeps the registration for as long as the process lives; never completes. A
+    /// registration that was lost, or whose lease ended, is written again.
+    pub async fn keep(&self) {
+        let renew_every = self.registration.renew_every;
+        let longest_pause = (renew_every / 2).max(STORE_PAUSE);
+        let mut lease = None;
+        let mut failures = 0;
+        loop {
+            let kept = match self.held_lease(&mut lease).await {
+                Ok(held) => self.write_if_lost(&mut lease, held).await.map(|()| held),
+                Err(fault) => Err(fault),
+            };
+            match kept {
+                Ok(held) => {
+                    failures = 0;
+                    tokio::select! {
+                        () = tokio::time::sleep_until(held.held_since + renew_every) => {}
+                        () = self.lost.notified() => {}
+                    }
+                }
+                Err(_) => {
+                    tokio::select! {
+                        () = self.contact.regained() => {}
+                        () = tokio::time::sleep(exponential_backoff(STORE_PAUSE, longest_pause, failures)) => {}
+                    }
+                    failures += 1;
+                }
+            }
+        }
+    }
+
+    /// The present lease, renewed if that is due, or a new one.
+    async fn held_lease(&self, lease: &mut Option<Lease>) -> Result<Lease, RecordsFault> {
         let sent_at = Instant::now();
-        let registered = match lease {
-            Some(lease) => store.renew(lease).await.map(|lives| lives.then_some(lease)),
-            None => register(&*store, &registration).await,
-        };
-        match registered {
-            Ok(Some(present)) => {
-                lease = Some(present);
-                failures = 0;
-                tokio::time::sleep_until(sent_at + registration.renew_every).await;
+        if let Some(held) = lease {
+            if held.held_since.elapsed() < self.registration.renew_every {
+                return Ok(*held);
             }
-            Ok(None) => lease = None,
-            Err(_) => {
-                tokio::select! {
-                    () = contact.regained() => {}
-                    () = tokio::time::sleep(exponential_backoff(STORE_PAUSE, longest_pause, failures)) => {}
-                }
-                failures += 1;
+            if self.store.renew(held.id).await? {
+                held.held_since = sent_at;
+                return Ok(*held);
             }
+            self.record.note_lease_ended();
         }
+        *lease = None;
+        let id = self.store.grant(self.registration.lease).await?;
+        let granted = Lease { id, held_since: sent_at };
+        *lease = Some(granted);
+        Ok(granted)
     }
-}
 
-async fn register<S: RecordStore>(store: &S, registration: &Registration) -> Result<Option<u64>, RecordsFault> {
-    let lease = store.grant(registration.lease).await?;
-    let write = Write { key: registration.key.clone(), value: registration.value.clone(), lease };
-    let transaction = Transaction { writes: vec![write], ..Transaction::default() };
-    match store.commit(&transaction).await? {
-        Committed::Done(revision) => {
-            emit("", &Event::NodeRegistered { lease, revision });
-            Ok(Some(lease))
+    /// Writes the registration unless the store holds it as this process wrote it.
+    async fn write_if_lost(&self, lease: &mut Option<Lease>, held: Lease) -> Result<(), RecordsFault> {
+        if self.record.is_held() {
+            return Ok(());
         }
-        Committed::Differs(_) | Committed::NoLease => Ok(None),
+        let Some(revision) = self.record.write(&self.registration.value, held.id).await? else {
+            *lease = None;
+            return Err(RecordsFault::Rejected);
+        };
+        emit("", &Event::NodeRegistered { lease: held.id, revision });
+        Ok(())
     }
-}
 
-/// Takes a registration back; where this fails or takes long, the lease ends
-/// it: a process that stops has little time.
-pub async fn unregister<S: RecordStore>(store: &S, key: &str) {
-    let transaction = Transaction { removes: vec![key.to_owned()], ..Transaction::default() };
-    let _ = tokio::time::timeout(UNREGISTER_TIME, store.commit(&transaction)).await;
+    /// Notes a change in the store.
+    pub fn note_change(&self, change: &Change) {
+        if self.record.note_change(change) {
+            self.note_lost(change.revision(), matches!(change, Change::Written(_)));
+        }
+    }
+
+    /// Notes all records under a prefix of the registration's key.
+    pub fn note_listing(&self, listing: &Listing) {
+        if self.record.note_listing(listing) {
+            let replaced = listing.records.iter().any(|record| record.key == self.registration.key);
+            self.note_lost(listing.revision, replaced);
+        }
+    }
+
+    fn note_lost(&self, revision: u64, replaced: bool) {
+        emit("", &Event::RegistrationLost { revision, replaced });
+        self.lost.notify_one();
+    }
+
+    /// Removes the registration. Where this fails or takes long, the lease ends it: a process
+    /// that stops has little time.
+    pub async fn withdraw(&self) {
+        let reason = match tokio::time::timeout(WITHDRAW_TIME, self.record.remove_own()).await {
+            Ok(Ok(())) => return,
+            Ok(Err(fault)) => fault.word(),
+            Err(_) => RecordsFault::Unknown.word(),
+        };
+        emit("", &Event::RegistrationNotRemoved { reason });
+    }
 }
--- a/crates/records/tests/follow.rs
+++ b/crates/records/tests/follow.rs
@@ -5,7 +5,7 @@
 use latchwheel_core::record_source::RecordSource;
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{
-    unregister, Change, Contact, Followed, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write,
+    Change, Contact, Followed, GuardedStore, RecordStore, RecordsFault, Transaction, WatchCache, Write,
 };
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -196,15 +196,6 @@
     assert!(!told.lock().unwrap().iter().any(|followed| matches!(followed, Followed::Lost(_))));
 }
 
-/// A process that stops doesn't wait for a store that says nothing.
-#[tokio::test(start_paused = true)]
-async fn a_registration_is_taken_back_without_waiting_for_long() {
-    let store = MemoryStore::default();
-    store.set_silent(true);
-    let taken_back = tokio::time::timeout(Duration::from_secs(1), unregister(&store, "a/node"));
-    assert!(taken_back.await.is_ok());
-}
-
 fn is_removal(followed: &Followed) -> bool {
     let Followed::Changed(changes) = followed else { return false };
     changes.changes.iter().any(|change| matches!(change, Change::Removed { key, .. } if key == "a/1"))
