Remove and write the record of a worker's disk on condition

What callers could see: 404 for a job that lies on a disk which is not on record.

Cause: as for registrations, the record of a disk was written and removed without a condition. The removal is repeated until it is acknowledged; an attempt without an answer, executed late, removed the record of the disk that a next machine of the same name had put on record meanwhile. Nobody looks whether it is there.

Change: the record is an OwnedKey. A removal that follows a write which the store has not answered reads the record first (one read more when a machine is given up). Failures to write or remove it have a log line (DiskRecordNotChanged).

Test: a_late_removal_leaves_the_record_of_the_next_disk failed before with 'the late removal is executed'.

What remains: a first write that has no answer, executed after the removal of the record, leaves a record of a disk that is gone, if the machine is given up within the seconds in which the store may still execute it.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -814,6 +814,11 @@
         /// Whether another write replaced the registration; otherwise it was removed.
         replaced: bool
     };
+    /// The record of this worker's disk could not be written or removed; this is tried again.
+    DiskRecordNotChanged = 8233, Essential {
+        /// Why the store did not change it.
+        reason: &'a str
+    };
     /// The registration of a node that stops was not removed; it ends with its lease.
     RegistrationNotRemoved = 8232, Essential {
         /// Why the store did not remove it.
--- a/crates/jobs/src/spool.rs
+++ b/crates/jobs/src/spool.rs
@@ -27,7 +27,7 @@
 use latchwheel_core::retry::exponential_backoff;
 use latchwheel_events::{emit, Event};
 use latchwheel_http::{empty, read_bounded, serve, Body, CallFault, Client, Version};
-use latchwheel_records::{Committed, RecordStore, RecordsFault, Transaction, Write};
+use latchwheel_records::{OwnedKey, RecordStore, RecordsFault, NO_LEASE};
 use std::fs::File;
 use std::io::{ErrorKind, Write as _};
 use std::net::SocketAddr;
@@ -137,7 +137,8 @@
 #[derive(Debug)]
 pub struct Spool<S> {
     store: Arc<S>,
-    name: String,
+    /// Record of this disk, without a lease: it stays while the machine is down.
+    record: OwnedKey<S>,
     folder: PathBuf,
     on_record: AtomicBool,
     /// The disk is given up.
@@ -163,8 +164,8 @@
         let recorded = folder.join(RECORDED);
         let spool = Arc::new(Self {
             ends: SpooledEnds::new(store.clone(), folder.clone()),
+            record: OwnedKey::new(store.clone(), disk_key(name)),
             store,
-            name: name.to_owned(),
             folder,
             on_record: AtomicBool::new(std::fs::read_to_string(&recorded).is_ok_and(|known| known == address)),
             closing: AtomicBool::new(false),
@@ -208,20 +209,24 @@
         self.remove_note().await;
         self.arrivals.all_ended().await;
         self.emptied().await;
-        let transaction = Transaction { removes: vec![disk_key(&self.name)], ..Transaction::default() };
-        while !matches!(self.store.commit(&transaction).await, Ok(Committed::Done(_))) {
+        let mut failures = 0;
+        while let Err(fault) = self.record.remove_present().await {
+            log_record_not_changed(fault, failures);
+            failures += 1;
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
     }
 
     async fn put_on_record(self: Arc<Self>, record: NodeRecord) {
         let _recording = self.recording.lock().await;
-        let write = Write { key: disk_key(&self.name), value: record.write(), lease: 0 };
-        let transaction = Transaction { writes: vec![write], ..Transaction::default() };
+        let value = record.write();
+        let mut failures = 0;
         while !self.closing.load(Ordering::SeqCst) {
-            if matches!(self.store.commit(&transaction).await, Ok(Committed::Done(_))) {
-                return self.note_on_record(&record.address).await;
+            match self.record.write(&value, NO_LEASE).await {
+                Ok(_) => return self.note_on_record(&record.address).await,
+                Err(fault) => log_record_not_changed(fault, failures),
             }
+            failures += 1;
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
     }
@@ -375,6 +380,14 @@
     }
 }
 
+/// Logs that the disk's record stays as it is, at the first of several tries in a row and at some
+/// of the others.
+fn log_record_not_changed(fault: RecordsFault, failures: u32) {
+    if failures.is_multiple_of(LOOKS_PER_LINE) {
+        emit("", &Event::DiskRecordNotChanged { reason: fault.word() });
+    }
+}
+
 /// Tells that a job stays on the disk, at the first of several looks that fail in a row
 /// and at some of the others.
 pub(crate) fn log_not_drained(job: &str, reason: &str, failures: u32) {
--- a/crates/jobs/tests/late_writes.rs
+++ b/crates/jobs/tests/late_writes.rs
@@ -2,8 +2,8 @@
 //! has started.
 
 use latchwheel_core::routes::RequestKind;
-use latchwheel_jobs::layout::{node_key, result_key};
-use latchwheel_jobs::WorkerRules;
+use latchwheel_jobs::layout::{disk_key, node_key, result_key};
+use latchwheel_jobs::{NodeRecord, Spool, WorkerRules};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{RecordStore, Transaction, Write};
 use one_worker::{hand_in, start_worker, until, Worker, WORKER};
@@ -75,3 +75,27 @@
     store.end_lease(lease);
     expect_job_runs(&store).await;
 }
+
+/// Guards against a disk that may hold jobs and is not on record, since the record was removed
+/// late by the earlier machine of that name.
+#[tokio::test]
+async fn a_late_removal_leaves_the_record_of_the_next_disk() {
+    let store = MemoryStore::default();
+    let address_on_record = || async {
+        let record = store.get(&disk_key(WORKER)).await.unwrap()?;
+        NodeRecord::read(&record.value).map(|disk| disk.address)
+    };
+    let is_on_record = |address: &'static str| async move { address_on_record().await.as_deref() == Some(address) };
+    let (former_folder, folder) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+    let open = |address, folder: &tempfile::TempDir| {
+        Spool::open(Arc::new(store.clone()), WORKER, address, folder.path()).unwrap()
+    };
+    let former = open("127.0.0.1:1", &former_folder);
+    until("the disk is on record", || is_on_record("127.0.0.1:1")).await;
+    store.hold_commit_of(&disk_key(WORKER));
+    former.close().await;
+    let _present = open("127.0.0.1:2", &folder);
+    until("the next disk is on record", || is_on_record("127.0.0.1:2")).await;
+    assert_eq!(store.do_held_commits(), 0, "the late removal is executed");
+    assert!(is_on_record("127.0.0.1:2").await);
+}
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -96,6 +96,9 @@
     pub revision: u64,
 }
 
+/// Lease of records that stay until they are removed.
+pub const NO_LEASE: u64 = 0;
+
 /// A record to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
@@ -103,7 +106,7 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
-    /// Lease with which it ends; zero means none.
+    /// Lease with which it ends, or [`NO_LEASE`].
     pub lease: u64,
 }
 
--- a/crates/records/src/owned_key.rs
+++ b/crates/records/src/owned_key.rs
@@ -62,8 +62,8 @@
 }
 
 impl<S: RecordStore> OwnedKey<S> {
-    /// Writes the record under a lease (zero means none), whatever is there. Returns its
-    /// revision; `None` if there is no such lease.
+    /// Writes the record under a lease, or [`NO_LEASE`](crate::NO_LEASE), whatever is there.
+    /// Returns its revision; `None` if there is no such lease.
     ///
     /// # Errors
     /// [`RecordsFault`].
@@ -93,6 +93,18 @@
         self.remove_at(revision).await.map(drop)
     }
 
+    /// Removes the record that is there now, whichever process wrote it.
+    ///
+    /// # Errors
+    /// [`RecordsFault`]; `Refused` if the record changed meanwhile.
+    pub async fn remove_present(&self) -> Result<(), RecordsFault> {
+        let Some(present) = self.store.get(&self.key).await? else { return Ok(()) };
+        match self.remove_at(present.revision).await? {
+            Committed::Done(_) => Ok(()),
+            Committed::Differs(_) | Committed::NoLease => Err(RecordsFault::Refused),
+        }
+    }
+
     async fn remove_at(&self, revision: u64) -> Result<Committed, RecordsFault> {
         let expected = vec![(self.key.clone(), revision)];
         let transaction = Transaction { expected, writes: Vec::new(), removes: vec![self.key.clone()] };
