--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -814,6 +814,13 @@
         /// Whether another write replaced the registration; otherwise it was removed.
         replaced: bool
     };
+    /// The state of a machine that is given up could not be reported; this is tried again.
+    RetireStatusNotWritten = 8234, Essential {
+        /// State to report.
+        state: &'a str,
+        /// Why the store did not take it.
+        reason: &'a str
+    };
     /// The record of this worker's disk could not be written or removed; this is tried again.
     DiskRecordNotChanged = 8233, Essential {
         /// Why the store did not change it.
