Write failures of items only while their job's record is as it was

Cause: the record of failures was conditional on itself alone; that the job is still there was read in a call before. Executed late, it left a record for ever under a job that had been removed.

Change: the write names the revision of the job's record as well; no call more.

Test: a_late_record_of_failures_does_not_outlast_its_job failed before with 'the late record is written'. Nobody saw this: it is a record that nobody reads.

--- a/crates/jobs/src/item_failures.rs
+++ b/crates/jobs/src/item_failures.rs
@@ -120,12 +120,11 @@
     let key = failures_key(&job);
     let mut revision = 0;
     loop {
-        if store.get(&job_key(&job)).await?.is_none() {
-            return Ok(());
-        }
+        let Some(present) = store.get(&job_key(&job)).await? else { return Ok(()) };
         let value = serde_json::to_vec(&failures).unwrap_or_default().into();
         let writes = vec![Write { key: key.clone(), value, lease: 0 }];
-        let expected = vec![(key.clone(), revision)];
+        // Executed late, it must not leave a record of a job that was removed.
+        let expected = vec![(key.clone(), revision), (job_key(&job), present.revision)];
         let present = match store.commit(&Transaction { expected, writes, ..Transaction::default() }).await? {
             Committed::Done(_) => return Ok(()),
             Committed::NoLease => return Err(RecordsFault::Rejected),
--- a/crates/jobs/tests/late_writes.rs
+++ b/crates/jobs/tests/late_writes.rs
@@ -2,7 +2,7 @@
 //! has started.
 
 use latchwheel_core::routes::RequestKind;
-use latchwheel_jobs::layout::{disk_key, node_key, result_key};
+use latchwheel_jobs::layout::{disk_key, failures_key, job_key, node_key, result_key};
 use latchwheel_jobs::{NodeRecord, Spool, WorkerRules};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{RecordStore, Transaction, Write};
@@ -99,3 +99,20 @@
     assert_eq!(store.do_held_commits(), 0, "the late removal is executed");
     assert!(is_on_record("127.0.0.1:2").await);
 }
+
+/// Guards against records of failures that stay for ever, since they were written late, after
+/// the removal of their job.
+#[tokio::test]
+async fn a_late_record_of_failures_does_not_outlast_its_job() {
+    let store = MemoryStore::default();
+    let server = TestServer::start("server", vec![Act::Answer(500, String::new()); 64]).await;
+    let shared = node(route(RequestKind::Batch, 3), &[&server]);
+    let worker = start_worker(Arc::new(store.clone()), &shared, WorkerRules::default()).await;
+    store.hold_commit_of(&failures_key(JOB));
+    hand_in(&store, JOB, 1).await;
+    until("failures are recorded", || async { store.get(&failures_key(JOB)).await.unwrap().is_some() }).await;
+    stop(&worker).await;
+    let removes = vec![job_key(JOB), failures_key(JOB)];
+    store.commit(&Transaction { removes, ..Transaction::default() }).await.unwrap();
+    assert_eq!(store.do_held_commits(), 0, "the late record is written");
+}
