Log registrations of servers that are ignored

A registration with a lower sequence number than a known one, and one that can't be read, were passed over without a line. ServerRecordIgnored names both numbers, ServerRecordUnreadable the entry. No decision changes.

Of the three hypotheses (the directory takes the records for late ones of the earlier start; upstreams or the cache don't deliver them; the server is avoided by its id for the failures of the earlier start) the first holds.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -62,17 +62,32 @@
     missing: bool,
 }
 
+/// A record that was ignored, since a later one of the server is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IgnoredRecord {
+    /// The record.
+    pub record: ServerRecord,
+    /// Sequence number of the later one.
+    pub known_sequence: u64,
+}
+
 /// Registered servers of all services.
 #[derive(Debug)]
 pub struct Directory {
     entries: HashMap<Arc<str>, Entry>,
     removed: HashMap<Arc<str>, u64>,
+    ignored: Vec<IgnoredRecord>,
     lapse: LapseGrace,
 }
 
 impl Default for Directory {
     fn default() -> Self {
-        Self { entries: HashMap::new(), removed: HashMap::new(), lapse: LapseGrace::new(LAPSE_GRACE) }
+        Self {
+            entries: HashMap::new(),
+            removed: HashMap::new(),
+            ignored: Vec::new(),
+            lapse: LapseGrace::new(LAPSE_GRACE),
+        }
     }
 }
 
@@ -84,8 +99,8 @@
 
     /// Adds or updates a server from its registration; returns the change, if any.
     pub fn note_record(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
-        if self.removed.get(&record.id).is_some_and(|sequence| record.sequence <= *sequence) {
-            return None;
+        if let Some(sequence) = self.removed.get(&record.id).copied().filter(|known| record.sequence <= *known) {
+            return self.ignore(record, sequence);
         }
         let Some(entry) = self.entries.get_mut(&record.id) else {
             let change = match record.draining {
@@ -96,7 +111,8 @@
             return Some(change);
         };
         if record.sequence < entry.record.sequence {
-            return None;
+            let sequence = entry.record.sequence;
+            return self.ignore(record, sequence);
         }
         entry.missing = false;
         let was_draining = entry.record.draining;
@@ -151,6 +167,16 @@
         self.entries.values().map(|entry| &entry.record).filter(|record| !record.draining)
     }
 
+    /// Returns the records that were ignored since the last call.
+    pub fn take_ignored(&mut self) -> Vec<IgnoredRecord> {
+        std::mem::take(&mut self.ignored)
+    }
+
+    fn ignore(&mut self, record: ServerRecord, known_sequence: u64) -> Option<DirectoryChange> {
+        self.ignored.push(IgnoredRecord { record, known_sequence });
+        None
+    }
+
     fn remove(&mut self, id: &str) -> Option<DirectoryChange> {
         let entry = self.entries.remove(id)?;
         if self.removed.len() >= MAX_REMOVED_IDS {
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -209,6 +209,20 @@
         /// Server id.
         server: &'a str
     };
+    /// A server's registration was ignored: a later one is known.
+    ServerRecordIgnored = 8037, Essential {
+        /// Server id.
+        server: &'a str,
+        /// Sequence number of the registration.
+        sequence: u64,
+        /// Sequence number of the later one.
+        known: u64
+    };
+    /// A registration was ignored, since it can't be read: it names no server to use.
+    ServerRecordUnreadable = 8038, Essential {
+        /// Name under which it is registered.
+        server: &'a str
+    };
     /// A server's process ended while it worked on requests of this node.
     ServerEnded = 8036, Essential {
         /// Server id.
