Treat each start of a server as a server of its own

What callers saw: accepted batch items were never run (LOST), and no request was served, after servers crashed and started again under their ids.

Cause: all that a node keeps of a server was kept by its id alone. The start of a server (born) was not read.

Change: a server's identity is its name and its start. Load, speeds, ejection, crashes, prefixes, connections, runs and reports of other nodes are kept by the identity and so begin anew. Requests name the server as it registers. A start that is replaced without having drained has crashed: a connection that is lost then counts as a crash, and an answer that ended with its connection is not complete, although the new start accepts connections at the address.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -94,6 +94,8 @@
 pub struct Placement {
     /// Identity of the server.
     pub server: Arc<str>,
+    /// Name under which the server registers.
+    pub name: Arc<str>,
     /// Address of the server.
     pub address: Arc<str>,
     /// Version of the server's software.
@@ -190,6 +192,7 @@
             if better {
                 let placement = Placement {
                     server: id.clone(),
+                    name: server.name.clone(),
                     address: server.address.clone(),
                     version: server.version.clone(),
                     software: server.software,
@@ -226,6 +229,7 @@
         let view = self.view(now, state);
         (!view.is_avoided()).then(|| Placement {
             server: id.clone(),
+            name: state.name.clone(),
             address: state.address.clone(),
             version: state.version.clone(),
             software: state.software,
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -89,6 +89,8 @@
 #[derive(Debug)]
 pub(super) struct ServerState {
     pub(super) service: Arc<str>,
+    /// Name under which it registers.
+    pub(super) name: Arc<str>,
     pub(super) address: Arc<str>,
     /// Version of the server's software.
     pub(super) version: Arc<str>,
@@ -299,6 +301,7 @@
     pub(super) fn new(record: &ServerRecord) -> Self {
         Self {
             service: record.service.clone(),
+            name: record.name.clone(),
             address: record.address.clone(),
             version: record.version.clone(),
             software: SoftwareKey::of(&record.service, &record.version),
--- a/crates/core/tests/deferrable.rs
+++ b/crates/core/tests/deferrable.rs
@@ -32,6 +32,8 @@
 fn records() -> Vec<ServerRecord> {
     let record = |number: usize| ServerRecord {
         id: format!("server-{number}").into(),
+        name: format!("server-{number}").into(),
+        started_ms: 0,
         service: "s".into(),
         address: format!("address-{number}").into(),
         zone: "z".into(),
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -23,6 +23,8 @@
         .iter()
         .map(|name| ServerRecord {
             id: (*name).into(),
+            name: (*name).into(),
+            started_ms: 0,
             service: "s".into(),
             address: format!("{name}:1").into(),
             zone: "z".into(),
@@ -143,6 +145,7 @@
     for _ in 0..400 {
         let placement = Placement {
             server: "a".into(),
+            name: "a".into(),
             address: "a:1".into(),
             version: "1".into(),
             software: SoftwareKey::of("s", "1"),
@@ -211,6 +214,7 @@
     let empty = Prompt::default();
     let placement = Placement {
         server: "a".into(),
+        name: "a".into(),
         address: "a:1".into(),
         version: "1".into(),
         software: SoftwareKey::of("s", "1"),
@@ -253,6 +257,7 @@
     dispatcher.note_peer(at(0), NodeId(1), 1, report(vec![share]));
     let placement = Placement {
         server: "a".into(),
+        name: "a".into(),
         address: "a:1".into(),
         version: "1".into(),
         software: SoftwareKey::of("s", "1"),
@@ -421,6 +426,8 @@
     let mut dispatcher = dispatcher(&["a", "b", "c", "d"]);
     let second = ServerRecord {
         id: "other".into(),
+        name: "other".into(),
+        started_ms: 0,
         service: "s".into(),
         address: "other:1".into(),
         zone: "z".into(),
@@ -456,6 +463,8 @@
     dispatcher.note_sent(at(0), &running, &empty);
     let record = ServerRecord {
         id: "a".into(),
+        name: "a".into(),
+        started_ms: 0,
         service: "s".into(),
         address: "a:1".into(),
         zone: "z".into(),
@@ -469,3 +478,49 @@
     assert_eq!(dispatcher.choose(at(1), &of("1")), Choice::NoServer);
     assert_eq!(&*placed(dispatcher.choose(at(1), &of("2"))).version, "2");
 }
+
+/// A start of the server `a`.
+fn start_of_a(started_ms: u64) -> ServerRecord {
+    ServerRecord {
+        id: ServerRecord::identity("a", started_ms),
+        name: "a".into(),
+        started_ms,
+        service: "s".into(),
+        address: "a:1".into(),
+        zone: "z".into(),
+        version: "1".into(),
+        slots: SLOTS,
+        draining: false,
+        sequence: 1,
+    }
+}
+
+/// Guards against servers that are passed over, after they started again under their name, for
+/// the load and the failures of their earlier start.
+#[test]
+fn a_later_start_of_a_server_inherits_nothing() {
+    let (first, second) = (start_of_a(1), start_of_a(2));
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_one_ready(&first);
+    let empty = Prompt::default();
+    for spread in 0..u64::from(SLOTS) {
+        let placement = placed(dispatcher.choose(at(0), &query(&empty, spread)));
+        dispatcher.note_sent(at(0), &placement, &empty);
+        if spread > 0 {
+            dispatcher.note_end(at(1), &placement, Ending::Broken, false, Duration::from_millis(1));
+        }
+    }
+    let of_first = ServerShare { server: ServerKey::of(&first.id), requests: SLOTS, ..ServerShare::default() };
+    dispatcher.note_peer(at(1), NodeId(1), 1, report(vec![of_first]));
+    let former = dispatcher.reports(at(2));
+    assert!(former.iter().any(|report| *report.id == *first.id && report.avoided && report.load > 0.0), "{former:?}");
+
+    dispatcher.set_draining(&first.id);
+    dispatcher.set_one_ready(&second);
+    let placement = placed(dispatcher.choose(at(2), &query(&empty, 0)));
+    assert_eq!((&*placement.server, &*placement.name), ("a@2", "a"));
+    assert_eq!((placement.load, placement.expected_wait), (0.0, Duration::ZERO));
+    // What other nodes still report of the earlier start counts for that.
+    dispatcher.note_peer(at(3), NodeId(1), 2, report(vec![of_first]));
+    assert_eq!(placed(dispatcher.choose(at(3), &query(&empty, 0))).load, 0.0);
+}
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -25,6 +25,8 @@
 fn record(number: usize) -> ServerRecord {
     ServerRecord {
         id: format!("server-{number}").into(),
+        name: format!("server-{number}").into(),
+        started_ms: 0,
         service: SERVICE.into(),
         address: format!("10.0.0.1:{number}").into(),
         zone: "zone".into(),
--- a/crates/core/tests/second_attempts.rs
+++ b/crates/core/tests/second_attempts.rs
@@ -33,6 +33,8 @@
 fn dispatcher() -> Dispatcher {
     let record = |number: usize| ServerRecord {
         id: name(number).into(),
+        name: name(number).into(),
+        started_ms: 0,
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -27,6 +27,8 @@
     let id = format!("server-{number}");
     ServerRecord {
         id: id.as_str().into(),
+        name: id.as_str().into(),
+        started_ms: 0,
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -26,6 +26,8 @@
 fn tracker() -> Dispatcher {
     let record = |number: usize| ServerRecord {
         id: format!("server-{number}").into(),
+        name: format!("server-{number}").into(),
+        started_ms: 0,
         service: SERVICE.into(),
         address: "127.0.0.1:1".into(),
         zone: "zone".into(),
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -209,12 +209,19 @@
         /// Server id.
         server: &'a str
     };
+    /// A server ended without draining, and a later start registered under its name.
+    ServerRestarted = 8039, Essential {
+        /// Server id of the start that ended.
+        server: &'a str
+    };
     /// A server's registration was ignored: a later one is known.
     ServerRecordIgnored = 8037, Essential {
         /// Server id.
         server: &'a str,
         /// Sequence number of the registration.
         sequence: u64,
+        /// Start of the server that wrote the later one, in milliseconds since 1970.
+        known_start_ms: u64,
         /// Sequence number of the later one.
         known: u64
     };
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -71,6 +71,10 @@
         let (id, fingerprint) = (outgoing.id.to_str().unwrap_or_default(), request.key.fingerprint.to_string());
         let parts = parts.join(" ");
         emit(id, &Event::ConnectionLost { id, server, request: &fingerprint, parts: &parts, after_ms });
+        if self.crashes.has_restarted(server) {
+            // Whoever listens at its address now is not the process that was lost.
+            return self.note_server_ended(server, &[request]);
+        }
         // A server that was told to leave, or whose registration is gone, ends as planned.
         if !self.dispatcher().is_ready(server) {
             return;
@@ -79,6 +83,12 @@
             tokio::spawn(try_server(self.clone(), server.clone(), address.clone()));
         }
     }
+
+    fn note_server_ended(&self, server: &str, requests: &[RunningRequest]) {
+        let key = ServerKey::of(server).to_string();
+        emit("", &Event::ServerEnded { server, key: &key, requests: requests.len() });
+        self.crashes.note_ended(server, requests);
+    }
 }
 
 fn log_wait(outgoing: &Outgoing, request: Fingerprint, left: Duration) {
@@ -88,11 +98,9 @@
 }
 
 async fn try_server<D: Dialect>(shared: Arc<Shared<D>>, server: Arc<str>, address: Arc<str>) {
-    let ended = has_ended(&address).await;
+    let ended = has_ended(&address).await || shared.crashes.has_restarted(&server);
     let requests = shared.crashes.take_probed(&server);
     if ended {
-        let key = ServerKey::of(&server).to_string();
-        emit("", &Event::ServerEnded { server: &server, key: &key, requests: requests.len() });
-        shared.crashes.note_ended(&server, &requests);
+        shared.note_server_ended(&server, &requests);
     }
 }
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -9,7 +9,7 @@
 use latchwheel_core::time::{Instant, WallTime};
 use latchwheel_events::{emit, Event};
 use latchwheel_protocol::v1;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -19,6 +19,8 @@
 const PROBE_LIMIT: usize = 256;
 /// Requests that are kept of one server.
 const REQUEST_LIMIT: usize = 64;
+/// Restarted servers that are remembered.
+const RESTART_LIMIT: usize = 256;
 /// Number of nodes that send holds and watches to all others: the first that weigh the evidence,
 /// two for the case that one of them is lost.
 const BROADCASTERS: usize = 2;
@@ -85,6 +87,8 @@
     evidence: CrashEvidence,
     /// Requests that ran at servers which are being tried now.
     probed: HashMap<Arc<str>, Vec<RunningRequest>>,
+    /// The last servers that ended without draining and started again.
+    restarted: VecDeque<Arc<str>>,
     outbox: Outbox,
     rank: DecidingRank,
     /// Until when all verdicts are not sent again, whoever lacks some.
@@ -222,6 +226,20 @@
         self.lock().probed.remove(server).unwrap_or_default()
     }
 
+    /// A server ended without draining: a later start is registered under its name.
+    pub(crate) fn note_restarted(&self, server: &Arc<str>) {
+        let mut state = self.lock();
+        if state.restarted.len() >= RESTART_LIMIT {
+            state.restarted.pop_front();
+        }
+        state.restarted.push_back(server.clone());
+    }
+
+    /// Whether a server is known to have ended without draining and started again.
+    pub(crate) fn has_restarted(&self, server: &str) -> bool {
+        self.lock().restarted.iter().any(|restarted| **restarted == *server)
+    }
+
     /// A server ended while it worked on these requests of this node.
     pub(super) fn note_ended(&self, server: &str, requests: &[RunningRequest]) {
         let now = self.clock.now();
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -274,10 +274,16 @@
     }
 
     /// Whether the server crashed where its answer ended: a success that only the end of its
-    /// connection marks, whose server accepts no further connections. A draining server ends
-    /// as planned after its last answer.
+    /// connection marks, whose server accepts no further connections or has started again since.
+    /// A draining server ends as planned after its last answer.
     async fn is_cut_by_crash(&mut self) -> bool {
-        if !self.is_success || self.has_verified_end || !self.shared.dispatcher().is_ready(&self.placement.server) {
+        if !self.is_success || self.has_verified_end {
+            return false;
+        }
+        if self.shared.crashes.has_restarted(&self.placement.server) {
+            return true;
+        }
+        if !self.shared.dispatcher().is_ready(&self.placement.server) {
             return false;
         }
         let has_crashed = has_just_ended(&self.placement.address).await;
@@ -336,7 +342,7 @@
         let headers = request.headers_mut();
         *headers = outgoing.headers.clone();
         headers.insert(names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
-        if let Ok(server) = HeaderValue::from_str(&self.placement.server) {
+        if let Ok(server) = HeaderValue::from_str(&self.placement.name) {
             headers.insert(names.expected_server.clone(), server);
         }
         if let Some(event) = last_event {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -183,6 +183,10 @@
             match change {
                 DirectoryChange::Ready(record) => dispatcher.set_one_ready(record),
                 DirectoryChange::Draining(server) | DirectoryChange::Gone(server) => dispatcher.set_draining(server),
+                DirectoryChange::Restarted(server) => {
+                    dispatcher.set_draining(server);
+                    self.crashes.note_restarted(server);
+                }
                 DirectoryChange::Unconfirmed(_) => {}
             }
         }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -227,6 +227,8 @@
     pub fn record(&self) -> ServerRecord {
         ServerRecord {
             id: self.name.as_str().into(),
+            name: self.name.as_str().into(),
+            started_ms: 0,
             service: SERVICE.into(),
             address: self.address.as_str().into(),
             zone: "zone".into(),
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -58,6 +58,8 @@
     WriteLater(String, Arc<Notify>, String),
     /// Reads the whole request, writes these bytes and closes.
     WriteAndClose(String),
+    /// As `WriteAndClose` once it is told to.
+    WriteAndCloseLater(String, Arc<Notify>),
     /// As `WriteAndClose` once it is told to, and accepts no connection any more, as a process
     /// that crashes.
     WriteAndCrash(String, Arc<Notify>),
@@ -132,6 +134,8 @@
     pub fn record(&self) -> ServerRecord {
         ServerRecord {
             id: self.name.as_str().into(),
+            name: self.name.as_str().into(),
+            started_ms: 0,
             service: SERVICE.into(),
             address: self.address.as_str().into(),
             zone: "zone".into(),
@@ -185,7 +189,11 @@
                     }
                     go_on.notified().await;
                 }
-                RawAct::Write(_) | RawAct::WriteLater(..) | RawAct::WriteAndClose(_) | RawAct::WriteAndCrash(..) => {}
+                RawAct::Write(_)
+                | RawAct::WriteLater(..)
+                | RawAct::WriteAndClose(_)
+                | RawAct::WriteAndCloseLater(..)
+                | RawAct::WriteAndCrash(..) => {}
             }
             let end = served + start + body_length(&head);
             while self.received.lock().unwrap()[number].len() < end {
@@ -200,6 +208,11 @@
                     let _ = stream.write_all(&fill(bytes)).await;
                     false
                 }
+                RawAct::WriteAndCloseLater(bytes, close) => {
+                    close.notified().await;
+                    let _ = stream.write_all(&fill(bytes)).await;
+                    false
+                }
                 RawAct::WriteAndCrash(bytes, crash) => {
                     crash.notified().await;
                     self.crashed.send_replace(true);
--- a/crates/proxy/tests/unmarked_ends.rs
+++ b/crates/proxy/tests/unmarked_ends.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
+use latchwheel_core::directory::DirectoryChange;
 use latchwheel_core::routes::RequestKind;
 use latchwheel_http::{full, read_bounded, Client};
 use raw::{RawAct, RawNode, RawServer};
@@ -171,6 +172,23 @@
     assert_eq!(ask(RequestKind::AtMostOnce, vec![until_crash(EVENT_STREAM, &long)]).await, Received::broken());
 }
 
+/// Guards against a broken answer that counts as whole, since its server has started again at
+/// its address when the node looks whether it crashed.
+#[tokio::test]
+async fn an_answer_whose_server_has_started_again_is_not_delivered_as_complete() {
+    let ends = Arc::new(Notify::new());
+    let answer = format!("HTTP/1.1 200 OK\r\nt-id: ID\r\n\r\n{}", event_text(1));
+    let server = RawServer::start("server", vec![RawAct::WriteAndCloseLater(answer, ends.clone())]).await;
+    let node = RawNode::start(STREAM, 1, &[&server]).await;
+    let start_again = async {
+        raw::until(|| !server.requests().is_empty()).await;
+        node.shared.note_servers(&[DirectoryChange::Restarted("server".into())]);
+        ends.notify_one();
+    };
+    let (received, ()) = tokio::join!(ask_node(&node), start_again);
+    assert_eq!(received.body, None);
+}
+
 /// A planned end follows the last answer at any time.
 #[tokio::test]
 async fn the_last_answer_of_a_draining_server_is_delivered() {
