--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -62,15 +62,11 @@
         let mut lease = None;
         let mut failures = 0;
         loop {
-            let kept = match self.held_lease(&mut lease).await {
-                Ok(held) => self.write_if_lost(&mut lease, held).await.map(|()| held),
-                Err(fault) => Err(fault),
-            };
-            match kept {
-                Ok(held) => {
+            match self.keep_once(&mut lease).await {
+                Ok(held_since) => {
                     failures = 0;
                     tokio::select! {
-                        () = tokio::time::sleep_until(held.held_since + renew_every) => {}
+                        () = tokio::time::sleep_until(held_since + renew_every) => {}
                         () = self.lost.notified() => {}
                     }
                 }
@@ -85,6 +81,21 @@
         }
     }
 
+    /// Renews the lease if that is due, and writes the registration unless the store holds it
+    /// as this process wrote it. Returns since when the lease is held.
+    async fn keep_once(&self, lease: &mut Option<Lease>) -> Result<Instant, RecordsFault> {
+        let held = self.held_lease(lease).await?;
+        if self.record.is_held() {
+            return Ok(held.held_since);
+        }
+        let Some(revision) = self.record.write(&self.registration.value, held.id).await? else {
+            *lease = None;
+            return Err(RecordsFault::Rejected);
+        };
+        emit("", &Event::NodeRegistered { lease: held.id, revision });
+        Ok(held.held_since)
+    }
+
     /// The present lease, renewed if that is due, or a new one.
     async fn held_lease(&self, lease: &mut Option<Lease>) -> Result<Lease, RecordsFault> {
         let sent_at = Instant::now();
@@ -105,19 +116,6 @@
         Ok(granted)
     }
 
-    /// Writes the registration unless the store holds it as this process wrote it.
-    async fn write_if_lost(&self, lease: &mut Option<Lease>, held: Lease) -> Result<(), RecordsFault> {
-        if self.record.is_held() {
-            return Ok(());
-        }
-        let Some(revision) = self.record.write(&self.registration.value, held.id).await? else {
-            *lease = None;
-            return Err(RecordsFault::Rejected);
-        };
-        emit("", &Event::NodeRegistered { lease: held.id, revision });
-        Ok(())
-    }
-
     /// Notes a change in the store.
     pub fn note_change(&self, change: &Change) {
         if self.record.note_change(change) {
