Spread registrations that were lost together

Cause: since a lost registration is noticed by the records that all nodes follow, an outage of the store in which leases end would have all nodes register at the same moment, three calls each, beyond the writes that the store takes in a second. Renewals alone had spread them over the time between two (20 s for fronts).

Change: a lost registration is written at a random moment within the time between two renewals, after a renewal has shown whether the lease lives.

--- a/crates/core/src/own_record.rs
+++ b/crates/core/src/own_record.rs
@@ -33,6 +33,11 @@
         self.written != 0 && self.present == self.written
     }
 
+    /// Whether the record that this process wrote was removed or replaced.
+    pub fn is_lost(&self) -> bool {
+        self.written != 0 && self.present != self.written
+    }
+
     /// Records an acknowledged write of this process.
     pub fn note_written(&mut self, revision: u64) {
         self.written = revision;
--- a/crates/records/src/owned_key.rs
+++ b/crates/records/src/owned_key.rs
@@ -25,6 +25,11 @@
         self.record().is_held()
     }
 
+    /// Whether the record that this process wrote was removed or replaced.
+    pub fn is_lost(&self) -> bool {
+        self.record().is_lost()
+    }
+
     /// Notes that the record leaves the store with its lease.
     pub fn note_lease_ended(&self) {
         self.record().note_lease_ended();
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -67,7 +67,7 @@
                     failures = 0;
                     tokio::select! {
                         () = tokio::time::sleep_until(held_since + renew_every) => {}
-                        () = self.lost.notified() => {}
+                        () = self.lost.notified() => tokio::time::sleep(self.spread()).await,
                     }
                 }
                 Err(_) => {
@@ -96,11 +96,19 @@
         Ok(held.held_since)
     }
 
-    /// The present lease, renewed if that is due, or a new one.
+    /// Time for which a lost registration stays lost: an outage of the store in which leases end
+    /// removes all registrations at once, and their nodes spread the new ones as they spread
+    /// their renewals.
+    fn spread(&self) -> Duration {
+        self.registration.renew_every.mul_f64(rand::random())
+    }
+
+    /// The present lease, renewed if that is due or its record is lost, or a new one.
     async fn held_lease(&self, lease: &mut Option<Lease>) -> Result<Lease, RecordsFault> {
         let sent_at = Instant::now();
         if let Some(held) = lease {
-            if held.held_since.elapsed() < self.registration.renew_every {
+            let is_due = held.held_since.elapsed() >= self.registration.renew_every || self.record.is_lost();
+            if !is_due {
                 return Ok(*held);
             }
             if self.store.renew(held.id).await? {
