Log why ready items are not started, and the connection of a failed attempt

Of the hypotheses for items that lie untouched, the log could tell only a quarantine from the others. A worker now adds up the items that have had no run for 5 s by the reason for which their jobs last started none (ItemsNotStarted, E8235, one line for each reason every 5 s, however many jobs there are); as with every event, metrics count it. AttemptFailed (E8102) says whether the attempt had a new connection or one kept from an earlier request, which is what sets a repeated refusal apart from a second one. No decision changes.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -377,6 +377,8 @@
         attempt: u32,
         /// Observed failure.
         reason: &'a str,
+        /// Connection of the attempt: `new`, `kept` from an earlier request, or `none`.
+        connection: &'a str,
         /// Time since the attempt was sent.
         after_ms: u64,
         /// Whether the request is retried at another server.
@@ -637,6 +639,21 @@
         /// Time for which no item was started.
         held_ms: u64
     };
+    /// Items of this worker's jobs have had no run for a while, for this reason.
+    ItemsNotStarted = 8235, Essential {
+        /// Reason for which their jobs last started no further item.
+        reason: &'a str,
+        /// Number of jobs.
+        jobs: usize,
+        /// Number of items.
+        items: usize,
+        /// Job of the item that waits longest.
+        job: &'a str,
+        /// Item that waits longest.
+        item: &'a str,
+        /// Time since its last run, or since the worker took the job.
+        idle_ms: u64
+    };
     /// A spool folder can't be read and is read again later, or a file in it is not a valid job.
     SpoolUnread = 8015, Essential {
         /// Folder or file.
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -3,12 +3,13 @@
 use crate::item_run::{outgoing_of, run_item};
 use crate::job_run::JobRun;
 use crate::run_registry::{RunNumber, StartedRun};
+use crate::stalled_items::StartBlocker;
 use crate::start_order::StartRank;
 use crate::start_permission::StartPermission;
 use crate::worker_context::WorkerContext;
 use futures::FutureExt;
 use latchwheel_core::dispatch::{Choice, Placement, PlacementQuery};
-use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, RunEnd};
+use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
 use latchwheel_core::item_urgency::{plan_starts, RemainingTime, StartPlan};
 use latchwheel_core::listing_pause::PAUSE_NEAR_DUE;
 use latchwheel_core::routes::Route;
@@ -49,15 +50,29 @@
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
     /// Starts what there is room for, if no other job of the worker goes first.
     pub(crate) async fn start_items(&mut self) {
+        if let Err(blocker) = self.try_start_items().await {
+            self.idle.blocker = blocker;
+        }
+    }
+
+    /// Adds the items that wait for long to the worker's report.
+    pub(crate) fn report_stalled(&mut self) {
+        let is_waiting = |position: usize| matches!(self.progress[position].state(), ItemState::Waiting(_));
+        let Some(stall) = self.idle.look(self.context.shared.clock.now(), is_waiting) else { return };
+        let item = &self.items[stall.longest].id;
+        self.context.note_stalled(self.idle.blocker, &self.job, item, &stall);
+    }
+
+    async fn try_start_items(&mut self) -> Result<(), StartBlocker> {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
         self.give_up_expired(now, &rules);
         let Some(route) = route else {
             self.forget_waiting();
-            return;
+            return Err(StartBlocker::NoRoute);
         };
         if self.pressed_excess(&route).is_some_and(|excess| excess >= 0) {
-            return;
+            return Err(StartBlocker::OnlineOverload);
         }
         let StartPlan { positions: waiting, overdue } = self.items_to_start(now, &route);
         let rank = StartRank {
@@ -71,19 +86,22 @@
             self.rank = Some(rank.clone());
         }
         self.log_overdue(&route, overdue, waiting.len());
-        if !self.context.note_waiting(&rank, waiting.len()) {
-            return;
+        let is_first = self.context.note_waiting(&rank, waiting.len());
+        if waiting.is_empty() {
+            return Ok(());
         }
-        if waiting.is_empty() || !self.may_start_items(now, waiting.len()) {
-            return;
+        if !is_first {
+            return Err(StartBlocker::OtherJobFirst);
+        }
+        if !self.may_start_items(now, waiting.len()) {
+            return Err(StartBlocker::NotConfirmed);
         }
         let reserve = self.reserve(&route, overdue);
         self.context.refill_starts(now, &route, reserve);
         for position in waiting.into_iter().take(STARTS_IN_A_LOOK) {
-            if !self.start_item(position, &rules, &route, &rank).await {
-                return;
-            }
+            self.start_item(position, &rules, &route, &rank).await?;
         }
+        Ok(())
     }
 
     /// Gives up what still waits when its time is over, whether or not it can be run.
@@ -160,25 +178,38 @@
         (is_in_route && waited <= rewriting).then_some(software)
     }
 
-    /// Starts an item; `false` if no server has room.
-    async fn start_item(&mut self, position: usize, rules: &GiveUpRules, route: &Route, rank: &StartRank) -> bool {
+    /// Starts an item, or puts it off.
+    ///
+    /// # Errors
+    /// [`StartBlocker`] if no other item can be started now either.
+    async fn start_item(
+        &mut self,
+        position: usize,
+        rules: &GiveUpRules,
+        route: &Route,
+        rank: &StartRank,
+    ) -> Result<(), StartBlocker> {
         let shared = &self.context.shared;
         let item = &self.items[position];
         let Some(outgoing) = outgoing_of(shared, &self.record.host, self.record.tenant.as_deref(), item) else {
-            return true;
+            return Ok(());
         };
         if let Some(left) = shared.quarantined_for(&outgoing) {
             let now = shared.clock.now();
             self.progress[position].wait_until(now + left.min(QUARANTINE_LOOK));
-            return true;
+            self.idle.blocker = StartBlocker::Quarantined;
+            return Ok(());
         }
         if let Some(left) = shared.hold_remaining(&outgoing) {
             self.progress[position].wait_until(shared.clock.now() + left);
-            return true;
+            self.idle.blocker = StartBlocker::Quarantined;
+            return Ok(());
         }
         let software = self.software_to_continue_at(position, route);
         let of_software = software.and_then(|software| shared.dispatcher().service_of(software));
-        let Some(service) = of_software.or_else(|| shared.next_service(route)) else { return false };
+        let Some(service) = of_software.or_else(|| shared.next_service(route)) else {
+            return Err(StartBlocker::NoServer);
+        };
         let avoid = self.progress[position].failed_at().to_vec();
         let (prompt, reserve) = (&outgoing.prompt, self.reserve(route, rank.late));
         let ask = PlaceAsk {
@@ -192,12 +223,15 @@
         };
         let context = self.context.clone();
         // Where one version is full, items without events may find a slot at another.
-        let Some(placement) = place(&context, &ask).await else { return software.is_some() };
+        let Some(placement) = place(&context, &ask).await else {
+            return if software.is_some() { Ok(()) } else { Err(StartBlocker::NoSlot) };
+        };
         let shared = &self.context.shared;
         let now = shared.clock.now();
         if let Some(left) = shared.begin_run(&outgoing) {
             self.progress[position].wait_until(now + left);
-            return true;
+            self.idle.blocker = StartBlocker::Quarantined;
+            return Ok(());
         }
         let exchange = Exchange::reserve(shared, placement, &outgoing);
         let left = rules.expires.since(now).min(ITEM_TIME);
@@ -232,7 +266,7 @@
             chosen_at: now,
         };
         self.runs.push(run_owned(position, start, exchange, outgoing, left, progress, give_way).boxed());
-        true
+        Ok(())
     }
 }
 
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -8,6 +8,7 @@
 use crate::layout::{ItemBody, JobBody, JobRecord};
 use crate::owned_jobs::{JobView, TAKEOVER_GRACE};
 use crate::results::ResultList;
+use crate::stalled_items::IdleItems;
 use crate::start_order::StartRank;
 use crate::start_permission::StartPermission;
 use crate::worker_context::WorkerContext;
@@ -162,6 +163,7 @@
     pub(crate) runs: FuturesUnordered<ItemRun>,
     pub(crate) running: HashMap<usize, RunningItem>,
     pub(crate) started: u64,
+    pub(crate) idle: IdleItems,
     pub(crate) concessions: RecentPreemptions,
     /// Its place among the jobs that have items to start, once it had some.
     pub(crate) rank: Option<StartRank>,
@@ -214,6 +216,7 @@
             runs: FuturesUnordered::new(),
             running: HashMap::new(),
             started: 0,
+            idle: IdleItems::new(count, taken_at),
             concessions: RecentPreemptions::default(),
             rank: None,
             overdue_logged: false,
@@ -248,6 +251,7 @@
                     self.tell_unfinished();
                     self.give_way();
                     self.start_items().await;
+                    self.report_stalled();
                 }
                 JobOrder::Wind if self.runs.is_empty() && self.listing.is_none() && self.ready_to_list().is_empty() => {
                     return LeaveReason::WorkerLeaves;
@@ -344,6 +348,7 @@
                 }
             }
         }
+        self.idle.note_run_ended(position, now);
         if self.listed[position] {
             return;
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -52,6 +52,7 @@
 mod run_registry;
 pub mod spool;
 mod spooled_ends;
+mod stalled_items;
 mod start_order;
 mod start_permission;
 mod unfinished;
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -178,6 +178,7 @@
                 division.expire();
                 begin_retakes(&division.context, &mut division.jobs);
                 division.leaving.forget_ended();
+                division.context.log_stalled();
                 next_look = Instant::now() + LOOK_PACE;
             }
         }
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -2,6 +2,7 @@
 
 use crate::owned_jobs::OwnedJobs;
 use crate::run_registry::RunRegistry;
+use crate::stalled_items::{JobStall, StallReport, StartBlocker};
 use crate::start_order::{StartOrder, StartRank};
 use crate::unfinished::UnfinishedTokens;
 use latchwheel_core::dispatch::{RouteKey, StartBudget};
@@ -33,6 +34,7 @@
     pub(crate) runs: RunRegistry,
     /// How long items take, by route.
     times: Mutex<HashMap<Arc<str>, RunTimes>>,
+    stalled: Mutex<StallReport>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -57,6 +59,7 @@
             unfinished: Mutex::default(),
             runs: RunRegistry::default(),
             times: Mutex::default(),
+            stalled: Mutex::default(),
         }
     }
 
@@ -156,6 +159,23 @@
         self.times().entry(route.name.clone()).or_default().note_elapsed(events, time);
     }
 
+    /// Adds stalled items of a job to the next report; `item` is the one that waits longest.
+    pub(crate) fn note_stalled(&self, blocker: StartBlocker, job: &str, item: &str, stall: &JobStall) {
+        self.stalled().add(blocker, job, item, stall);
+    }
+
+    /// Logs the items that are stalled, if a report is due.
+    pub(crate) fn log_stalled(&self)
+    where
+        D: Dialect,
+    {
+        self.stalled().log_if_due(self.shared.clock.now());
+    }
+
+    fn stalled(&self) -> MutexGuard<'_, StallReport> {
+        self.stalled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn times(&self) -> MutexGuard<'_, HashMap<Arc<str>, RunTimes>> {
         self.times.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::answer_head::{framing_of, states_event_stream};
 use crate::crashes::has_just_ended;
 use crate::dialect::{Dialect, HeaderNames};
-use crate::pool::{keep_time, Connection};
+use crate::pool::{keep_time, Connection, ConnectionUse};
 use crate::shared::Shared;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -96,12 +96,8 @@
     pub failure: AttemptFailure,
     /// What was seen, for the log.
     pub reason: &'static str,
-}
-
-impl AttemptEnd {
-    fn new(failure: AttemptFailure, reason: &'static str) -> Self {
-        Self { failure, reason }
-    }
+    /// Connection that the attempt had.
+    pub connection: ConnectionUse,
 }
 
 /// A server that works on a request.
@@ -137,6 +133,7 @@
     shared: Arc<Shared<D>>,
     placement: Placement,
     connection: Option<Connection>,
+    connection_use: ConnectionUse,
     keep: Option<Duration>,
     sent_at: Instant,
     started: bool,
@@ -168,6 +165,7 @@
             shared: shared.clone(),
             placement,
             connection: None,
+            connection_use: ConnectionUse::None,
             keep: None,
             sent_at,
             started: false,
@@ -189,10 +187,11 @@
         if self.connection.is_none() {
             self.connection = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
         }
-        if self.connection.is_none() {
+        let Some(connection) = &self.connection else {
             self.ending = Ending::Broken;
-            return Err(AttemptEnd::new(AttemptFailure::NotSent, NO_CONNECTION));
-        }
+            return Err(self.attempt_end(AttemptFailure::NotSent, NO_CONNECTION));
+        };
+        self.connection_use = connection.used;
         Ok(())
     }
 
@@ -211,7 +210,7 @@
     ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
         self.connect().await?;
         let Some(mut connection) = self.connection.take() else {
-            return Err(AttemptEnd::new(AttemptFailure::NotSent, NO_CONNECTION));
+            return Err(self.attempt_end(AttemptFailure::NotSent, NO_CONNECTION));
         };
         let waited = self.shared.clock.now().since(self.sent_at);
         let request = self.request(outgoing, left.saturating_sub(waited), last_event);
@@ -222,12 +221,17 @@
             Ok(Err(fault)) => return Err(self.broken(&fault, outgoing)),
             Err(_) => {
                 self.ending = Ending::Unresponsive;
-                return Err(AttemptEnd::new(AttemptFailure::MayHaveRun, "no_answer"));
+                return Err(self.attempt_end(AttemptFailure::MayHaveRun, "no_answer"));
             }
         };
         self.check(response, outgoing).await
     }
 
+    /// The end of this attempt without an answer for the caller.
+    pub(crate) fn attempt_end(&self, failure: AttemptFailure, reason: &'static str) -> AttemptEnd {
+        AttemptEnd { failure, reason, connection: self.connection_use }
+    }
+
     /// Load that is believed of its server.
     pub fn load(&self) -> f64 {
         self.placement.load
@@ -356,13 +360,13 @@
         if fault.is_canceled() {
             // An idle connection that the server had closed: nothing was sent.
             self.ending = Ending::Withdrawn;
-            return AttemptEnd::new(AttemptFailure::NotSent, "connection_was_closed");
+            return self.attempt_end(AttemptFailure::NotSent, "connection_was_closed");
         }
         if fault.is_parse() && !fault.is_incomplete_message() {
-            return AttemptEnd::new(AttemptFailure::MayHaveRun, "no_http_answer");
+            return self.attempt_end(AttemptFailure::MayHaveRun, "no_http_answer");
         }
         self.note_connection_lost(outgoing);
-        AttemptEnd::new(AttemptFailure::Lost, "connection_broke")
+        self.attempt_end(AttemptFailure::Lost, "connection_broke")
     }
 
     async fn check(
@@ -374,7 +378,7 @@
         let headers = response.headers();
         if headers.get(&names.request_id) != Some(&outgoing.id) {
             self.ending = Ending::Broken;
-            return Err(AttemptEnd::new(AttemptFailure::MayHaveRun, "answer_of_another_request"));
+            return Err(self.attempt_end(AttemptFailure::MayHaveRun, "answer_of_another_request"));
         }
         let load = self.shared.dialect.load(headers);
         if let Some(load) = load {
@@ -391,7 +395,7 @@
         self.failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             self.ending = Ending::Misdirected;
-            return Err(AttemptEnd::new(AttemptFailure::NotRun, "another_server"));
+            return Err(self.attempt_end(AttemptFailure::NotRun, "another_server"));
         }
         if headers.contains_key(&names.not_run) {
             self.ending = Ending::Rejected;
@@ -399,7 +403,7 @@
             if let Some(connection) = self.connection.take().filter(|_| whole) {
                 self.shared.pool.put(&self.placement.server, connection, self.keep);
             }
-            return Err(AttemptEnd::new(AttemptFailure::NotRun, "rejected"));
+            return Err(self.attempt_end(AttemptFailure::NotRun, "rejected"));
         }
         Ok((self, response))
     }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,7 +4,7 @@
 use crate::answer::{error_answer, DEFAULT_RETRY_AFTER};
 use crate::answer_head::strip_connection;
 use crate::dialect::Dialect;
-use crate::exchange::{Exchange, Outgoing};
+use crate::exchange::{AttemptEnd, Exchange, Outgoing};
 use crate::shared::Shared;
 use crate::start_pacing::StartTurn;
 use crate::started::{Pieces, Started};
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH};
 use hyper::{Request, Response};
 use latchwheel_core::answer_end::Framing;
-use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
+use latchwheel_core::attempts::{Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::Placement;
 use latchwheel_core::routes::{RequestKind, Route};
@@ -173,7 +173,7 @@
         let started = exchange.send(&self.outgoing, left, patience, last_event).await;
         self.asked.push(server.clone());
         let started = started.map(|(exchange, response)| Started::at_head(exchange, response));
-        started.map_err(|end| self.failed(&server, sent_at, end.failure, end.reason))
+        started.map_err(|end| self.failed(&server, sent_at, &end))
     }
 
     /// Time to wait for the head of an answer: to the end where the request
@@ -186,32 +186,21 @@
     }
 
     /// An attempt failed: `None` if another may follow, or the final answer.
-    pub(crate) fn failed(
-        &mut self,
-        server: &str,
-        sent_at: Instant,
-        failure: AttemptFailure,
-        reason: &str,
-    ) -> Option<Response<Body>> {
-        match self.note_failed(server, sent_at, failure, reason) {
+    pub(crate) fn failed(&mut self, server: &str, sent_at: Instant, end: &AttemptEnd) -> Option<Response<Body>> {
+        match self.note_failed(server, sent_at, end) {
             NextStep::TryAgain => None,
             NextStep::GiveUp(code) => Some(self.refuse(code, None)),
         }
     }
 
     /// The same for an attempt that may not be the last one in progress.
-    pub(crate) fn note_failed(
-        &mut self,
-        server: &str,
-        sent_at: Instant,
-        failure: AttemptFailure,
-        reason: &str,
-    ) -> NextStep {
+    pub(crate) fn note_failed(&mut self, server: &str, sent_at: Instant, end: &AttemptEnd) -> NextStep {
         let attempt = self.attempts.made() + 1;
-        let step = self.attempts.note_failure(failure, self.left());
+        let step = self.attempts.note_failure(end.failure, self.left());
         let after_ms = self.shared.clock.now().since(sent_at).as_millis() as u64;
         let goes_on = step == NextStep::TryAgain;
-        emit(&self.id, &Event::AttemptFailed { id: &self.id, server, attempt, reason, after_ms, goes_on });
+        let (reason, connection) = (end.reason, end.connection.word());
+        emit(&self.id, &Event::AttemptFailed { id: &self.id, server, attempt, reason, connection, after_ms, goes_on });
         step
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -50,6 +50,7 @@
 pub use peers::{exchange_shares, Peer, PeerDuties, Peers};
 pub use permits::Permits;
 pub use placements::{PlaceAsk, Placements};
+pub use pool::ConnectionUse;
 pub use shared::Shared;
 pub use stream_origins::StreamOrigins;
 pub use waiting::sleep_or_never;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -23,10 +23,34 @@
 /// Connections kept idle for each server.
 const IDLE_LIMIT: usize = 32;
 
+/// Whether a connection has carried requests before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// There was no connection.
+    #[default]
+    None,
+    /// The connection was opened for the attempt.
+    New,
+    /// The connection was kept from an earlier request.
+    Kept,
+}
+
+impl ConnectionUse {
+    /// A word for the log.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            ConnectionUse::None => "none",
+            ConnectionUse::New => "new",
+            ConnectionUse::Kept => "kept",
+        }
+    }
+}
+
 /// A connection to a server.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
+    pub(crate) used: ConnectionUse,
     driver: Driver,
 }
 
@@ -66,7 +90,7 @@
     pub(crate) async fn take(&self, server: &str, address: &str) -> Option<Connection> {
         let idle = self.take_idle(server);
         let mut connection = match idle {
-            Some(connection) => connection,
+            Some(connection) => Connection { used: ConnectionUse::Kept, ..connection },
             None => tokio::time::timeout(CONNECT_TIME, connect(address)).await.ok()??,
         };
         connection.driver.carries_request = true;
@@ -129,5 +153,5 @@
         let _ = connection.await;
     });
     let driver = Driver { task: task.abort_handle(), reset, carries_request: false };
-    Some(Connection { sender, driver })
+    Some(Connection { sender, used: ConnectionUse::New, driver })
 }
--- a/crates/proxy/src/second_attempt.rs
+++ b/crates/proxy/src/second_attempt.rs
@@ -134,14 +134,14 @@
     }
 
     fn note_one_failed(&mut self, failed: &Failed) {
-        self.note_failed(&failed.server, failed.sent_at, failed.end.failure, failed.end.reason);
+        self.note_failed(&failed.server, failed.sent_at, &failed.end);
     }
 
     /// What follows where all attempts failed: as if they had been made in turn.
     fn all_failed(&mut self, failed: &[Failed]) -> Option<Response<Body>> {
         let (last, others) = failed.split_last()?;
         others.iter().for_each(|failed| self.note_one_failed(failed));
-        self.failed(&last.server, last.sent_at, last.end.failure, last.end.reason)
+        self.failed(&last.server, last.sent_at, &last.end)
     }
 
     async fn first_and_second(&self, sent: &Sent) -> Outcome<D> {
--- a/crates/proxy/src/started.rs
+++ b/crates/proxy/src/started.rs
@@ -34,26 +34,31 @@
     /// [`AttemptEnd`] if the answer broke off or nothing came in `limit`.
     pub(crate) async fn with_first_frame(mut self, outgoing: &Outgoing, limit: Duration) -> Result<Self, AttemptEnd> {
         let Ok(frame) = tokio::time::timeout(limit, self.response.body_mut().frame()).await else {
+            let end = self.exchange.attempt_end(AttemptFailure::MayHaveRun, "no_event");
             self.exchange.fail(Ending::Unresponsive);
-            return Err(AttemptEnd { failure: AttemptFailure::MayHaveRun, reason: "no_event" });
+            return Err(end);
         };
         if let Some(Err(_)) = frame {
-            self.exchange.note_connection_lost(outgoing);
-            self.exchange.fail(Ending::Broken);
-            return Err(AttemptEnd { failure: AttemptFailure::Lost, reason: "stream_broke" });
+            return Err(self.broken_off(outgoing, "stream_broke"));
         }
         if frame.is_some() {
             self.exchange.note_piece();
         } else if let Some(interruption) =
             self.exchange.stream_progress(true).and_then(|progress| progress.interruption())
         {
-            self.exchange.note_connection_lost(outgoing);
-            self.exchange.fail(Ending::Broken);
-            return Err(AttemptEnd { failure: AttemptFailure::Lost, reason: interruption.as_str() });
+            return Err(self.broken_off(outgoing, interruption.as_str()));
         }
         self.first_frame = Some(frame);
         Ok(self)
     }
+
+    /// The server broke the answer off.
+    fn broken_off(self, outgoing: &Outgoing, reason: &'static str) -> AttemptEnd {
+        let end = self.exchange.attempt_end(AttemptFailure::Lost, reason);
+        self.exchange.note_connection_lost(outgoing);
+        self.exchange.fail(Ending::Broken);
+        end
+    }
 }
 
 /// The pieces of an answer, the first of which may have been read.
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -7,8 +7,9 @@
 //! the first server.
 
 use crate::dialect::Dialect;
-use crate::exchange::Exchange;
+use crate::exchange::{AttemptEnd, Exchange};
 use crate::forward::Context;
+use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
 use crate::started::Pieces;
 use bytes::Bytes;
@@ -187,15 +188,17 @@
     async fn continue_elsewhere(&mut self, reason: &'static str, ending: Ending) -> bool {
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
         let lost = ending == Ending::Broken && reason != EVENT_TOO_LONG;
+        let failure = if lost { AttemptFailure::Lost } else { AttemptFailure::MayHaveRun };
+        let mut end = AttemptEnd { failure, reason, connection: ConnectionUse::None };
         if let Some(exchange) = self.exchange.take() {
             if lost {
                 exchange.note_connection_lost(&self.context.outgoing);
             }
+            end = exchange.attempt_end(failure, reason);
             exchange.fail(ending);
         }
         self.framer.reset();
-        let failure = if lost { AttemptFailure::Lost } else { AttemptFailure::MayHaveRun };
-        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, failure, reason).await {
+        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, &end).await {
             return true;
         }
         self.ended = true;
@@ -206,9 +209,9 @@
         false
     }
 
-    async fn ask_another(&mut self, server: &str, failure: AttemptFailure, reason: &'static str) -> bool {
+    async fn ask_another(&mut self, server: &str, end: &AttemptEnd) -> bool {
         let now = self.context.shared.clock.now();
-        if self.context.failed(server, now, failure, reason).is_some() {
+        if self.context.failed(server, now, end).is_some() {
             return false;
         }
         loop {
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -61,8 +61,9 @@
                     failure = AttemptFailure::Lost;
                 }
                 let server = exchange.server().clone();
+                let end = exchange.attempt_end(failure, "answer_broke");
                 exchange.fail(Ending::Broken);
-                Err(self.failed(&server, sent_at, failure, "answer_broke"))
+                Err(self.failed(&server, sent_at, &end))
             }
         }
     }
