--- a/crates/proxy/tests/server_connections.rs
+++ b/crates/proxy/tests/server_connections.rs
@@ -187,3 +187,20 @@
     until(|| server.received().len() > 1 && server.ended() == server.received().len()).await;
     assert!(server.received()[1..].iter().all(Vec::is_empty));
 }
+
+/// A refusal that a server sends twice must not stand for the retry that it then runs.
+#[tokio::test]
+async fn a_repeated_refusal_is_not_the_answer_to_a_retry() {
+    let refusal = whole(503, "t-not-run: 1\r\n", "");
+    let acts = vec![
+        RawAct::WriteAndRepeat(refusal.clone()),
+        RawAct::Write(whole(200, "", "ok")),
+        RawAct::Write(refusal.clone()),
+        RawAct::Write(refusal),
+    ];
+    let server = RawServer::start("server", acts).await;
+    let node = RawNode::start(ONCE, 1, &[&server]).await;
+    let answer = node.write_and_read(&with_length("1", b"one")).await;
+    assert_eq!(statuses(&answer), [200], "the second attempt ran");
+    assert_eq!(identities(&server.requests()), ["1", "1"], "refused once and run once");
+}
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -97,6 +97,11 @@
         self.end.send_replace(true);
     }
 
+    /// Long requests that it works on.
+    pub fn running(&self) -> usize {
+        self.long.load(Ordering::SeqCst)
+    }
+
     /// Lets the long requests that it works on complete.
     pub fn release(&self) {
         self.release.send_replace(true);
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -63,6 +63,9 @@
     /// As `WriteAndClose` once it is told to, and accepts no connection any more, as a process
     /// that crashes.
     WriteAndCrash(String, Arc<Notify>),
+    /// As `Write`, and the same bytes once more in place of the next answer on the connection,
+    /// before whatever is done with the next request.
+    WriteAndRepeat(String),
     /// Closes once the head is there.
     CloseEarly,
 }
@@ -169,6 +172,7 @@
 
     async fn serve(self, mut stream: TcpStream, number: usize) {
         let mut served = 0;
+        let mut surplus: Option<Vec<u8>> = None;
         loop {
             let (head, start) = loop {
                 match head_of(&self.bytes_after(number, served)) {
@@ -190,6 +194,7 @@
                     go_on.notified().await;
                 }
                 RawAct::Write(_)
+                | RawAct::WriteAndRepeat(_)
                 | RawAct::WriteLater(..)
                 | RawAct::WriteAndClose(_)
                 | RawAct::WriteAndCloseLater(..)
@@ -202,8 +207,17 @@
                 }
             }
             served = end;
+            if let Some(surplus) = surplus.take() {
+                let _ = stream.write_all(&surplus).await;
+            }
             let kept = match &act {
                 RawAct::Write(bytes) => stream.write_all(&fill(bytes)).await.is_ok(),
+                RawAct::WriteAndRepeat(bytes) => {
+                    let bytes = fill(bytes);
+                    let written = stream.write_all(&bytes).await.is_ok();
+                    surplus = Some(bytes);
+                    written
+                }
                 RawAct::WriteAndClose(bytes) => {
                     let _ = stream.write_all(&fill(bytes)).await;
                     false
