Start items under which servers crashed again

What callers saw: items of accepted jobs that were neither completed nor given up, while servers had room. In a series of crashes that no request causes, a worker reported its items with each crash; after the third, the content of an item, or a prompt part that all items of a job share, counted as the cause and was quarantined at all nodes for ten minutes. Its items waited in steps of 5 s. A success would have lifted the quarantine, and there could be none, as nothing with the part ran.

Class: a state that keeps accepted work from starting and that only the work itself could end.

Items now are no evidence against a content or a part; their successes still are evidence for it, and a crash that a worker sees is still reported, so that servers which are lost together are recognized. An item is owed whatever crashed under it: one whose last three runs lost their servers before any event of theirs starts on trial, and so does one with a quarantined part. A worker has one trial at a time. It ends with the first event; after one that loses its server, the next waits for 5 s. So an item that does crash servers crashes at most one in 5 s at each worker, and holds no other item up. Requests are quarantined as before.

--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -7,6 +7,7 @@
 //! the next run continues after the last complete event, at the software that wrote the kept
 //! events; at any other one the item starts over.
 
+use crate::item_trials::LOST_RUNS_BEFORE_TRIAL;
 use crate::retry::exponential_backoff;
 use crate::software::SoftwareKey;
 use crate::time::Instant;
@@ -29,8 +30,10 @@
     Failed,
     /// The server rejected the item as impossible to process.
     Impossible,
-    /// The connection broke, or the run did not start.
+    /// The server did not finish the run, or the run did not start.
     Interrupted,
+    /// The connection to the server was lost during the run.
+    ServerLost,
     /// The run was preempted by an online request.
     Preempted,
 }
@@ -76,6 +79,8 @@
     /// Servers where a run failed.
     failed_at: Vec<Arc<str>>,
     interruptions: u32,
+    /// Runs in a row that lost their servers before any event.
+    lost_runs: u32,
     first_run: Option<RunStart>,
     events: u64,
     last_event: Option<u64>,
@@ -91,6 +96,7 @@
             failures: 0,
             failed_at: Vec::new(),
             interruptions: 0,
+            lost_runs: 0,
             first_run: None,
             events: 0,
             last_event: None,
@@ -121,6 +127,11 @@
         }
     }
 
+    /// Whether the item may be the cause of crashes, so that its next run is a trial.
+    pub fn needs_trial(&self) -> bool {
+        self.lost_runs >= LOST_RUNS_BEFORE_TRIAL
+    }
+
     /// Servers where a run failed, to be avoided by the next run.
     pub fn failed_at(&self) -> &[Arc<str>] {
         &self.failed_at
@@ -216,6 +227,7 @@
         }
         self.text.extend_from_slice(data);
         self.events += 1;
+        self.lost_runs = 0;
         self.last_event = id.or(self.last_event);
         true
     }
@@ -233,7 +245,8 @@
                 self.wait_or_give_up(now, self.has_failed_for_good(rules), rules, self.backoff());
             }
             RunEnd::Preempted => self.wait_or_give_up(now, false, rules, Duration::ZERO),
-            RunEnd::Interrupted => {
+            RunEnd::Interrupted | RunEnd::ServerLost => {
+                self.lost_runs += u32::from(end == RunEnd::ServerLost);
                 self.interruptions += 1;
                 self.wait_or_give_up(now, false, rules, self.backoff());
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod holding;
 pub mod identity;
 pub mod item_progress;
+pub mod item_trials;
 pub mod item_urgency;
 pub mod jobs;
 pub mod key_acceptance;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -693,7 +693,9 @@
         /// Time between the choice of the server and the send.
         chosen_ms: u64,
         /// Age of the last confirmed state of the job; the job may have been ended since.
-        known_ms: u64
+        known_ms: u64,
+        /// Whether the run is a trial: earlier runs lost their servers.
+        trial: bool
     };
     /// An item starts over: the version that wrote its kept events is away or was too long full.
     ItemStartsOver = 8227, Essential {
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -9,6 +9,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Response, Uri};
 use latchwheel_core::answer_end::StreamProgress;
+use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
@@ -75,7 +76,7 @@
 /// Runs an item once, going on after the last event that is kept. Gives back
 /// how the run ended and what was seen.
 pub(crate) async fn run_item<S: RecordStore, D: Dialect>(
-    start: &ItemStart<S, D>,
+    start: &mut ItemStart<S, D>,
     mut exchange: Exchange<D>,
     outgoing: &Outgoing,
     left: Duration,
@@ -91,10 +92,11 @@
     let last_event = progress.last_event();
     let (exchange, response) = match exchange.send(outgoing, left, SILENCE, last_event).await {
         Ok(started) => started,
+        Err(end) if end.failure == AttemptFailure::Lost => return (RunEnd::ServerLost, end.reason),
         Err(end) => return (RunEnd::Interrupted, end.reason),
     };
     match response.status().as_u16() {
-        200..=299 => collect(exchange, outgoing, response, progress).await,
+        200..=299 => collect(start, exchange, outgoing, response, progress).await,
         UNPROCESSABLE => (RunEnd::Impossible, "impossible"),
         500 => {
             end_answer(exchange, response).await;
@@ -111,7 +113,8 @@
     }
 }
 
-async fn collect<D: Dialect>(
+async fn collect<S: RecordStore, D: Dialect>(
+    start: &mut ItemStart<S, D>,
     mut exchange: Exchange<D>,
     outgoing: &Outgoing,
     response: Response<Incoming>,
@@ -130,13 +133,16 @@
             Some(Err(_)) => {
                 exchange.note_connection_lost(outgoing);
                 exchange.fail(Ending::Broken);
-                return (RunEnd::Interrupted, "stream_broke");
+                return (RunEnd::ServerLost, "stream_broke");
             }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         exchange.note_piece();
         progress.push(&data);
         let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, "event_too_long") };
+        if !events.is_empty() {
+            start.note_event();
+        }
         for event in events {
             item.push_event(event.id, &event_data(&event.bytes));
         }
@@ -155,7 +161,7 @@
     if let Some(reason) = exchange.cut_reason(Some(progress)).await {
         exchange.note_connection_lost(outgoing);
         exchange.fail(Ending::Broken);
-        return (RunEnd::Interrupted, reason);
+        return (RunEnd::ServerLost, reason);
     }
     exchange.note_served(outgoing);
     exchange.finish();
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -1,6 +1,7 @@
 //! Starting the items of a job, in the order and by the room that there is.
 
 use crate::item_run::{outgoing_of, run_item};
+use crate::item_trial::ItemTrial;
 use crate::job_run::JobRun;
 use crate::run_registry::{RunNumber, StartedRun};
 use crate::stalled_items::StartBlocker;
@@ -25,10 +26,6 @@
 /// Time that a server is given for an item at most.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 
-/// An item whose content is quarantined is looked at again after this time: its
-/// quarantine may be lifted.
-const QUARANTINE_LOOK: Duration = Duration::from_secs(5);
-
 /// Time for which an item waits at least for a slot at the version that wrote its events.
 const LEAST_WAIT_FOR_VERSION: Duration = Duration::from_millis(500);
 
@@ -194,17 +191,14 @@
         let Some(outgoing) = outgoing_of(shared, &self.record.host, self.record.tenant.as_deref(), item) else {
             return Ok(());
         };
-        if let Some(left) = shared.quarantined_for(&outgoing) {
-            let now = shared.clock.now();
-            self.progress[position].wait_until(now + left.min(QUARANTINE_LOOK));
-            self.idle.blocker = StartBlocker::Quarantined;
-            return Ok(());
-        }
-        if let Some(left) = shared.hold_remaining(&outgoing) {
-            self.progress[position].wait_until(shared.clock.now() + left);
-            self.idle.blocker = StartBlocker::Quarantined;
-            return Ok(());
-        }
+        let trial = match self.begin_trial(position, &outgoing) {
+            Ok(trial) => trial,
+            Err(pause) => {
+                self.progress[position].wait_until(shared.clock.now() + pause);
+                self.idle.blocker = StartBlocker::AwaitsTrial;
+                return Ok(());
+            }
+        };
         let software = self.software_to_continue_at(position, route);
         let of_software = software.and_then(|software| shared.dispatcher().service_of(software));
         let Some(service) = of_software.or_else(|| shared.next_service(route)) else {
@@ -228,11 +222,6 @@
         };
         let shared = &self.context.shared;
         let now = shared.clock.now();
-        if let Some(left) = shared.begin_run(&outgoing) {
-            self.progress[position].wait_until(now + left);
-            self.idle.blocker = StartBlocker::Quarantined;
-            return Ok(());
-        }
         let exchange = Exchange::reserve(shared, placement, &outgoing);
         let left = rules.expires.since(now).min(ITEM_TIME);
         let started = StartedRun {
@@ -264,12 +253,24 @@
             item: item.id.clone(),
             permission: self.permission.clone(),
             chosen_at: now,
+            trial,
         };
         self.runs.push(run_owned(position, start, exchange, outgoing, left, progress, give_way).boxed());
         Ok(())
     }
 }
 
+impl<S, D: Dialect> JobRun<S, D> {
+    /// Begins the trial that an item needs, if any.
+    ///
+    /// # Errors
+    /// The time until another attempt, if no trial may begin now.
+    fn begin_trial(&self, position: usize, outgoing: &Outgoing) -> Result<Option<ItemTrial<S, D>>, Duration> {
+        let needs_trial = self.progress[position].needs_trial() || self.context.shared.is_quarantined(outgoing);
+        needs_trial.then(|| ItemTrial::begin(&self.context)).transpose()
+    }
+}
+
 /// A place for an item: one that a keeper of servers has free, or where no keeper can
 /// tell one that looks free from here, within this worker's share of the room.
 async fn place<S: RecordStore, D: Dialect>(context: &WorkerContext<S, D>, ask: &PlaceAsk<'_>) -> Option<Placement> {
@@ -314,6 +315,7 @@
     permission: Arc<StartPermission>,
     /// When its server was chosen.
     chosen_at: Instant,
+    trial: Option<ItemTrial<S, D>>,
 }
 
 impl<S: RecordStore, D: Dialect> ItemStart<S, D> {
@@ -322,6 +324,11 @@
         self.permission.allows(self.context.shared.clock.now())
     }
 
+    /// The run has an event: its trial is over.
+    pub(crate) fn note_event(&mut self) {
+        self.trial = None;
+    }
+
     /// It is sent now: events of other software than its server's are dropped.
     pub(crate) fn begin_run(&self, exchange: &Exchange<D>, progress: &mut ItemProgress) {
         let events = progress.begin_run(exchange.software());
@@ -340,6 +347,7 @@
             events_kept: progress.events(),
             chosen_ms: now.since(self.chosen_at).as_millis() as u64,
             known_ms: self.permission.known_ms(now),
+            trial: self.trial.is_some(),
         };
         emit(&self.job, &event);
     }
@@ -347,7 +355,7 @@
 
 async fn run_owned<S: RecordStore, D: Dialect>(
     position: usize,
-    start: ItemStart<S, D>,
+    mut start: ItemStart<S, D>,
     exchange: Exchange<D>,
     outgoing: Outgoing,
     left: Duration,
@@ -356,8 +364,11 @@
 ) -> (usize, ItemProgress, RunEnd, &'static str, Arc<str>) {
     let server = exchange.server().clone();
     let (end, reason) = tokio::select! {
-        ended = run_item(&start, exchange, &outgoing, left, &mut progress) => ended,
+        ended = run_item(&mut start, exchange, &outgoing, left, &mut progress) => ended,
         () = give_way.notified() => (RunEnd::Preempted, "gave_way"),
     };
+    if let Some(trial) = start.trial.take().filter(|_| end == RunEnd::ServerLost) {
+        trial.end_lost();
+    }
     (position, progress, end, reason, server)
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -34,6 +34,7 @@
 mod item_failures;
 mod item_run;
 mod item_starts;
+mod item_trial;
 mod job_confirmation;
 mod job_entry;
 mod job_listing;
--- a/crates/jobs/src/stalled_items.rs
+++ b/crates/jobs/src/stalled_items.rs
@@ -28,8 +28,8 @@
     NoServer,
     /// No server has a slot for batch work.
     NoSlot,
-    /// Its content or a part of its prompt is quarantined or held.
-    Quarantined,
+    /// Its runs lost their servers, or a part of its prompt is quarantined: it waits for its trial.
+    AwaitsTrial,
     /// The pause after its last run is not over.
     Backoff,
 }
@@ -44,7 +44,7 @@
             StartBlocker::NotConfirmed => "not_confirmed",
             StartBlocker::NoServer => "no_server",
             StartBlocker::NoSlot => "no_slot",
-            StartBlocker::Quarantined => "quarantined",
+            StartBlocker::AwaitsTrial => "awaits_trial",
             StartBlocker::Backoff => "backoff",
         }
     }
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -6,6 +6,7 @@
 use crate::start_order::{StartOrder, StartRank};
 use crate::unfinished::UnfinishedTokens;
 use latchwheel_core::dispatch::{RouteKey, StartBudget};
+use latchwheel_core::item_trials::ItemTrials;
 use latchwheel_core::routes::Route;
 use latchwheel_core::run_times::RunTimes;
 use latchwheel_core::time::Instant;
@@ -35,6 +36,7 @@
     /// How long items take, by route.
     times: Mutex<HashMap<Arc<str>, RunTimes>>,
     stalled: Mutex<StallReport>,
+    trials: Mutex<ItemTrials>,
 }
 
 impl<S, D> WorkerContext<S, D> {
@@ -60,6 +62,7 @@
             runs: RunRegistry::default(),
             times: Mutex::default(),
             stalled: Mutex::default(),
+            trials: Mutex::default(),
         }
     }
 
@@ -172,6 +175,11 @@
         self.stalled().log_if_due(self.shared.clock.now());
     }
 
+    /// Trials of items whose runs lost their servers.
+    pub(crate) fn trials(&self) -> MutexGuard<'_, ItemTrials> {
+        self.trials.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn stalled(&self) -> MutexGuard<'_, StallReport> {
         self.stalled.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/jobs/tests/crashed_items.rs
+++ b/crates/jobs/tests/crashed_items.rs
@@ -4,6 +4,7 @@
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::fingerprint::RequestKey;
 use latchwheel_core::identity::stable_hash;
+use latchwheel_core::item_trials::{LOST_RUNS_BEFORE_TRIAL, TRIAL_PAUSE};
 use latchwheel_core::quarantine::QuarantineEntry;
 use latchwheel_core::routes::RequestKind;
 use latchwheel_jobs::{ItemBody, JobBody, WorkerRules};
@@ -12,7 +13,7 @@
 use one_worker::{desk, start_worker, until, Worker, PATIENCE, SUBMISSION};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::fleet::{long_body, MortalServer};
+use support::fleet::{long_body, MortalServer, POISON, POISON_PART};
 use support::{node, route, TestDialect, TestServer};
 
 mod one_worker;
@@ -25,6 +26,8 @@
 const BETWEEN_CRASHES: Duration = Duration::from_millis(600);
 const SERVERS: usize = 12;
 const ITEMS: usize = 24;
+/// More servers than runs of crashing items in one test, so that they are never used up.
+const MANY_SERVERS: usize = 60;
 const SHARED_PART: &str = "shared";
 const JOB: &str = "job-1";
 
@@ -71,6 +74,10 @@
         assert_eq!(self.shared.crashes.quarantined(), [], "a sound item counts as the cause of crashes");
     }
 
+    fn crashed(&self) -> usize {
+        self.servers.iter().filter(|server| server.has_ended()).count()
+    }
+
     fn release(&self) {
         self.servers.iter().for_each(MortalServer::release);
     }
@@ -132,3 +139,36 @@
     site.hand_in(vec![item("item", "sound", &format!("{SHARED_PART},own"))]).await;
     site.assert_completes(1).await;
 }
+
+/// Runs a job of sound items and some that crash each server; the sound ones complete, and after
+/// the first runs of the others servers crash no faster than one in each pause after a trial.
+async fn assert_crashing_items_run_on_trial(items: Vec<ItemBody>, sound: usize) {
+    let crashing = items.len() - sound;
+    let site = Site::start(MANY_SERVERS).await;
+    site.hand_in(items).await;
+    let before_trials = crashing * LOST_RUNS_BEFORE_TRIAL as usize;
+    until("a crashing item is not owed any more", async || site.crashed() > before_trials).await;
+    let (first_trial, crashed) = (Instant::now(), site.crashed());
+    until("the sound items are not completed", async || site.completed().await == sound).await;
+    until("no trial follows", async || site.crashed() > crashed + 1).await;
+    let pauses = first_trial.elapsed().as_secs_f64() / TRIAL_PAUSE.as_secs_f64();
+    assert!(site.crashed() <= crashed + 1 + pauses as usize, "{} servers in {pauses} pauses", site.crashed() - crashed);
+    let page = desk(&site.store).read(JOB, None, 0, 1 << 20, Duration::from_millis(100)).await.unwrap();
+    assert!(page.results.iter().all(|result| result.completed), "given up without a reason");
+    site.assert_nothing_is_quarantined();
+}
+
+#[tokio::test]
+async fn an_item_that_crashes_its_servers_runs_on_trial_and_others_complete() {
+    let mut items: Vec<ItemBody> = (0..6).map(|number| item(&format!("item-{number}"), "harmless", "")).collect();
+    items.insert(2, item("crashes-servers", POISON, ""));
+    assert_crashing_items_run_on_trial(items, 6).await;
+}
+
+#[tokio::test]
+async fn items_with_a_part_that_crashes_servers_run_on_trial_and_others_complete() {
+    let with_part = |id: String, part: &str| item(&id, &id, &format!("first,{part},own-{id}"));
+    let sound = (0..6).map(|number| with_part(format!("sound-{number}"), "second"));
+    let crashing = (0..3).map(|number| with_part(format!("crashing-{number}"), POISON_PART));
+    assert_crashing_items_run_on_trial(sound.chain(crashing).collect(), 6).await;
+}
--- a/crates/proxy/src/crashes/mod.rs
+++ b/crates/proxy/src/crashes/mod.rs
@@ -28,7 +28,7 @@
 
 impl<D: Dialect> Shared<D> {
     /// Time for which a request is not to be sent to any server; `None` if it may be.
-    pub fn quarantined_for(&self, outgoing: &Outgoing) -> Option<Duration> {
+    pub(crate) fn quarantined_for(&self, outgoing: &Outgoing) -> Option<Duration> {
         let content = outgoing.content(self.dialect.names());
         let (request, left) = self.crashes.quarantine_remaining(&content)?;
         let left_ms = left.as_millis() as u64;
@@ -38,6 +38,11 @@
         Some(left)
     }
 
+    /// Whether a request's content or a part of its prompt is quarantined.
+    pub fn is_quarantined(&self, outgoing: &Outgoing) -> bool {
+        self.crashes.quarantine_remaining(&outgoing.content(self.dialect.names())).is_some()
+    }
+
     /// Whether something is known of requests of its shape that end servers.
     pub(crate) fn is_suspected(&self, outgoing: &Outgoing) -> bool {
         self.crashes.concerns(&outgoing.content(self.dialect.names()))
@@ -45,7 +50,7 @@
 
     /// Time for which a request waits until the ends of servers under it are weighed;
     /// `None` if it may be sent.
-    pub fn hold_remaining(&self, outgoing: &Outgoing) -> Option<Duration> {
+    pub(crate) fn hold_remaining(&self, outgoing: &Outgoing) -> Option<Duration> {
         let content = outgoing.content(self.dialect.names());
         let (request, left) = self.crashes.hold_remaining(&content)?;
         log_wait(outgoing, request, left);
@@ -54,16 +59,17 @@
 
     /// A request is to be sent to a server now. `None` if it may be; copies of a suspected
     /// one wait for its fate then, at all nodes. Otherwise the time for which it waits.
-    pub fn begin_run(&self, outgoing: &Outgoing) -> Option<Duration> {
+    pub(crate) fn begin_run(&self, outgoing: &Outgoing) -> Option<Duration> {
         let content = outgoing.content(self.dialect.names());
         let (request, left) = self.crashes.begin_run(&content)?;
         log_wait(outgoing, request, left);
         Some(left)
     }
 
-    /// A connection was lost while its server worked on a request or an item.
+    /// A connection was lost while its server worked on a request or an item. An item never
+    /// counts as the cause of a crash.
     pub(crate) fn note_connection_lost(self: &Arc<Self>, outgoing: &Outgoing, work: &ServerWork<'_>) {
-        let Placement { server, address, .. } = work.placement;
+        let Placement { server, address, deferrable, .. } = work.placement;
         let content = outgoing.content(self.dialect.names());
         let request = RunningRequest::of(&content);
         let parts: Vec<String> = request.parts.iter().map(|part| part.fingerprint.to_string()).collect();
@@ -71,15 +77,16 @@
         let (id, fingerprint) = (outgoing.id.to_str().unwrap_or_default(), request.key.fingerprint.to_string());
         let parts = parts.join(" ");
         emit(id, &Event::ConnectionLost { id, server, request: &fingerprint, parts: &parts, after_ms });
+        let suspect = (!deferrable).then_some(request);
         if self.crashes.has_restarted(server) {
             // Whoever listens at its address now is not the process that was lost.
-            return self.note_server_ended(server, &[request]);
+            return self.note_server_ended(server, suspect.as_slice());
         }
         // A server that was told to leave, or whose registration is gone, ends as planned.
         if !self.dispatcher().is_ready(server) {
             return;
         }
-        if self.crashes.put_probed(server, request) {
+        if self.crashes.put_probed(server, suspect) {
             tokio::spawn(try_server(self.clone(), server.clone(), address.clone()));
         }
     }
--- a/crates/proxy/src/crashes/outbox.rs
+++ b/crates/proxy/src/crashes/outbox.rs
@@ -48,8 +48,12 @@
 }
 
 impl Outbox {
-    /// A server ended while it worked on these requests.
+    /// A server ended while it worked on these requests, or on items only.
     pub(super) fn put_crash(&mut self, now: Instant, server: ServerKey, requests: &[RunningRequest]) {
+        if requests.is_empty() {
+            let crashes = vec![crash_message(server, &[])];
+            self.put(now, Audience::Deciding, v1::QuarantineNews { crashes, ..v1::QuarantineNews::default() });
+        }
         for part in requests.chunks(REQUESTS_IN_NEWS) {
             let crashes = vec![crash_message(server, part)];
             self.put(now, Audience::Deciding, v1::QuarantineNews { crashes, ..v1::QuarantineNews::default() });
--- a/crates/proxy/src/crashes/watch.rs
+++ b/crates/proxy/src/crashes/watch.rs
@@ -205,19 +205,18 @@
         }
     }
 
-    /// Adds a request to those of a server; `true` if the server has to be tried.
-    pub(super) fn put_probed(&self, server: &Arc<str>, request: RunningRequest) -> bool {
+    /// Adds a request, if any, to those of a server; `true` if the server has to be tried.
+    pub(super) fn put_probed(&self, server: &Arc<str>, request: Option<RunningRequest>) -> bool {
         let mut state = self.lock();
         if let Some(requests) = state.probed.get_mut(server) {
-            if requests.len() < REQUEST_LIMIT && !requests.contains(&request) {
-                requests.push(request);
-            }
+            let has_room = requests.len() < REQUEST_LIMIT;
+            requests.extend(request.filter(|request| has_room && !requests.contains(request)));
             return false;
         }
         if state.probed.len() >= PROBE_LIMIT {
             return false;
         }
-        state.probed.insert(server.clone(), vec![request]);
+        state.probed.insert(server.clone(), request.into_iter().collect());
         true
     }
 
