Count crashes of several servers against a part only if it ran at them

Three bursts in 1.2 s, with no success of a request with the part between them, made three crashes, although the part had run at one server in five.

Whatever crashed the others at that moment may have crashed all of them. So crashes within 100 ms, of two servers or more, count against a part only if it was running at three quarters of the servers that no quarantined content accounts for. A part that crashes many servers at once still runs at all of them.

The new test failed before.

--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -14,6 +14,9 @@
 /// A part is not the cause if something more specific accounts for this share of its crashes:
 /// a single content, or a part that follows it in the same prompts.
 const NESTED_SHARE: f64 = 0.75;
+/// Crashes within [`GROUP_LOSS_WINDOW`] count against a part only if the part was running at this
+/// share of the servers: whatever crashed the others may have crashed all.
+const GROUP_SHARE: f64 = 0.75;
 /// Maximum number of parts that are retained of a crash.
 const PART_LIMIT: usize = 1024;
 
@@ -114,6 +117,18 @@
         windows
     }
 
+    /// Drops the crashes of each group whose other servers did not run the part; returns whether
+    /// there are others.
+    fn has_crashes_beside(&mut self, groups: &[HashSet<ServerKey>]) -> bool {
+        for group in groups {
+            let running = self.crashes.iter().filter(|(_, server)| group.contains(server)).count();
+            if (running as f64) < group.len() as f64 * GROUP_SHARE {
+                self.crashes.retain(|(_, server)| !group.contains(server));
+            }
+        }
+        !self.crashes.is_empty()
+    }
+
     fn includes(&self, server: ServerKey) -> bool {
         self.crashes.iter().any(|(_, crashed)| *crashed == server)
     }
@@ -137,14 +152,15 @@
     status: impl Fn(Fingerprint) -> QuarantineStatus,
 ) -> Vec<(RequestKey, Vec<ServerKey>)> {
     let mut suspects = suspects(crashes);
+    let groups = group_losses(crashes);
     let servers_of = |suspect: &PartSuspect| suspect.crashes.iter().map(|(_, server)| *server).collect();
-    let on_probation = suspects
-        .iter()
-        .find(|(part, _)| status(RequestKey::of_part(**part).fingerprint) == QuarantineStatus::OnProbation);
-    if let Some((part, suspect)) = on_probation {
-        return vec![(RequestKey::of_part(*part), servers_of(suspect))];
+    for (part, suspect) in &mut suspects {
+        let key = RequestKey::of_part(*part);
+        if status(key.fingerprint) == QuarantineStatus::OnProbation && suspect.has_crashes_beside(&groups) {
+            return vec![(key, servers_of(suspect))];
+        }
     }
-    suspects.retain(|_, suspect| suspect.is_strong());
+    suspects.retain(|_, suspect| suspect.is_strong() && suspect.has_crashes_beside(&groups) && suspect.is_strong());
     let accounted_for = parts_accounted_for(crashes, &suspects);
     let causes: Vec<(u64, usize)> = suspects
         .iter()
@@ -165,6 +181,28 @@
     chosen.into_iter().map(|part| (RequestKey::of_part(part), servers_of(&suspects[&part]))).collect()
 }
 
+/// Servers that crashed together, two or more, without a quarantined content that explains it.
+fn group_losses(crashes: &[PartCrash<'_>]) -> Vec<HashSet<ServerKey>> {
+    let unexplained = crashes.iter().filter(|crash| crash.content.is_none());
+    let mut unexplained: Vec<(Instant, ServerKey)> = unexplained.map(|crash| (crash.at, crash.server)).collect();
+    unexplained.sort_unstable();
+    let mut groups: Vec<HashSet<ServerKey>> = Vec::new();
+    let mut start = None;
+    for (at, server) in unexplained {
+        match groups.last_mut().filter(|_| start.is_some_and(|start| at.since(start) <= GROUP_LOSS_WINDOW)) {
+            Some(group) => {
+                group.insert(server);
+            }
+            None => {
+                start = Some(at);
+                groups.push(HashSet::from([server]));
+            }
+        }
+    }
+    groups.retain(|group| group.len() > 1);
+    groups
+}
+
 fn suspects(crashes: &[PartCrash<'_>]) -> HashMap<u64, PartSuspect> {
     let mut suspects: HashMap<u64, PartSuspect> = HashMap::new();
     for crash in crashes {
--- a/crates/core/tests/quarantined_parts.rs
+++ b/crates/core/tests/quarantined_parts.rs
@@ -117,6 +117,19 @@
     assert_eq!(crashes.quarantined(2000), []);
 }
 
+#[test]
+fn a_part_that_ran_at_few_servers_of_each_group_loss_is_not_the_cause() {
+    let mut crashes = Crashes::default();
+    for loss in 0..5 {
+        crashes.crash(loss * 400, &[(10 + loss, &[CAUSE])]);
+        for number in 1..5 {
+            crashes.crash(loss * 400 + number, &[(100 + 10 * loss + number, &[OTHER + 10 * loss + number])]);
+        }
+        assert_eq!(crashes.quarantined(loss * 400 + 399), [], "group {loss}");
+    }
+    assert_eq!(crashes.quarantined(3000), []);
+}
+
 #[test]
 fn a_part_that_crashes_many_servers_at_a_time_is_quarantined() {
     let mut crashes = Crashes::default();
