Never send a retry on a connection that its request was refused on

What callers saw: 503, which promises that a request has not run, although a server ran it.

A server may send an answer twice, the second one late, in place of the next answer on the connection. The node tells answers apart by the identity of their request, which is the client's and the same for all attempts. After a refusal it kept the connection, and a retry at the same server could use it: the repeated refusal then counted as the answer to the retry, which the server was running.

Class: an answer that fits two attempts. The pool now knows which requests were refused or have failed on a connection, and opens or takes another one for their retries. After 16 of them a connection is not kept.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -132,6 +132,8 @@
 pub struct Exchange<D: Dialect> {
     shared: Arc<Shared<D>>,
     placement: Placement,
+    /// Identity of the request.
+    id: HeaderValue,
     connection: Option<Connection>,
     connection_use: ConnectionUse,
     keep: Option<Duration>,
@@ -164,6 +166,7 @@
         Self {
             shared: shared.clone(),
             placement,
+            id: outgoing.id.clone(),
             connection: None,
             connection_use: ConnectionUse::None,
             keep: None,
@@ -185,7 +188,7 @@
     /// [`AttemptEnd`]: nothing was sent.
     pub async fn connect(&mut self) -> Result<(), AttemptEnd> {
         if self.connection.is_none() {
-            self.connection = self.shared.pool.take(&self.placement.server, &self.placement.address).await;
+            self.connection = self.shared.pool.take(&self.placement.server, &self.placement.address, &self.id).await;
         }
         let Some(connection) = &self.connection else {
             self.ending = Ending::Broken;
@@ -328,9 +331,17 @@
             let (now, pieces) = (self.shared.clock.now(), &self.pieces);
             self.shared.dispatcher().note_pieces(now, &self.placement, pieces.count, pieces.last.since(pieces.first));
         }
-        if let Some(connection) = self.connection.take() {
-            self.shared.pool.put(&self.placement.server, connection, self.keep);
+        self.keep_connection(self.failed);
+    }
+
+    /// Keeps the connection for other requests, and for retries of this one unless it was refused
+    /// or has failed.
+    fn keep_connection(&mut self, unserved: bool) {
+        let Some(mut connection) = self.connection.take() else { return };
+        if unserved {
+            connection.note_unserved(self.id.clone());
         }
+        self.shared.pool.put(&self.placement.server, connection, self.keep);
     }
 
     /// The answer broke off or is no answer.
@@ -400,8 +411,8 @@
         if headers.contains_key(&names.not_run) {
             self.ending = Ending::Rejected;
             let whole = read_bounded(response.into_body(), REJECTION_LIMIT, REJECTION_TIME).await.is_ok();
-            if let Some(connection) = self.connection.take().filter(|_| whole) {
-                self.shared.pool.put(&self.placement.server, connection, self.keep);
+            if whole {
+                self.keep_connection(true);
             }
             return Err(self.attempt_end(AttemptFailure::NotRun, "rejected"));
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -3,9 +3,13 @@
 //! A connection carries one request at a time. It is kept only after a whole
 //! answer, and dropped before the server would close it. One that is dropped
 //! while it carries a request is reset: nothing more of the request is sent.
+//!
+//! A server may send an answer twice, the second one in place of the next answer on the
+//! connection. Where the next request is a retry, both have the same identity. So a retry never
+//! uses a connection on which its request was refused or has failed.
 
 use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
 use latchwheel_http::{Body, ResetFlag, ResetStream};
 use std::collections::HashMap;
@@ -22,6 +26,8 @@
 const KEEP_MARGIN: Duration = Duration::from_millis(1200);
 /// Connections kept idle for each server.
 const IDLE_LIMIT: usize = 32;
+/// Requests that were refused or have failed on a connection, after which it is not kept.
+const UNSERVED_LIMIT: usize = 16;
 
 /// Whether a connection has carried requests before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,9 +57,18 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Body>,
     pub(crate) used: ConnectionUse,
+    /// Identities of the requests that were refused or have failed on it.
+    unserved: Vec<HeaderValue>,
     driver: Driver,
 }
 
+impl Connection {
+    /// Records that a request was refused or has failed, so that it may be sent again.
+    pub(crate) fn note_unserved(&mut self, request: HeaderValue) {
+        self.unserved.push(request);
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -85,10 +100,10 @@
 }
 
 impl Pool {
-    /// An idle connection to the server, or a new one to its address; `None`
-    /// if none comes up in time.
-    pub(crate) async fn take(&self, server: &str, address: &str) -> Option<Connection> {
-        let idle = self.take_idle(server);
+    /// An idle connection to the server for a request of this identity, or a new one to the
+    /// server's address; `None` if none comes up in time.
+    pub(crate) async fn take(&self, server: &str, address: &str, request: &HeaderValue) -> Option<Connection> {
+        let idle = self.take_idle(server, request);
         let mut connection = match idle {
             Some(connection) => Connection { used: ConnectionUse::Kept, ..connection },
             None => tokio::time::timeout(CONNECT_TIME, connect(address)).await.ok()??,
@@ -101,7 +116,10 @@
     /// headers allow.
     pub(crate) fn put(&self, server: &Arc<str>, mut connection: Connection, keep: Option<Duration>) {
         connection.driver.carries_request = false;
-        let Some(keep) = keep.filter(|_| !connection.sender.is_closed()) else { return };
+        if connection.sender.is_closed() || connection.unserved.len() >= UNSERVED_LIMIT {
+            return;
+        }
+        let Some(keep) = keep else { return };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.entry(server.clone()).or_default();
         if of_server.len() < IDLE_LIMIT {
@@ -115,12 +133,14 @@
         idle.retain(|server, _| is_ready(server));
     }
 
-    fn take_idle(&self, server: &str) -> Option<Connection> {
+    fn take_idle(&self, server: &str, request: &HeaderValue) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.get_mut(server)?;
         let now = Instant::now();
         of_server.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
-        let position = of_server.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        let is_usable =
+            |connection: &Connection| connection.sender.is_ready() && !connection.unserved.contains(request);
+        let position = of_server.iter().rposition(|idle| is_usable(&idle.connection))?;
         Some(of_server.remove(position).connection)
     }
 }
@@ -153,5 +173,5 @@
         let _ = connection.await;
     });
     let driver = Driver { task: task.abort_handle(), reset, carries_request: false };
-    Some(Connection { sender, used: ConnectionUse::New, driver })
+    Some(Connection { sender, used: ConnectionUse::New, unserved: Vec::new(), driver })
 }
