Take only a server's mark for the promise that a request has not run

A 408, 429 or 503 of a server without the mark that it did not run the request was passed on to the caller, who takes the status for a promise. Such an answer now counts as one of a server that may have run the request: one that may be repeated is sent to another server, any other is answered 502. The new test failed before for all three statuses.

A second new test, which passed before, covers the other way on a kept connection: a server that closes it after the head of a request may have run that request, and it is not sent again.

Also, a batch job that arrives just before its route is known is refused instead of forwarded: the check for calls on jobs and the search for a route looked at the table one after the other.

--- a/crates/proxy/src/accept.rs
+++ b/crates/proxy/src/accept.rs
@@ -65,6 +65,10 @@
     };
     let host = host_of(&head.headers, &head.uri);
     let Some(route) = table.find(&host, head.uri.path()) else { return Err(refuse(ResultCode::NoRow, None)) };
+    // Jobs are kept, not forwarded; this one came before its route was known.
+    if route.kind == RequestKind::Batch {
+        return Err(refuse(ResultCode::NotReady, Some(route)));
+    }
     let tenant = shared
         .caller(&table, bearer_key(&head.headers), route.public)
         .map_err(|code| refuse(code, Some(route.clone())))?;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -416,10 +416,19 @@
             }
             return Err(self.attempt_end(AttemptFailure::NotRun, "rejected"));
         }
+        if promises_not_run(status) {
+            self.ending = Ending::Failed;
+            return Err(self.attempt_end(AttemptFailure::MayHaveRun, "unmarked_refusal"));
+        }
         Ok((self, response))
     }
 }
 
+/// Whether callers take this status as a promise that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status, StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+}
+
 impl<D: Dialect> Drop for Exchange<D> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
--- a/crates/proxy/tests/server_connections.rs
+++ b/crates/proxy/tests/server_connections.rs
@@ -204,3 +204,28 @@
     assert_eq!(statuses(&answer), [200], "the second attempt ran");
     assert_eq!(identities(&server.requests()), ["1", "1"], "refused once and run once");
 }
+
+/// Only the server's mark says that a request was not run; a status alone does not.
+#[tokio::test]
+async fn a_refusal_without_the_mark_promises_nothing() {
+    for status in [408, 429, 503] {
+        let server = RawServer::start("server", vec![RawAct::Write(whole(status, "", ""))]).await;
+        let node = RawNode::start(ONCE, 3, &[&server]).await;
+        let answer = node.write_and_read(&with_length("1", b"one")).await;
+        assert_eq!(statuses(&answer), [502], "{status}");
+        assert_eq!(identities(&server.requests()), ["1"], "sent once");
+    }
+}
+
+/// A server that closes a kept connection after the head of a request may have run it.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_that_is_closed_is_not_sent_again() {
+    let acts = vec![RawAct::Write(whole(200, "", "ok")), RawAct::CloseEarly];
+    let server = RawServer::start("server", acts).await;
+    let node = RawNode::start(ONCE, 3, &[&server]).await;
+    assert_eq!(statuses(&node.write_and_read(&with_length("1", b"one")).await), [200]);
+    assert_eq!(statuses(&node.write_and_read(&with_length("2", b"two")).await), [502]);
+    let sent = server.received().concat();
+    let sent = String::from_utf8_lossy(&sent).into_owned();
+    assert_eq!(sent.matches("t-id: 2").count(), 1, "{sent}");
+}
