Bound what a server, or a caller that doesn't read, can make a node hold

Servers may write without end, in a head or in a body, until their peer closes. On routes for whole answers the node then passed bytes on for as long as they came, past the route's timeout; a caller that took none of them held both connections open for good; interim answers were read until the timeout (37 MB in 20 s); an item whose server repeated an event, or wrote more than an item may have, ran again at the same server with the same events kept.

Class: reads without a bound of their own, ended by nothing but their peer. Now - a server sends at most 512 KiB before the end of its answer's head, interim answers included; beyond that the caller gets 502 and the connection is closed, which is no evidence of a crash; - an answer that is passed on ends with its request's time, visibly incomplete, whether or not bytes keep coming; - a connection to the node whose peer takes no bytes for 10 s is reset, whatever is being sent; - a run of an item ends with its time and after 4 MiB; its events are dropped and its server is avoided; - answers of the store and of other processes are read up to 16 MiB instead of 64.

--- a/crates/core/src/item_progress.rs
+++ b/crates/core/src/item_progress.rs
@@ -32,6 +32,8 @@
     Impossible,
     /// The server did not finish the run, or the run did not start.
     Interrupted,
+    /// The server's output can't be that of the item.
+    Unusable,
     /// The connection to the server was lost during the run.
     ServerLost,
     /// The run was preempted by an online request.
@@ -155,15 +157,18 @@
     /// Prepares a run at a server with this software. Returns the number of kept events that
     /// are dropped because other software wrote them.
     pub fn begin_run(&mut self, software: SoftwareKey) -> u64 {
-        let dropped = if self.software() == Some(software) { 0 } else { std::mem::take(&mut self.events) };
-        if dropped > 0 {
-            self.text.clear();
-            self.last_event = None;
-        }
+        let dropped = if self.software() == Some(software) { 0 } else { self.drop_events() };
         self.software = Some(software);
         dropped
     }
 
+    /// Drops all kept events, so that the item starts over. Returns their number.
+    fn drop_events(&mut self) -> u64 {
+        self.text.clear();
+        self.last_event = None;
+        std::mem::take(&mut self.events)
+    }
+
     /// Data of all kept events, joined by line feeds.
     pub fn text(&self) -> &[u8] {
         &self.text
@@ -244,6 +249,14 @@
                 }
                 self.wait_or_give_up(now, self.has_failed_for_good(rules), rules, self.backoff());
             }
+            RunEnd::Unusable => {
+                self.drop_events();
+                self.interruptions += 1;
+                if !self.failed_at.contains(server) {
+                    self.failed_at.push(server.clone());
+                }
+                self.wait_or_give_up(now, false, rules, self.backoff());
+            }
             RunEnd::Preempted => self.wait_or_give_up(now, false, rules, Duration::ZERO),
             RunEnd::Interrupted | RunEnd::ServerLost => {
                 self.lost_runs += u32::from(end == RunEnd::ServerLost);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -16,7 +16,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest answer that a client reads whole.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod read_allowance;
 mod reset_stream;
 mod server;
 
@@ -12,5 +13,6 @@
     boxed, channel, empty, full, json, read_bounded, read_with_timeouts, Body, BodyFault, BodySender, BoxError,
 };
 pub use client::{AnswerTimeouts, CallFault, Client};
+pub use read_allowance::ReadAllowance;
 pub use reset_stream::{ResetFlag, ResetStream};
 pub use server::{serve, serve_with_idle_timeout, Version};
--- a/crates/http/src/reset_stream.rs
+++ b/crates/http/src/reset_stream.rs
@@ -1,15 +1,19 @@
-//! A TCP stream that can be reset when it is closed.
+//! A TCP stream that can be reset when it is closed, and with bounds on its peer.
 //!
 //! Closing a stream normally sends what the system still holds of it, and its end looks like
 //! the end of what was sent. A reset does neither.
 
-use std::io::{IoSlice, Result};
+use crate::read_allowance::ReadAllowance;
+use std::future::Future;
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Sleep};
 
 /// Whether a stream is reset when it is closed.
 #[derive(Clone, Debug, Default)]
@@ -31,17 +35,47 @@
 pub struct ResetStream {
     stream: TcpStream,
     reset: ResetFlag,
+    allowance: ReadAllowance,
+    write_timeout: Option<Duration>,
+    /// Ends when the peer has taken no bytes for the write timeout; `None` unless a write waits.
+    write_deadline: Option<Pin<Box<Sleep>>>,
 }
 
 impl ResetStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
-        Self { stream, reset }
+        Self { stream, reset, allowance: ReadAllowance::default(), write_timeout: None, write_deadline: None }
+    }
+
+    /// Has reads fail beyond this allowance.
+    pub fn with_allowance(mut self, allowance: ReadAllowance) -> Self {
+        self.allowance = allowance;
+        self
+    }
+
+    /// Has writes fail, and the stream reset, when the peer takes no bytes for this time.
+    pub fn with_write_timeout(mut self, timeout: Duration) -> Self {
+        self.write_timeout = Some(timeout);
+        self
     }
 
     fn inner(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         Pin::new(&mut self.get_mut().stream)
     }
+
+    /// The outcome of a write, which fails if it has waited for too long.
+    fn bounded<T>(&mut self, context: &mut Context<'_>, written: Poll<Result<T>>) -> Poll<Result<T>> {
+        let (Some(timeout), Poll::Pending) = (self.write_timeout, &written) else {
+            self.write_deadline = None;
+            return written;
+        };
+        let deadline = self.write_deadline.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        if deadline.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        self.reset.set();
+        Poll::Ready(Err(Error::new(ErrorKind::TimedOut, "the peer takes no bytes")))
+    }
 }
 
 impl Drop for ResetStream {
@@ -55,13 +89,20 @@
 
 impl AsyncRead for ResetStream {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
-        self.inner().poll_read(context, buffer)
+        let stream = self.get_mut();
+        let before = buffer.filled().len();
+        match Pin::new(&mut stream.stream).poll_read(context, buffer) {
+            Poll::Ready(Ok(())) => Poll::Ready(stream.allowance.take(buffer.filled().len() - before)),
+            other => other,
+        }
     }
 }
 
 impl AsyncWrite for ResetStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        self.inner().poll_write(context, bytes)
+        let stream = self.get_mut();
+        let written = Pin::new(&mut stream.stream).poll_write(context, bytes);
+        stream.bounded(context, written)
     }
 
     fn poll_write_vectored(
@@ -69,7 +110,9 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.inner().poll_write_vectored(context, parts)
+        let stream = self.get_mut();
+        let written = Pin::new(&mut stream.stream).poll_write_vectored(context, parts);
+        stream.bounded(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -16,6 +16,8 @@
 /// Time in which the head of a request must arrive, counted from the end of the previous
 /// answer: it also closes idle connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a connection is closed whose peer takes none of the bytes that wait for it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Concurrent streams allowed on one HTTP/2 connection.
 const MAX_STREAMS_PER_CONNECTION: u32 = 10_000;
 /// Delay after a failed accept, for example with too many open files.
@@ -88,7 +90,7 @@
 {
     let _ = stream.set_nodelay(true);
     let reset = ResetFlag::default();
-    let io = TokioIo::new(ResetStream::new(stream, reset.clone()));
+    let io = TokioIo::new(ResetStream::new(stream, reset.clone()).with_write_timeout(WRITE_TIMEOUT));
     let service = service_fn(move |request: Request<Incoming>| {
         let knows_chunks = request.version() > hyper::Version::HTTP_10;
         let (answer, reset) = (handler(request), reset.clone());
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -22,6 +22,10 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// Most bytes of an item's output.
 const TEXT_LIMIT: usize = 900 << 10;
+/// Most bytes that a server sends for one run; events have some bytes beside the output.
+const RUN_LIMIT: usize = 4 << 20;
+/// Time beyond what the server was given after which a run is broken off.
+const RUN_TIME_MARGIN: Duration = Duration::from_secs(1);
 const UNPROCESSABLE: u16 = 422;
 /// Bytes and time within which the answer to a failed run is read.
 const FAILURE_LIMIT: usize = 64 << 10;
@@ -96,7 +100,12 @@
         Err(end) => return (RunEnd::Interrupted, end.reason),
     };
     match response.status().as_u16() {
-        200..=299 => collect(start, exchange, outgoing, response, progress).await,
+        200..=299 => {
+            let collected = collect(start, exchange, outgoing, response, progress);
+            tokio::time::timeout(left + RUN_TIME_MARGIN, collected)
+                .await
+                .unwrap_or((RunEnd::Interrupted, "time_is_over"))
+        }
         UNPROCESSABLE => (RunEnd::Impossible, "impossible"),
         500 => {
             end_answer(exchange, response).await;
@@ -123,6 +132,7 @@
     let mut incoming = response.into_body();
     let mut framer = EventFramer::default();
     let mut progress = StreamProgress::new(exchange.framing());
+    let mut received = 0;
     loop {
         let Ok(frame) = tokio::time::timeout(SILENCE, incoming.frame()).await else {
             exchange.fail(Ending::Unresponsive);
@@ -139,15 +149,20 @@
         };
         exchange.note_piece();
         progress.push(&data);
-        let Ok(events) = framer.push(&data) else { return (RunEnd::Interrupted, "event_too_long") };
+        received += data.len();
+        let Ok(events) = framer.push(&data) else {
+            exchange.fail(Ending::Broken);
+            return (RunEnd::Unusable, "event_too_long");
+        };
         if !events.is_empty() {
             start.note_event();
         }
         for event in events {
             item.push_event(event.id, &event_data(&event.bytes));
         }
-        if item.text().len() > TEXT_LIMIT {
-            return (RunEnd::Interrupted, "output_too_long");
+        if item.text().len() > TEXT_LIMIT || received > RUN_LIMIT {
+            exchange.fail(Ending::Broken);
+            return (RunEnd::Unusable, "output_too_long");
         }
     }
 }
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -355,7 +355,7 @@
         self.progress[position] = progress;
         let progress = &mut self.progress[position];
         progress.end_run(now, server, end, &rules);
-        if matches!(end, RunEnd::Interrupted | RunEnd::ServerLost) {
+        if matches!(end, RunEnd::Interrupted | RunEnd::Unusable | RunEnd::ServerLost) {
             progress.delay(RETRY_SPREAD.mul_f64(rand::random()));
         }
         let item = &self.items[position].id;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -373,7 +373,8 @@
             self.ending = Ending::Withdrawn;
             return self.attempt_end(AttemptFailure::NotSent, "connection_was_closed");
         }
-        if fault.is_parse() && !fault.is_incomplete_message() {
+        let is_flooded = self.connection.as_ref().is_some_and(Connection::is_flooded);
+        if is_flooded || fault.is_parse() && !fault.is_incomplete_message() {
             return self.attempt_end(AttemptFailure::MayHaveRun, "no_http_answer");
         }
         self.note_connection_lost(outgoing);
@@ -385,6 +386,9 @@
         response: Response<Incoming>,
         outgoing: &Outgoing,
     ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
+        if let Some(connection) = &self.connection {
+            connection.note_head();
+        }
         let names = self.shared.dialect.names().clone();
         let headers = response.headers();
         if headers.get(&names.request_id) != Some(&outgoing.id) {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
-use latchwheel_http::{Body, ResetFlag, ResetStream};
+use latchwheel_http::{Body, ReadAllowance, ResetFlag, ResetStream};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -24,6 +24,9 @@
 const KEEP_TIME: Duration = Duration::from_secs(4);
 /// A connection is dropped this much earlier than the server would close it.
 const KEEP_MARGIN: Duration = Duration::from_millis(1200);
+/// Bytes that a server may send before the head of its answer is complete, interim answers
+/// included. A head alone may have a little less.
+const HEAD_BYTES: usize = 512 << 10;
 /// Connections kept idle for each server.
 const IDLE_LIMIT: usize = 32;
 /// Requests that were refused or have failed on a connection, after which it is not kept.
@@ -59,10 +62,21 @@
     pub(crate) used: ConnectionUse,
     /// Identities of the requests that were refused or have failed on it.
     unserved: Vec<HeaderValue>,
+    allowance: ReadAllowance,
     driver: Driver,
 }
 
 impl Connection {
+    /// The head of an answer is complete.
+    pub(crate) fn note_head(&self) {
+        self.allowance.lift();
+    }
+
+    /// Whether the server has sent more than the head of an answer may have.
+    pub(crate) fn is_flooded(&self) -> bool {
+        self.allowance.is_exceeded()
+    }
+
     /// Records that a request was refused or has failed, so that it may be sent again.
     pub(crate) fn note_unserved(&mut self, request: HeaderValue) {
         self.unserved.push(request);
@@ -109,6 +123,7 @@
             None => tokio::time::timeout(CONNECT_TIME, connect(address)).await.ok()??,
         };
         connection.driver.carries_request = true;
+        connection.allowance.limit(HEAD_BYTES);
         Some(connection)
     }
 
@@ -166,12 +181,13 @@
     let stream = TcpStream::connect(address).await.ok()?;
     let _ = stream.set_nodelay(true);
     let reset = ResetFlag::default();
-    let stream = ResetStream::new(stream, reset.clone());
+    let allowance = ReadAllowance::default();
+    let stream = ResetStream::new(stream, reset.clone()).with_allowance(allowance.clone());
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     // Its end shows in the requests that it carries.
     let task = tokio::spawn(async move {
         let _ = connection.await;
     });
     let driver = Driver { task: task.abort_handle(), reset, carries_request: false };
-    Some(Connection { sender, used: ConnectionUse::New, unserved: Vec::new(), driver })
+    Some(Connection { sender, used: ConnectionUse::New, unserved: Vec::new(), allowance, driver })
 }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -12,6 +12,7 @@
 use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
 use crate::started::Pieces;
+use crate::whole_answer::TIME_IS_OVER;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -110,10 +111,13 @@
     }
 
     async fn step(&mut self) -> Step {
+        if self.context.left().is_zero() {
+            return Step::Broken(TIME_IS_OVER, Ending::Unresponsive);
+        }
         let limit = if self.resumable { self.context.pause_limit(0) } else { self.context.left() };
         let is_noted = self.incoming.first.is_some();
         let Ok(frame) = tokio::time::timeout(limit, self.incoming.next()).await else {
-            let reason = if self.context.left().is_zero() { "time_is_over" } else { "no_event" };
+            let reason = if self.context.left().is_zero() { TIME_IS_OVER } else { "no_event" };
             return Step::Broken(reason, Ending::Unresponsive);
         };
         let data = match frame {
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -10,11 +10,15 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
+use latchwheel_clock::Clock;
 use latchwheel_core::answer_end::StreamProgress;
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
+use latchwheel_core::time::Instant;
 use latchwheel_http::{full, Body, BoxError};
 
+/// Why an answer is broken off whose request has no time left.
+pub(crate) const TIME_IS_OVER: &str = "time_is_over";
 /// Answers up to this length are read whole before their head is passed on,
 /// so that a broken one can be asked for again.
 const WHOLE_ANSWER_LIMIT: usize = 1 << 20;
@@ -51,7 +55,8 @@
                 if progress.is_some() {
                     head.headers.remove(CONTENT_LENGTH);
                 }
-                let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange, progress };
+                let clock = self.shared.clock.clone();
+                let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange, progress, clock, until: self.until };
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
@@ -96,6 +101,9 @@
     outgoing: Outgoing,
     exchange: Exchange<D>,
     progress: Option<StreamProgress>,
+    clock: Clock,
+    /// End of the time that the request has.
+    until: Instant,
 }
 
 impl<D: Dialect> LongAnswer<D> {
@@ -113,7 +121,14 @@
 
     /// The next frame; `None` at the end of a complete answer.
     async fn next(&mut self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, BoxError>> {
-        match rest.frame().await {
+        let left = self.until.since(self.clock.now());
+        if left.is_zero() {
+            return Some(Err(TIME_IS_OVER.into()));
+        }
+        let Ok(frame) = tokio::time::timeout(left, rest.frame()).await else {
+            return Some(Err(TIME_IS_OVER.into()));
+        };
+        match frame {
             Some(Ok(frame)) => {
                 if let (Some(progress), Some(data)) = (&mut self.progress, frame.data_ref()) {
                     progress.push(data);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 
+pub mod endless;
 pub mod fleet;
 
 pub const SERVICE: &str = "service";
