--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -55,7 +55,7 @@
                 if progress.is_some() {
                     head.headers.remove(CONTENT_LENGTH);
                 }
-                let clock = self.shared.clock.clone();
+                let clock = self.shared.clock;
                 let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange, progress, clock, until: self.until };
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
