--- a/crates/jobs/src/stalled_items.rs
+++ b/crates/jobs/src/stalled_items.rs
@@ -95,7 +95,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct StalledSum {
     jobs: usize,
     items: usize,
@@ -114,14 +114,7 @@
 impl StallReport {
     /// Adds the stalled items of a job; `item` is the one that waits longest.
     pub(crate) fn add(&mut self, blocker: StartBlocker, job: &str, item: &str, stall: &JobStall) {
-        let nothing = || StalledSum {
-            jobs: 0,
-            items: 0,
-            longest_job: String::new(),
-            longest_item: String::new(),
-            idle: Duration::ZERO,
-        };
-        let sum = self.sums.entry(blocker).or_insert_with(nothing);
+        let sum = self.sums.entry(blocker).or_default();
         sum.jobs += 1;
         sum.items += stall.items;
         if stall.idle > sum.idle {
--- a/crates/proxy/tests/support/endless.rs
+++ b/crates/proxy/tests/support/endless.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use super::SERVICE;
 use latchwheel_core::directory::ServerRecord;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -119,18 +118,7 @@
     }
 
     pub fn record(&self) -> ServerRecord {
-        ServerRecord {
-            id: self.name.as_str().into(),
-            name: self.name.as_str().into(),
-            started_ms: 0,
-            service: SERVICE.into(),
-            address: self.address.as_str().into(),
-            zone: "zone".into(),
-            version: "1".into(),
-            slots: 8,
-            draining: false,
-            sequence: 1,
-        }
+        super::server_record(&self.name, &self.address)
     }
 }
 
--- a/crates/proxy/tests/support/fleet.rs
+++ b/crates/proxy/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! Several nodes that hear each other, and servers that one request ends.
 
-use super::{node, route, serve_node, TestDialect, TestServer, HOST, SERVICE};
+use super::{node, route, serve_node, TestDialect, TestServer, HOST};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -113,18 +113,7 @@
     }
 
     pub fn record(&self) -> ServerRecord {
-        ServerRecord {
-            id: self.name.as_str().into(),
-            name: self.name.as_str().into(),
-            started_ms: 0,
-            service: SERVICE.into(),
-            address: self.address.as_str().into(),
-            zone: "zone".into(),
-            version: "1".into(),
-            slots: 8,
-            draining: false,
-            sequence: 1,
-        }
+        super::server_record(&self.name, &self.address)
     }
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -226,18 +226,23 @@
     }
 
     pub fn record(&self) -> ServerRecord {
-        ServerRecord {
-            id: self.name.as_str().into(),
-            name: self.name.as_str().into(),
-            started_ms: 0,
-            service: SERVICE.into(),
-            address: self.address.as_str().into(),
-            zone: "zone".into(),
-            version: "1".into(),
-            slots: 8,
-            draining: false,
-            sequence: 1,
-        }
+        server_record(&self.name, &self.address)
+    }
+}
+
+/// The registration of a server that accepts work.
+pub fn server_record(name: &str, address: &str) -> ServerRecord {
+    ServerRecord {
+        id: name.into(),
+        name: name.into(),
+        started_ms: 0,
+        service: SERVICE.into(),
+        address: address.into(),
+        zone: "zone".into(),
+        version: "1".into(),
+        slots: 8,
+        draining: false,
+        sequence: 1,
     }
 }
 
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)]
 
-use crate::support::{route, serve_node, TestDialect, HOST, SERVICE};
+use crate::support::{route, serve_node, TestDialect, HOST};
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::routes::{ClientLimits, RequestKind, RoutingTable};
 use latchwheel_core::tenants::Tenants;
@@ -135,18 +135,7 @@
     }
 
     pub fn record(&self) -> ServerRecord {
-        ServerRecord {
-            id: self.name.as_str().into(),
-            name: self.name.as_str().into(),
-            started_ms: 0,
-            service: SERVICE.into(),
-            address: self.address.as_str().into(),
-            zone: "zone".into(),
-            version: "1".into(),
-            slots: 8,
-            draining: false,
-            sequence: 1,
-        }
+        crate::support::server_record(&self.name, &self.address)
     }
 
     async fn accept(self, listener: TcpListener) {
