Quarantine parts that crash servers at the same moments after six crashes

Two parts that always crash servers at the same moments would each run at half of these servers, and neither would ever count. As with equal evidence elsewhere, six crashes are enough whatever crashed beside them. The new test failed before (nothing quarantined). The grouping of crashes is a module of its own.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -17,6 +17,7 @@
 
 mod entries;
 mod evidence;
+mod groups;
 mod holds;
 mod parts;
 
--- a/crates/core/src/quarantine/parts.rs
+++ b/crates/core/src/quarantine/parts.rs
@@ -6,6 +6,7 @@
 
 use super::entries::QuarantineStatus;
 use super::evidence::{CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE_ALL, GROUP_LOSS_WINDOW};
+use super::groups::{CrashGroups, CrashTime};
 use crate::dispatch::ServerKey;
 use crate::fingerprint::{Fingerprint, RequestKey};
 use crate::time::Instant;
@@ -14,9 +15,6 @@
 /// A part is not the cause if something more specific accounts for this share of its crashes:
 /// a single content, or a part that follows it in the same prompts.
 const NESTED_SHARE: f64 = 0.75;
-/// Crashes within [`GROUP_LOSS_WINDOW`] count against a part only if the part was running at this
-/// share of the servers: whatever crashed the others may have crashed all.
-const GROUP_SHARE: f64 = 0.75;
 /// Maximum number of parts that are retained of a crash.
 const PART_LIMIT: usize = 1024;
 
@@ -96,7 +94,7 @@
 /// Evidence against one part.
 #[derive(Debug, Default)]
 struct PartSuspect {
-    crashes: Vec<(Instant, ServerKey)>,
+    crashes: Vec<CrashTime>,
     /// Number of crashes under each content with the part.
     contents: HashMap<Fingerprint, usize>,
 }
@@ -117,15 +115,15 @@
         windows
     }
 
-    /// Drops the crashes of each group whose other servers did not run the part; returns whether
-    /// there are others.
-    fn has_crashes_beside(&mut self, groups: &[HashSet<ServerKey>]) -> bool {
-        for group in groups {
-            let running = self.crashes.iter().filter(|(_, server)| group.contains(server)).count();
-            if (running as f64) < group.len() as f64 * GROUP_SHARE {
-                self.crashes.retain(|(_, server)| !group.contains(server));
-            }
-        }
+    /// Whether the evidence is strong without the crashes that don't count, or with them after
+    /// twice as many: two parts may always crash servers at the same moments.
+    fn is_strong_beside(&mut self, groups: &CrashGroups) -> bool {
+        self.counted() >= CRASHES_TO_QUARANTINE_ALL || (self.keep_counting(groups) && self.is_strong())
+    }
+
+    /// Drops the crashes that don't count; returns whether there are others.
+    fn keep_counting(&mut self, groups: &CrashGroups) -> bool {
+        groups.retain_counting(&mut self.crashes);
         !self.crashes.is_empty()
     }
 
@@ -152,15 +150,16 @@
     status: impl Fn(Fingerprint) -> QuarantineStatus,
 ) -> Vec<(RequestKey, Vec<ServerKey>)> {
     let mut suspects = suspects(crashes);
-    let groups = group_losses(crashes);
+    let unexplained = crashes.iter().filter(|crash| crash.content.is_none());
+    let groups = CrashGroups::of(unexplained.map(|crash| (crash.at, crash.server)).collect());
     let servers_of = |suspect: &PartSuspect| suspect.crashes.iter().map(|(_, server)| *server).collect();
     for (part, suspect) in &mut suspects {
         let key = RequestKey::of_part(*part);
-        if status(key.fingerprint) == QuarantineStatus::OnProbation && suspect.has_crashes_beside(&groups) {
+        if status(key.fingerprint) == QuarantineStatus::OnProbation && suspect.keep_counting(&groups) {
             return vec![(key, servers_of(suspect))];
         }
     }
-    suspects.retain(|_, suspect| suspect.is_strong() && suspect.has_crashes_beside(&groups) && suspect.is_strong());
+    suspects.retain(|_, suspect| suspect.is_strong() && suspect.is_strong_beside(&groups));
     let accounted_for = parts_accounted_for(crashes, &suspects);
     let causes: Vec<(u64, usize)> = suspects
         .iter()
@@ -181,28 +180,6 @@
     chosen.into_iter().map(|part| (RequestKey::of_part(part), servers_of(&suspects[&part]))).collect()
 }
 
-/// Servers that crashed together, two or more, without a quarantined content that explains it.
-fn group_losses(crashes: &[PartCrash<'_>]) -> Vec<HashSet<ServerKey>> {
-    let unexplained = crashes.iter().filter(|crash| crash.content.is_none());
-    let mut unexplained: Vec<(Instant, ServerKey)> = unexplained.map(|crash| (crash.at, crash.server)).collect();
-    unexplained.sort_unstable();
-    let mut groups: Vec<HashSet<ServerKey>> = Vec::new();
-    let mut start = None;
-    for (at, server) in unexplained {
-        match groups.last_mut().filter(|_| start.is_some_and(|start| at.since(start) <= GROUP_LOSS_WINDOW)) {
-            Some(group) => {
-                group.insert(server);
-            }
-            None => {
-                start = Some(at);
-                groups.push(HashSet::from([server]));
-            }
-        }
-    }
-    groups.retain(|group| group.len() > 1);
-    groups
-}
-
 fn suspects(crashes: &[PartCrash<'_>]) -> HashMap<u64, PartSuspect> {
     let mut suspects: HashMap<u64, PartSuspect> = HashMap::new();
     for crash in crashes {
--- a/crates/core/tests/quarantined_parts.rs
+++ b/crates/core/tests/quarantined_parts.rs
@@ -130,6 +130,21 @@
     assert_eq!(crashes.quarantined(3000), []);
 }
 
+#[test]
+fn parts_that_crash_servers_at_the_same_moments_are_both_quarantined() {
+    let mut crashes = Crashes::default();
+    for number in 0..6 {
+        assert_eq!(crashes.quarantined(number * 1000), [], "crash {number}");
+        crashes.crash(number * 1000, &[(10 + number, &[CAUSE])]);
+        crashes.crash(number * 1000 + 10, &[(20 + number, &[OTHER])]);
+    }
+    let mut quarantined = crashes.quarantined(6000);
+    quarantined.sort();
+    let mut both = [RequestKey::of_part(CAUSE), RequestKey::of_part(OTHER)];
+    both.sort();
+    assert_eq!(quarantined, both);
+}
+
 #[test]
 fn a_part_that_crashes_many_servers_at_a_time_is_quarantined() {
     let mut crashes = Crashes::default();
