Take the end of a crashed server's answer for its end also after its registration changed

What callers saw: a stream that ended as complete without its last events.

Where only the end of the connection marks the end of an answer, the node asks whether the server still accepts connections, unless the server was to end as planned: it is not registered for work. A request may meet a later start of the server that the node chose, at the same address. When the registration changes while the request runs, the start that was chosen is gone, and the crash of the later one passed for a planned end. Now a later start that is registered at the address counts, too.

The answer of a draining server is delivered as before.

--- a/crates/core/src/dispatch/server_set.rs
+++ b/crates/core/src/dispatch/server_set.rs
@@ -124,6 +124,13 @@
         self.servers.get(server).is_some_and(|state| state.ready)
     }
 
+    /// Whether a server of this name accepts new requests at this address: a start of it, perhaps
+    /// a later one than that of a request in progress.
+    pub fn is_ready_at(&self, name: &str, address: &str) -> bool {
+        let is_start = |state: &ServerState| *state.name == *name && *state.address == *address;
+        self.servers.values().any(|state| state.ready && is_start(state))
+    }
+
     /// Returns the identities and addresses of the servers of a service that accept new
     /// requests.
     pub fn ready_of(&self, service: &str) -> Vec<(Arc<str>, Arc<str>)> {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -290,7 +290,7 @@
         if self.shared.crashes.has_restarted(&self.placement.server) {
             return true;
         }
-        if !self.shared.dispatcher().is_ready(&self.placement.server) {
+        if !self.is_at_work() {
             return false;
         }
         let has_crashed = has_just_ended(&self.placement.address).await;
@@ -298,6 +298,13 @@
         has_crashed
     }
 
+    /// Whether the server is registered for work. The request may have met a later start of it.
+    fn is_at_work(&self) -> bool {
+        let Placement { server, name, address, .. } = &self.placement;
+        let dispatcher = self.shared.dispatcher();
+        dispatcher.is_ready(server) || dispatcher.is_ready_at(name, address)
+    }
+
     /// The answer came to its end: where it is a success, the request ended no server.
     pub fn note_served(&self, outgoing: &Outgoing) {
         if self.is_success && self.has_verified_end {
--- a/crates/proxy/tests/unmarked_ends.rs
+++ b/crates/proxy/tests/unmarked_ends.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
-use latchwheel_core::directory::DirectoryChange;
+use latchwheel_core::directory::{DirectoryChange, ServerRecord};
 use latchwheel_core::routes::RequestKind;
 use latchwheel_http::{full, read_bounded, Client};
 use raw::{RawAct, RawNode, RawServer};
@@ -189,6 +189,24 @@
     assert_eq!(received.body, None);
 }
 
+/// Guards against a broken answer that counts as whole, since its server is registered as a
+/// later start than the one that the node chose.
+#[tokio::test]
+async fn an_answer_of_a_later_start_that_crashes_is_not_delivered_as_complete() {
+    let crash = Arc::new(Notify::new());
+    let answer = format!("HTTP/1.1 200 OK\r\nt-id: ID\r\n\r\n{}", event_text(1));
+    let server = RawServer::start("server", vec![RawAct::WriteAndCrash(answer, crash.clone())]).await;
+    let node = RawNode::start(STREAM, 1, &[&server]).await;
+    let later_start = async {
+        raw::until(|| !server.requests().is_empty()).await;
+        let record = ServerRecord { id: "server, later start".into(), ..server.record() };
+        node.shared.dispatcher().set_ready([&record].into_iter());
+        crash.notify_one();
+    };
+    let (received, ()) = tokio::join!(ask_node(&node), later_start);
+    assert_eq!(received.body, None);
+}
+
 /// A planned end follows the last answer at any time.
 #[tokio::test]
 async fn the_last_answer_of_a_draining_server_is_delivered() {
