Review case 4: a cut server that crashes and starts again, in place of a frozen worker

The same fault by one disruption: a server is cut off for 2.6 s, crashes behind the cut and starts again under its id.

--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -104,3 +104,17 @@
 pub fn text_at(page: &Value, number: usize) -> String {
     page["results"][number]["message"].as_str().unwrap_or_default().to_owned()
 }
+
+/// A request for a stream; `None` if its answer is broken off or none comes.
+pub async fn stream(front: SocketAddr, prefix: &str, id: String) -> (String, Option<Answer>) {
+    let headers = [
+        ("x-request-id", &*id),
+        ("x-deadline-ms", "8000"),
+        ("x-model", "m"),
+        ("x-token-count", "540,100"),
+        ("x-prompt-prefix", "5c1e07a2:300,91bd3f06:240"),
+    ];
+    let path = format!("{prefix}2f");
+    let answer = call(front, Method::POST, &path, &headers, b"prompt".to_vec(), Duration::from_millis(9000)).await;
+    (id, answer)
+}
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,7 +3,7 @@
 //! 2: the case couldn't run.
 
 mod client;
-mod frozen_worker;
+mod reborn_server;
 mod record;
 mod route_removed;
 mod server;
@@ -71,7 +71,7 @@
         match name {
             "stale-worker" => stale_worker::run(&case).await,
             "route-removed" => route_removed::run(&case).await,
-            "frozen-worker" => frozen_worker::run(&case).await,
+            "reborn-server" => reborn_server::run(&case).await,
             _ => Err(eyre::eyre!("no such case: {name}")),
         }
     };
--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,9 +15,6 @@
 use tokio::task::JoinHandle;
 
 const HEARTBEAT: Duration = Duration::from_millis(1200);
-/// An entry goes after three heartbeats without a word.
-const SILENT_HEARTBEATS: u32 = 3;
-
 /// How a server answers.
 #[derive(Clone)]
 pub struct Behaviour {
@@ -37,9 +34,13 @@
     id: String,
     service: String,
     address: SocketAddr,
+    /// The address that others are told.
+    registered: SocketAddr,
     behaviour: Behaviour,
     record: Record,
     cut: CutOff,
+    /// Whether it does not reach the store.
+    away: AtomicBool,
     running: AtomicUsize,
     sequence: AtomicU64,
     connections: Mutex<HashMap<u64, JoinHandle<()>>>,
@@ -64,14 +65,31 @@
         store: StoreStandIn,
         record: Record,
         cut: CutOff,
+    ) -> std::io::Result<Self> {
+        Self::start_behind(id, service, address, address, behaviour, store, record, cut).await
+    }
+
+    /// The same behind a link, whose address it registers.
+    #[allow(clippy::too_many_arguments)]
+    pub async fn start_behind(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        registered: SocketAddr,
+        behaviour: Behaviour,
+        store: StoreStandIn,
+        record: Record,
+        cut: CutOff,
     ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
             address,
+            registered,
             behaviour,
             record,
             cut,
+            away: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             sequence: AtomicU64::new(1),
             connections: Mutex::default(),
@@ -86,6 +104,11 @@
         &self.shared.id
     }
 
+    /// Whether it is cut off from the store.
+    pub fn set_away(&self, away: bool) {
+        self.shared.away.store(away, Ordering::SeqCst);
+    }
+
     /// Requests that it works on.
     pub fn running(&self) -> usize {
         self.shared.running.load(Ordering::SeqCst)
@@ -107,11 +130,13 @@
             loop {
                 let seq = shared.sequence.fetch_add(1, Ordering::SeqCst);
                 let entry = json!({
-                    "service": shared.service, "address": shared.address.to_string(), "zone": "zaandam-hal",
+                    "service": shared.service, "address": shared.registered.to_string(), "zone": "zaandam-hal",
                     "version": "v1", "slots": shared.behaviour.slots, "state": "ready", "cold-left-ms": 0,
                     "seq": seq, "born": born,
                 });
-                store.write(&format!("servers/{}", shared.id), &entry).await;
+                if !shared.away.load(Ordering::SeqCst) {
+                    store.write(&format!("servers/{}", shared.id), &entry).await;
+                }
                 tokio::time::sleep(HEARTBEAT).await;
             }
         }));
@@ -137,19 +162,6 @@
     pub async fn start_again(&mut self) -> std::io::Result<()> {
         self.begin().await
     }
-
-    /// The store removes the entry of a silent server.
-    pub fn lapse_later(&self) {
-        let (store, key) = (self.store.clone(), format!("servers/{}", self.shared.id));
-        let (shared, seq) = (self.shared.clone(), self.shared.sequence.load(Ordering::SeqCst));
-        tokio::spawn(async move {
-            tokio::time::sleep(HEARTBEAT * SILENT_HEARTBEATS).await;
-            // It may have started again meanwhile, and counts anew.
-            if shared.sequence.load(Ordering::SeqCst) == seq {
-                store.remove(&key).await;
-            }
-        });
-    }
 }
 
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
