--- a/review/stand-ins-2/src/reborn_server.rs
+++ b/review/stand-ins-2/src/reborn_server.rs
@@ -1,11 +1,11 @@
-//! A server is cut off for a while, crashes behind the cut and starts again there.
+//! A server is cut off from the store and from one front, crashes behind the cut and starts again
+//! there.
 
 use crate::client::{read, results, stream, submit, text_at};
 use crate::server::{whole_text, Behaviour, Server};
-use crate::site::{batch_route, document, free_ports, stream_route, Site};
+use crate::site::{batch_route, document, free_ports, stream_route, Machine, Site};
 use crate::{all_ready, Case, Verdict};
 use eyre::Result;
-use latchwheel_soak::link::{Link, LinkState};
 use latchwheel_stand_in::StoreStandIn;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 const JOB: &str = "7c41e09b52d6a3f8";
 const SERVERS: usize = 5;
 const ITEMS: usize = 10;
-const STREAMS: usize = 5;
+const STREAMS: usize = 10;
 const EVENTS: u64 = 60;
 const CONTACT: Duration = Duration::from_millis(3000);
 /// From the start of the cut to the crash, from there to the server's next start, and from
@@ -37,13 +37,9 @@
     let mut servers = Vec::new();
     for (number, port) in free_ports::<SERVERS>().await?.into_iter().enumerate() {
         let address = SocketAddr::new(crate::site::ip(20 + number), port);
-        // All that comes and goes to the server passes here.
-        let link = Link::start(address).await?;
         let (store, record, cuts) = (store.clone(), case.record.clone(), cuts.clone());
         let id = format!("i-00{number}");
-        let server =
-            Server::start_behind(&id, "taalserver", address, link.address, behaviour.clone(), store, record, cuts);
-        servers.push((server.await?, link));
+        servers.push(Server::start(&id, "taalserver", address, behaviour.clone(), store, record, cuts).await?);
     }
     let mut site = Site::start(store, 3, 3, &case.folder).await?;
     let verdict = watch_work(case, &site, &mut servers).await;
@@ -51,7 +47,7 @@
     verdict
 }
 
-async fn watch_work(case: &Case, site: &Site, servers: &mut [(Server, Arc<Link>)]) -> Result<Verdict> {
+async fn watch_work(case: &Case, site: &Site, servers: &mut [Server]) -> Result<Verdict> {
     if !all_ready(site).await {
         return Ok(Verdict::CouldNotRun);
     }
@@ -65,10 +61,10 @@
     }
     let id = |number: usize| format!("c{number:03}d07be2a35f68");
     let streams: Vec<_> =
-        (0..STREAMS).map(|number| tokio::spawn(stream(fronts[number % 3], STREAM_PREFIX, id(number)))).collect();
+        (0..STREAMS).map(|number| tokio::spawn(stream(fronts[0], STREAM_PREFIX, id(number)))).collect();
     tokio::time::sleep(Duration::from_millis(1500)).await;
     if case.trouble {
-        disturb(case, servers).await?;
+        disturb(case, site, servers).await?;
     }
     let listed = read_all(case, fronts[0]).await;
     let mut broken = 0;
@@ -87,7 +83,7 @@
         case.record.note(&format!("client: stream {id}: {events:?} of {EVENTS} events; none if it was broken off"));
         if answer.is_some_and(|answer| answer.status == 200) && events.is_some_and(|events| events < EVENTS) {
             let events = events.unwrap_or_default();
-            case.record.tell(&format!("MIXED: stream {id} is ended as complete after {events} of {EVENTS} events"));
+            case.record.tell(&format!("ORDER: stream {id} is ended as complete after {events} of {EVENTS} events"));
             broken += 1;
         }
     }
@@ -116,10 +112,10 @@
     listed
 }
 
-async fn disturb(case: &Case, servers: &mut [(Server, Arc<Link>)]) -> Result<()> {
-    let Some((server, link)) = servers.iter_mut().max_by_key(|(server, _)| server.running()) else { return Ok(()) };
-    link.set(LinkState::Silent);
-    server.set_away(true);
+async fn disturb(case: &Case, site: &Site, servers: &mut [Server]) -> Result<()> {
+    let Some(server) = servers.iter_mut().max_by_key(|server| server.running()) else { return Ok(()) };
+    let Some(front) = site.machines.first().and_then(Machine::pid) else { return Ok(()) };
+    server.cut_off(front);
     case.record.tell(&format!("server {} is cut off with {} requests", server.id(), server.running()));
     tokio::time::sleep(TO_CRASH).await;
     // For comparison, the cut alone.
@@ -133,8 +129,7 @@
     }
     tokio::time::sleep(TO_END).await;
     // What the partition held up arrives now, as TCP sends it again.
-    server.set_away(false);
-    link.set(LinkState::Sound);
+    server.end_cut();
     case.record.tell(&format!("server {} is no longer cut off", server.id()));
     Ok(())
 }
--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -5,8 +5,10 @@
 use latchwheel_stand_in::StoreStandIn;
 use serde_json::json;
 use std::collections::HashMap;
+use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,6 +29,9 @@
     pub unframed: bool,
 }
 
+/// Bytes that wait for the end of a cut.
+type Held = Arc<Mutex<Vec<u8>>>;
+
 /// A process that is cut off: nothing passes between it and the servers.
 pub type CutOff = watch::Receiver<Option<u32>>;
 
@@ -34,13 +39,15 @@
     id: String,
     service: String,
     address: SocketAddr,
-    /// The address that others are told.
-    registered: SocketAddr,
     behaviour: Behaviour,
     record: Record,
     cut: CutOff,
     /// Whether it does not reach the store.
     away: AtomicBool,
+    /// The process to which nothing passes now; zero for none.
+    held_from: AtomicU32,
+    /// Connections to it, with what TCP will send once it can. They outlast a crash.
+    held: Mutex<Vec<(std::net::TcpStream, Held)>>,
     running: AtomicUsize,
     sequence: AtomicU64,
     connections: Mutex<HashMap<u64, JoinHandle<()>>>,
@@ -65,31 +72,17 @@
         store: StoreStandIn,
         record: Record,
         cut: CutOff,
-    ) -> std::io::Result<Self> {
-        Self::start_behind(id, service, address, address, behaviour, store, record, cut).await
-    }
-
-    /// The same behind a link, whose address it registers.
-    #[allow(clippy::too_many_arguments)]
-    pub async fn start_behind(
-        id: &str,
-        service: &str,
-        address: SocketAddr,
-        registered: SocketAddr,
-        behaviour: Behaviour,
-        store: StoreStandIn,
-        record: Record,
-        cut: CutOff,
     ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
             address,
-            registered,
             behaviour,
             record,
             cut,
             away: AtomicBool::new(false),
+            held_from: AtomicU32::new(0),
+            held: Mutex::default(),
             running: AtomicUsize::new(0),
             sequence: AtomicU64::new(1),
             connections: Mutex::default(),
@@ -104,9 +97,27 @@
         &self.shared.id
     }
 
-    /// Whether it is cut off from the store.
-    pub fn set_away(&self, away: bool) {
-        self.shared.away.store(away, Ordering::SeqCst);
+    /// Nothing passes between the server and the store, and between it and a process. Its entry
+    /// goes after three heartbeats of silence.
+    pub fn cut_off(&self, process: u32) {
+        self.shared.away.store(true, Ordering::SeqCst);
+        self.shared.held_from.store(process, Ordering::SeqCst);
+        let (shared, store) = (self.shared.clone(), self.store.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(HEARTBEAT * 3 - HEARTBEAT / 2).await;
+            if shared.away.load(Ordering::SeqCst) {
+                store.remove(&format!("servers/{}", shared.id)).await;
+            }
+        });
+    }
+
+    /// The cut ends: what it held up arrives, and the end of the connections that were closed.
+    pub fn end_cut(&self) {
+        self.shared.away.store(false, Ordering::SeqCst);
+        self.shared.held_from.store(0, Ordering::SeqCst);
+        for (mut connection, bytes) in self.shared.held.lock().unwrap().drain(..) {
+            let _ = connection.write_all(&bytes.lock().unwrap());
+        }
     }
 
     /// Requests that it works on.
@@ -130,7 +141,7 @@
             loop {
                 let seq = shared.sequence.fetch_add(1, Ordering::SeqCst);
                 let entry = json!({
-                    "service": shared.service, "address": shared.registered.to_string(), "zone": "zaandam-hal",
+                    "service": shared.service, "address": shared.address.to_string(), "zone": "zaandam-hal",
                     "version": "v1", "slots": shared.behaviour.slots, "state": "ready", "cold-left-ms": 0,
                     "seq": seq, "born": born,
                 });
@@ -236,7 +247,7 @@
     }
     let served = async {
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
-            if !answer(shared, &mut stream, request).await {
+            if !answer(shared, &mut stream, request, peer).await {
                 return;
             }
         }
@@ -286,8 +297,16 @@
     files.flatten().any(|file| std::fs::read_link(file.path()).is_ok_and(|link| link.to_string_lossy() == inode))
 }
 
+/// From now on the connection's bytes wait for the end of the cut.
+fn hold_up(shared: &Shared, stream: &TcpStream) -> Option<Held> {
+    let connection = std::net::TcpStream::from(stream.as_fd().try_clone_to_owned().ok()?);
+    let held = Held::default();
+    shared.held.lock().unwrap().push((connection, held.clone()));
+    Some(held)
+}
+
 /// `false` if the connection is to be closed.
-async fn answer(shared: &Arc<Shared>, stream: &mut TcpStream, request: Request) -> bool {
+async fn answer(shared: &Arc<Shared>, stream: &mut TcpStream, request: Request, peer: SocketAddr) -> bool {
     let load = |running: usize| format!("X-Server-Load: {running},0,{}\r\n", shared.behaviour.slots);
     let id = &request.id;
     if request.method == "GET" {
@@ -318,10 +337,21 @@
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
+    let mut held = None;
     for event in request.after + 1..=events {
         tokio::time::sleep(shared.behaviour.gap).await;
         let text = event_text(id, event);
         let piece = if shared.behaviour.unframed { text } else { format!("{:x}\r\n{text}\r\n", text.len()) };
+        let held_from = shared.held_from.load(Ordering::SeqCst);
+        if held_from == 0 {
+            held = None;
+        } else if held.is_none() && owns(held_from, peer, shared.address) {
+            held = hold_up(shared, stream);
+        }
+        if let Some(held) = &held {
+            held.lock().unwrap().extend_from_slice(piece.as_bytes());
+            continue;
+        }
         if stream.write_all(piece.as_bytes()).await.is_err() {
             shared.record.note(&format!("server {}: {id} is broken off by its sender", shared.id));
             return false;
--- a/review/stand-ins-2/src/stale_worker.rs
+++ b/review/stand-ins-2/src/stale_worker.rs
@@ -15,8 +15,9 @@
 
 const PREFIX: &str = "/pule252/";
 const JOB: &str = "7c41e09b52d6a3f8";
-/// The longest cut of the site is 12 s.
+/// The site cuts machines off for 12 s, and its store turns machines away for 9 s.
 const CUT: Duration = Duration::from_millis(11_400);
+const TURNED_AWAY: Duration = Duration::from_millis(8_900);
 const CONTACT: Duration = Duration::from_millis(3000);
 const SETTLE: Duration = Duration::from_millis(1000);
 /// How long is watched once machines are in touch again.
@@ -35,8 +36,8 @@
     let store = StoreStandIn::start().await;
     store.write("op/config", &document(3, &["taalserver"], &[batch_route("lot", PREFIX, "taalserver")])).await;
     let (cut, cuts) = watch::channel(None);
-    // Items whose ids begin with `a` run for 5 s, the others for 30 s.
-    let events = |id: &str| if id.starts_with('a') { 50 } else { 300 };
+    // Items whose ids begin with `a` run for 4 s, the others for 30 s.
+    let events = |id: &str| if id.starts_with('a') { 40 } else { 300 };
     let behaviour = Behaviour { slots: 8, gap: Duration::from_millis(100), events: Arc::new(events), unframed: false };
     let mut servers = Vec::new();
     for (number, port) in free_ports::<3>().await?.into_iter().enumerate() {
@@ -122,7 +123,12 @@
     case.record.tell(&format!("{} is cut off", machine.name));
     machine.set_links(LinkState::Cut);
     cut.send_replace(machine.pid());
-    tokio::time::sleep(CUT).await;
+    tokio::time::sleep(TURNED_AWAY).await;
+    if let Some(to_store) = machine.links.first() {
+        to_store.set(LinkState::Sound);
+    }
+    case.record.tell(&format!("the store answers {} again", machine.name));
+    tokio::time::sleep(CUT - TURNED_AWAY).await;
     cut.send_replace(None);
     machine.set_links(LinkState::Sound);
     case.record.tell(&format!("{} is no longer cut off", machine.name));
