--- a/review/stand-ins-2/src/stale_worker.rs
+++ b/review/stand-ins-2/src/stale_worker.rs
@@ -36,8 +36,8 @@
     let store = StoreStandIn::start().await;
     store.write("op/config", &document(3, &["taalserver"], &[batch_route("lot", PREFIX, "taalserver")])).await;
     let (cut, cuts) = watch::channel(None);
-    // Items whose ids begin with `a` run for 4 s, the others for 30 s.
-    let events = |id: &str| if id.starts_with('a') { 40 } else { 300 };
+    // Items whose ids begin with `a` run for 3 s, the others for 30 s.
+    let events = |id: &str| if id.starts_with('a') { 30 } else { 300 };
     let behaviour = Behaviour { slots: 8, gap: Duration::from_millis(100), events: Arc::new(events), unframed: false };
     let mut servers = Vec::new();
     for (number, port) in free_ports::<3>().await?.into_iter().enumerate() {
