Log an open job whose route is missing, and why an item was given up

Cause: a job whose items stall logs ItemsNotStarted with the reason no_route, but not since when the route is missing, nor by which table version; an item that was given up logs no reason, so that an expired retention, a removed route and failures look alike. Change: JobRouteMissing (E8236) and JobRouteFound (E8237); ItemEnded names its reason; explain shows it. No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod item_progress;
 pub mod item_trials;
 pub mod item_urgency;
+pub mod job_route;
 pub mod jobs;
 pub mod key_acceptance;
 pub mod lapse_grace;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -654,6 +654,30 @@
         /// Time since its last run, or since the worker took the job.
         idle_ms: u64
     };
+    /// The routing table has no route for an open job: its items do not start.
+    JobRouteMissing = 8236, Essential {
+        /// Job id.
+        job: &'a str,
+        /// Host of the job.
+        host: &'a str,
+        /// Path of the job.
+        path: &'a str,
+        /// Version of the table.
+        version: u64,
+        /// Items without a result.
+        open: usize
+    };
+    /// The routing table has a route for an open job again.
+    JobRouteFound = 8237, Essential {
+        /// Job id.
+        job: &'a str,
+        /// Route.
+        route: &'a str,
+        /// Version of the table.
+        version: u64,
+        /// Time for which the job had no route.
+        missing_ms: u64
+    };
     /// A spool folder can't be read and is read again later, or a file in it is not a valid job.
     SpoolUnread = 8015, Essential {
         /// Folder or file.
@@ -743,6 +767,8 @@
         item: &'a str,
         /// Outcome of the item.
         end: ItemOutcome,
+        /// Reason for the outcome.
+        reason: &'a str,
         /// Failures before the result.
         failures: u32,
         /// Time since this worker took the job.
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -94,7 +94,11 @@
     let item = line.text("item");
     let runs = own.iter().filter(|line| line.name == "ItemAttemptFailed" && line.text("item") == item);
     let reasons: Vec<String> = runs.map(|line| words(line.text("reason"))).collect();
-    format!("item {item} was given up after {} failures: {}", line.number("failures"), reasons.join(", "))
+    let reason = match line.text("reason") {
+        "" => String::new(),
+        reason => format!(" ({})", words(reason)),
+    };
+    format!("item {item} was given up{reason} after {} failures: {}", line.number("failures"), reasons.join(", "))
 }
 
 fn interruptions(own: &[&LogLine]) -> String {
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -2,7 +2,7 @@
 
 use crate::item_run::{outgoing_of, run_item};
 use crate::item_trial::ItemTrial;
-use crate::job_run::JobRun;
+use crate::job_run::{JobRun, EXPIRED};
 use crate::run_registry::{RunNumber, StartedRun};
 use crate::stalled_items::StartBlocker;
 use crate::start_order::StartRank;
@@ -62,6 +62,7 @@
 
     async fn try_start_items(&mut self) -> Result<(), StartBlocker> {
         let now = self.context.shared.clock.now();
+        self.note_route(now);
         let (rules, route) = self.rules();
         self.give_up_expired(now, &rules);
         let Some(route) = route else {
@@ -109,7 +110,7 @@
         }
         for position in 0..self.progress.len() {
             if self.progress[position].tick(now, rules) {
-                self.log_item_end(now, position, ItemOutcome::GivenUp);
+                self.log_item_end(now, position, ItemOutcome::GivenUp, EXPIRED);
                 self.unlisted_since.get_or_insert(now);
             }
         }
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -103,7 +103,7 @@
     }
 
     /// Items without a listed result.
-    fn open_count(&self) -> usize {
+    pub(crate) fn open_count(&self) -> usize {
         self.listed.iter().filter(|listed| !**listed).count()
     }
 
--- /dev/null
+++ b/crates/jobs/src/job_route.rs
@@ -0,0 +1,57 @@
+//! The route of a job, and what follows from it for the job's items.
+
+use crate::job_run::JobRun;
+use latchwheel_core::item_progress::GiveUpRules;
+use latchwheel_core::job_route::RouteChange;
+use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
+use latchwheel_core::time::Instant;
+use latchwheel_events::{emit, Event};
+use latchwheel_proxy::Dialect;
+use latchwheel_records::RecordStore;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Retention of a job whose route is not known any more.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
+
+impl<S: RecordStore, D: Dialect> JobRun<S, D> {
+    /// Follows whether the table has a route for the job, and logs changes of that.
+    pub(crate) fn note_route(&mut self, now: Instant) {
+        let table = self.context.shared.table();
+        if table.version == 0 {
+            return;
+        }
+        let route = table.find(&self.record.host, &self.record.path);
+        let (job, version) = (&self.job, table.version);
+        match self.route_absence.observe(now, route.is_some()) {
+            Some(RouteChange::Missing) => {
+                let (host, path, open) = (&self.record.host, &self.record.path, self.open_count());
+                emit(job, &Event::JobRouteMissing { job, host, path, version, open });
+            }
+            Some(RouteChange::Found(missing)) => {
+                let route = route.as_ref().map_or("", |route| &*route.name);
+                let missing_ms = missing.as_millis() as u64;
+                emit(job, &Event::JobRouteFound { job, route, version, missing_ms });
+            }
+            None => {}
+        }
+    }
+
+    pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
+        let table = self.context.shared.table();
+        let route = table.find(&self.record.host, &self.record.path);
+        let now = self.context.shared.clock.now();
+        let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
+        let expires = now + retention.saturating_sub(self.age());
+        let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+        let services = route.iter().flat_map(|route| &route.targets);
+        let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
+        (GiveUpRules { max_failures, servers, expires }, route)
+    }
+
+    /// Time since the job was accepted.
+    pub(crate) fn age(&self) -> Duration {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        wall.saturating_sub(Duration::from_millis(self.record.accepted_ms))
+    }
+}
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -16,8 +16,8 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use latchwheel_core::dispatch::RecentPreemptions;
 use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
+use latchwheel_core::job_route::RouteAbsence;
 use latchwheel_core::retry::exponential_backoff;
-use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event, ItemOutcome};
 use latchwheel_proxy::Dialect;
@@ -35,13 +35,14 @@
 pub(crate) const LONGEST_STORE_PAUSE: Duration = Duration::from_millis(1200);
 /// Of so many failures in a row to load a job, one is told in the log.
 const LOADS_PER_LINE: u32 = 10;
-/// Retention of a job whose route is not known any more.
-const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
 
 /// Runs that were cut together start again within this time of each other: one of them
 /// may be the reason, and the others are better off elsewhere.
 const RETRY_SPREAD: Duration = Duration::from_millis(300);
 
+/// Reason in the log for giving up an item whose time is over.
+pub(crate) const EXPIRED: &str = "expired";
+
 /// A job that was accepted less long ago has run at no other worker.
 const NEW_JOB_AGE: Duration = Duration::from_secs(3);
 
@@ -187,6 +188,8 @@
     pub(crate) confirmation_failures: ConfirmationFailures,
     /// Why the job has to be left, once its record showed that.
     pub(crate) closed: Option<LeaveReason>,
+    /// Absence of its route from the table.
+    pub(crate) route_absence: RouteAbsence,
 }
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -232,6 +235,7 @@
             confirmation: None,
             confirmation_failures: ConfirmationFailures::default(),
             closed: None,
+            route_absence: RouteAbsence::default(),
         };
         run.note_list();
         run.note_earlier_failures();
@@ -315,24 +319,6 @@
         self.show_list();
     }
 
-    pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
-        let table = self.context.shared.table();
-        let route = table.find(&self.record.host, &self.record.path);
-        let now = self.context.shared.clock.now();
-        let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
-        let expires = now + retention.saturating_sub(self.age());
-        let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
-        let services = route.iter().flat_map(|route| &route.targets);
-        let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
-        (GiveUpRules { max_failures, servers, expires }, route)
-    }
-
-    /// Time since the job was accepted.
-    pub(crate) fn age(&self) -> Duration {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        wall.saturating_sub(Duration::from_millis(self.record.accepted_ms))
-    }
-
     fn end_run(&mut self, position: usize, progress: ItemProgress, end: RunEnd, reason: &str, server: &Arc<str>) {
         let now = self.context.shared.clock.now();
         let (rules, route) = self.rules();
@@ -366,21 +352,22 @@
             let event = Event::ItemAttemptFailed { job: &self.job, item, server, reason, failures, events_kept };
             emit(&self.job, &event);
         }
-        let end = match progress.state() {
+        let outcome = match progress.state() {
             ItemState::Completed => ItemOutcome::Completed,
             ItemState::GivenUp => ItemOutcome::GivenUp,
             ItemState::Waiting(_) | ItemState::Running => return,
         };
-        self.log_item_end(now, position, end);
+        let reason = end_reason(end, now, &rules);
+        self.log_item_end(now, position, outcome, reason);
         self.unlisted_since.get_or_insert(now);
     }
 
-    /// Tells that an item has its result.
-    pub(crate) fn log_item_end(&self, now: Instant, position: usize, end: ItemOutcome) {
+    /// Logs that an item has its result.
+    pub(crate) fn log_item_end(&self, now: Instant, position: usize, end: ItemOutcome, reason: &str) {
         let item = &self.items[position].id;
         let failures = self.progress[position].failures();
         let after_ms = now.since(self.taken_at).as_millis() as u64;
-        emit(&self.job, &Event::ItemEnded { job: &self.job, item, end, failures, after_ms });
+        emit(&self.job, &Event::ItemEnded { job: &self.job, item, end, reason, failures, after_ms });
     }
 }
 
@@ -395,6 +382,16 @@
     }
 }
 
+/// Reason for the result of an item whose last run ended so, as it is logged.
+fn end_reason(end: RunEnd, now: Instant, rules: &GiveUpRules) -> &'static str {
+    match end {
+        RunEnd::Completed => "completed",
+        RunEnd::Impossible => "impossible",
+        RunEnd::Failed if now < rules.expires => "failed",
+        RunEnd::Failed | RunEnd::Interrupted | RunEnd::Unusable | RunEnd::ServerLost | RunEnd::Preempted => EXPIRED,
+    }
+}
+
 /// Time that a worker waits before it lists results: none for a new job that
 /// was assigned to it, since no other can have shown it.
 fn grace_of(worker: &str, record: &JobRecord, list: &ResultList) -> Duration {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod job_entry;
 mod job_listing;
 mod job_retake;
+mod job_route;
 mod job_run;
 pub mod layout;
 mod leaving_runs;
