Give up the items of a job whose route the operator removed

Cause: a job without a route starts nothing (ItemsNotStarted, no_route) and takes one hour for its retention, so that nothing gives the items up. Change: RouteAbsence follows whether the table has the job's route. Once the store has confirmed the table without it for 10 s, waiting items are given up, and those that run are given up if their run doesn't complete. A table that the store hasn't confirmed (a start without the store, a lost watch) gives nothing up: it may be older than the route. It needs no field of the record, so jobs of earlier releases end as well.

--- a/crates/core/src/job_route.rs
+++ b/crates/core/src/job_route.rs
@@ -4,6 +4,10 @@
 use crate::time::Instant;
 use std::time::Duration;
 
+/// Time for which a route has to be missing before the items of its jobs are given up. An
+/// operator who restores the route within this time loses no accepted work.
+pub const RESTORE_TIME: Duration = Duration::from_secs(10);
+
 /// A change of whether the table has a job's route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteChange {
@@ -34,4 +38,12 @@
             (None, true) | (Some(_), false) => None,
         }
     }
+
+    /// Whether the route counts as removed for good. `table_confirmed` is the time until which
+    /// the store has confirmed the table: an older table may lack a route that was added or
+    /// restored since.
+    pub fn is_final(&self, table_confirmed: Option<Instant>) -> bool {
+        let restorable_until = self.since.map(|since| since + RESTORE_TIME);
+        restorable_until.is_some_and(|end| table_confirmed.is_some_and(|confirmed| confirmed >= end))
+    }
 }
--- a/crates/jobs/src/job_route.rs
+++ b/crates/jobs/src/job_route.rs
@@ -37,12 +37,18 @@
         }
     }
 
+    /// Whether the operator has removed the job's route for good.
+    pub(crate) fn is_route_removed(&self) -> bool {
+        self.route_absence.is_final(self.context.shared.table_confirmed())
+    }
+
+    /// When items of the job are given up, and its route, if the table has one.
     pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
         let table = self.context.shared.table();
         let route = table.find(&self.record.host, &self.record.path);
         let now = self.context.shared.clock.now();
         let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
-        let expires = now + retention.saturating_sub(self.age());
+        let expires = if self.is_route_removed() { now } else { now + retention.saturating_sub(self.age()) };
         let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
         let services = route.iter().flat_map(|route| &route.targets);
         let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -42,6 +42,8 @@
 
 /// Reason in the log for giving up an item whose time is over.
 pub(crate) const EXPIRED: &str = "expired";
+/// Reason in the log for giving up an item whose route the operator removed.
+pub(crate) const ROUTE_REMOVED: &str = "route_removed";
 
 /// A job that was accepted less long ago has run at no other worker.
 const NEW_JOB_AGE: Duration = Duration::from_secs(3);
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -19,6 +19,7 @@
 use latchwheel_core::permits::LimitMargin;
 use latchwheel_core::routes::{Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
+use latchwheel_core::time::Instant;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -54,6 +55,8 @@
     pub(crate) load_changed: Notify,
     dispatcher: Mutex<Dispatcher>,
     table: Mutex<Arc<RoutingTable>>,
+    /// Until when all changes of the table are known.
+    table_confirmed: Mutex<Option<Instant>>,
     /// Until when keys of the table in force are accepted.
     pub(crate) key_life: Mutex<KeyAcceptance>,
     turns: Mutex<WeightedRoundRobin>,
@@ -97,6 +100,7 @@
             pool: Pool::default(),
             dispatcher: Mutex::default(),
             table: Mutex::default(),
+            table_confirmed: Mutex::default(),
             key_life: Mutex::default(),
             turns: Mutex::default(),
             held: Mutex::default(),
@@ -132,6 +136,16 @@
         Some(previous)
     }
 
+    pub(crate) fn note_confirmation(&self, until: Instant) {
+        let mut confirmed = lock(&self.table_confirmed);
+        *confirmed = (*confirmed).max(Some(until));
+    }
+
+    /// Time until which all changes of the table are known; `None` before the store was reached.
+    pub fn table_confirmed(&self) -> Option<Instant> {
+        *lock(&self.table_confirmed)
+    }
+
     /// Another node told of a table of that version.
     pub(crate) fn note_table_elsewhere(&self, version: u64) {
         let newest = self.newest_table.fetch_max(version, Ordering::Relaxed).max(version);
--- a/crates/proxy/src/start.rs
+++ b/crates/proxy/src/start.rs
@@ -95,9 +95,10 @@
         self.start.note(self.clock.now(), |known| known.servers = true);
     }
 
-    /// All of the operator's records are known: where no table is in force now, there is
-    /// none.
-    pub fn note_table_received(&self) {
+    /// All changes of the operator's records until that time are known: where no table is in
+    /// force now, there is none.
+    pub fn note_table_confirmed(&self, until: CoreInstant) {
+        self.note_confirmation(until);
         self.start.note(self.clock.now(), StartupState::note_table_received);
     }
 
--- a/crates/proxy/tests/start.rs
+++ b/crates/proxy/tests/start.rs
@@ -126,7 +126,7 @@
     let waiting = hold(&shared, headers("5000"));
     advance(Duration::from_millis(300)).await;
     assert!(!waiting.is_finished(), "nothing is known yet");
-    shared.note_table_received();
+    shared.note_table_confirmed(shared.clock.now());
     assert!(timeout(Duration::from_millis(1), waiting).await.unwrap().unwrap());
     assert_eq!(timeout(Duration::ZERO, shared.hold_at_start(&headers("5000"))).await, Ok(false));
     put_table_in_force(&shared);
