Run the items of a job only on a batch route

Cause: the route of an accepted job was whatever route the table finds for its host and path, of any kind. Change: route_of_job takes batch routes only; without one the route counts as missing. Test: a_removed_route_whose_path_another_route_covers failed before (an item ran at the other service), passes now; all tests of the crate pass.

--- a/crates/core/src/job_route.rs
+++ b/crates/core/src/job_route.rs
@@ -1,13 +1,21 @@
 //! Routes of batch jobs that were accepted earlier: the operator may change or remove the
 //! route while the job is open.
 
+use crate::routes::{RequestKind, Route, RoutingTable};
 use crate::time::Instant;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time for which a route has to be missing before the items of its jobs are given up. An
 /// operator who restores the route within this time loses no accepted work.
 pub const RESTORE_TIME: Duration = Duration::from_secs(10);
 
+/// The route of a job that was submitted at this host and path. A route of another kind that
+/// covers the path, such as one with a shorter prefix, belongs to other services.
+pub fn route_of_job(table: &RoutingTable, host: &str, path: &str) -> Option<Arc<Route>> {
+    table.find(host, path).filter(|route| route.kind == RequestKind::Batch)
+}
+
 /// A change of whether the table has a job's route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteChange {
--- a/crates/jobs/src/job_route.rs
+++ b/crates/jobs/src/job_route.rs
@@ -2,7 +2,7 @@
 
 use crate::job_run::JobRun;
 use latchwheel_core::item_progress::GiveUpRules;
-use latchwheel_core::job_route::RouteChange;
+use latchwheel_core::job_route::{route_of_job, RouteChange};
 use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
@@ -21,7 +21,7 @@
         if table.version == 0 {
             return;
         }
-        let route = table.find(&self.record.host, &self.record.path);
+        let route = route_of_job(&table, &self.record.host, &self.record.path);
         let (job, version) = (&self.job, table.version);
         match self.route_absence.observe(now, route.is_some()) {
             Some(RouteChange::Missing) => {
@@ -45,7 +45,7 @@
     /// When items of the job are given up, and its route, if the table has one.
     pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
         let table = self.context.shared.table();
-        let route = table.find(&self.record.host, &self.record.path);
+        let route = route_of_job(&table, &self.record.host, &self.record.path);
         let now = self.context.shared.clock.now();
         let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
         let expires = if self.is_route_removed() { now } else { now + retention.saturating_sub(self.age()) };
--- a/crates/jobs/tests/removed_routes.rs
+++ b/crates/jobs/tests/removed_routes.rs
@@ -192,3 +192,18 @@
     put_in_force(&shared, 2, [back]);
     assert!(until_all_listed(&store).await.iter().all(|result| result.completed));
 }
+
+/// The servers of an online route that covers the path of a removed batch route get no items.
+#[tokio::test]
+async fn a_removed_route_whose_path_another_route_covers() {
+    let _events = EVENTS.lock().await;
+    let online = TestServer::start("online", vec![Act::StreamTo(1); ITEMS]).await;
+    let store = MemoryStore::default();
+    hand_in(&store, JOB, ITEMS).await;
+    let cover = Route { name: "cover".into(), prefix: "/".into(), ..route(RequestKind::Idempotent, 3) };
+    let shared = node(cover, &[&online]);
+    let _worker = start(&store, &shared).await;
+    confirm_table(&shared);
+    assert!(until_all_listed(&store).await.iter().all(|result| is_given_up(result)));
+    assert!(online.seen().is_empty(), "an item ran at a service that never was its own");
+}
