Keep with a job the terms under which its route accepted it

What callers would see: a job's items are given up before the retention that held when it was accepted, once the operator's next document has a shorter one, or makes the route one of another kind, whose retention is a default. Cause: the job's record says nothing of its route; all is read from the table in force. Change: AcceptedTerms (route, retention, maximum attempts) go with the job, also by way of a disk and of another front. Items are not given up before the longer of the two retentions; a route that is no batch route any more, but has the same name, still runs what it accepted. Maximum attempts stay those of the table, which are the operator's; the accepted ones hold while the route is missing. Records of earlier releases have no terms, and are treated as before.

--- a/crates/jobs/src/handed.rs
+++ b/crates/jobs/src/handed.rs
@@ -3,7 +3,9 @@
 use crate::desk::{DeskFault, Taken, LONGEST_PAUSE, PAUSE};
 use crate::job_entry::{Entered, JobEntry};
 use crate::layout::JobBody;
+use latchwheel_core::job_route::AcceptedTerms;
 use latchwheel_core::retry::exponential_backoff;
+use latchwheel_core::routes::Route;
 use latchwheel_records::{RecordStore, RecordsFault};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -19,11 +21,13 @@
     pub(crate) assigned: String,
     #[serde(default)]
     pub(crate) tenant: Option<String>,
+    #[serde(default)]
+    pub(crate) terms: Option<AcceptedTerms>,
     pub(crate) body: JobBody,
 }
 
 /// How a job was handed in, apart from its items.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Submission<'a> {
     /// Host that its client named.
     pub host: &'a str,
@@ -31,6 +35,8 @@
     pub path: &'a str,
     /// Tenant that hands it in, if the table knows tenants.
     pub tenant: Option<&'a str>,
+    /// Route that accepts it.
+    pub route: Option<&'a Route>,
 }
 
 impl Handed {
@@ -41,6 +47,7 @@
             host: submission.host.to_owned(),
             path: submission.path.to_owned(),
             tenant: submission.tenant.map(str::to_owned),
+            terms: submission.route.map(AcceptedTerms::of),
             accepted_ms: accepted.as_millis() as u64,
             assigned: assigned.unwrap_or_default().to_owned(),
             body,
--- a/crates/jobs/src/job_entry.rs
+++ b/crates/jobs/src/job_entry.rs
@@ -58,6 +58,7 @@
             accepted_ms: handed.accepted_ms,
             assigned: handed.assigned.clone(),
             tenant: handed.tenant.clone(),
+            terms: handed.terms.clone(),
         };
         let summary = JobSummary { items: record.items, tenant: record.tenant.clone() };
         let summary = serde_json::to_vec(&summary).unwrap_or_default();
--- a/crates/jobs/src/job_route.rs
+++ b/crates/jobs/src/job_route.rs
@@ -2,8 +2,8 @@
 
 use crate::job_run::JobRun;
 use latchwheel_core::item_progress::GiveUpRules;
-use latchwheel_core::job_route::{route_of_job, RouteChange};
-use latchwheel_core::routes::{Route, DEFAULT_MAX_ATTEMPTS};
+use latchwheel_core::job_route::{retention_of_job, route_of_job, RouteChange};
+use latchwheel_core::routes::{Route, RoutingTable, DEFAULT_MAX_ATTEMPTS};
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
 use latchwheel_proxy::Dialect;
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Retention of a job whose route is not known any more.
+/// Retention of a job whose record states none, where the table has no route for it.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(3600);
 
 impl<S: RecordStore, D: Dialect> JobRun<S, D> {
@@ -21,7 +21,7 @@
         if table.version == 0 {
             return;
         }
-        let route = route_of_job(&table, &self.record.host, &self.record.path);
+        let route = self.route_in(&table);
         let (job, version) = (&self.job, table.version);
         match self.route_absence.observe(now, route.is_some()) {
             Some(RouteChange::Missing) => {
@@ -44,17 +44,23 @@
 
     /// When items of the job are given up, and its route, if the table has one.
     pub(crate) fn rules(&self) -> (GiveUpRules, Option<Arc<Route>>) {
-        let table = self.context.shared.table();
-        let route = route_of_job(&table, &self.record.host, &self.record.path);
+        let route = self.route_in(&self.context.shared.table());
+        let terms = self.record.terms.as_ref();
         let now = self.context.shared.clock.now();
-        let retention = route.as_ref().map_or(DEFAULT_RETENTION, |route| route.retention);
+        let retention = retention_of_job(route.as_deref(), terms).unwrap_or(DEFAULT_RETENTION);
         let expires = if self.is_route_removed() { now } else { now + retention.saturating_sub(self.age()) };
-        let max_failures = route.as_ref().map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts);
+        let of_route = route.as_ref().map(|route| route.max_attempts);
+        let accepted = terms.map(|terms| terms.max_attempts);
+        let max_failures = of_route.or(accepted).unwrap_or(DEFAULT_MAX_ATTEMPTS);
         let services = route.iter().flat_map(|route| &route.targets);
         let servers = services.map(|target| self.context.shared.dispatcher().ready_count(&target.service)).sum();
         (GiveUpRules { max_failures, servers, expires }, route)
     }
 
+    fn route_in(&self, table: &RoutingTable) -> Option<Arc<Route>> {
+        route_of_job(table, &self.record.host, &self.record.path, self.record.terms.as_ref())
+    }
+
     /// Time since the job was accepted.
     pub(crate) fn age(&self) -> Duration {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -20,6 +20,7 @@
 //! record is absent.
 
 use latchwheel_core::fingerprint::{Fingerprint, RequestKey, RequestShape};
+use latchwheel_core::job_route::AcceptedTerms;
 use latchwheel_core::quarantine::QuarantineEntry;
 use latchwheel_core::time::WallTime;
 use serde::{Deserialize, Serialize};
@@ -149,6 +150,9 @@
     /// Tenant that handed it in, if the table knew tenants then.
     #[serde(default)]
     pub tenant: Option<String>,
+    /// Terms of its route when it was accepted; records of earlier releases have none.
+    #[serde(default)]
+    pub terms: Option<AcceptedTerms>,
 }
 
 impl JobRecord {
--- a/crates/jobs/tests/removed_routes.rs
+++ b/crates/jobs/tests/changed_routes.rs
@@ -1,4 +1,5 @@
-//! Jobs whose route the operator removes after they were accepted: every item ends.
+//! Jobs whose route the operator removes or changes after they were accepted: every item
+//! ends, and none before its client was promised.
 
 use latchwheel_core::job_route::RESTORE_TIME;
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable};
@@ -6,7 +7,7 @@
 use latchwheel_jobs::{ListedResult, WorkerRules};
 use latchwheel_proxy::{Clock, Shared};
 use latchwheel_records::memory::MemoryStore;
-use one_worker::{change_record, desk, events_of, hand_in, start_worker, until, Worker};
+use one_worker::{change_record, desk, events_of, hand_in, hand_in_on, start_worker, until, Worker};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,6 +59,17 @@
     results(store).await
 }
 
+/// Runs a job that one route accepted while the table has another one; gives back the results.
+async fn run_on_another_route(accepted: &Route, present: Route) -> Vec<Arc<ListedResult>> {
+    let server = TestServer::start("server", vec![Act::StreamTo(1); ITEMS]).await;
+    let store = MemoryStore::default();
+    hand_in_on(&store, JOB, ITEMS, Some(accepted)).await;
+    let shared = node(present, &[&server]);
+    let _worker = start(&store, &shared).await;
+    confirm_table(&shared);
+    until_all_listed(&store).await
+}
+
 /// Waits until a worker has found the route missing, and keeps other tests from being counted.
 async fn until_missing<'a>(guard: MutexGuard<'a, ()>, before: usize) -> MutexGuard<'a, ()> {
     until("no worker finds the route missing", async || events_of("JobRouteMissing") > before).await;
@@ -182,11 +194,11 @@
     let mut moved = batch_route();
     moved.targets[0].service = "another".into();
     let shared = node(moved, &[&server]);
-    let before = events_of("ItemsNotStarted");
+    let before = events_of("JobTaken");
     hand_in(&store, JOB, ITEMS).await;
     let _worker = start(&store, &shared).await;
     confirm_table(&shared);
-    until("the items are not stalled", async || events_of("ItemsNotStarted") > before).await;
+    until("no worker takes the job", async || events_of("JobTaken") > before).await;
     let mut back = batch_route();
     back.targets[0].service = SERVICE.into();
     put_in_force(&shared, 2, [back]);
@@ -207,3 +219,40 @@
     assert!(until_all_listed(&store).await.iter().all(|result| is_given_up(result)));
     assert!(online.seen().is_empty(), "an item ran at a service that never was its own");
 }
+
+#[tokio::test]
+async fn a_shorter_retention_does_not_end_items_that_were_promised_a_longer_one() {
+    let _events = EVENTS.lock().await;
+    let shortened = Route { retention: Duration::ZERO, ..batch_route() };
+    let results = run_on_another_route(&batch_route(), shortened).await;
+    assert!(results.iter().all(|result| result.completed), "{results:?}");
+}
+
+#[tokio::test]
+async fn a_longer_retention_holds_for_jobs_that_were_accepted_before() {
+    let _events = EVENTS.lock().await;
+    let accepted = Route { retention: Duration::ZERO, ..batch_route() };
+    let results = run_on_another_route(&accepted, batch_route()).await;
+    assert!(results.iter().all(|result| result.completed), "{results:?}");
+}
+
+/// A route of another kind states no retention of its own for jobs.
+#[tokio::test]
+async fn a_route_that_takes_no_further_jobs_runs_those_that_it_accepted() {
+    let _events = EVENTS.lock().await;
+    let online = Route { retention: Duration::ZERO, ..route(RequestKind::Idempotent, 3) };
+    let results = run_on_another_route(&batch_route(), online).await;
+    assert!(results.iter().all(|result| result.completed), "{results:?}");
+}
+
+/// The promised retention ends, and with it the wait for servers.
+#[tokio::test]
+async fn items_of_a_route_of_another_kind_end_with_the_promised_retention() {
+    let _events = EVENTS.lock().await;
+    let store = MemoryStore::default();
+    let accepted = Route { retention: Duration::from_secs(1), ..batch_route() };
+    hand_in_on(&store, JOB, ITEMS, Some(&accepted)).await;
+    let online = Route { retention: Duration::from_secs(600), ..route(RequestKind::Idempotent, 3) };
+    let _worker = start(&store, &node(online, &[] as &[&TestServer])).await;
+    assert!(until_all_listed(&store).await.iter().all(|result| is_given_up(result)));
+}
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -14,7 +14,7 @@
 
 const JOB: &str = "job-1";
 const HOST: &str = "host.example";
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 
 fn body(items: usize) -> JobBody {
     let items = (0..items).map(|number| ItemBody {
--- a/crates/jobs/tests/ends.rs
+++ b/crates/jobs/tests/ends.rs
@@ -25,7 +25,7 @@
 const JOB: &str = "job-1";
 /// A job that is handed in after the others, and runs.
 const CONTROL: &str = "job-control";
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 const OF_RED: Submission<'_> = Submission { tenant: Some("red"), ..SUBMISSION };
 const ITEMS: usize = 3;
 const PAGE: usize = 1 << 20;
--- a/crates/jobs/tests/item_requests.rs
+++ b/crates/jobs/tests/item_requests.rs
@@ -22,7 +22,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 const JOB: &str = "job-1";
 /// Headers that the node sets itself.
 const OWN_HEADERS: [&str; 3] = ["t-deadline", "t-server", "content-length"];
--- a/crates/jobs/tests/kept_jobs.rs
+++ b/crates/jobs/tests/kept_jobs.rs
@@ -1,22 +1,33 @@
 //! A job that goes to the store by way of a disk or of another front is the job that its
-//! client handed in: every byte of its items, its host, path and tenant.
+//! client handed in: every byte of its items, its host, path, tenant and terms.
 
 use hyper::Method;
+use latchwheel_core::job_route::AcceptedTerms;
+use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_http::{CallFault, Client};
 use latchwheel_jobs::layout::{body_key, disk_key, job_key, JobRecord, JobState};
 use latchwheel_jobs::{serve_relay, ItemBody, JobBody, JobDesk, NodeRole, Nodes, OwnedJobs, Spool, Submission};
 use latchwheel_records::memory::MemoryStore;
 use latchwheel_records::{Contact, RecordStore, RecordsFault};
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
+use support::route;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+#[path = "../../proxy/tests/support/mod.rs"]
+mod support;
+
 const JOB: &str = "job-1";
-const SUBMISSION: Submission<'_> = Submission { host: "host.example", path: "/path/x?y=%20", tenant: Some("red") };
-const OTHER: Submission<'_> = Submission { host: "other.example", ..SUBMISSION };
+static ROUTE: LazyLock<Route> = LazyLock::new(|| route(RequestKind::Batch, 7));
+static SUBMISSION: LazyLock<Submission<'_>> = LazyLock::new(|| Submission {
+    host: "host.example",
+    path: "/path/x?y=%20",
+    tenant: Some("red"),
+    route: Some(&ROUTE),
+});
 
 /// Items with what an encoding may change: escapes, quotes, blanks, empty texts, signs
 /// beyond ASCII, names that differ in case only, and one identity in two jobs.
@@ -65,7 +76,7 @@
 /// A job as it is handed to a disk.
 fn handed() -> serde_json::Value {
     serde_json::json!({ "host": SUBMISSION.host, "path": SUBMISSION.path, "accepted_ms": 1, "tenant": "red",
-                        "body": body("first") })
+                        "terms": AcceptedTerms::of(&ROUTE), "body": body("first") })
 }
 
 /// What the disk at an address answers to a job; `None` if it gives no answer.
@@ -143,6 +154,7 @@
     assert_eq!(kept, body(mark));
     assert_eq!((record.host.as_str(), record.path.as_str()), (SUBMISSION.host, SUBMISSION.path));
     assert_eq!((record.tenant.as_deref(), record.state, record.items), (Some("red"), JobState::Open, 2));
+    assert_eq!(record.terms, Some(AcceptedTerms::of(&ROUTE)));
 }
 
 #[tokio::test]
@@ -210,8 +222,9 @@
     let desk = JobDesk::new(Arc::new(store.clone()), Nodes::default(), 1);
     desk.take(JOB, &SUBMISSION, body("first"), soon()).await.unwrap();
     assert!(desk.take(JOB, &SUBMISSION, body("second"), soon()).await.is_err());
-    assert!(desk.take(JOB, &Submission { tenant: None, ..SUBMISSION }, body("first"), soon()).await.is_err());
-    let _: Result<_, _> = desk.take(JOB, &OTHER, body("first"), soon()).await;
+    assert!(desk.take(JOB, &Submission { tenant: None, ..*SUBMISSION }, body("first"), soon()).await.is_err());
+    let _: Result<_, _> =
+        desk.take(JOB, &Submission { host: "other.example", ..*SUBMISSION }, body("first"), soon()).await;
     assert_kept_whole(&store, "first").await;
 }
 
--- a/crates/jobs/tests/one_worker/mod.rs
+++ b/crates/jobs/tests/one_worker/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use crate::support::{TestDialect, HOST};
+use latchwheel_core::routes::Route;
 use latchwheel_events::metrics_text;
 use latchwheel_jobs::layout::job_key;
 use latchwheel_jobs::{
@@ -19,7 +20,7 @@
 use tokio::net::UdpSocket;
 
 pub const WORKER: &str = "worker";
-pub const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+pub const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 /// Far more than anything here takes.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -52,6 +53,11 @@
 }
 
 pub async fn hand_in(records: &MemoryStore, job: &str, items: usize) {
+    hand_in_on(records, job, items, None).await;
+}
+
+/// Hands in a job that this route accepts.
+pub async fn hand_in_on(records: &MemoryStore, job: &str, items: usize, route: Option<&Route>) {
     let items = (0..items).map(|number| ItemBody {
         id: format!("{job}-{number}"),
         path: "/path/item".into(),
@@ -59,7 +65,7 @@
         ..ItemBody::default()
     });
     let body = JobBody { items: items.collect() };
-    desk(records).take(job, &SUBMISSION, body, Instant::now() + PATIENCE).await.unwrap();
+    desk(records).take(job, &Submission { route, ..SUBMISSION }, body, Instant::now() + PATIENCE).await.unwrap();
 }
 
 pub async fn end(records: &MemoryStore, job: &str) {
--- a/crates/jobs/tests/refused_jobs.rs
+++ b/crates/jobs/tests/refused_jobs.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-const SUBMISSION: Submission<'_> = Submission { host: "host.example", path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: "host.example", path: "/path/x", tenant: None, route: None };
 const JOB: &str = "job-1";
 
 fn body() -> JobBody {
--- a/crates/jobs/tests/refused_worker.rs
+++ b/crates/jobs/tests/refused_worker.rs
@@ -25,7 +25,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 const ENDED: &str = "job-ended";
 const OPEN: &str = "job-open";
 const ITEMS: usize = 2;
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -18,7 +18,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 const JOB: &str = "job-1";
 const PAGE: usize = 1 << 20;
 const LIMIT: Duration = Duration::from_secs(30);
--- a/crates/jobs/tests/retaken_jobs.rs
+++ b/crates/jobs/tests/retaken_jobs.rs
@@ -20,7 +20,7 @@
 mod support;
 
 const JOB: &str = "job-1";
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 /// Calm time within which an open job has to be taken.
 const TAKEN_WITHIN: Duration = Duration::from_secs(12);
 
--- a/crates/jobs/tests/spooled_ends.rs
+++ b/crates/jobs/tests/spooled_ends.rs
@@ -15,7 +15,8 @@
 use tokio::sync::watch;
 
 const JOB: &str = "job-1";
-const SUBMISSION: Submission<'_> = Submission { host: "host.example", path: "/path/x", tenant: Some("red") };
+const SUBMISSION: Submission<'_> =
+    Submission { host: "host.example", path: "/path/x", tenant: Some("red"), route: None };
 const OWNER: Option<&str> = Some("red");
 
 /// A worker's disk, served at an address.
--- a/crates/jobs/tests/worker.rs
+++ b/crates/jobs/tests/worker.rs
@@ -19,7 +19,7 @@
 #[path = "../../proxy/tests/support/mod.rs"]
 mod support;
 
-const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None };
+const SUBMISSION: Submission<'_> = Submission { host: HOST, path: "/path/x", tenant: None, route: None };
 const JOB: &str = "job-1";
 /// Runs that are asked to give way, one after the other.
 const STALLED_RUNS: usize = 12;
