Let callers without a key reach their jobs after the public route is gone

What callers would see: whoever handed a job in on a public route, where other routes need keys, gets 401 for its results, bodies and end once the operator's next document drops that route or makes it private. Cause: whether a call on a job needs a key was decided by whether the host has a public batch route now. Change: where the key is missing or unknown, the record of the job decides: one that was handed in without a key is open to callers without one. Other jobs, and unknown ones, are answered 401 as before, at the cost of one read of the store.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -189,6 +189,15 @@
         }
     }
 
+    /// Whether a job is in the store that was handed in while callers needed no key.
+    ///
+    /// # Errors
+    /// [`DeskFault`] if the store doesn't answer.
+    pub async fn is_open_to_all(&self, job: &str) -> Result<bool, DeskFault> {
+        let record = self.store.get(&job_key(job)).await.map_err(desk_fault)?;
+        Ok(record.and_then(|record| read_record(&record.value)).is_some_and(|record| record.is_open_to(None)))
+    }
+
     /// Reads results from a position on, `byte_limit` at most but one at
     /// least; waits up to `wait` until there is one.
     ///
