Keep calls on accepted jobs from a route for all paths of the host

What callers would see: once the operator's next document has an online route for the prefix / on the host of batch jobs, reads of results and bodies and ends of accepted jobs go to its servers. Cause: a path of a call on a job was one only where no route covered it. Change: a route for / takes such a path only where no jobs may be submitted on the host and the store knows no such job; a route for just these paths takes them as before. Where the store gives no answer the request is forwarded, and that is logged (E8238).

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -204,6 +204,12 @@
         routes.any(|route| route.kind == RequestKind::Batch && route.public)
     }
 
+    /// Whether batch jobs of a host may be submitted.
+    pub fn has_jobs(&self, host: &str) -> bool {
+        let mut routes = self.by_host.get(host).into_iter().flatten();
+        routes.any(|route| route.kind == RequestKind::Batch)
+    }
+
     /// Whether any route has this host.
     pub fn has_host(&self, host: &str) -> bool {
         self.by_host.contains_key(host)
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -654,6 +654,14 @@
         /// Time since its last run, or since the worker took the job.
         idle_ms: u64
     };
+    /// A request on the path of a job went to a server: whether it names an accepted job was not
+    /// known.
+    JobCallForwarded = 8238, Essential {
+        /// Job id in the path.
+        job: &'a str,
+        /// Reason.
+        reason: &'a str
+    };
     /// The routing table has no route for an open job: its items do not start.
     JobRouteMissing = 8236, Essential {
         /// Job id.
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -43,6 +43,18 @@
     Conflict,
 }
 
+impl DeskFault {
+    /// A word for the log.
+    pub fn word(self) -> &'static str {
+        match self {
+            DeskFault::Refused => "store_refused",
+            DeskFault::Unknown => "store_gave_no_answer",
+            DeskFault::Absent => "absent",
+            DeskFault::Conflict => "another_job_has_the_identity",
+        }
+    }
+}
+
 /// A job that was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Taken {
@@ -189,6 +201,15 @@
         }
     }
 
+    /// Whether a job of this identity is in the store. Asks nothing but the store, so that
+    /// callers that may have no business with jobs cost one read.
+    ///
+    /// # Errors
+    /// [`DeskFault`] if the store doesn't answer.
+    pub async fn is_recorded(&self, job: &str) -> Result<bool, DeskFault> {
+        Ok(self.store.get(&job_key(job)).await.map_err(desk_fault)?.is_some())
+    }
+
     /// Whether a job is in the store that was handed in while callers needed no key.
     ///
     /// # Errors
