Answer 202 to an accepted job that comes again after its route was removed

What callers would see: a client that missed the answer to its job sends it again, and gets 404 once the operator's next document has dropped the route, although the job was taken. Cause: only a route decides whether a submission is a call on jobs. Change: a request without a route whose identity is that of a job in the store is compared with it: 202 for the same items of the same owner, 409 for others.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -3,6 +3,7 @@
 use crate::asked_ends::AskedEnds;
 use crate::assignment::assign;
 use crate::handed::{write_job, Handed, Submission};
+use crate::job_entry::JobEntry;
 use crate::layout::{body_key, is_open_to, job_key, JobBody, JobRecord, JobSummary, ListedResult};
 use crate::nodes::Nodes;
 use crate::owned_jobs::page;
@@ -210,6 +211,20 @@
         Ok(self.store.get(&job_key(job)).await.map_err(desk_fault)?.is_some())
     }
 
+    /// Whether this job is in the store: the same items of the same owner.
+    ///
+    /// # Errors
+    /// [`DeskFault::Conflict`] if another job has its identity, else [`DeskFault`] of the store.
+    pub async fn has_taken(&self, job: &str, submission: &Submission<'_>, body: JobBody) -> Result<bool, DeskFault> {
+        let Some(record) = self.store.get(&job_key(job)).await.map_err(desk_fault)? else { return Ok(false) };
+        let present = read_record(&record.value).ok_or(DeskFault::Unknown)?;
+        let handed = Handed::new(submission, body, None);
+        match JobEntry::new(&*self.store, job, &handed).is_of_same_job(&present) {
+            true => Ok(true),
+            false => Err(DeskFault::Conflict),
+        }
+    }
+
     /// Whether a job is in the store that was handed in while callers needed no key.
     ///
     /// # Errors
