Count a job's unfinished tokens on the route that it has now

What callers would see: after a document renames a route with a limit on queued tokens (or gives its prefix to another one) while jobs are open, and a later one brings the old name back, jobs are refused with 429 though nothing waits. Cause: a job's tokens moved to its new route, but the former route's sum was not reported anew, and stayed at its last value for the life of the process; those of a job whose route is missing or lost its limit stayed as well. Change: a job that changes its route reports both sums; without a route, or without a limit, it counts nowhere. Test: a_job_counts_on_the_route_that_it_has_now_and_on_no_other failed before, passes now.

--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -292,7 +292,10 @@
 
     /// Tells other nodes how much of the job is unfinished.
     fn tell_unfinished(&self) {
-        let (_, Some(route)) = self.rules() else { return };
+        let (_, route) = self.rules();
+        let Some(route) = route.filter(|route| route.queued_token_limit > 0) else {
+            return self.context.forget_unfinished(&self.job);
+        };
         let items = self.items.iter().zip(&self.progress);
         let unfinished =
             items.filter(|(_, progress)| matches!(progress.state(), ItemState::Waiting(_) | ItemState::Running));
--- a/crates/jobs/src/unfinished.rs
+++ b/crates/jobs/src/unfinished.rs
@@ -10,19 +10,16 @@
 }
 
 impl UnfinishedTokens {
-    /// So many tokens of a job are unfinished. Gives back the sum of its route.
-    pub(crate) fn set(&mut self, job: &str, route: RouteKey, tokens: u64) -> u64 {
-        match self.jobs.get_mut(job) {
-            Some(present) => *present = (route, tokens),
-            None => {
-                self.jobs.insert(job.to_owned(), (route, tokens));
-            }
-        }
-        self.of(route)
+    /// So many tokens of a job are unfinished. Returns the routes whose sums changed, with the
+    /// sums: two if the job was counted on another route.
+    pub(crate) fn set(&mut self, job: &str, route: RouteKey, tokens: u64) -> Vec<(RouteKey, u64)> {
+        let former = self.jobs.insert(job.to_owned(), (route, tokens)).map(|(former, _)| former);
+        let changed = [Some(route), former.filter(|former| *former != route)];
+        changed.into_iter().flatten().map(|route| (route, self.of(route))).collect()
     }
 
-    /// The worker does not run the job any more. Gives back its route and the
-    /// sum of that, if the job was counted.
+    /// The job does not count any more. Returns its route and the sum of that, if the job
+    /// counted.
     pub(crate) fn remove(&mut self, job: &str) -> Option<(RouteKey, u64)> {
         let (route, _) = self.jobs.remove(job)?;
         Some((route, self.of(route)))
--- a/crates/jobs/src/worker_context.rs
+++ b/crates/jobs/src/worker_context.rs
@@ -122,28 +122,32 @@
         self.shared.dispatcher().set_waiting(u32::try_from(order.total()).unwrap_or(u32::MAX));
     }
 
-    /// So many tokens of a job are unfinished; other nodes are told where its
-    /// route has a limit.
+    /// So many tokens of a job are unfinished; other nodes are told where its route has a limit.
     pub(crate) fn note_unfinished(&self, job: &str, route: &Route, tenant: Option<&str>, tokens: u64)
     where
         D: Dialect,
     {
-        if route.queued_token_limit == 0 {
-            return;
-        }
-        let key = RouteKey::of_tenant(&route.name, tenant);
-        let sum = self.unfinished().set(job, key, tokens);
-        self.shared.dispatcher().set_queued_tokens(self.shared.clock.now(), key, sum);
+        let changed = self.unfinished().set(job, RouteKey::of_tenant(&route.name, tenant), tokens);
+        self.report_unfinished(changed);
     }
 
-    /// This worker runs a job no longer.
+    /// A job does not count on any route: this worker runs it no longer, or its route is missing
+    /// or has no limit.
     pub(crate) fn forget_unfinished(&self, job: &str)
     where
         D: Dialect,
     {
-        let left = self.unfinished().remove(job);
-        if let Some((route, sum)) = left {
-            self.shared.dispatcher().set_queued_tokens(self.shared.clock.now(), route, sum);
+        let changed = self.unfinished().remove(job);
+        self.report_unfinished(changed);
+    }
+
+    fn report_unfinished(&self, changed: impl IntoIterator<Item = (RouteKey, u64)>)
+    where
+        D: Dialect,
+    {
+        let now = self.shared.clock.now();
+        for (route, tokens) in changed {
+            self.shared.dispatcher().set_queued_tokens(now, route, tokens);
         }
     }
 
--- a/crates/jobs/tests/changed_routes.rs
+++ b/crates/jobs/tests/changed_routes.rs
@@ -1,16 +1,19 @@
 //! Jobs whose route the operator removes or changes after they were accepted: every item
 //! ends, and none before its client was promised.
 
+use latchwheel_core::dispatch::RouteKey;
 use latchwheel_core::job_route::RESTORE_TIME;
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable};
 use latchwheel_core::tenants::Tenants;
-use latchwheel_jobs::{ListedResult, WorkerRules};
+use latchwheel_jobs::{ItemBody, JobBody, ListedResult, WorkerRules};
 use latchwheel_proxy::{Clock, Shared};
 use latchwheel_records::memory::MemoryStore;
-use one_worker::{change_record, desk, events_of, hand_in, hand_in_on, start_worker, until, Worker};
+use one_worker::{
+    change_record, desk, events_of, hand_in, hand_in_on, item, start_worker, until, Worker, PATIENCE, SUBMISSION,
+};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{node, route, Act, TestDialect, TestServer, SERVICE};
 use tokio::sync::{Mutex, MutexGuard, Notify};
 
@@ -70,6 +73,12 @@
     until_all_listed(&store).await
 }
 
+/// Tokens that a node reports as unfinished on a route.
+fn queued(shared: &Shared<TestDialect>, route: &Route) -> u64 {
+    let queues = shared.dispatcher().shares(shared.clock.now()).queues;
+    queues.iter().filter(|queue| queue.route == RouteKey::of(&route.name)).map(|queue| queue.tokens).sum()
+}
+
 /// Waits until a worker has found the route missing, and keeps other tests from being counted.
 async fn until_missing<'a>(guard: MutexGuard<'a, ()>, before: usize) -> MutexGuard<'a, ()> {
     until("no worker finds the route missing", async || events_of("JobRouteMissing") > before).await;
@@ -256,3 +265,30 @@
     let _worker = start(&store, &node(online, &[] as &[&TestServer])).await;
     assert!(until_all_listed(&store).await.iter().all(|result| is_given_up(result)));
 }
+
+/// What a former route counts would refuse jobs once it is back under its name.
+#[tokio::test]
+async fn a_job_counts_on_the_route_that_it_has_now_and_on_no_other() {
+    let _events = EVENTS.lock().await;
+    let store = MemoryStore::default();
+    let limited = Route { queued_token_limit: 1000, ..batch_route() };
+    let renamed = Route { name: "renamed".into(), ..limited.clone() };
+    let unlimited = Route { queued_token_limit: 0, ..limited.clone() };
+    let body = JobBody { items: vec![ItemBody { tokens: 100, ..item() }] };
+    desk(&store).take(JOB, &SUBMISSION, body, Instant::now() + PATIENCE).await.unwrap();
+    let shared = node(limited.clone(), &[] as &[&TestServer]);
+    let _worker = start(&store, &shared).await;
+    let counts = async |on_limited, on_renamed| {
+        let counted = || (queued(&shared, &limited), queued(&shared, &renamed));
+        until("the counts differ", async || counted() == (on_limited, on_renamed)).await;
+    };
+    counts(100, 0).await;
+    put_in_force(&shared, 2, [renamed.clone()]);
+    counts(0, 100).await;
+    put_in_force(&shared, 3, []);
+    counts(0, 0).await;
+    put_in_force(&shared, 4, [limited.clone()]);
+    counts(100, 0).await;
+    put_in_force(&shared, 5, [unlimited]);
+    counts(0, 0).await;
+}
--- a/crates/jobs/tests/one_worker/mod.rs
+++ b/crates/jobs/tests/one_worker/mod.rs
@@ -52,18 +52,17 @@
     JobDesk::new(Arc::new(records.clone()), Nodes::default(), 2)
 }
 
+pub fn item() -> ItemBody {
+    ItemBody { id: "item".into(), path: "/path/item".into(), body: "YWJj".into(), ..ItemBody::default() }
+}
+
 pub async fn hand_in(records: &MemoryStore, job: &str, items: usize) {
     hand_in_on(records, job, items, None).await;
 }
 
 /// Hands in a job that this route accepts.
 pub async fn hand_in_on(records: &MemoryStore, job: &str, items: usize, route: Option<&Route>) {
-    let items = (0..items).map(|number| ItemBody {
-        id: format!("{job}-{number}"),
-        path: "/path/item".into(),
-        body: "YWJj".into(),
-        ..ItemBody::default()
-    });
+    let items = (0..items).map(|number| ItemBody { id: format!("{job}-{number}"), ..item() });
     let body = JobBody { items: items.collect() };
     desk(records).take(job, &Submission { route, ..SUBMISSION }, body, Instant::now() + PATIENCE).await.unwrap();
 }
