Read the list of results again after a loss of the worker's registration

Cause: another worker ran the job meanwhile and listed results. The one that came back read both registrations, its own new one too, in one list, so that it never left the job; its view of the list counted as settled, and the store answered it again, so that it said for sure that there is nothing. Change: the registrar tells the contact when its lease is held, until when, and when it was lost. What a worker read of a list counts as sure only within the time without a loss in which it was read; after a loss a running job counts as taken over anew: it lists nothing for the takeover grace, and reads its list again (JobMayBeElsewhere, E8239). Why so: another worker takes a job only after the lease has ended, so that a lease held without a loss excludes what the view lacks.

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -662,6 +662,14 @@
         /// Reason.
         reason: &'a str
     };
+    /// This worker runs a job and has lost its registration meanwhile: another worker may have
+    /// run the job, so that the list of results is read again.
+    JobMayBeElsewhere = 8239, Essential {
+        /// Job id.
+        job: &'a str,
+        /// Listed results, as known.
+        listed: usize
+    };
     /// The routing table has no route for an open job: its items do not start.
     JobRouteMissing = 8236, Essential {
         /// Job id.
--- a/crates/jobs/src/job_listing.rs
+++ b/crates/jobs/src/job_listing.rs
@@ -191,10 +191,12 @@
     /// Reads the list and the job's record anew; tells whether the list was read.
     pub(crate) async fn reload(&mut self) -> bool {
         let store = self.context.store.clone();
+        let read_in = self.context.owned.contact().registration_epoch();
         let list = ResultList::load(&*store, &self.job).await;
         let read = list.is_ok();
         if let Ok(list) = list {
             self.list = list;
+            self.read_in = read_in;
             self.note_list();
             self.note_earlier_failures();
             self.show_list();
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -21,7 +21,7 @@
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event, ItemOutcome};
 use latchwheel_proxy::Dialect;
-use latchwheel_records::{RecordStore, RecordsFault};
+use latchwheel_records::{RecordStore, RecordsFault, RegistrationEpoch};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -106,8 +106,8 @@
     mut orders: watch::Receiver<JobOrder>,
 ) {
     let mut failures = 0;
-    let (body, list) = loop {
-        match load(&*context.store, &job, &record).await {
+    let loaded = loop {
+        match load(&context, &job, &record).await {
             Ok(loaded) => break loaded,
             Err(fault) => log_not_loaded(&job, fault, failures),
         }
@@ -121,13 +121,13 @@
         &job,
         &Event::JobTaken {
             job: &job,
-            items: body.items.len(),
-            listed: list.results.len(),
+            items: loaded.body.items.len(),
+            listed: loaded.list.results.len(),
             workers: context.worker_count(),
         },
     );
     let permission = StartPermission::new(context.end_in_force, orders.clone(), context.owned.contact().clone());
-    let mut run = JobRun::new(context, job, record, revision, body, list, permission);
+    let mut run = JobRun::new(context, job, record, revision, loaded, permission);
     let reason = run.run(&mut orders).await;
     run.context.forget_unfinished(&run.job);
     if reason.goes_on_elsewhere() {
@@ -146,10 +146,23 @@
     }
 }
 
-async fn load<S: RecordStore>(store: &S, job: &str, record: &JobRecord) -> Result<(JobBody, ResultList), RecordsFault> {
-    let body = read_body(store, job, record).await?;
-    let list = ResultList::load(store, job).await?;
-    Ok((body, list))
+/// What the store has of a job beside its record.
+struct LoadedJob {
+    body: JobBody,
+    list: ResultList,
+    /// When this worker was registered while it read the list.
+    read_in: Option<RegistrationEpoch>,
+}
+
+async fn load<S: RecordStore, D: Dialect>(
+    context: &WorkerContext<S, D>,
+    job: &str,
+    record: &JobRecord,
+) -> Result<LoadedJob, RecordsFault> {
+    let body = read_body(&*context.store, job, record).await?;
+    let read_in = context.owned.contact().registration_epoch();
+    let list = ResultList::load(&*context.store, job).await?;
+    Ok(LoadedJob { body, list, read_in })
 }
 
 /// A job that this worker runs.
@@ -182,6 +195,8 @@
     pub(crate) lists_from: Instant,
     /// Whether no other worker can list any more.
     pub(crate) settled: bool,
+    /// When this worker was registered while it read the list.
+    pub(crate) read_in: Option<RegistrationEpoch>,
     /// Whether items may be sent now.
     pub(crate) permission: Arc<StartPermission>,
     /// Since when items wait because the job may have been ended.
@@ -200,10 +215,10 @@
         job: String,
         record: JobRecord,
         revision: u64,
-        body: JobBody,
-        list: ResultList,
+        loaded: LoadedJob,
         permission: StartPermission,
     ) -> Self {
+        let LoadedJob { body, list, read_in } = loaded;
         let positions = body.items.iter().enumerate().map(|(position, item)| (item.id.clone(), position)).collect();
         let count = body.items.len();
         let taken_at = context.shared.clock.now();
@@ -232,6 +247,7 @@
             taken_at,
             lists_from: taken_at + grace,
             settled: grace.is_zero(),
+            read_in,
             permission: Arc::new(permission),
             held_since: None,
             confirmation: None,
@@ -264,6 +280,7 @@
                 }
                 JobOrder::Wind => {}
             }
+            self.note_registration();
             self.settle().await;
             if let Some(reason) = self.closed {
                 return reason;
@@ -311,9 +328,23 @@
             writing_since: None,
             tenant: self.record.tenant.clone(),
             settled: self.settled,
+            read_in: self.read_in,
         }
     }
 
+    /// After a loss of this worker's registration another worker may run the job, or have run it:
+    /// the job counts as taken over anew.
+    fn note_registration(&mut self) {
+        let epoch = self.context.owned.contact().registration_epoch();
+        if epoch.is_none() || epoch == self.read_in || !self.settled {
+            return;
+        }
+        emit(&self.job, &Event::JobMayBeElsewhere { job: &self.job, listed: self.list.results.len() });
+        self.settled = false;
+        self.lists_from = self.context.shared.clock.now() + TAKEOVER_GRACE;
+        self.show_list();
+    }
+
     /// After a takeover the list is read once more when the former worker can
     /// list nothing any more; a store that is away is asked again at the next look.
     async fn settle(&mut self) {
--- a/crates/jobs/src/owned_jobs.rs
+++ b/crates/jobs/src/owned_jobs.rs
@@ -12,7 +12,7 @@
 
 use crate::layout::{is_open_to, ItemBody, ListedResult};
 use crate::recent::Recent;
-use latchwheel_records::Contact;
+use latchwheel_records::{Contact, RegistrationEpoch};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +49,9 @@
     /// Whether no other worker can have listed more: one that the job was taken
     /// over from may list what it has a moment later.
     pub(crate) settled: bool,
+    /// When this worker was registered while it read the list: after a loss of its registration
+    /// another one may have taken the job over, and listed more.
+    pub(crate) read_in: Option<RegistrationEpoch>,
 }
 
 impl JobView {
@@ -184,7 +187,13 @@
     fn is_sure(&self, view: &JobView) -> bool {
         let hears = self.contact.own_age().is_some_and(|age| age <= CONTACT_LIMIT);
         let knows = self.known_age().is_some_and(|age| age <= KNOWN_LIMIT);
-        hears && knows && view.settled && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
+        let epoch = self.contact.registration_epoch();
+        let owns = epoch.is_some() && epoch == view.read_in;
+        hears
+            && knows
+            && owns
+            && view.settled
+            && view.writing_since.is_none_or(|since| since.elapsed() <= WRITING_LIMIT)
     }
 
     /// Body of an item, in base64; `None` if this worker doesn't run the job or
--- a/crates/jobs/tests/results.rs
+++ b/crates/jobs/tests/results.rs
@@ -2,7 +2,7 @@
 //! is found at every node from then on.
 
 use latchwheel_core::routes::RequestKind;
-use latchwheel_jobs::layout::result_key;
+use latchwheel_jobs::layout::{node_key, result_key};
 use latchwheel_jobs::{
     run_worker, ItemBody, JobBody, JobDesk, ListedResult, Membership, NodeRecord, NodeRole, Nodes, OwnNode, OwnedJobs,
     ResultPage, Spool, Submission, WorkerHandle, WorkerRules,
@@ -277,3 +277,35 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// A worker whose lease ended, and that is registered again without having heard of that: another
+/// one may have run the job and listed results meanwhile.
+#[tokio::test]
+async fn a_worker_that_lost_its_registration_denies_no_result_of_another() {
+    let server = TestServer::start("server", vec![Act::Silence; 20]).await;
+    let store = MemoryStore::default();
+    let worker = start_worker(&store, &server, "worker").await;
+    take(&desk(&store, "worker", worker.address), JOB, 2).await;
+    let unreachable = MemoryStore::default();
+    unreachable.set_fault(Some(RecordsFault::Unknown));
+    let reader = desk(&unreachable, "worker", worker.address);
+    assert!(read_until(&reader, JOB, 0).await.results.is_empty(), "the worker is sure");
+
+    let registration = node_key("worker");
+    let lease = store.lease_of(&registration);
+    store.set_deaf(true);
+    store.end_lease(lease);
+    let end = Instant::now() + LIMIT;
+    while [0, lease].contains(&store.lease_of(&registration)) {
+        assert!(Instant::now() < end, "the worker is not registered again");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    store.set_deaf(false);
+    write_part(&store, 0, "item-0").await;
+    loop {
+        assert!(Instant::now() < end, "the worker is not sure again");
+        let Ok(page) = reader.read(JOB, None, 0, PAGE, Duration::from_millis(20)).await else { continue };
+        assert_eq!(page.results.len(), 1, "the worker denies a result");
+        break;
+    }
+}
--- a/crates/records/src/contact.rs
+++ b/crates/records/src/contact.rs
@@ -44,8 +44,23 @@
     told_away: Option<Instant>,
     /// Other nodes judge the store by this one, and it asks none of them.
     relied_on: bool,
+    registration: HeldRegistration,
 }
 
+/// Registration of this process under a lease.
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldRegistration {
+    /// Until when the lease lasts by this process's clock; `None` without a registration.
+    until: Option<Instant>,
+    /// Number of registrations that were lost.
+    lost: u64,
+}
+
+/// A time without a loss of this process's registration: meanwhile no other process took over
+/// its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RegistrationEpoch(u64);
+
 /// What an upstream told of its own contact with the store.
 #[derive(Clone, Copy, Debug)]
 struct ToldContact {
@@ -100,6 +115,7 @@
             unreached_since: None,
             told_away: None,
             relied_on,
+            registration: HeldRegistration::default(),
         };
         Self { state: Arc::new(Mutex::new(state)), started: Instant::now(), regained: Arc::new(watch::channel(0).0) }
     }
@@ -215,6 +231,26 @@
         }
     }
 
+    /// The process is registered under a lease that lasts until that time.
+    pub(crate) fn note_registered(&self, until: Instant) {
+        self.lock().registration.until = Some(until);
+    }
+
+    /// The registration of the process was lost, or may have been.
+    pub(crate) fn note_registration_lost(&self) {
+        let registration = &mut self.lock().registration;
+        registration.until = None;
+        registration.lost += 1;
+    }
+
+    /// Time without a loss of the registration that lasts now; `None` if its lease may have
+    /// ended.
+    pub fn registration_epoch(&self) -> Option<RegistrationEpoch> {
+        let registration = self.lock().registration;
+        let is_held = registration.until.is_some_and(|until| Instant::now() < until);
+        is_held.then_some(RegistrationEpoch(registration.lost))
+    }
+
     /// Time since the store was last known to answer this process; `None` if it
     /// never did.
     pub fn own_age(&self) -> Option<Duration> {
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -21,7 +21,7 @@
 mod unheard_spans;
 mod watch_cache;
 
-pub use contact::Contact;
+pub use contact::{Contact, RegistrationEpoch};
 pub use follow::Followed;
 pub use guarded_store::GuardedStore;
 pub use kept::KeptPrefix;
--- a/crates/records/src/registration.rs
+++ b/crates/records/src/registration.rs
@@ -85,13 +85,16 @@
     /// as this process wrote it. Returns since when the lease is held.
     async fn keep_once(&self, lease: &mut Option<Lease>) -> Result<Instant, RecordsFault> {
         let held = self.held_lease(lease).await?;
+        let until = held.held_since + self.registration.lease;
         if self.record.is_held() {
+            self.contact.note_registered(until);
             return Ok(held.held_since);
         }
         let Some(revision) = self.record.write(&self.registration.value, held.id).await? else {
             *lease = None;
             return Err(RecordsFault::Rejected);
         };
+        self.contact.note_registered(until);
         emit("", &Event::NodeRegistered { lease: held.id, revision });
         Ok(held.held_since)
     }
@@ -116,6 +119,7 @@
                 return Ok(*held);
             }
             self.record.note_lease_ended();
+            self.contact.note_registration_lost();
         }
         *lease = None;
         let id = self.store.grant(self.registration.lease).await?;
@@ -140,6 +144,7 @@
     }
 
     fn note_lost(&self, revision: u64, replaced: bool) {
+        self.contact.note_registration_lost();
         emit("", &Event::RegistrationLost { revision, replaced });
         self.lost.notify_one();
     }
