Keep a run's item if its route is restored just before the run breaks

Cause, found by reading: whether a route counts as removed was decided by the last look at the table, up to 100 ms old, and by the confirmation, which is newer. A route that was restored within 10 s could count as removed for a run that broke between the two, and its item was given up. Change: a route counts as removed only if the present table lacks it. The reason in the log of an item that is given up when its run breaks after the removal is route_removed, too.

--- a/crates/core/src/job_route.rs
+++ b/crates/core/src/job_route.rs
@@ -50,7 +50,8 @@
 }
 
 /// Time from the submission of a job before which its items are not given up: never less than
-/// what its client was promised, and more if its batch route allows more now. `None` if neither is known.
+/// what its client was promised, and more if its batch route allows more now. `None` if neither
+/// is known.
 pub fn retention_of_job(route: Option<&Route>, accepted: Option<&AcceptedTerms>) -> Option<Duration> {
     let of_route = route.filter(|route| route.kind == RequestKind::Batch).map(|route| route.retention);
     of_route.max(accepted.map(AcceptedTerms::retention))
--- a/crates/jobs/src/item_starts.rs
+++ b/crates/jobs/src/item_starts.rs
@@ -2,7 +2,7 @@
 
 use crate::item_run::{outgoing_of, run_item};
 use crate::item_trial::ItemTrial;
-use crate::job_run::{JobRun, EXPIRED, ROUTE_REMOVED};
+use crate::job_run::JobRun;
 use crate::run_registry::{RunNumber, StartedRun};
 use crate::stalled_items::StartBlocker;
 use crate::start_order::StartRank;
@@ -108,7 +108,7 @@
         if self.context.shared.table().version == 0 {
             return;
         }
-        let reason = if self.is_route_removed() { ROUTE_REMOVED } else { EXPIRED };
+        let reason = self.expiry_reason();
         for position in 0..self.progress.len() {
             if self.progress[position].tick(now, rules) {
                 self.log_item_end(now, position, ItemOutcome::GivenUp, reason);
--- a/crates/jobs/src/job_route.rs
+++ b/crates/jobs/src/job_route.rs
@@ -37,9 +37,20 @@
         }
     }
 
-    /// Whether the operator has removed the job's route for good.
-    pub(crate) fn is_route_removed(&self) -> bool {
-        self.route_absence.is_final(self.context.shared.table_confirmed())
+    /// Whether the operator has removed the job's route for good: it is missing now, and was so
+    /// long enough.
+    fn is_route_removed(&self) -> bool {
+        let shared = &self.context.shared;
+        self.route_absence.is_final(shared.table_confirmed()) && self.route_in(&shared.table()).is_none()
+    }
+
+    /// Reason in the log for giving up an item that may be given up now.
+    pub(crate) fn expiry_reason(&self) -> &'static str {
+        if self.is_route_removed() {
+            "route_removed"
+        } else {
+            "expired"
+        }
     }
 
     /// When items of the job are given up, and its route, if the table has one.
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -40,11 +40,6 @@
 /// may be the reason, and the others are better off elsewhere.
 const RETRY_SPREAD: Duration = Duration::from_millis(300);
 
-/// Reason in the log for giving up an item whose time is over.
-pub(crate) const EXPIRED: &str = "expired";
-/// Reason in the log for giving up an item whose route the operator removed.
-pub(crate) const ROUTE_REMOVED: &str = "route_removed";
-
 /// A job that was accepted less long ago has run at no other worker.
 const NEW_JOB_AGE: Duration = Duration::from_secs(3);
 
@@ -393,7 +388,12 @@
             ItemState::GivenUp => ItemOutcome::GivenUp,
             ItemState::Waiting(_) | ItemState::Running => return,
         };
-        let reason = end_reason(end, now, &rules);
+        let reason = match end {
+            RunEnd::Completed => "completed",
+            RunEnd::Impossible => "impossible",
+            RunEnd::Failed if now < rules.expires => "failed",
+            _ => self.expiry_reason(),
+        };
         self.log_item_end(now, position, outcome, reason);
         self.unlisted_since.get_or_insert(now);
     }
@@ -418,16 +418,6 @@
     }
 }
 
-/// Reason for the result of an item whose last run ended so, as it is logged.
-fn end_reason(end: RunEnd, now: Instant, rules: &GiveUpRules) -> &'static str {
-    match end {
-        RunEnd::Completed => "completed",
-        RunEnd::Impossible => "impossible",
-        RunEnd::Failed if now < rules.expires => "failed",
-        RunEnd::Failed | RunEnd::Interrupted | RunEnd::Unusable | RunEnd::ServerLost | RunEnd::Preempted => EXPIRED,
-    }
-}
-
 /// Time that a worker waits before it lists results: none for a new job that
 /// was assigned to it, since no other can have shown it.
 fn grace_of(worker: &str, record: &JobRecord, list: &ResultList) -> Duration {
