--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -15,7 +15,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use latchwheel_core::dispatch::RecentPreemptions;
-use latchwheel_core::item_progress::{GiveUpRules, ItemProgress, ItemState, RunEnd};
+use latchwheel_core::item_progress::{ItemProgress, ItemState, RunEnd};
 use latchwheel_core::job_route::RouteAbsence;
 use latchwheel_core::retry::exponential_backoff;
 use latchwheel_core::time::Instant;
