--- a/crates/jobs/tests/changed_routes.rs
+++ b/crates/jobs/tests/changed_routes.rs
@@ -1,6 +1,7 @@
 //! Jobs whose route the operator removes or changes after they were accepted: every item
 //! ends, and none before its client was promised.
 
+use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::RouteKey;
 use latchwheel_core::job_route::RESTORE_TIME;
 use latchwheel_core::routes::{ClientLimits, RequestKind, Route, RoutingTable};
@@ -96,8 +97,7 @@
     let server = TestServer::start("server", vec![Act::Await(go_on.clone(), Box::new(Act::StreamTo(2)))]).await;
     let store = MemoryStore::default();
     let shared = node(batch_route(), &[] as &[&TestServer]);
-    let one_slot = latchwheel_core::directory::ServerRecord { slots: 1, ..server.record() };
-    shared.dispatcher().set_ready([one_slot].iter());
+    shared.dispatcher().set_ready([ServerRecord { slots: 1, ..server.record() }].iter());
     let _worker = start(&store, &shared).await;
     hand_in(&store, JOB, ITEMS).await;
     until("no item runs", async || !server.seen().is_empty()).await;
@@ -161,6 +161,30 @@
     assert!(until_all_listed(&store).await.iter().all(|result| result.completed));
 }
 
+/// The run breaks before the worker has looked at the table that restores the route.
+#[tokio::test]
+async fn a_run_that_breaks_right_after_its_route_was_restored() {
+    let events = EVENTS.lock().await;
+    let break_off = Arc::new(Notify::new());
+    let mut acts = vec![Act::Await(break_off.clone(), Box::new(Act::Close))];
+    acts.extend(vec![Act::StreamTo(1); ITEMS]);
+    let server = TestServer::start("server", acts).await;
+    let store = MemoryStore::default();
+    let shared = node(batch_route(), &[] as &[&TestServer]);
+    shared.dispatcher().set_ready([ServerRecord { slots: 1, ..server.record() }].iter());
+    let _worker = start(&store, &shared).await;
+    hand_in(&store, JOB, ITEMS).await;
+    until("no item runs", async || !server.seen().is_empty()).await;
+    let before = events_of("JobRouteMissing");
+    put_in_force(&shared, 2, []);
+    let _events = until_missing(events, before).await;
+
+    put_in_force(&shared, 3, [batch_route()]);
+    confirm_table(&shared);
+    break_off.notify_one();
+    assert!(until_all_listed(&store).await.iter().all(|result| result.completed));
+}
+
 /// The table of a node that starts without the store may lack a route that was added since.
 #[tokio::test]
 async fn a_route_that_is_missing_from_a_table_that_the_store_has_not_confirmed() {
