Tests: crowds of clients that keep to no limits

What callers saw: in a trial of the users such clients ended a process, which ran out of memory.

These tests start the adapter as a process that is told of a machine with 64 MiB and 512 descriptors, open a crowd of each form against it, and check that it lives, that its peak of memory and its descriptors stay under those of the machine, and that an ordinary request is answered beside the crowd and after it. Crowd and bounds follow from the limits that the test sets: twice the machine's memory in bytes sent, three quarters of the descriptors.

The stand-in of a server reads the body before it answers: otherwise a large body ends in a closed connection, which says nothing about the node.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each speaks the published protocol of what it stands for and has an
 //! administration call that switches faults. None is meant for production.
 
+pub mod crowd;
 pub mod engine;
 pub mod platform;
 pub mod relay;
