Hold what clients send within one budget of the process

What callers saw: a process that clients kept busy ended, out of memory; with more connections than descriptors it took no others.

Cause: nothing bounded the sum. The HTTP library kept up to 408 KiB of a head, or of empty lines before one, for each connection; the operator's limit of a head was read and never used. A body of legal size was kept until its deadline, however many there were. Connections were accepted until the descriptors were gone. A head of over 100 headers was refused although it was inside the operator's limit.

Change: client_budget (core) accounts for connections, heads, bodies while they arrive and while they are used, and larger pieces of answers, against a third of the machine's memory and half of its descriptors. Where the next part doesn't fit, it evicts what nothing was run for: stalled bodies, silent connections, and for a small request large bodies that are not whole. A quarter is kept for small requests. client_guard (http) carries this out: an evicted body loses its buffer at once, so the budget is never exceeded by what waits for its task. serve_clients enforces the operator's limits of heads in bytes (431) and time; a change closes connections after the request in progress. A request that was sent ahead of an answer and is refused ends its connection. A request for which there is no room is refused at once (503, code 3011): it was not run.

The client, readiness and metrics ports share the budget, on both roles. ClientsLimited (E8241) tells what was refused in one line a second; clients_held and clients_limited are its metrics.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -117,6 +117,8 @@
     StreamOriginUnknown = 3009, 503, NotRun;
     /// Other requests go first for the free slots, by precedence or by tenant share.
     CrowdedOut = 3010, 429, NotRun;
+    /// The process has no memory left for the request.
+    NoMemory = 3011, 503, NotRun;
     /// The request was started before and its result is unknown.
     OutcomeUnknown = 4000, 502, Unknown;
     /// The engine ended the answer early; the request may be sent again.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod byte_budget;
 pub mod circuit_breaker;
+pub mod client_budget;
 pub mod code;
 pub mod configuration;
 pub mod directory;
--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -1059,6 +1059,30 @@
         /// Reason.
         reason: &'a str
     };
+    /// Clients were refused or their connections closed, in the time since the last such line: they
+    /// kept to no limits, or all of them together would take too much memory or too many descriptors.
+    ClientsLimited = 8241, Essential {
+        /// Bytes that clients make the process keep.
+        used_bytes: usize,
+        /// Most bytes that they may.
+        limit_bytes: usize,
+        /// Open connections of clients.
+        connections: usize,
+        /// Most connections.
+        limit_connections: usize,
+        /// Connections that were closed when they were accepted.
+        refused_connections: u64,
+        /// Connections without a request that were closed for others.
+        closed_connections: u64,
+        /// Bodies that were dropped before they were whole, for others.
+        dropped_bodies: u64,
+        /// Requests that were refused for want of memory.
+        refused_requests: u64,
+        /// Heads over the limit.
+        oversized_heads: u64,
+        /// Heads that did not end in time.
+        slow_heads: u64
+    };
     /// This machine was asked to retire.
     Retiring = 8230, Essential {
         /// State that the machine reported.
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -17,8 +17,8 @@
 pub use budget::LineBudget;
 pub use event::{Event, Importance, ItemOutcome};
 pub use metrics::{
-    count_claim, count_store_call, observe_records_age, set_known_record_ages, set_machine_room, set_server_loads,
-    set_server_time_factors, text as metrics_text,
+    count_claim, count_store_call, observe_records_age, set_clients_held, set_known_record_ages, set_machine_room,
+    set_server_loads, set_server_time_factors, text as metrics_text,
 };
 pub use output::{emit, start};
 pub use tenant_metrics::SlotOutcome;
--- a/crates/events/src/metrics.rs
+++ b/crates/events/src/metrics.rs
@@ -79,6 +79,8 @@
     server_load: ByName<Gauge<f64, AtomicU64>>,
     server_time_factor: ByName<Gauge<f64, AtomicU64>>,
     machine_room: ByName<Gauge>,
+    clients_held: ByName<Gauge>,
+    clients_limited: ByName<Counter>,
     table_version: Gauge,
     store_calls: Family<StoreCallLabels, Counter>,
     records_age: DurationByName,
@@ -126,6 +128,12 @@
         let machine_room = ByName::default();
         let help = "Percent that is left of a limit of this machine, by limit; 100 where it is not known";
         registry.register("machine_room", help, machine_room.clone());
+        let clients_held = ByName::default();
+        let help = "Bytes and connections that clients make the process keep, and their limits";
+        registry.register("clients_held", help, clients_held.clone());
+        let clients_limited = ByName::default();
+        let help = "Connections and requests of clients that were refused or dropped, by limit";
+        registry.register("clients_limited", help, clients_limited.clone());
         let table_version = Gauge::default();
         registry.register("table_version", "Version of the routing table in force", table_version.clone());
         let store_calls = Family::default();
@@ -163,6 +171,8 @@
             server_load,
             server_time_factor,
             machine_room,
+            clients_held,
+            clients_limited,
             table_version,
             store_calls,
             records_age,
@@ -213,6 +223,27 @@
             metrics.second_attempts.get_or_create(&NameLabel { name: SECOND_STARTED.to_owned() }).inc();
             metrics.second_attempts.get_or_create(&NameLabel { name: won.to_owned() }).inc();
         }
+        Event::ClientsLimited {
+            refused_connections,
+            closed_connections,
+            dropped_bodies,
+            refused_requests,
+            oversized_heads,
+            slow_heads,
+            ..
+        } => {
+            let counts = [
+                ("refused_connection", refused_connections),
+                ("closed_connection", closed_connections),
+                ("dropped_body", dropped_bodies),
+                ("refused_request", refused_requests),
+                ("oversized_head", oversized_heads),
+                ("slow_head", slow_heads),
+            ];
+            for (name, count) in counts {
+                metrics.clients_limited.get_or_create(&NameLabel { name: name.to_owned() }).inc_by(count);
+            }
+        }
         Event::JobAccepted { after_ms, .. } => metrics.job_acceptance.observe(after_ms as f64 / 1000.0),
         Event::ItemEnded { after_ms, .. } => metrics.item.observe(after_ms as f64 / 1000.0),
         Event::DependencyLost { dependency, .. } => {
@@ -287,6 +318,14 @@
     }
 }
 
+/// Sets what clients make the process keep.
+pub fn set_clients_held<'a>(held: impl IntoIterator<Item = (&'a str, usize)>) {
+    let metrics = metrics();
+    for (name, value) in held {
+        metrics.clients_held.get_or_create(&NameLabel { name: name.to_owned() }).set(value as i64);
+    }
+}
+
 /// Returns all metrics in the Prometheus text format.
 pub fn text() -> String {
     let mut text = String::new();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -110,6 +110,7 @@
         BodyFault::TooLarge => ResultCode::TooLarge,
         BodyFault::Slow => ResultCode::SlowBody,
         BodyFault::Gone => ResultCode::CallerGone,
+        BodyFault::NoRoom => ResultCode::NoMemory,
     }
 }
 
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,12 +1,16 @@
 //! Request and response bodies: whole, streamed, and reads with limits.
 
+use crate::client_guard::{ArrivingBody, RequestHold};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Body as HyperBody, Frame};
+use hyper::body::{Body as HyperBody, Frame, Incoming};
+use hyper::http::Extensions;
 use hyper::{Response, StatusCode};
+use latchwheel_core::client_budget::NoRoom;
 use serde::Serialize;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -25,6 +29,8 @@
     Slow,
     /// The connection broke.
     Gone,
+    /// The process has no memory left for the body.
+    NoRoom,
 }
 
 /// Creates a body that holds these bytes.
@@ -126,3 +132,46 @@
     };
     tokio::time::timeout(total, read).await.unwrap_or(Err(BodyFault::Slow))
 }
+
+/// Reads the whole body of a client's request, of at most `limit` bytes, within `time` and
+/// within the budget of the process.
+///
+/// # Errors
+/// [`BodyFault`] if the body is too long, late or broken off, or if there is no room for it.
+pub async fn read_client_body(
+    extensions: &Extensions,
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, BodyFault> {
+    let Some(request) = extensions.get::<Arc<RequestHold>>() else {
+        return read_bounded(body, limit, time).await;
+    };
+    let stated = body.size_hint().exact().map_or(limit, |stated| usize::try_from(stated).unwrap_or(usize::MAX));
+    if stated > limit {
+        return Err(BodyFault::TooLarge);
+    }
+    let arriving = request.begin_body(stated);
+    let read = tokio::time::timeout(time, fill(&arriving, body, limit));
+    let read = tokio::select! {
+        read = read => read.unwrap_or(Err(BodyFault::Slow)),
+        () = arriving.evicted() => Err(BodyFault::NoRoom),
+    };
+    read?;
+    arriving.complete().map_err(|NoRoom| BodyFault::NoRoom)
+}
+
+async fn fill(arriving: &ArrivingBody, mut body: Incoming, limit: usize) -> Result<(), BodyFault> {
+    let mut received = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyFault::Gone)?;
+        if let Ok(data) = frame.into_data() {
+            received += data.len();
+            if received > limit {
+                return Err(BodyFault::TooLarge);
+            }
+            arriving.push(&data).map_err(|NoRoom| BodyFault::NoRoom)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,14 +5,20 @@
 
 mod body;
 mod client;
+mod client_guard;
+mod client_port;
+mod client_stream;
 mod read_allowance;
 mod reset_stream;
 mod server;
 
 pub use body::{
-    boxed, channel, empty, full, json, read_bounded, read_with_timeouts, Body, BodyFault, BodySender, BoxError,
+    boxed, channel, empty, full, json, read_bounded, read_client_body, read_with_timeouts, Body, BodyFault, BodySender,
+    BoxError,
 };
 pub use client::{AnswerTimeouts, CallFault, Client};
+pub use client_guard::{ClientGuard, GuardCounts, RequestHold, Reservation};
+pub use client_port::{serve_clients, ClientPort};
 pub use read_allowance::ReadAllowance;
 pub use reset_stream::{ResetFlag, ResetStream};
-pub use server::{serve, serve_with_idle_timeout, Version};
+pub use server::{serve, Version};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,9 +17,9 @@
 /// answer: it also closes idle connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a connection is closed whose peer takes none of the bytes that wait for it.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Concurrent streams allowed on one HTTP/2 connection.
-const MAX_STREAMS_PER_CONNECTION: u32 = 10_000;
+pub(crate) const MAX_STREAMS_PER_CONNECTION: u32 = 10_000;
 /// Delay after a failed accept, for example with too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -32,28 +32,26 @@
     Http2,
 }
 
-/// Serves connections until `stop` becomes true, then stops accepting and returns when all
-/// requests in progress are done.
+/// Serves connections of the system's own processes until `stop` becomes true, then stops
+/// accepting and returns when all requests in progress are done.
 pub async fn serve<H, F>(listener: TcpListener, version: Version, stop: watch::Receiver<bool>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_with_idle_timeout(listener, version, stop, || HEAD_TIMEOUT, handler).await;
+    let serve_stream = |stream| serve_connection(stream, version, stop.clone(), handler.clone());
+    accept_until_stopped(listener, stop.clone(), |stream| Some(serve_stream(stream))).await;
 }
 
-/// As [`serve`], with an idle timeout that `idle_timeout` returns for each accepted
-/// connection.
-pub async fn serve_with_idle_timeout<R, H, F>(
+/// Accepts connections until `stop` becomes true, and returns when all of them have ended.
+/// Those for which `serve_stream` returns nothing are closed.
+pub(crate) async fn accept_until_stopped<S, F>(
     listener: TcpListener,
-    version: Version,
     mut stop: watch::Receiver<bool>,
-    idle_timeout: R,
-    handler: H,
+    mut serve_stream: S,
 ) where
-    R: Fn() -> Duration + Send + 'static,
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    S: FnMut(TcpStream) -> Option<F>,
+    F: Future<Output = ()> + Send + 'static,
 {
     let (guard, mut finished) = tokio::sync::mpsc::channel::<()>(1);
     loop {
@@ -63,10 +61,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let (handler, stop, guard) = (handler.clone(), stop.clone(), guard.clone());
-                let idle_timeout = idle_timeout();
+                let Some(serving) = serve_stream(stream) else { continue };
+                let guard = guard.clone();
                 tokio::spawn(async move {
-                    serve_connection(stream, version, idle_timeout, stop, handler).await;
+                    serving.await;
                     drop(guard);
                 });
             }
@@ -78,13 +76,8 @@
     let _ = finished.recv().await;
 }
 
-async fn serve_connection<H, F>(
-    stream: TcpStream,
-    version: Version,
-    idle_timeout: Duration,
-    mut stop: watch::Receiver<bool>,
-    handler: H,
-) where
+async fn serve_connection<H, F>(stream: TcpStream, version: Version, mut stop: watch::Receiver<bool>, handler: H)
+where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -107,7 +100,7 @@
         Version::Http1 => {
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(idle_timeout)
+                .header_read_timeout(HEAD_TIMEOUT)
                 .serve_connection(io, service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
@@ -137,7 +130,7 @@
 
 /// Has the connection reset if the body is aborted: without chunks, a regular close would mark
 /// the end of a complete body.
-fn reset_if_aborted(answer: Response<Body>, reset: ResetFlag) -> Response<Body> {
+pub(crate) fn reset_if_aborted(answer: Response<Body>, reset: ResetFlag) -> Response<Body> {
     let on_error = move |error| {
         reset.set();
         error
--- a/crates/proxy/src/accept.rs
+++ b/crates/proxy/src/accept.rs
@@ -16,7 +16,7 @@
 use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_core::stream_origins::StreamKey;
 use latchwheel_core::time::Instant;
-use latchwheel_http::{read_bounded, Body, BodyFault};
+use latchwheel_http::{read_client_body, Body, BodyFault};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -78,11 +78,12 @@
     let deadline = shared.deadline_of(&head.headers);
     let time = deadline.map_or(route.timeout, |time| time.min(route.timeout));
     let until = received + time;
-    let body = read_bounded(body, table.limits.body_bytes, time).await.map_err(|fault| {
+    let body = read_client_body(&head.extensions, body, table.limits.body_bytes, time).await.map_err(|fault| {
         let code = match fault {
             BodyFault::TooLarge => ResultCode::TooLarge,
             BodyFault::Slow => ResultCode::SlowBody,
             BodyFault::Gone => ResultCode::CallerGone,
+            BodyFault::NoRoom => ResultCode::NoMemory,
         };
         refuse(code, Some(route.clone()))
     })?;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -17,13 +17,13 @@
 use latchwheel_core::holding::HoldOutcomes;
 use latchwheel_core::key_acceptance::KeyAcceptance;
 use latchwheel_core::permits::LimitMargin;
-use latchwheel_core::routes::{Route, RoutingTable, WeightedRoundRobin};
+use latchwheel_core::routes::{ClientLimits, Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
 use latchwheel_core::time::Instant;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 /// Time after which a table should be here that others have: news come in polls and
 /// watches with pauses of 100 ms.
@@ -55,6 +55,7 @@
     pub(crate) load_changed: Notify,
     dispatcher: Mutex<Dispatcher>,
     table: Mutex<Arc<RoutingTable>>,
+    client_limits: watch::Sender<ClientLimits>,
     /// Until when all changes of the table are known.
     table_confirmed: Mutex<Option<Instant>>,
     /// Until when keys of the table in force are accepted.
@@ -100,6 +101,7 @@
             pool: Pool::default(),
             dispatcher: Mutex::default(),
             table: Mutex::default(),
+            client_limits: watch::Sender::default(),
             table_confirmed: Mutex::default(),
             key_life: Mutex::default(),
             turns: Mutex::default(),
@@ -131,11 +133,18 @@
         if table.version <= previous {
             return None;
         }
+        let limits = table.limits;
         *present = Arc::new(table);
+        self.client_limits.send_if_modified(|current| std::mem::replace(current, limits) != limits);
         self.start.note_table(self.clock.now());
         Some(previous)
     }
 
+    /// Limits on clients of the table in force.
+    pub fn client_limits(&self) -> watch::Receiver<ClientLimits> {
+        self.client_limits.subscribe()
+    }
+
     pub(crate) fn note_confirmation(&self, until: Instant) {
         let mut confirmed = lock(&self.table_confirmed);
         *confirmed = (*confirmed).max(Some(until));
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -4,10 +4,12 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
+use latchwheel_core::client_budget::BudgetLimits;
 use latchwheel_core::dispatch::{Prompt, ServerKey};
+use latchwheel_core::routes::ClientLimits;
 use latchwheel_core::routes::RequestKind;
-use latchwheel_http::{full, serve_with_idle_timeout, Client, Version};
+use latchwheel_http::{empty, full, serve_clients, Client, ClientGuard, ClientPort, Version};
 use latchwheel_proxy::{forward, Shared};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,6 +17,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+const MEMORY: usize = 64 << 20;
+const DESCRIPTORS: usize = 1024;
 const STREAM: RequestKind = RequestKind::Stream { resumable: false };
 const RESUMABLE: RequestKind = RequestKind::Stream { resumable: true };
 
@@ -275,7 +279,13 @@
             let received = shared.clock.now();
             forward(shared.clone(), request, received)
         };
-        tokio::spawn(serve_with_idle_timeout(listener, Version::Http1, stopped, move || rest, handler));
+        let limits = ClientLimits { idle_timeout: rest, ..ClientLimits::default() };
+        let port = ClientPort {
+            guard: ClientGuard::new(BudgetLimits::of_machine(MEMORY, DESCRIPTORS)),
+            limits: watch::channel(limits).1,
+            no_room: || Response::new(empty()),
+        };
+        tokio::spawn(serve_clients(listener, Version::Http1, stopped, port, handler));
         let mut connection = tokio::net::TcpStream::connect(address).await.unwrap();
         let request = format!("GET /path/a HTTP/1.1\r\nhost: {HOST}\r\nt-id: 1\r\n\r\n");
         connection.write_all(request.as_bytes()).await.unwrap();
