Take the body and the items of a job within the budget

What callers saw: many large jobs that stop short of their end ended a front (214 MB at the peak in a process told of 64 MiB, crowd_of_large_jobs).

Cause: the body of a job was read beside the budget, and the memory of its parsed items and of its copies on their way to the store and to workers was not counted at all: a text of many small values takes a multiple of its length. A body over the limit was told to be slow (408).

Change: the body is read by read_client_body; parsed_bytes (core) estimates what the values of a text take, and a job holds that and its copies while it is taken. What could never fit is too large (413), what doesn't fit now is refused (503, code 3011), both before anything is kept.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod membership;
 pub mod own_record;
 pub mod ownership;
+pub mod parsed_size;
 pub mod pending_cancellations;
 pub mod permits;
 pub mod placement;
