Bound what callers, operators and HTTP/2 peers make a node keep

Cause: the ports were served without the limits and the budget.

Change: callers and operators share one budget, other nodes have another, so that callers don't take what replication needs. New settings: callers.head_limit_bytes, head_seconds, idle_seconds, memory_bytes and connections; their defaults are parts of the machine. A JSON body holds memory for its values and its copies.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -78,11 +78,11 @@
 
     async fn put_row(&self, request: Request<Incoming>, name: &str) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let bytes = match self.read_body(body).await {
-            Ok(bytes) => bytes,
+        let body = match self.read_body(&head, body).await {
+            Ok(body) => body,
             Err(refusal) => return *refusal,
         };
-        let row = match read_row(&bytes, name) {
+        let row = match read_row(&body.bytes, name) {
             Ok(row) => row,
             Err(refusal) => return *refusal,
         };
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -30,11 +30,11 @@
             return refuse(ResultCode::NotReady, "");
         }
         let (head, body) = request.into_parts();
-        let bytes = match self.read_body(body).await {
-            Ok(bytes) => bytes,
+        let body = match self.read_body(&head, body).await {
+            Ok(body) => body,
             Err(refusal) => return *refusal,
         };
-        let command = match read_job(&self.backend.table(), &tenant, &head.headers, &bytes) {
+        let command = match read_job(&self.backend.table(), &tenant, &head.headers, &body.bytes) {
             Ok(command) => command,
             Err(refusal) => return *refusal,
         };
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -54,11 +54,11 @@
             return refuse(ResultCode::NotReady, "");
         }
         let (head, body) = request.into_parts();
-        let bytes = match self.read_body(body).await {
-            Ok(bytes) => bytes,
+        let body = match self.read_body(&head, body).await {
+            Ok(body) => body,
             Err(refusal) => return *refusal,
         };
-        match read_online(&self.backend.table(), tenant, path, &head.headers, &bytes) {
+        match read_online(&self.backend.table(), tenant, path, &head.headers, &body.bytes) {
             Ok(online) => self.backend.online(online).await,
             Err(refusal) => *refusal,
         }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -4,9 +4,13 @@
 use crate::error::refuse;
 use crate::keys::hash_key;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::http::Extensions;
 use hyper::{Request, Response};
+use latchwheel_core::client_budget::NoRoom;
 use latchwheel_core::code::ResultCode;
-use latchwheel_http::{full, read_bounded, Body, BodyFault};
+use latchwheel_core::parsed_size::parsed_bytes;
+use latchwheel_http::{full, read_client_body, Body, BodyFault, RequestHold, Reservation};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +27,9 @@
     Open,
 }
 
+/// Copies of a body while its request is served: its prompt, and the text for the server.
+const BODY_COPIES: usize = 3;
+
 /// Settings of the interfaces.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -95,14 +102,36 @@
         }
     }
 
-    /// Reads a bounded body.
+    /// Reads a bounded body, and holds memory for its values and for the copies that are sent on.
     ///
     /// # Errors
     /// The refusal to send.
-    pub(crate) async fn read_body(&self, body: Incoming) -> Result<bytes::Bytes, Box<Response<Body>>> {
-        let read = read_bounded(body, self.settings.body_limit, self.settings.body_time).await;
-        read.map_err(|fault| Box::new(refuse(body_code(fault), "")))
+    pub(crate) async fn read_body(&self, head: &Parts, body: Incoming) -> Result<ReadBody, Box<Response<Body>>> {
+        let read = read_client_body(&head.extensions, body, self.settings.body_limit, self.settings.body_time).await;
+        let bytes = read.map_err(|fault| Box::new(refuse(body_code(fault), "")))?;
+        let needed = parsed_bytes(&bytes) + BODY_COPIES * bytes.len();
+        let memory = reserve(&head.extensions, needed).map_err(|code| Box::new(refuse(code, "")))?;
+        Ok(ReadBody { bytes, _memory: memory })
+    }
+}
+
+/// A body that was read, with the memory that is held for it.
+#[derive(Debug)]
+pub(crate) struct ReadBody {
+    pub(crate) bytes: bytes::Bytes,
+    _memory: Option<Reservation>,
+}
+
+/// Holds memory for a caller's request.
+///
+/// # Errors
+/// The code of the refusal.
+pub(crate) fn reserve(extensions: &Extensions, bytes: usize) -> Result<Option<Reservation>, ResultCode> {
+    let Some(request) = extensions.get::<Arc<RequestHold>>() else { return Ok(None) };
+    if bytes > request.guard().most_request_bytes() {
+        return Err(ResultCode::TooLarge);
     }
+    request.guard().reserve(bytes).map(Some).map_err(|NoRoom| ResultCode::NoMemory)
 }
 
 pub(crate) fn body_code(fault: BodyFault) -> ResultCode {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod batch;
+mod client_ports;
 mod completions;
 mod configuration;
 mod forward;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::NodeBackend;
 use crate::batch::BatchRunner;
+use crate::client_ports::ClientPorts;
 use crate::configuration::Configuration;
 use crate::forward::Router;
 use crate::limits::Limits;
@@ -25,7 +26,7 @@
 use latchwheel_core::table::Table;
 use latchwheel_engine::EngineClient;
 use latchwheel_gateway::{refuse, Backend, Gateway};
-use latchwheel_http::{full, read_bounded, serve, Body, Version};
+use latchwheel_http::{full, read_client_body, serve_clients, Body, BodyFault, Version};
 use latchwheel_protocol::v1::{
     ForwardRequest, LimitRequest, MemberRecord, ReplicationMessages, RevisionPull, StatePull,
 };
@@ -120,18 +121,25 @@
         let (stop_callers, callers_stop) = watch::channel(false);
         let (stop_peers, peers_stop) = watch::channel(false);
         let operators = gateway.clone();
+        let ports = ClientPorts::new(&settings);
+        let (caller_port, operator_port) = (ports.callers.clone(), ports.callers);
         let callers = vec![
-            tokio::spawn(serve(listeners.callers, Version::Http1, callers_stop.clone(), move |request| {
-                gateway.clone().answer_caller(request)
-            })),
-            tokio::spawn(serve(listeners.admin, Version::Http1, callers_stop, move |request| {
+            tokio::spawn(serve_clients(
+                listeners.callers,
+                Version::Http1,
+                callers_stop.clone(),
+                caller_port,
+                move |request| gateway.clone().answer_caller(request),
+            )),
+            tokio::spawn(serve_clients(listeners.admin, Version::Http1, callers_stop, operator_port, move |request| {
                 operators.clone().answer_operator(request)
             })),
         ];
         let peer_backend = backend.clone();
-        let peers = tokio::spawn(serve(listeners.peers, Version::Http2, peers_stop, move |request| {
-            answer_peer(peer_backend.clone(), request)
-        }));
+        let peers =
+            tokio::spawn(serve_clients(listeners.peers, Version::Http2, peers_stop, ports.peers, move |request| {
+                answer_peer(peer_backend.clone(), request)
+            }));
         let drain_time = settings.drain_time;
         Ok(Node { addresses, backend, drain_time, stop_callers, stop_peers, callers, peers, tasks })
     }
@@ -349,8 +357,11 @@
     let Some(call) = PeerCall::of_path(request.uri().path()) else {
         return refuse(ResultCode::NotFound, request.uri().path());
     };
-    let Ok(body) = read_bounded(request.into_body(), PEER_BODY_LIMIT, PEER_BODY_TIME).await else {
-        return refuse(ResultCode::BadRequest, "the message did not arrive");
+    let (head, body) = request.into_parts();
+    let body = match read_client_body(&head.extensions, body, PEER_BODY_LIMIT, PEER_BODY_TIME).await {
+        Ok(body) => body,
+        Err(BodyFault::NoRoom) => return refuse(ResultCode::NoMemory, ""),
+        Err(_) => return refuse(ResultCode::BadRequest, "the message did not arrive"),
     };
     let answered = match call {
         PeerCall::Forward => match ForwardRequest::decode(body) {
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -5,8 +5,10 @@
 
 pub use schema::{Field, FieldKind, FIELDS};
 
+use latchwheel_core::client_budget::BudgetLimits;
 use latchwheel_core::membership;
 use latchwheel_core::replication::{self, AckRule};
+use latchwheel_core::routes::ClientLimits;
 use latchwheel_core::scheduler::BatchPolicy;
 use latchwheel_gateway::{GatewaySettings, KeyPolicy};
 use std::collections::BTreeMap;
@@ -76,6 +78,11 @@
     pub replication: replication::Settings,
     /// The callers' and operators' interfaces.
     pub gateway: GatewaySettings,
+    /// Limits on connections and requests of clients.
+    pub client_limits: ClientLimits,
+    /// Memory that clients may make the node keep, in bytes, and their connections; zero means
+    /// a part of the machine's.
+    pub client_budget: BudgetLimits,
     /// How batch work is treated.
     pub batch_policy: BatchPolicy,
     /// Whether batch items are run at all.
@@ -213,6 +220,16 @@
                 body_time: Duration::from_secs(self.number("callers.body_seconds")),
                 admin_key_hash: optional("admin.key_sha256"),
             },
+            client_limits: ClientLimits {
+                header_bytes: self.number("callers.head_limit_bytes") as usize,
+                body_bytes: self.number("callers.body_limit_bytes") as usize,
+                header_timeout: Duration::from_secs(self.number("callers.head_seconds")),
+                idle_timeout: Duration::from_secs(self.number("callers.idle_seconds")),
+            },
+            client_budget: BudgetLimits {
+                bytes: self.number("callers.memory_bytes") as usize,
+                connections: self.number("callers.connections") as usize,
+            },
             batch_policy: match self.text_of("batch.policy").as_str() {
                 "keep" => BatchPolicy::Keep,
                 _ => BatchPolicy::Yield,
--- a/crates/node/src/settings/schema.rs
+++ b/crates/node/src/settings/schema.rs
@@ -94,6 +94,26 @@
         "Most bytes of an online request's body",
     ),
     optional("callers.body_seconds", FieldKind::Number(1, 600), "20", "Time in which a body must arrive"),
+    optional(
+        "callers.head_limit_bytes",
+        FieldKind::Number(1024, 1 << 20),
+        "16384",
+        "Most bytes of a request's head; 431 beyond",
+    ),
+    optional("callers.head_seconds", FieldKind::Number(1, 600), "10", "Time in which a head must arrive"),
+    optional("callers.idle_seconds", FieldKind::Number(1, 3600), "10", "Time after which an idle connection is closed"),
+    optional(
+        "callers.memory_bytes",
+        FieldKind::Number(0, 1 << 40),
+        "0",
+        "Most memory that clients make the node keep; 503 beyond; 0: a third of the machine's",
+    ),
+    optional(
+        "callers.connections",
+        FieldKind::Number(0, 1_000_000),
+        "0",
+        "Most connections of callers and operators; 0: half of the descriptors",
+    ),
     optional("admin.key_sha256", FieldKind::Text, "", "SHA-256 of the operators' key; empty: none is asked for"),
     optional("batch.enabled", FieldKind::Flag, "true", "Whether this node runs batch items"),
     optional(
