--- a/crates/cli/tests/client_crowds.rs
+++ b/crates/cli/tests/client_crowds.rs
@@ -239,6 +239,16 @@
     check(Port::Operators, "/admin/v1/table", HEAD_CLIENTS, ENDLESS_HEAD_BYTES, Form::LongHeader).await;
 }
 
+#[tokio::test]
+async fn crowd_of_uploads_with_endless_parts() {
+    check(Port::Callers, "/v1/files", BODY_CLIENTS, BODY_BYTES, Form::FormPart).await;
+}
+
+#[tokio::test]
+async fn crowd_of_uploads_with_endless_lines() {
+    check(Port::Callers, "/v1/files", BODY_CLIENTS, BODY_BYTES, Form::FormLine).await;
+}
+
 /// Many streams on few HTTP/2 connections, whose bodies stop short of their end.
 #[tokio::test]
 async fn crowd_of_http2_streams() {
--- a/crates/emulator/src/crowd.rs
+++ b/crates/emulator/src/crowd.rs
@@ -9,6 +9,10 @@
 
 /// Time after which a client stops sending whose bytes are not taken.
 const WRITE_PATIENCE: Duration = Duration::from_secs(10);
+/// Headers of a form that has no end within the time of a crowd.
+const FORM_HEADERS: &str = "Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 1000000000\r\n\r\n";
+/// Head of the part of a form that holds a file.
+const FILE_HEADER: &str = "Content-Disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\n";
 /// Most bytes of one write.
 const WRITE_BYTES: usize = 16 << 10;
 
@@ -37,6 +41,10 @@
     ChunkExtension,
     /// Trailers that do not end.
     Trailers,
+    /// A form of which the head of a part does not end.
+    FormPart,
+    /// A form with a file of one line that does not end.
+    FormLine,
     /// Whole requests one after the other, whose answers are not read.
     RequestsAhead,
     /// Many whole requests with heads of the longest allowed size, whose answers are not read.
@@ -121,6 +129,8 @@
         Form::Chunks { .. } => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
         Form::ChunkExtension => format!("{head}Transfer-Encoding: chunked\r\n\r\n1;"),
         Form::Trailers => format!("{head}Transfer-Encoding: chunked\r\n\r\n0\r\n"),
+        Form::FormPart => format!("{head}{FORM_HEADERS}--b\r\n"),
+        Form::FormLine => format!("{head}{FORM_HEADERS}--b\r\n{FILE_HEADER}"),
     }
     .into_bytes()
 }
@@ -131,8 +141,8 @@
     let repeated = |text: &str| text.repeat((WRITE_BYTES / text.len()).max(1)).into_bytes();
     match form {
         Form::Silent => Vec::new(),
-        Form::LongHeader | Form::ChunkExtension => repeated("x"),
-        Form::ManyHeaders | Form::Trailers => repeated("a: b\r\n"),
+        Form::LongHeader | Form::ChunkExtension | Form::FormLine => repeated("x"),
+        Form::ManyHeaders | Form::Trailers | Form::FormPart => repeated("a: b\r\n"),
         Form::EmptyLines => repeated("\r\n"),
         Form::StatedLength { write } => vec![b'x'; write],
         Form::Chunks { chunk } => repeated(&format!("{chunk:x}\r\n{}\r\n", "x".repeat(chunk))),
--- a/crates/gateway/src/files.rs
+++ b/crates/gateway/src/files.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::error::refuse;
+use crate::form_buffer::FormBuffer;
 use crate::online::idempotency_key;
 use crate::router::Gateway;
 use crate::strict_json::read_object;
@@ -9,19 +10,24 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
+use hyper::http::Extensions;
 use hyper::{Request, Response};
+use latchwheel_core::client_budget::NoRoom;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::{stable_hash, stable_pair_hash};
 use latchwheel_core::jobs::ITEM_LIMIT;
-use latchwheel_http::{channel, json, Body};
+use latchwheel_http::{channel, json, ArrivingBody, Body, RequestHold};
 use latchwheel_protocol::v1::command::Body as CommandBody;
 use latchwheel_protocol::v1::{AddItems, Command, CreateFile, FileRecord, Item, ReadRequest, ResultLine, SealFile};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Items committed together while a file streams in.
 const ITEMS_TOGETHER: usize = 500;
 const BYTES_TOGETHER: usize = 512 << 10;
 const LINE_LIMIT: usize = 1 << 20;
+/// Memory of an upload.
+const UPLOAD_BYTES: usize = 2 * (LINE_LIMIT + BYTES_TOGETHER);
 /// Longest pause between two pieces of an upload.
 const PIECE_TIME: Duration = Duration::from_secs(30);
 /// Lines read together while a file streams out.
@@ -46,28 +52,35 @@
             return refuse(ResultCode::BadHeader, "content-type is not multipart/form-data with a boundary");
         };
         let (head, body) = request.into_parts();
-        let headers = head.headers;
-        let form = multer::Multipart::new(body.into_data_stream(), boundary);
-        let key = match idempotency_key(&headers) {
+        let key = match idempotency_key(&head.headers) {
             Ok(key) => key,
             Err(refusal) => return *refusal,
         };
-        match self.take_form(form, tenant, key).await {
+        let hold = match hold_upload(&head.extensions) {
+            Ok(hold) => hold,
+            Err(NoRoom) => return refuse(ResultCode::NoMemory, ""),
+        };
+        let buffer = FormBuffer::default();
+        let stream = buffer.bound(body.into_data_stream(), hold.clone());
+        let form = Form { parts: multer::Multipart::new(stream, boundary), buffer };
+        let taken = tokio::select! {
+            taken = self.take_form(form, tenant, key) => taken,
+            // The file is not sealed yet, so that nothing of it is ever run.
+            () = evicted(hold) => Err(Box::new(refuse(ResultCode::NoMemory, ""))),
+        };
+        match taken {
             Ok(record) => json(200, &file_object(&record)),
             Err(refusal) => *refusal,
         }
     }
 
-    async fn take_form(
-        &self,
-        mut form: multer::Multipart<'_>,
-        tenant: String,
-        key: Option<String>,
-    ) -> Result<FileRecord, Refusal> {
+    async fn take_form(&self, mut form: Form<'_>, tenant: String, key: Option<String>) -> Result<FileRecord, Refusal> {
         let mut taken = None;
-        while let Some(field) = next_field(&mut form).await? {
+        while let Some(field) = form.next_field().await? {
             match field.name() {
-                Some("file") if taken.is_none() => taken = Some(self.take_file(field, &tenant, key.as_deref()).await?),
+                Some("file") if taken.is_none() => {
+                    taken = Some(self.take_file(field, &form.buffer, &tenant, key.as_deref()).await?)
+                }
                 Some("file") => return Err(Box::new(refuse(ResultCode::DuplicateField, "file"))),
                 Some("purpose") => {
                     let purpose = field.text().await.map_err(|fault| bad(&fault.to_string()))?;
@@ -89,6 +102,7 @@
     async fn take_file(
         &self,
         mut field: multer::Field<'_>,
+        buffer: &FormBuffer,
         tenant: &str,
         key: Option<&str>,
     ) -> Result<FileRecord, Refusal> {
@@ -114,6 +128,7 @@
                 .await
                 .map_err(|_| Box::new(refuse(ResultCode::SlowBody, "")))?
                 .map_err(|fault| bad(&fault.to_string()))?;
+            buffer.note_given();
             let last = piece.is_none();
             record.size += piece.as_ref().map_or(0, |piece| piece.len() as u64);
             for line in lines.take(piece)? {
@@ -323,10 +338,34 @@
     Ok(Item { position, custom_id: input.custom_id, body })
 }
 
-async fn next_field<'a>(form: &mut multer::Multipart<'a>) -> Result<Option<multer::Field<'a>>, Refusal> {
-    let field = tokio::time::timeout(PIECE_TIME, form.next_field()).await;
-    let field = field.map_err(|_| Box::new(refuse(ResultCode::SlowBody, "")))?;
-    field.map_err(|fault| bad(&fault.to_string()))
+/// A form as it arrives.
+struct Form<'a> {
+    parts: multer::Multipart<'a>,
+    buffer: FormBuffer,
+}
+
+impl<'a> Form<'a> {
+    async fn next_field(&mut self) -> Result<Option<multer::Field<'a>>, Refusal> {
+        let field = tokio::time::timeout(PIECE_TIME, self.parts.next_field()).await;
+        let field = field.map_err(|_| Box::new(refuse(ResultCode::SlowBody, "")))?;
+        self.buffer.note_given();
+        field.map_err(|fault| bad(&fault.to_string()))
+    }
+}
+
+/// Holds memory for an upload: the line that is read, the items that are committed together,
+/// and the copies of both.
+fn hold_upload(extensions: &Extensions) -> Result<Option<Arc<ArrivingBody>>, NoRoom> {
+    let Some(request) = extensions.get::<Arc<RequestHold>>() else { return Ok(None) };
+    request.hold_arriving(UPLOAD_BYTES).map(|hold| Some(Arc::new(hold)))
+}
+
+/// Completes when the upload is to end for others.
+async fn evicted(hold: Option<Arc<ArrivingBody>>) {
+    match hold {
+        Some(hold) => hold.evicted().await,
+        None => std::future::pending().await,
+    }
 }
 
 fn bad(detail: &str) -> Refusal {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod error;
 mod files;
+mod form_buffer;
 mod keys;
 mod online;
 mod router;
--- a/crates/http/src/client_guard.rs
+++ b/crates/http/src/client_guard.rs
@@ -301,6 +301,17 @@
         &self.connection.guard
     }
 
+    /// Holds memory for a body that its handler reads part by part. The handler ends the request
+    /// when this is evicted.
+    ///
+    /// # Errors
+    /// [`NoRoom`] if there is too little left.
+    pub fn hold_arriving(&self, bytes: usize) -> Result<ArrivingBody, NoRoom> {
+        let arriving = self.begin_body(bytes);
+        arriving.guard.grow(arriving.id, bytes)?;
+        Ok(arriving)
+    }
+
     /// A body begins to arrive that has at most so many bytes.
     pub(crate) fn begin_body(&self, most_bytes: usize) -> ArrivingBody {
         let guard = self.guard().clone();
@@ -323,7 +334,7 @@
 
 /// A body that is not whole yet. Its buffer is freed at once when it is evicted.
 #[derive(Debug)]
-pub(crate) struct ArrivingBody {
+pub struct ArrivingBody {
     guard: ClientGuard,
     id: HolderId,
     evictable: Arc<Evictable>,
@@ -334,7 +345,7 @@
 
 impl ArrivingBody {
     /// Completes when the body was evicted.
-    pub(crate) async fn evicted(&self) {
+    pub async fn evicted(&self) {
         self.evictable.evicted().await;
     }
 
@@ -362,7 +373,7 @@
     }
 
     /// Counts bytes that arrived; the budget is told of them in larger parts.
-    fn note_received(&self, bytes: usize) {
+    pub fn note_received(&self, bytes: usize) {
         let unmarked = self.unmarked_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
         if unmarked >= PROGRESS_BYTES {
             self.unmarked_bytes.store(0, Ordering::Relaxed);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,7 +17,7 @@
     BoxError,
 };
 pub use client::{AnswerTimeouts, CallFault, Client};
-pub use client_guard::{ClientGuard, GuardCounts, RequestHold, Reservation};
+pub use client_guard::{ArrivingBody, ClientGuard, GuardCounts, RequestHold, Reservation};
 pub use client_port::{serve_clients, ClientPort};
 pub use read_allowance::ReadAllowance;
 pub use reset_stream::{ResetFlag, ResetStream};
