Count the time of a head from its first byte only, not between requests

Cause: the deadline of a head was cleared by a look at whether a request is in progress. Where a request is answered before the next read, no read saw it in progress, and the deadline of the head before ran on: an idle connection was closed after the time of a head, not of its rest.

Change: the deadline belongs to the number of requests that had begun when the head did.

--- a/crates/http/src/client_guard.rs
+++ b/crates/http/src/client_guard.rs
@@ -151,7 +151,13 @@
         let evictable = Arc::new(Evictable::default());
         state.evictable.insert(id, evictable.clone());
         self.evict(&mut state, &evicted);
-        Some(ConnectionHold { guard: self.clone(), id, evictable, requests: AtomicUsize::new(0) })
+        Some(ConnectionHold {
+            guard: self.clone(),
+            id,
+            evictable,
+            requests: AtomicUsize::new(0),
+            begun: AtomicUsize::new(0),
+        })
     }
 
     /// Holds memory for a request until the reservation is dropped.
@@ -239,9 +245,16 @@
     evictable: Arc<Evictable>,
     /// Requests in progress.
     requests: AtomicUsize,
+    /// Requests so far.
+    begun: AtomicUsize,
 }
 
 impl ConnectionHold {
+    /// Requests that have begun on the connection.
+    pub(crate) fn begun(&self) -> usize {
+        self.begun.load(Ordering::Acquire)
+    }
+
     /// Whether the connection has no request in progress.
     pub(crate) fn is_idle(&self) -> bool {
         self.requests.load(Ordering::Acquire) == 0
@@ -260,6 +273,7 @@
         if !self.guard.lock().budget.begin_request(self.id) {
             return Err(NoRoom);
         }
+        self.begun.fetch_add(1, Ordering::AcqRel);
         self.requests.fetch_add(1, Ordering::AcqRel);
         // From here on its end is noted by the drop.
         let mut request = RequestHold { connection: self.clone(), _head: None };
--- a/crates/http/src/client_stream.rs
+++ b/crates/http/src/client_stream.rs
@@ -40,12 +40,14 @@
     head_timeout: Option<Duration>,
     /// End of the time for the head that is being read; `None` between heads.
     head_deadline: Option<Pin<Box<Sleep>>>,
+    /// Requests that had begun when the head did: with one more, it has ended.
+    requests_before: usize,
     reads: Reads,
 }
 
 impl ClientStream {
     pub(crate) fn new(stream: ResetStream, hold: Arc<ConnectionHold>, head_timeout: Option<Duration>) -> Self {
-        Self { stream, hold, head_timeout, head_deadline: None, reads: Reads::default() }
+        Self { stream, hold, head_timeout, head_deadline: None, requests_before: 0, reads: Reads::default() }
     }
 
     pub(crate) fn reads(&self) -> Reads {
@@ -66,8 +68,10 @@
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let stream = self.get_mut();
-        if !stream.hold.is_idle() {
+        let begun = stream.hold.begun();
+        if begun != stream.requests_before {
             stream.head_deadline = None;
+            stream.requests_before = begun;
         }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut stream.stream).poll_read(context, buffer);
