Do not count separators inside of strings as values of a JSON text

Cause: by reading: a long prompt of prose counted each comma as a value, so that a single request inside the limits could be refused as too large on a small machine.

Change: the scan skips strings.

--- a/crates/core/src/parsed_size.rs
+++ b/crates/core/src/parsed_size.rs
@@ -4,8 +4,18 @@
 /// least block of the allocator.
 const VALUE_BYTES: usize = 128;
 
-/// Upper estimate of the bytes that the values of a JSON text take, without reading it.
+/// Upper estimate of the bytes that the values of a JSON text take. The text is only scanned for
+/// what separates its values, so that text without end or of another kind costs no more.
 pub fn parsed_bytes(text: &[u8]) -> usize {
-    let separators = text.iter().filter(|byte| matches!(byte, b',' | b':' | b'{' | b'[')).count();
-    text.len() + separators * VALUE_BYTES
+    let (mut values, mut in_string, mut escaped) = (0, false, false);
+    for byte in text {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b',' | b':' | b'{' | b'[' if !in_string => values += 1,
+            _ => {}
+        }
+    }
+    text.len() + values * VALUE_BYTES
 }
