Do not hold a body's buffer while the budget is asked for more

What callers saw: nothing; found by reading. A growing body kept its buffer locked, by a temporary in the argument, while it waited for the budget; an eviction locks the buffer of another body while it holds the budget. On several threads (`latchwheel node`) the two could wait for each other for good. The adapter runs on one thread.

Change: the buffer is released first. bodies_that_evict_each_other_do_not_wait_for_each_other plays such bodies on eight threads; it passed in one play before the change too, so it does not show the fault, which is one of reading.

--- a/crates/http/src/client_guard.rs
+++ b/crates/http/src/client_guard.rs
@@ -377,8 +377,9 @@
             }
             (buffer.len() + bytes.len()).max((2 * buffer.capacity()).min(self.most_bytes))
         };
-        // The budget may evict this body meanwhile: its buffer must not be locked here.
-        self.guard.grow(self.id, capacity - self.buffer()?.capacity())?;
+        let growth = capacity - self.buffer()?.capacity();
+        // Must not be called with the buffer locked: an eviction locks buffers under the budget's lock.
+        self.guard.grow(self.id, growth)?;
         let mut buffer = self.buffer()?;
         let missing = capacity - buffer.len();
         buffer.reserve_exact(missing);
--- a/crates/http/tests/client_ports.rs
+++ b/crates/http/tests/client_ports.rs
@@ -1,9 +1,10 @@
 //! Times of clients' connections: of a head, and of the rest between requests.
 
-use hyper::Response;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use latchwheel_core::client_budget::BudgetLimits;
 use latchwheel_core::routes::ClientLimits;
-use latchwheel_http::{empty, full, serve_clients, ClientGuard, ClientPort, Version};
+use latchwheel_http::{empty, full, read_client_body, serve_clients, ClientGuard, ClientPort, Version};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -58,3 +59,43 @@
     connection.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
     assert!(matches!(connection.read(&mut [0; 16]).await, Ok(0) | Err(_)));
 }
+
+/// Bodies on several threads that grow while others evict them: no thread waits for another one
+/// for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 8)]
+async fn bodies_that_evict_each_other_do_not_wait_for_each_other() {
+    const SMALL_MEMORY: usize = 6 << 20;
+    const CLIENTS: usize = 24;
+    const ROUNDS: usize = 40;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let guard = ClientGuard::new(BudgetLimits::of_machine(SMALL_MEMORY, DESCRIPTORS));
+    let port = ClientPort {
+        guard: guard.clone(),
+        limits: watch::channel(ClientLimits::default()).1,
+        no_room: || Response::new(empty()),
+    };
+    let (_stop, stopped) = watch::channel(false);
+    let handler = |request: Request<Incoming>| async move {
+        let (head, body) = request.into_parts();
+        let _ = read_client_body(&head.extensions, body, 4 << 20, Duration::from_secs(60)).await;
+        Response::new(full("ok"))
+    };
+    tokio::spawn(serve_clients(listener, Version::Http1, stopped, port, handler));
+    let clients = (0..CLIENTS).map(|number| {
+        tokio::spawn(async move {
+            let bytes = if number % 2 == 0 { 400 << 10 } else { 60 << 10 };
+            for _ in 0..ROUNDS {
+                let Ok(mut connection) = TcpStream::connect(address).await else { continue };
+                let head =
+                    format!("POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {bytes}\r\n\r\n");
+                let _ = connection.write_all(head.as_bytes()).await;
+                let _ = connection.write_all(&vec![b'x'; bytes]).await;
+                let _ = connection.read_to_end(&mut Vec::new()).await;
+            }
+        })
+    });
+    for client in clients.collect::<Vec<_>>() {
+        tokio::time::timeout(Duration::from_secs(120), client).await.expect("a client waits for good").unwrap();
+    }
+}
