Log which requests a process leaves unfinished at its end

What callers saw: requests that a stopping front had read and sent to a server ended without an answer, and no line named them or told what they waited for.

Cause: requests in progress at the end of the process were dropped with the runtime, and logged as ClientGone, as if their clients had left.

RequestUnfinished (8114) names each such request, the server that works on it, and the times since it was read and sent; Stopped has the connections that are still open. With that the hypotheses of the incident can be told apart: sent late (sent_ms), waiting (no server), answered and not delivered (connections without requests), ended too early (Stopped long before the end of the grace).

--- a/crates/events/src/event.rs
+++ b/crates/events/src/event.rs
@@ -61,7 +61,9 @@
     /// The process ends.
     Stopped = 8002, Essential {
         /// Requests still in progress.
-        unfinished: usize
+        unfinished: usize,
+        /// Connections of clients that are still open.
+        connections: usize
     };
     /// The settings were read again.
     Reloaded = 8003, Essential {
@@ -423,6 +425,19 @@
         /// Time since the request was read.
         after_ms: u64
     };
+    /// The process ended while a request was in progress: its client got no complete answer.
+    RequestUnfinished = 8114, Essential {
+        /// Request id.
+        id: &'a str,
+        /// Route of the request.
+        route: &'a str,
+        /// Server that worked on it; empty if none did.
+        server: &'a str,
+        /// Time since the request was read.
+        after_ms: u64,
+        /// Time since it was sent to that server; 0 if there is none.
+        sent_ms: u64
+    };
     /// A request that would have missed its latency target was held to wait for a free slot.
     RequestHeld = 8106, Essential {
         /// Request id.
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -39,6 +39,13 @@
             line.text("server")
         )),
         "ClientGone" => Some(format!("the client left after {after} ms, before its answer was whole")),
+        "RequestUnfinished" => Some(format!(
+            "no complete answer: the process ended {after} ms after the request was read{}",
+            match line.text("server") {
+                "" => ", before it was sent to a server".to_owned(),
+                server => format!(", {} ms after it was sent to server {server}", line.number("sent_ms")),
+            }
+        )),
         "JobRefused" => Some(format!("the job was not kept: {}", words(line.text("reason")))),
         "ItemEnded" if line.text("end") == "given_up" => Some(given_up(line, own)),
         "ItemEnded" => Some(format!("completed {after} ms after its job was taken{}", interruptions(own))),
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -29,6 +29,20 @@
     assert!(text.ends_with("cause: the answer was broken off after 1000 ms: stream broke at server s1\n"), "{text}");
 }
 
+#[test]
+fn a_request_in_progress_at_the_end_of_its_process() {
+    let line = |id: &str, server: &str, sent: u64| {
+        format!(
+            r#"{{"time":9,"steady":9,"node":"front-a","role":"front","event":"E8114","name":"RequestUnfinished","id":"{id}","route":"r","server":"{server}","after_ms":900,"sent_ms":{sent}}}"#
+        )
+    };
+    let lines = [line("sent", "s1", 700), line("waiting", "", 0)].join("\n");
+    let text = explain(&read_lines(&lines), "sent").unwrap();
+    assert!(text.contains("the process ended 900 ms after the request was read, 700 ms after it was sent to server s1"));
+    let text = explain(&read_lines(&lines), "waiting").unwrap();
+    assert!(text.contains("900 ms after the request was read, before it was sent to a server"), "{text}");
+}
+
 #[test]
 fn an_item_that_was_given_up() {
     for subject in ["item", "job"] {
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -14,7 +14,7 @@
 use latchwheel_core::event_stream::{event_data, EventFramer};
 use latchwheel_core::item_progress::{ItemProgress, RunEnd};
 use latchwheel_http::read_bounded;
-use latchwheel_proxy::{put_tenant, Dialect, Exchange, Outgoing, Shared};
+use latchwheel_proxy::{put_tenant, Dialect, Exchange, InFlight, Outgoing, Shared};
 use latchwheel_records::RecordStore;
 use std::time::Duration;
 
@@ -59,6 +59,7 @@
         body: BASE64_STANDARD.decode(&item.body).ok()?.into(),
         id,
         prompt,
+        in_flight: InFlight::default(),
     })
 }
 
--- a/crates/proxy/src/accept.rs
+++ b/crates/proxy/src/accept.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::Outgoing;
 use crate::forward::{log_refusal, Context};
+use crate::in_flight::InFlight;
 use crate::shared::Shared;
 use crate::start::{look_for_departure, HeldAtStart};
 use hyper::body::Incoming;
@@ -95,8 +96,15 @@
         head.headers.remove(AUTHORIZATION);
     }
     put_tenant(&mut head.headers, names, tenant.as_ref().map(|tenant| &*tenant.name));
-    let outgoing =
-        Outgoing { method: head.method, uri: path_only(&head.uri), headers: head.headers, body, id: id_header, prompt };
+    let outgoing = Outgoing {
+        method: head.method,
+        uri: path_only(&head.uri),
+        headers: head.headers,
+        body,
+        id: id_header,
+        prompt,
+        in_flight: InFlight::default(),
+    };
     if let Some(left) = shared.quarantined_for(&outgoing) {
         return Err(Refusal { id, route: Some(route), code: ResultCode::Quarantined, retry_after: Some(left) });
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::answer_head::{framing_of, states_event_stream};
 use crate::crashes::has_just_ended;
 use crate::dialect::{Dialect, HeaderNames};
+use crate::in_flight::{InFlight, InFlightAttempt};
 use crate::pool::{keep_time, Connection, ConnectionUse};
 use crate::shared::Shared;
 use bytes::Bytes;
@@ -56,6 +57,8 @@
     pub id: HeaderValue,
     /// Its prompt.
     pub prompt: Prompt,
+    /// Its attempts in progress.
+    pub in_flight: InFlight,
 }
 
 impl Outgoing {
@@ -152,6 +155,8 @@
     /// The end of its answer can't be that of a server that crashed.
     has_verified_end: bool,
     ending: Ending,
+    /// Present once the request was sent.
+    in_flight: Option<InFlightAttempt>,
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -179,6 +184,7 @@
             is_success: false,
             has_verified_end: false,
             ending: Ending::Withdrawn,
+            in_flight: None,
         }
     }
 
@@ -215,7 +221,9 @@
         let Some(mut connection) = self.connection.take() else {
             return Err(self.attempt_end(AttemptFailure::NotSent, NO_CONNECTION));
         };
-        let waited = self.shared.clock.now().since(self.sent_at);
+        let now = self.shared.clock.now();
+        let waited = now.since(self.sent_at);
+        self.in_flight = Some(outgoing.in_flight.begin(&self.placement.server, now));
         let request = self.request(outgoing, left.saturating_sub(waited), last_event);
         let answer = tokio::time::timeout(patience, connection.sender.send_request(request)).await;
         self.connection = Some(connection);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::answer_head::strip_connection;
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange, Outgoing};
+use crate::in_flight::{InFlight, LastSent};
 use crate::shared::Shared;
 use crate::start_pacing::StartTurn;
 use crate::started::{Pieces, Started};
@@ -118,17 +119,26 @@
     Response::from_parts(head, stream_body(streaming))
 }
 
-/// Logs that the client left, unless the attempt comes to an end before.
+/// Logs that the client left or that the process ended, unless the attempt comes to an end before.
 struct Departure<D: Dialect> {
     shared: Arc<Shared<D>>,
     id: String,
+    route: Arc<Route>,
+    in_flight: InFlight,
     received: Instant,
     gone: bool,
 }
 
 impl<D: Dialect> Departure<D> {
     fn new(context: &Context<D>) -> Self {
-        Self { shared: context.shared.clone(), id: context.id.clone(), received: context.received, gone: true }
+        Self {
+            shared: context.shared.clone(),
+            id: context.id.clone(),
+            route: context.route.clone(),
+            in_flight: context.outgoing.in_flight.clone(),
+            received: context.received,
+            gone: true,
+        }
     }
 
     fn arrived(&mut self) {
@@ -139,12 +149,29 @@
 impl<D: Dialect> Drop for Departure<D> {
     fn drop(&mut self) {
         if self.gone {
-            let after_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
-            emit(&self.id, &Event::ClientGone { id: &self.id, server: "", after_ms });
+            log_dropped(&self.shared, &self.id, &self.route.name, self.received, self.in_flight.in_progress());
         }
     }
 }
 
+/// Logs a request that was dropped without a complete answer, with its attempt in progress.
+pub(crate) fn log_dropped<D: Dialect>(
+    shared: &Shared<D>,
+    id: &str,
+    route: &str,
+    received: Instant,
+    attempt: Option<LastSent>,
+) {
+    let now = shared.clock.now();
+    let after_ms = now.since(received).as_millis() as u64;
+    let server = attempt.as_ref().map_or("", |attempt| &*attempt.server);
+    if !shared.has_ended() {
+        return emit(id, &Event::ClientGone { id, server, after_ms });
+    }
+    let sent_ms = attempt.as_ref().map_or(0, |attempt| now.since(attempt.at).as_millis() as u64);
+    emit(id, &Event::RequestUnfinished { id, route, server, after_ms, sent_ms });
+}
+
 impl<D: Dialect> Context<D> {
     /// Whether it is answered by a stream.
     pub(crate) fn is_stream(&self) -> bool {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -68,6 +68,7 @@
     newer_table: Notify,
     leaving: AtomicBool,
     refusing_streams: AtomicBool,
+    ended: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
     pub(crate) start: Start,
@@ -111,6 +112,7 @@
             newer_table: Notify::new(),
             leaving: AtomicBool::new(false),
             refusing_streams: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
             start: Start::default(),
@@ -254,6 +256,16 @@
         self.refusing_streams.load(Ordering::Relaxed)
     }
 
+    /// The process ends now: what is still in progress gets no answer.
+    pub fn note_end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process has ended its service.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Relaxed)
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -8,7 +8,7 @@
 
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange};
-use crate::forward::Context;
+use crate::forward::{log_dropped, Context};
 use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
 use crate::started::Pieces;
@@ -263,9 +263,8 @@
         if self.ended {
             return;
         }
-        let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
-        let after_ms = self.context.shared.clock.now().since(self.context.received).as_millis() as u64;
-        emit(&self.context.id, &Event::ClientGone { id: &self.context.id, server: &server, after_ms });
+        let Context { shared, id, route, received, outgoing, .. } = &self.context;
+        log_dropped(shared, id, &route.name, *received, outgoing.in_flight.in_progress());
     }
 }
 
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -3,7 +3,7 @@
 use latchwheel_core::dispatch::{Choice, Placement, PlacementQuery, Prompt, ServerKey};
 use latchwheel_core::headroom::{MachineCapacity, PeerHeadroomCounts};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_proxy::{exchange_shares, Exchange, Outgoing, Peer, PeerDuties, Peers, Shared};
+use latchwheel_proxy::{exchange_shares, Exchange, InFlight, Outgoing, Peer, PeerDuties, Peers, Shared};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::{node, route, TestDialect, TestServer};
@@ -136,6 +136,7 @@
         body: bytes::Bytes::new(),
         id: hyper::header::HeaderValue::from_static("id"),
         prompt: Prompt::default(),
+        in_flight: InFlight::default(),
     };
     let calm = Exchange::reserve(&nodes[1].shared, placement.clone(), &outgoing);
     let pressing = Exchange::reserve(&nodes[1].shared, Placement { preempts: true, ..placement }, &outgoing);
