Take no request during a planned stop that can't be answered before its end

What callers saw: around a SIGTERM of a front, requests that it had read and sent to a server ended with a closed connection and no answer, among them ones that may not be repeated. Others waited for a slot or for their body until the process was gone.

Cause: a stopping front refused streams after 2.2 s and took all else until 1.5 s before its end, on the assumption that other requests take 0.1 s. Nothing on the way of a request knew when the process ends: not the wait for a slot, not the sending, not the deadline that a server is told, not the body of an answer.

Now a stop has times (core::planned_stop). A request whose own time is over before the end is taken. Any other one is sent only while it is likely to be answered in time, by the longest recent answer of its route and half of that again; what can't be answered a second time (streams, requests that may run once) only until clients are sent elsewhere. The limit holds at each step before the sending: the body, the permit, the slot. Whoever is over it is refused at once, with 3004, as not run. Servers are told no more time than the process has. What has no answer 0.2 s before the end gets one: 4000 (may have run) where a server works on it, else 3004; streams are broken off and logged (AnswerCut, process_ends). Jobs are taken only while the whole time for taking them is left.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod pending_cancellations;
 pub mod permits;
 pub mod placement;
+pub mod planned_stop;
 pub mod preemption;
 pub mod prefix;
 pub mod quarantine;
--- a/crates/proxy/src/accept.rs
+++ b/crates/proxy/src/accept.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Outgoing;
 use crate::forward::{log_refusal, Context};
 use crate::in_flight::InFlight;
+use crate::planned_stop::TooLate;
 use crate::shared::Shared;
 use crate::start::{look_for_departure, HeldAtStart};
 use hyper::body::Incoming;
@@ -22,7 +23,7 @@
 use std::time::Duration;
 
 /// Time after which to come back where another node can take a request at once.
-const OTHER_NODE_COME_BACK: Duration = Duration::from_millis(10);
+pub(crate) const OTHER_NODE_COME_BACK: Duration = Duration::from_millis(10);
 
 /// A request that is refused before it is routed.
 pub(crate) struct Refusal {
@@ -73,13 +74,16 @@
     let tenant = shared
         .caller(&table, bearer_key(&head.headers), route.public)
         .map_err(|code| refuse(code, Some(route.clone())))?;
-    if shared.refuses_streams() && matches!(route.kind, RequestKind::Stream { .. }) {
-        return Err(refuse(ResultCode::Leaving, Some(route)));
-    }
     let deadline = shared.deadline_of(&head.headers);
     let time = deadline.map_or(route.timeout, |time| time.min(route.timeout));
     let until = received + time;
-    let body = read_client_body(&head.extensions, body, table.limits.body_bytes, time).await.map_err(|fault| {
+    let read = async {
+        let read = read_client_body(&head.extensions, body, table.limits.body_bytes, time).await;
+        look_for_departure(was_held).await;
+        read
+    };
+    let read = shared.before_too_late(&route, until, read).await;
+    let body = read.map_err(|TooLate| refuse(ResultCode::Leaving, Some(route.clone())))?.map_err(|fault| {
         let code = match fault {
             BodyFault::TooLarge => ResultCode::TooLarge,
             BodyFault::Slow => ResultCode::SlowBody,
@@ -88,7 +92,6 @@
         };
         refuse(code, Some(route.clone()))
     })?;
-    look_for_departure(was_held).await;
     let prompt = shared.dialect.prompt(&head.headers);
     Outgoing::strip(&mut head.headers, names);
     head.headers.remove(CONTENT_LENGTH);
@@ -109,8 +112,8 @@
         return Err(Refusal { id, route: Some(route), code: ResultCode::Quarantined, retry_after: Some(left) });
     }
     if let Some(tenant) = &tenant {
-        let admitted = shared.permits.admit(tenant).await;
-        admitted.map_err(|retry_after| {
+        let admitted = shared.before_too_late(&route, until, shared.permits.admit(tenant)).await;
+        admitted.map_err(|TooLate| refuse(ResultCode::Leaving, Some(route.clone())))?.map_err(|retry_after| {
             let (id, route, retry_after) = (id.clone(), Some(route.clone()), Some(retry_after));
             Refusal { id, route, code: ResultCode::RateLimited, retry_after }
         })?;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,22 +1,24 @@
 //! The way of a request: attempts at servers until there is an answer.
 
-use crate::accept::accept;
+use crate::accept::{accept, OTHER_NODE_COME_BACK};
 use crate::answer::{error_answer, DEFAULT_RETRY_AFTER};
 use crate::answer_head::strip_connection;
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange, Outgoing};
 use crate::in_flight::{InFlight, LastSent};
+use crate::planned_stop::{TooLate, PROCESS_ENDS};
+use crate::pool::ConnectionUse;
 use crate::shared::Shared;
 use crate::start_pacing::StartTurn;
 use crate::started::{Pieces, Started};
 use crate::streaming::{progress_of, stream_body, Streaming};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_LENGTH};
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, Response};
 use latchwheel_core::answer_end::Framing;
-use latchwheel_core::attempts::{Attempts, NextStep};
+use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
-use latchwheel_core::dispatch::Placement;
+use latchwheel_core::dispatch::{Placement, RouteKey};
 use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::stream_origins::StreamKey;
@@ -24,6 +26,7 @@
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
 use latchwheel_http::Body;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,35 +71,33 @@
         Ok(context) => run(context, guard).await,
         Err(refusal) => refusal.answer(&shared, received),
     };
-    if shared.is_leaving() {
-        response.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
-    }
+    shared.close_if_leaving(&mut response);
     response
 }
 
-/// Attempts until there is an answer or the request is given up.
+/// An answer to pass on.
+enum Answer<D: Dialect> {
+    Whole(Response<Body>),
+    Stream(Box<Started<D>>),
+}
+
+/// Attempts until there is an answer, the request is given up or the process ends.
 async fn run<D: Dialect>(mut context: Context<D>, guard: crate::shared::InProgress<D>) -> Response<Body> {
-    if let Err(refusal) = context.find_software().await {
-        return refusal;
-    }
-    loop {
-        let mut departure = Departure::new(&context);
-        let attempt = context.attempt(None).await;
-        departure.arrived();
-        drop(departure);
-        let started = match attempt {
-            Ok(started) => started,
-            Err(Some(answer)) => return answer,
-            Err(None) => continue,
-        };
-        if context.is_stream() && started.response.status().is_success() {
-            return stream_answer(context, started, guard);
-        }
-        match context.whole_answer(started.exchange, started.response).await {
-            Ok(answer) => return answer,
-            Err(Some(answer)) => return answer,
-            Err(None) => {}
+    let mut departure = Departure::new(&context);
+    let (shared, in_flight) = (context.shared.clone(), context.outgoing.in_flight.clone());
+    let answer = {
+        let mut answering = pin!(context.find_answer());
+        tokio::select! {
+            biased;
+            answer = &mut answering => Ok(answer),
+            () = shared.answers_due() => Err(in_flight.in_progress()),
         }
+    };
+    departure.arrived();
+    match answer {
+        Ok(Answer::Whole(answer)) => answer,
+        Ok(Answer::Stream(started)) => stream_answer(context, *started, guard),
+        Err(attempt) => context.end_unanswered(attempt),
     }
 }
 
@@ -173,20 +174,56 @@
 }
 
 impl<D: Dialect> Context<D> {
+    async fn find_answer(&mut self) -> Answer<D> {
+        if let Err(refusal) = self.find_software().await {
+            return Answer::Whole(refusal);
+        }
+        loop {
+            let started = match self.attempt(None).await {
+                Ok(started) => started,
+                Err(Some(answer)) => return Answer::Whole(answer),
+                Err(None) => continue,
+            };
+            if self.is_stream() && started.response.status().is_success() {
+                return Answer::Stream(Box::new(started));
+            }
+            match self.whole_answer(started.exchange, started.response).await {
+                Ok(answer) | Err(Some(answer)) => return Answer::Whole(answer),
+                Err(None) => {}
+            }
+        }
+    }
+
+    /// The answer where the process ends before there is one; `attempt` is in progress.
+    fn end_unanswered(&mut self, attempt: Option<LastSent>) -> Response<Body> {
+        if let Some(LastSent { server, at }) = attempt {
+            let failure = AttemptFailure::MayHaveRun;
+            let end = AttemptEnd { failure, reason: PROCESS_ENDS, connection: ConnectionUse::None };
+            self.note_failed(&server, at, &end);
+            self.asked.push(server);
+        }
+        self.refuse(ResultCode::Leaving, Some(OTHER_NODE_COME_BACK))
+    }
+
     /// Whether it is answered by a stream.
     pub(crate) fn is_stream(&self) -> bool {
         matches!(self.route.kind, RequestKind::Stream { .. })
     }
 
-    /// Time that the request has left.
+    /// Time that the request has left, at a process that may stop before its end.
     pub(crate) fn left(&self) -> Duration {
-        self.until.since(self.shared.clock.now())
+        self.shared.answered_until(self.until).since(self.shared.clock.now())
     }
 
     /// Sends the request to one more server. `Err(None)` means that another
     /// attempt may follow, `Err(Some)` is the final answer.
     pub(crate) async fn attempt(&mut self, last_event: Option<u64>) -> Result<Started<D>, Option<Response<Body>>> {
-        let placement = self.place_unless_suspected().await.map_err(Some)?;
+        let placement = match last_event {
+            None => self.place_before_too_late().await,
+            // It is better continued for a while than broken off at once.
+            Some(_) => self.place_unless_suspected().await,
+        };
+        let placement = placement.map_err(Some)?;
         let left = self.left();
         self.log_sent(&placement, left, self.attempts.made() + 1, last_event);
         let expected = self.expected_if_repeatable(&placement).filter(|_| last_event.is_none());
@@ -203,6 +240,15 @@
         started.map_err(|end| self.failed(&server, sent_at, &end))
     }
 
+    /// A place at a server, unless the process stops too soon for the request.
+    async fn place_before_too_late(&mut self) -> Result<Placement, Response<Body>> {
+        let (shared, route, until) = (self.shared.clone(), self.route.clone(), self.until);
+        match shared.before_too_late(&route, until, self.place_unless_suspected()).await {
+            Ok(placed) => placed,
+            Err(TooLate) => Err(self.refuse(ResultCode::Leaving, Some(OTHER_NODE_COME_BACK))),
+        }
+    }
+
     /// Time to wait for the head of an answer: to the end where the request
     /// can't be repeated anyway, with so many other attempts in progress.
     pub(crate) fn patience(&self, left: Duration, others: u32) -> Duration {
@@ -266,7 +312,11 @@
     }
 
     pub(crate) fn log_answered(&self, status: u16, first_piece_ms: u64, framing: Framing) {
-        let total_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
+        let now = self.shared.clock.now();
+        if let Some(sent_at) = self.outgoing.in_flight.last_sent_at() {
+            self.shared.stop.answer_times().note(now, RouteKey::of(&self.route.name), now.since(sent_at));
+        }
+        let total_ms = now.since(self.received).as_millis() as u64;
         let attempts = self.attempts.made() + 1;
         let (id, route) = (&self.id, &self.route.name);
         let framing = framing.as_str();
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -37,6 +37,11 @@
         state.last.clone().filter(|_| state.attempts > 0)
     }
 
+    /// When the request was sent last.
+    pub(crate) fn last_sent_at(&self) -> Option<Instant> {
+        self.lock().last.as_ref().map(|last| last.at)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,15 +8,19 @@
 use crate::own_claims::OwnClaims;
 use crate::permits::Permits;
 use crate::placements::Placements;
+use crate::planned_stop::PlannedStop;
 use crate::pool::Pool;
 use crate::start::Start;
 use crate::stream_origins::StreamOrigins;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::Response;
 use latchwheel_clock::Clock;
 use latchwheel_core::directory::DirectoryChange;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
 use latchwheel_core::holding::HoldOutcomes;
 use latchwheel_core::key_acceptance::KeyAcceptance;
 use latchwheel_core::permits::LimitMargin;
+use latchwheel_core::planned_stop::StopTimes;
 use latchwheel_core::routes::{ClientLimits, Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
 use latchwheel_core::time::Instant;
@@ -67,7 +71,7 @@
     newest_table: AtomicU64,
     newer_table: Notify,
     leaving: AtomicBool,
-    refusing_streams: AtomicBool,
+    pub(crate) stop: PlannedStop,
     ended: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
@@ -111,7 +115,7 @@
             newest_table: AtomicU64::new(0),
             newer_table: Notify::new(),
             leaving: AtomicBool::new(false),
-            refusing_streams: AtomicBool::new(false),
+            stop: PlannedStop::default(),
             ended: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
@@ -234,28 +238,26 @@
         lock(&self.second_attempts)
     }
 
-    /// The process leaves: answers close their connections from now on.
-    pub fn leave(&self) {
+    /// The process leaves: answers close their connections from now on, and only requests are
+    /// taken that can be answered in these times.
+    pub fn leave(&self, times: StopTimes) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.stop.begin(times);
         self.start.note_leaving(self.clock.now());
     }
 
+    /// Has the connection of an answer close if the process leaves.
+    pub fn close_if_leaving<B>(&self, answer: &mut Response<B>) {
+        if self.is_leaving() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
     /// Whether the process leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Refuses streams from now on: one that is taken so late could not end
-    /// before the process does. Other requests are short.
-    pub fn refuse_streams(&self) {
-        self.refusing_streams.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether new streams are refused.
-    pub fn refuses_streams(&self) -> bool {
-        self.refusing_streams.load(Ordering::Relaxed)
-    }
-
     /// The process ends now: what is still in progress gets no answer.
     pub fn note_end(&self) {
         self.ended.store(true, Ordering::Relaxed);
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -9,6 +9,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange};
 use crate::forward::{log_dropped, Context};
+use crate::planned_stop::{AnswersDue, PROCESS_ENDS};
 use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
 use crate::started::Pieces;
@@ -53,6 +54,7 @@
     /// Whether events were passed on.
     passed_events: bool,
     ended: bool,
+    answers_due: AnswersDue,
     _guard: InProgress<D>,
 }
 
@@ -73,6 +75,7 @@
         resumable: bool,
         guard: InProgress<D>,
     ) -> Self {
+        let answers_due = AnswersDue::new(context.shared.clone());
         Self {
             context,
             framing: exchange.framing(),
@@ -86,6 +89,7 @@
             first_piece: None,
             passed_events: false,
             ended: false,
+            answers_due,
             _guard: guard,
         }
     }
@@ -112,13 +116,21 @@
 
     async fn step(&mut self) -> Step {
         if self.context.left().is_zero() {
-            return Step::Broken(TIME_IS_OVER, Ending::Unresponsive);
+            return self.out_of_time();
         }
         let limit = if self.resumable { self.context.pause_limit(0) } else { self.context.left() };
         let is_noted = self.incoming.first.is_some();
-        let Ok(frame) = tokio::time::timeout(limit, self.incoming.next()).await else {
-            let reason = if self.context.left().is_zero() { TIME_IS_OVER } else { "no_event" };
-            return Step::Broken(reason, Ending::Unresponsive);
+        let next = tokio::time::timeout(limit, self.incoming.next());
+        let next = tokio::select! {
+            biased;
+            next = next => next,
+            () = &mut self.answers_due => return self.out_of_time(),
+        };
+        let Ok(frame) = next else {
+            if self.context.left().is_zero() {
+                return self.out_of_time();
+            }
+            return Step::Broken("no_event", Ending::Unresponsive);
         };
         let data = match frame {
             None => return self.at_end_of_body().await,
@@ -142,6 +154,14 @@
         }
     }
 
+    /// What follows where the request or the process has no time left.
+    fn out_of_time(&self) -> Step {
+        if self.context.shared.are_answers_due() {
+            return Step::Broken(PROCESS_ENDS, Ending::Withdrawn);
+        }
+        Step::Broken(TIME_IS_OVER, Ending::Unresponsive)
+    }
+
     /// What follows where the body of the present attempt ends without an error: a server that
     /// crashes ends a body that its connection delimits, too.
     async fn at_end_of_body(&mut self) -> Step {
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -4,18 +4,20 @@
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::forward::Context;
+use crate::planned_stop::{AnswersDue, PROCESS_ENDS};
+use crate::shared::Shared;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
-use latchwheel_clock::Clock;
 use latchwheel_core::answer_end::StreamProgress;
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::time::Instant;
 use latchwheel_http::{full, Body, BoxError};
+use std::sync::Arc;
 
 /// Why an answer is broken off whose request has no time left.
 pub(crate) const TIME_IS_OVER: &str = "time_is_over";
@@ -55,8 +57,9 @@
                 if progress.is_some() {
                     head.headers.remove(CONTENT_LENGTH);
                 }
-                let clock = self.shared.clock;
-                let rest = LongAnswer { outgoing: self.outgoing.clone(), exchange, progress, clock, until: self.until };
+                let (shared, outgoing, until) = (self.shared.clone(), self.outgoing.clone(), self.until);
+                let answers_due = AnswersDue::new(shared.clone());
+                let rest = LongAnswer { outgoing, exchange, progress, shared, until, answers_due };
                 Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
@@ -101,9 +104,10 @@
     outgoing: Outgoing,
     exchange: Exchange<D>,
     progress: Option<StreamProgress>,
-    clock: Clock,
+    shared: Arc<Shared<D>>,
     /// End of the time that the request has.
     until: Instant,
+    answers_due: AnswersDue,
 }
 
 impl<D: Dialect> LongAnswer<D> {
@@ -121,11 +125,17 @@
 
     /// The next frame; `None` at the end of a complete answer.
     async fn next(&mut self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, BoxError>> {
-        let left = self.until.since(self.clock.now());
+        let left = self.shared.answered_until(self.until).since(self.shared.clock.now());
         if left.is_zero() {
             return Some(Err(TIME_IS_OVER.into()));
         }
-        let Ok(frame) = tokio::time::timeout(left, rest.frame()).await else {
+        let next = tokio::time::timeout(left, rest.frame());
+        let next = tokio::select! {
+            biased;
+            next = next => next,
+            () = &mut self.answers_due => return Some(Err(PROCESS_ENDS.into())),
+        };
+        let Ok(frame) = next else {
             return Some(Err(TIME_IS_OVER.into()));
         };
         match frame {
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -243,23 +243,6 @@
     assert_eq!(node.shared.table().version, 1);
 }
 
-/// A stream that is taken long after the stop began could not end in time.
-#[tokio::test]
-async fn a_leaving_node_refuses_streams_that_could_not_end() {
-    let (node, first, second) = start_alike(STREAM, 1, Act::StreamTo(3)).await;
-    node.shared.leave();
-    assert_eq!(ask(&node, "/path/a", 4000).await.status, 200, "until then it serves");
-    node.shared.refuse_streams();
-    let answer = ask(&node, "/path/a", 4000).await;
-    assert_eq!((answer.status, answer.stamp), (503, false));
-    assert!(answer.retry_after.is_some());
-    assert_eq!(first.seen().len() + second.seen().len(), 1);
-    let (node, ..) = start_alike(RequestKind::Idempotent, 1, Act::Answer(200, "short".into())).await;
-    node.shared.leave();
-    node.shared.refuse_streams();
-    assert_eq!(ask(&node, "/path/a", 4000).await.status, 200);
-}
-
 /// A connection that got a whole answer and rests now.
 struct Resting {
     connection: tokio::net::TcpStream,
--- a/crates/proxy/tests/start.rs
+++ b/crates/proxy/tests/start.rs
@@ -4,6 +4,7 @@
 
 use hyper::header::HeaderMap;
 use latchwheel_clock::Clock;
+use latchwheel_core::planned_stop::StopTimes;
 use latchwheel_core::routes::{ClientLimits, RequestKind, RoutingTable};
 use latchwheel_core::startup_hold::StartupHold;
 use latchwheel_core::tenants::Tenants;
@@ -103,7 +104,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_node_that_leaves_holds_nothing() {
     let shared = starting_node();
-    shared.leave();
+    shared.leave(StopTimes::default());
     assert_eq!(timeout(Duration::ZERO, shared.hold_at_start(&headers("5000"))).await, Ok(false));
 }
 
@@ -114,7 +115,7 @@
     let waiting = hold(&shared, headers("5000"));
     advance(Duration::from_millis(300)).await;
     assert!(!waiting.is_finished());
-    shared.leave();
+    shared.leave(StopTimes::default());
     let was_held = timeout(Duration::from_millis(1), waiting).await.unwrap().unwrap();
     assert!(was_held);
 }
@@ -186,7 +187,7 @@
     let no_answer = timeout(Duration::from_millis(100), caller.read_u8()).await;
     assert!(no_answer.is_err(), "it is held");
     put_table_in_force(&shared);
-    shared.leave();
+    shared.leave(StopTimes::default());
     let mut answer = String::new();
     caller.read_to_string(&mut answer).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -314,6 +314,17 @@
     shared
 }
 
+/// Times of a planned stop that begins now, after which clients are sent elsewhere in
+/// `clients_leave` and all is to be answered in `last_answer`.
+pub fn stop_times(
+    shared: &Shared<TestDialect>,
+    clients_leave: Duration,
+    last_answer: Duration,
+) -> latchwheel_core::planned_stop::StopTimes {
+    let now = shared.clock.now();
+    latchwheel_core::planned_stop::StopTimes { clients_leave: now + clients_leave, last_answer: now + last_answer }
+}
+
 /// Serves a node's callers on loopback; gives back the address, and what stops it when
 /// it is dropped.
 pub async fn serve_node(shared: &Arc<Shared<TestDialect>>) -> (String, watch::Sender<bool>) {
