Count a tracker's own requests once, and let unused reservations expire

With other nodes the servers of a tracker looked fuller than they were.

Cause: a tracker counted a place that it reserved for a node until that node reported. It never reports to itself, so its own requests counted a second time, without end where nobody else reported: expired reports were removed only when another report came. The same held for a place given to a node that died.

Now a reservation for the tracker's own request counts until the request is sent, from when it counts among its own, or until it expires; and reports are looked through for expired ones while only reservations come, at most each 100 ms.

Evidence: core/tests/trackers.rs, requests_of_the_tracker_itself_count_once failed before (refused at the second round of two requests at two slots). unused_reservations_expire_without_any_report fails where the oldest reservation is released for a request that is sent: the unused one was never the oldest.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -247,6 +247,7 @@
         if let Some(server) = self.servers.get_mut(&placement.server) {
             server.note_sent(now, prompt, placement);
             self.tracked.note_change(server.key);
+            self.peers.note_own_sent(server.key);
         }
     }
 
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -11,12 +11,15 @@
 use super::slowdown::SpeedUpdate;
 use crate::identity::{stable_hash, HashKeyMap, NodeId};
 use crate::time::Instant;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Time after which a report is ignored.
 pub const REPORT_TTL: Duration = Duration::from_millis(1500);
 
+/// Time between two looks for expired reports while only reservations come.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time without a report after which a node no longer counts as covered or as a tracker.
 const COVERAGE_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -162,10 +165,14 @@
     }
 
     fn subtract(&mut self, node: u64, share: &ServerShare) {
+        self.release(share);
+        self.warnings.retain(|warning| warning.node != node);
+    }
+
+    fn release(&mut self, share: &ServerShare) {
         self.requests = self.requests.saturating_sub(share.requests);
         self.deferrable = self.deferrable.saturating_sub(share.deferrable);
         self.prompt_tokens = self.prompt_tokens.saturating_sub(share.prompt_tokens);
-        self.warnings.retain(|warning| warning.node != node);
     }
 
     fn is_empty(&self) -> bool {
@@ -190,11 +197,21 @@
     /// Sums over the reports, by server.
     totals: HashMap<ServerKey, Total>,
     last_at: Instant,
+    /// Servers that this node, as a tracker, reserved for requests of its own that it has not
+    /// sent yet.
+    own_reserved: VecDeque<OwnReservation>,
+    expired_at: Instant,
     /// Parts of the last sum; empty if this node requests none.
     sum: Vec<Option<SumPart>>,
     queues: PeerQueues,
 }
 
+#[derive(Debug)]
+struct OwnReservation {
+    at: Instant,
+    share: ServerShare,
+}
+
 impl PeerReports {
     /// Records a report, unless a later one of the same node is present.
     pub(super) fn note(&mut self, now: Instant, from: NodeId, sequence: u64, reported: NodeShares) {
@@ -250,6 +267,32 @@
         share.add(reserved);
         self.last_at = now;
         self.totals.entry(reserved.server).or_default().add(from.0, now, reserved);
+        self.expire_if_due(now);
+    }
+
+    /// Counts a reserved request of this node until the node sends it.
+    pub(super) fn note_own_reserved(&mut self, now: Instant, own: NodeId, reserved: ServerShare) {
+        self.last_at = now;
+        self.totals.entry(reserved.server).or_default().add(own.0, now, &reserved);
+        self.own_reserved.push_back(OwnReservation { at: now, share: reserved });
+        self.expire_if_due(now);
+    }
+
+    /// This node sent a request to a server: from now on it counts among the node's own.
+    pub(super) fn note_own_sent(&mut self, server: ServerKey) {
+        // The newest one: a reservation that is never used grows old and expires.
+        let sent = self.own_reserved.iter().rposition(|reservation| reservation.share.server == server);
+        if let Some(reservation) = sent.and_then(|position| self.own_reserved.remove(position)) {
+            self.release(&reservation.share);
+        }
+    }
+
+    fn release(&mut self, reserved: &ServerShare) {
+        let Some(total) = self.totals.get_mut(&reserved.server) else { return };
+        total.release(reserved);
+        if total.is_empty() {
+            self.totals.remove(&reserved.server);
+        }
     }
 
     /// Returns the node with the most deferrable runs at a server and counts one less there;
@@ -282,8 +325,21 @@
         }
     }
 
-    /// Removes expired reports.
+    /// Removes expired reports now and then: reservations come without any report too.
+    fn expire_if_due(&mut self, now: Instant) {
+        if now.since(self.expired_at) >= EXPIRY_INTERVAL {
+            self.expire(now);
+        }
+    }
+
+    /// Removes expired reports, and reservations of this node that it has not used.
     fn expire(&mut self, now: Instant) {
+        self.expired_at = now;
+        while self.own_reserved.front().is_some_and(|reservation| now.since(reservation.at) >= REPORT_TTL) {
+            if let Some(reservation) = self.own_reserved.pop_front() {
+                self.release(&reservation.share);
+            }
+        }
         let old = |report: &Report| now.since(report.at) >= REPORT_TTL;
         let nodes: Vec<u64> = self.reports.iter().filter(|(_, report)| old(report)).map(|(node, _)| *node).collect();
         for node in nodes {
--- a/crates/core/src/dispatch/tracker.rs
+++ b/crates/core/src/dispatch/tracker.rs
@@ -116,6 +116,11 @@
         self.changed.insert(server);
     }
 
+    /// Whether that node is this one.
+    fn is_own(&self, node: NodeId) -> bool {
+        self.computed_from.as_ref().is_some_and(|inputs| inputs.own == node)
+    }
+
     /// Tracked servers that a query may get.
     fn ring_of(&self, query: &TrackerQuery<'_>) -> Option<&ServerRing> {
         match query.software {
@@ -226,7 +231,11 @@
             ..ServerShare::default()
         };
         let preempts = if preempts { self.peers.take_deferrable(now, key) } else { None };
-        self.peers.note_reserved(now, query.from, &reserved);
+        if self.tracked.is_own(query.from) {
+            self.peers.note_own_reserved(now, query.from, reserved);
+        } else {
+            self.peers.note_reserved(now, query.from, &reserved);
+        }
         TrackerReply::Send { server: key, uncached, wait: Duration::from_secs_f64(wait.min(3600.0)), preempts }
     }
 
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -113,6 +113,79 @@
     assert_eq!(server_of(&tracker.reserve_server(at(3000), &query(&prompt))), server);
 }
 
+/// The place at the only server.
+fn only_place(tracker: &mut Dispatcher, now: Instant) -> Placement {
+    let prompt = Prompt::default();
+    let ask = PlacementQuery {
+        service: SERVICE,
+        software: None,
+        prompt: &prompt,
+        avoid: &[],
+        wait_limit: Duration::from_secs(60),
+        reserve: 0.0,
+        spread: 0,
+        deferrable: false,
+    };
+    let Choice::Send(placement) = tracker.choose(now, &ask) else { panic!("there is a server") };
+    placement
+}
+
+/// No other node reports, so that nothing but the sending ends a reservation.
+#[test]
+fn requests_of_the_tracker_itself_count_once() {
+    let mut tracker = tracker(1, 2);
+    let prompt = Prompt::default();
+    let placement = only_place(&mut tracker, at(0));
+    let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+    for time in 0..100 {
+        for _ in 0..2 {
+            let reply = tracker.reserve_server(at(time), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{time}: {reply:?}");
+            tracker.note_sent(at(time), &placement, &prompt);
+        }
+        let third = tracker.reserve_server(at(time), &own);
+        assert!(matches!(third, TrackerReply::Full(_)), "{time}: {third:?}");
+        for _ in 0..2 {
+            tracker.note_end(at(time), &placement, Ending::Answered, true, Duration::from_millis(1));
+        }
+    }
+}
+
+#[test]
+fn reservations_of_the_tracker_itself_count_until_it_sends() {
+    let mut tracker = tracker(1, 2);
+    let prompt = Prompt::default();
+    let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+    for _ in 0..2 {
+        assert!(matches!(tracker.reserve_server(at(0), &own), TrackerReply::Send { .. }));
+    }
+    assert!(matches!(tracker.reserve_server(at(1), &query(&prompt)), TrackerReply::Full(_)));
+}
+
+/// A place that was given and never used, by the tracker itself or by a node that is gone, while
+/// the tracker goes on with requests of its own and nobody else reports.
+#[test]
+fn unused_reservations_expire_without_any_report() {
+    for from in [TRACKER, FRONT] {
+        let mut tracker = tracker(1, 2);
+        let prompt = Prompt::default();
+        let placement = only_place(&mut tracker, at(0));
+        let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+        let unused = tracker.reserve_server(at(0), &TrackerQuery { from, ..query(&prompt) });
+        assert!(matches!(unused, TrackerReply::Send { .. }));
+        for time in (0..5000).step_by(10) {
+            let reply = tracker.reserve_server(at(time), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{from:?}, {time}: {reply:?}");
+            tracker.note_sent(at(time), &placement, &prompt);
+            tracker.note_end(at(time), &placement, Ending::Answered, true, Duration::from_millis(1));
+        }
+        for _ in 0..2 {
+            let reply = tracker.reserve_server(at(5000), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{from:?}: {reply:?}");
+        }
+    }
+}
+
 #[test]
 fn deferrable_runs_are_preempted_only_where_allowed() {
     let mut tracker = tracker(1, 2);
