Repeat unchanged reports before their node stops to count

What users saw: five fronts in calm logged KeepersChanged with 3, 2, 3, 2 keepers, 101 and 505 ms apart, for as long as nothing changed. Each change moves servers between trackers.

Cause: a report that has not changed was sent again after 600 ms, and a node without a report for 600 ms no longer counted as a tracker: it was dropped until its report came, one pause of 100 ms later.

The interval of repeats is now half of that timeout, and derived from it. A report that is lost still costs one such change.

Evidence: core/tests/trackers.rs, nodes_that_repeat_their_reports_stay_covered, failed with an interval of 600 ms (covered: Few instead of Enough). The traffic of idle nodes doubles; not measured at scale.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -25,7 +25,7 @@
 pub use deferrable::{reserve_of, reserve_of_overdue, Congestion, RecentPreemptions, StartBudget};
 pub use expectation::FirstPiece;
 pub use heartbeats::sends_heartbeat;
-pub use peers::{Coverage, NodeShares, ServerKey, ServerShare, SharesSum, REPORT_TTL};
+pub use peers::{Coverage, NodeShares, ServerKey, ServerShare, SharesSum, REPORT_REPEAT_INTERVAL, REPORT_TTL};
 pub use preferred_workers::{is_preferred_worker, preferred_workers};
 pub use queues::{RouteKey, RouteQueue};
 pub use server::{ServerLoad, ServerReport};
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -23,6 +23,10 @@
 /// Time without a report after which a node no longer counts as covered or as a tracker.
 const COVERAGE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time after which a node sends a report again that has not changed: well before the others
+/// stop to count on the node.
+pub const REPORT_REPEAT_INTERVAL: Duration = COVERAGE_TIMEOUT.checked_div(2).expect("not divided by zero");
+
 /// Key of a server in messages between nodes: a short hash of the identity. Two servers with
 /// the same key are assumed to have the load of both.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -3,7 +3,7 @@
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{
     select_trackers, Choice, Coverage, Dispatcher, Ending, NodeShares, Placement, PlacementQuery, Prompt, ServerKey,
-    ServerShare, SharesSum, TrackerQuery, TrackerReply,
+    ServerShare, SharesSum, TrackerQuery, TrackerReply, REPORT_REPEAT_INTERVAL,
 };
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::permits::Coordinator;
@@ -18,6 +18,8 @@
 const TRACKER: NodeId = NodeId(1);
 const FRONT: NodeId = NodeId(2);
 const WORKER: NodeId = NodeId(3);
+/// Longest time between two looks of a node whether its report is due.
+const REPORT_PACE_MS: u64 = 150;
 
 fn at(milliseconds: u64) -> Instant {
     Instant::from_micros((60_000 + milliseconds) * 1000)
@@ -422,3 +424,16 @@
     assert_eq!(reply, TrackerReply::TracksNone);
     assert_eq!(tracker.service_of(SoftwareKey::of(SERVICE, "1")), None);
 }
+
+/// Reports that do not change were due again just as their node stopped to count.
+#[test]
+fn nodes_that_repeat_their_reports_stay_covered() {
+    let mut node = tracker(1, 1);
+    let latest = REPORT_REPEAT_INTERVAL.as_millis() as u64 + REPORT_PACE_MS;
+    for number in 0..20 {
+        let reported = at(number * latest);
+        node.note_peer(reported, FRONT, number + 1, NodeShares { coverage: Coverage::Enough, ..NodeShares::default() });
+        let next = at((number + 1) * latest - 1);
+        assert_eq!(node.coverage_of(next, FRONT), Coverage::Enough);
+    }
+}
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -22,7 +22,7 @@
 use crate::waiting::sleep_or_never;
 use known::Candidate;
 use latchwheel_core::byte_budget::ByteBudget;
-use latchwheel_core::dispatch::{NodeShares, ServerKey, REPORT_TTL};
+use latchwheel_core::dispatch::{NodeShares, ServerKey, REPORT_REPEAT_INTERVAL, REPORT_TTL};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::{v1, Message};
 use messages::{coverage_of, hearing_number, message_of, queue_message_of, queue_of, share_of};
@@ -41,9 +41,6 @@
 /// Keepers are told of requests that have ended after this time, so that several
 /// come together.
 const TELL_CHANGES_AFTER: Duration = Duration::from_millis(4);
-/// A report that says the same again is sent this often: others know by it
-/// that they can reach this node.
-const REPEAT_EVERY: Duration = Duration::from_millis(600);
 /// Most bytes of reports that a node sends in a second.
 const BYTES_PER_SECOND: usize = 16 << 10;
 /// Bytes of a datagram beside its content.
@@ -349,7 +346,7 @@
     /// Tells all other nodes if there is something to say; gives back the bytes.
     fn tell_directly(&mut self, peers: &[Peer]) -> usize {
         let shares = self.own_shares();
-        let repeats = shares == self.told && self.told_at.elapsed() < REPEAT_EVERY;
+        let repeats = shares == self.told && self.told_at.elapsed() < REPORT_REPEAT_INTERVAL;
         if repeats {
             return self.say_again();
         }
