--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -3,7 +3,7 @@
 use latchwheel_core::directory::ServerRecord;
 use latchwheel_core::dispatch::{
     select_trackers, Choice, Coverage, Dispatcher, Ending, NodeShares, Placement, PlacementQuery, Prompt, ServerKey,
-    ServerShare, SharesSum, TrackerQuery, TrackerReply,
+    ServerShare, SharesSum, TrackerQuery, TrackerReply, REPORT_REPEAT_INTERVAL,
 };
 use latchwheel_core::identity::{stable_hash, NodeId};
 use latchwheel_core::permits::Coordinator;
@@ -18,6 +18,8 @@
 const TRACKER: NodeId = NodeId(1);
 const FRONT: NodeId = NodeId(2);
 const WORKER: NodeId = NodeId(3);
+/// Longest time between two looks of a node whether its report is due.
+const REPORT_PACE_MS: u64 = 150;
 
 fn at(milliseconds: u64) -> Instant {
     Instant::from_micros((60_000 + milliseconds) * 1000)
@@ -113,6 +115,79 @@
     assert_eq!(server_of(&tracker.reserve_server(at(3000), &query(&prompt))), server);
 }
 
+/// The place at the only server.
+fn only_place(tracker: &mut Dispatcher, now: Instant) -> Placement {
+    let prompt = Prompt::default();
+    let ask = PlacementQuery {
+        service: SERVICE,
+        software: None,
+        prompt: &prompt,
+        avoid: &[],
+        wait_limit: Duration::from_secs(60),
+        reserve: 0.0,
+        spread: 0,
+        deferrable: false,
+    };
+    let Choice::Send(placement) = tracker.choose(now, &ask) else { panic!("there is a server") };
+    placement
+}
+
+/// No other node reports, so that nothing but the sending ends a reservation.
+#[test]
+fn requests_of_the_tracker_itself_count_once() {
+    let mut tracker = tracker(1, 2);
+    let prompt = Prompt::default();
+    let placement = only_place(&mut tracker, at(0));
+    let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+    for time in 0..100 {
+        for _ in 0..2 {
+            let reply = tracker.reserve_server(at(time), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{time}: {reply:?}");
+            tracker.note_sent(at(time), &placement, &prompt);
+        }
+        let third = tracker.reserve_server(at(time), &own);
+        assert!(matches!(third, TrackerReply::Full(_)), "{time}: {third:?}");
+        for _ in 0..2 {
+            tracker.note_end(at(time), &placement, Ending::Answered, true, Duration::from_millis(1));
+        }
+    }
+}
+
+#[test]
+fn reservations_of_the_tracker_itself_count_until_it_sends() {
+    let mut tracker = tracker(1, 2);
+    let prompt = Prompt::default();
+    let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+    for _ in 0..2 {
+        assert!(matches!(tracker.reserve_server(at(0), &own), TrackerReply::Send { .. }));
+    }
+    assert!(matches!(tracker.reserve_server(at(1), &query(&prompt)), TrackerReply::Full(_)));
+}
+
+/// A place that was given and never used, by the tracker itself or by a node that is gone, while
+/// the tracker goes on with requests of its own and nobody else reports.
+#[test]
+fn unused_reservations_expire_without_any_report() {
+    for from in [TRACKER, FRONT] {
+        let mut tracker = tracker(1, 2);
+        let prompt = Prompt::default();
+        let placement = only_place(&mut tracker, at(0));
+        let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+        let unused = tracker.reserve_server(at(0), &TrackerQuery { from, ..query(&prompt) });
+        assert!(matches!(unused, TrackerReply::Send { .. }));
+        for time in (0..5000).step_by(10) {
+            let reply = tracker.reserve_server(at(time), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{from:?}, {time}: {reply:?}");
+            tracker.note_sent(at(time), &placement, &prompt);
+            tracker.note_end(at(time), &placement, Ending::Answered, true, Duration::from_millis(1));
+        }
+        for _ in 0..2 {
+            let reply = tracker.reserve_server(at(5000), &own);
+            assert!(matches!(reply, TrackerReply::Send { .. }), "{from:?}: {reply:?}");
+        }
+    }
+}
+
 #[test]
 fn deferrable_runs_are_preempted_only_where_allowed() {
     let mut tracker = tracker(1, 2);
@@ -349,3 +424,16 @@
     assert_eq!(reply, TrackerReply::TracksNone);
     assert_eq!(tracker.service_of(SoftwareKey::of(SERVICE, "1")), None);
 }
+
+/// Reports that do not change were due again just as their node stopped to count.
+#[test]
+fn nodes_that_repeat_their_reports_stay_covered() {
+    let mut node = tracker(1, 1);
+    let latest = REPORT_REPEAT_INTERVAL.as_millis() as u64 + REPORT_PACE_MS;
+    for number in 0..20 {
+        let reported = at(number * latest);
+        node.note_peer(reported, FRONT, number + 1, NodeShares { coverage: Coverage::Enough, ..NodeShares::default() });
+        let next = at((number + 1) * latest - 1);
+        assert_eq!(node.coverage_of(next, FRONT), Coverage::Enough);
+    }
+}
