Let a worker that leaves keep to an earlier end that is set meanwhile

What was seen: a worker that was told to stop while its machine was being emptied went on winding up to the end of the longer time, past the grace, after which it would be killed: results not listed, registration not withdrawn.

Cause: the limit was read once, when the worker began to leave. A second call of leave() changed a value that nobody looked at, and waited without a bound.

Now a worker is told when it has to have left. The time counts from the call, of several ends the earliest holds, and winding up follows it.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -37,16 +37,18 @@
 /// Tells a worker to leave.
 #[derive(Clone, Debug)]
 pub struct WorkerHandle {
-    leave: watch::Sender<Option<Duration>>,
+    /// When it has to have left.
+    leave: watch::Sender<Option<Instant>>,
     left: watch::Receiver<bool>,
 }
 
 impl WorkerHandle {
     /// Takes no further work, and completes once what ran has ended; what still runs
     /// shortly before `limit` is left to other workers. Whatever the limit is, 0.8 s are
-    /// given for listing what has ended.
+    /// given for listing what has ended. Of several limits the earliest holds.
     pub async fn leave(&self, limit: Duration) {
-        self.leave.send_replace(Some(limit));
+        let end = Instant::now() + limit;
+        self.leave.send_modify(|present| *present = Some(present.map_or(end, |present| present.min(end))));
         let mut left = self.left.clone();
         let _ = left.wait_for(|left| *left).await;
     }
@@ -148,7 +150,7 @@
     cache: Arc<WatchCache<S>>,
     name: String,
     rules: WorkerRules,
-    mut leaves: watch::Receiver<Option<Duration>>,
+    mut leaves: watch::Receiver<Option<Instant>>,
 ) {
     let (sender, mut seen) = mpsc::unbounded_channel();
     let following = cache.follow(WORK_PREFIX, FOLLOW_PACE, move |followed| {
@@ -189,8 +191,7 @@
         division.act();
     }
     following.abort();
-    let limit = leaves.borrow().unwrap_or_default();
-    division.wind_up(limit).await;
+    division.wind_up(leaves).await;
 }
 
 impl<S: RecordStore, D: Dialect> Division<S, D> {
@@ -331,7 +332,7 @@
 
     /// Lets the runs end within the limit. What is left then lists what it has, in the last
     /// part of that time: the process may end right after.
-    async fn wind_up(self, limit: Duration) {
+    async fn wind_up(self, leaves: watch::Receiver<Option<Instant>>) {
         let runs = self.jobs.into_values().filter_map(|job| job.run);
         let (orders, mut runs): (Vec<_>, FuturesUnordered<_>) = runs.unzip();
         runs.extend(self.leaving.into_runs());
@@ -339,20 +340,34 @@
             orders.send_replace(JobOrder::Wind);
         }
         let leaving_time = LEAVING_TIME + LEAVING_MARGIN;
-        if all_end(&mut runs, limit.saturating_sub(leaving_time)).await {
-            return;
+        tokio::select! {
+            () = all_ended(&mut runs) => return,
+            () = has_to_leave(leaves, leaving_time) => {}
         }
         for orders in &orders {
             orders.send_replace(JobOrder::Leave(LeaveReason::WorkerLeaves));
         }
-        if !all_end(&mut runs, leaving_time).await {
+        if tokio::time::timeout(leaving_time, all_ended(&mut runs)).await.is_err() {
             emit("", &Event::JobsNotLeft { jobs: runs.len() });
         }
     }
 }
 
-/// Whether all runs have ended within a time.
-async fn all_end(runs: &mut FuturesUnordered<JoinHandle<()>>, time: Duration) -> bool {
-    let ended = async { while runs.next().await.is_some() {} };
-    tokio::time::timeout(time, ended).await.is_ok()
+/// Completes when all runs have ended.
+async fn all_ended(runs: &mut FuturesUnordered<JoinHandle<()>>) {
+    while runs.next().await.is_some() {}
+}
+
+/// Completes when only the time for leaving the jobs is left. The end may be moved forward
+/// meanwhile.
+async fn has_to_leave(mut leaves: watch::Receiver<Option<Instant>>, leaving_time: Duration) {
+    loop {
+        let now = Instant::now();
+        let end = leaves.borrow_and_update().unwrap_or(now);
+        tokio::select! {
+            () = tokio::time::sleep(end.saturating_duration_since(now).saturating_sub(leaving_time)) => return,
+            // Without a handle there is nobody left to move the end.
+            Ok(()) = leaves.changed() => {}
+        }
+    }
 }
