Leave a job that could not be loaded as soon as a worker is told to stop

What was seen: a worker that was loading a job when it was told to stop went on loading until the last part of its grace, though nothing of the job could be run or listed any more; until then it kept its registration, and the job with it.

Cause: the loop that loads a job looked at its orders only after a failed try, and only for the last of them.

Now loading ends with any order but the one to run the job.

Evidence: crates/jobs/tests/leaving_nodes.rs, a store that gives no answer to the read of a job's body, a limit of an hour. Before: failed after 20 s of patience. After: passed.

--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -100,17 +100,10 @@
     revision: u64,
     mut orders: watch::Receiver<JobOrder>,
 ) {
-    let mut failures = 0;
-    let loaded = loop {
-        match load(&context, &job, &record).await {
-            Ok(loaded) => break loaded,
-            Err(fault) => log_not_loaded(&job, fault, failures),
-        }
-        tokio::time::sleep(exponential_backoff(STORE_PAUSE, LONGEST_STORE_PAUSE, failures)).await;
-        if matches!(*orders.borrow(), JobOrder::Leave(_)) {
-            return;
-        }
-        failures += 1;
+    let loaded = tokio::select! {
+        loaded = load_until_done(&context, &job, &record) => loaded,
+        // Nothing of it runs or could be listed.
+        _ = orders.wait_for(|order| *order != JobOrder::Run) => return,
     };
     emit(
         &job,
@@ -141,6 +134,23 @@
     }
 }
 
+/// Loads a job, however often that fails.
+async fn load_until_done<S: RecordStore, D: Dialect>(
+    context: &WorkerContext<S, D>,
+    job: &str,
+    record: &JobRecord,
+) -> LoadedJob {
+    let mut failures = 0;
+    loop {
+        match load(context, job, record).await {
+            Ok(loaded) => return loaded,
+            Err(fault) => log_not_loaded(job, fault, failures),
+        }
+        tokio::time::sleep(exponential_backoff(STORE_PAUSE, LONGEST_STORE_PAUSE, failures)).await;
+        failures += 1;
+    }
+}
+
 /// What the store has of a job beside its record.
 struct LoadedJob {
     body: JobBody,
--- a/crates/jobs/tests/leaving_nodes.rs
+++ b/crates/jobs/tests/leaving_nodes.rs
@@ -2,7 +2,7 @@
 
 use hooked_store::{Call, Fate, HookedStore};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_jobs::layout::result_key;
+use latchwheel_jobs::layout::{body_key, result_key};
 use latchwheel_jobs::WorkerRules;
 use latchwheel_records::memory::MemoryStore;
 use one_worker::{hand_in, start_worker, until, PATIENCE};
@@ -61,3 +61,17 @@
     let left = tokio::time::timeout(PATIENCE, worker.handle.leave(Duration::ZERO)).await;
     assert!(left.is_ok(), "the worker goes on to the end of the longer limit");
 }
+
+/// There is nothing of it that could end or be listed.
+#[tokio::test]
+async fn a_worker_that_leaves_does_not_wait_for_jobs_that_it_could_not_load() {
+    let records = MemoryStore::default();
+    let shared = node(route(RequestKind::Batch, 3), &[]);
+    hand_in(&records, JOB, 1).await;
+    let loads = |call: &Call<'_>| matches!(call, Call::Get(key) if *key == body_key(JOB, 0));
+    let (store, loads) = hanging_store(&records, loads);
+    let worker = start_worker(store, &shared, WorkerRules::default()).await;
+    until("the job is being loaded", || async { loads.load(Ordering::SeqCst) > 0 }).await;
+    let left = tokio::time::timeout(PATIENCE, worker.handle.leave(LONG)).await;
+    assert!(left.is_ok(), "the worker goes on loading the job");
+}
