--- a/crates/jobs/src/asked_ends.rs
+++ b/crates/jobs/src/asked_ends.rs
@@ -13,6 +13,7 @@
 use latchwheel_core::pending_cancellations::{AbandonedCancellation, PendingCancellation, PendingCancellations};
 use latchwheel_events::{emit, Event};
 use latchwheel_records::RecordStore;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -37,12 +38,31 @@
     ender: Ender,
     started: Instant,
     waiting: Mutex<Waiting>,
+    /// Ends of which it is not told yet what came of them, also where the callers have left.
+    in_progress: AtomicUsize,
+}
+
+/// Counts an end as in progress.
+struct InProgress<'a>(&'a AtomicUsize);
+
+impl<'a> InProgress<'a> {
+    fn begin(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl<S: RecordStore> AskedEnds<S> {
     pub(crate) fn new(store: Arc<S>, nodes: Nodes, copies: usize) -> Arc<Self> {
         let (ender, waiting) = (Ender::default(), Mutex::default());
-        Arc::new(Self { store, nodes, copies, ender, started: Instant::now(), waiting })
+        let in_progress = AtomicUsize::new(0);
+        Arc::new(Self { store, nodes, copies, ender, started: Instant::now(), waiting, in_progress })
     }
 
     /// Ends a job, and tells by `until` what came of it.
@@ -55,6 +75,7 @@
         caller: Option<String>,
         until: std::time::Instant,
     ) -> Result<(), DeskFault> {
+        let _in_progress = InProgress::begin(&self.in_progress);
         // The store may leave a call without an answer for longer than the caller waits.
         let trying = tokio::time::timeout_at(until.into(), self.try_until(&job, caller.as_deref(), until.into()));
         let keeping = async {
@@ -72,6 +93,11 @@
         ended
     }
 
+    /// Ends that are being tried for the first time.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
     async fn try_until(&self, job: &str, caller: Option<&str>, until: Instant) -> Result<(), DeskFault> {
         loop {
             let ended = self.ender.end(&*self.store, job, caller).await;
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -189,6 +189,12 @@
         tokio::spawn(ending).await.unwrap_or(Err(DeskFault::Unknown))
     }
 
+    /// Ends that this node is trying for its callers, also for those that have left. What it
+    /// still tries after its answer is not among them.
+    pub fn ends_in_progress(&self) -> usize {
+        self.ends.in_progress()
+    }
+
     /// Whether the job was taken before. Where that can't be told, the fault
     /// says so: a job that may be kept must not be refused for good.
     ///
--- a/crates/jobs/tests/leaving_nodes.rs
+++ b/crates/jobs/tests/leaving_nodes.rs
@@ -2,13 +2,13 @@
 
 use hooked_store::{Call, Fate, HookedStore};
 use latchwheel_core::routes::RequestKind;
-use latchwheel_jobs::layout::{body_key, result_key};
-use latchwheel_jobs::WorkerRules;
+use latchwheel_jobs::layout::{body_key, job_key, result_key};
+use latchwheel_jobs::{JobDesk, Nodes, WorkerRules};
 use latchwheel_records::memory::MemoryStore;
 use one_worker::{hand_in, start_worker, until, PATIENCE};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{node, route, Act, TestServer};
 
 mod hooked_store;
@@ -75,3 +75,26 @@
     let left = tokio::time::timeout(PATIENCE, worker.handle.leave(LONG)).await;
     assert!(left.is_ok(), "the worker goes on loading the job");
 }
+
+/// The caller has asked for it all the same: the process goes on until it is done, or kept.
+#[tokio::test]
+async fn an_end_is_in_progress_after_its_caller_left() {
+    let records = MemoryStore::default();
+    let (store, reads) = hanging_store(&records, |call| matches!(call, Call::Get(key) if *key == job_key(JOB)));
+    let desk = Arc::new(JobDesk::new(store, Nodes::default(), 2));
+    let asking = desk.clone();
+    let asked = tokio::spawn(async move { asking.end(JOB, None, Instant::now() + PATIENCE).await });
+    until("the end is being tried", || async { reads.load(Ordering::SeqCst) > 0 }).await;
+    asked.abort();
+    assert!(asked.await.unwrap_err().is_cancelled());
+    assert_eq!(desk.ends_in_progress(), 1);
+}
+
+#[tokio::test]
+async fn an_end_that_was_done_is_not_in_progress() {
+    let records = MemoryStore::default();
+    hand_in(&records, JOB, 1).await;
+    let desk = one_worker::desk(&records);
+    desk.end(JOB, None, Instant::now() + PATIENCE).await.unwrap();
+    assert_eq!(desk.ends_in_progress(), 0);
+}
