Write what was sent of a body before it is aborted

What callers saw: a streamed answer that the node broke off ended without its last event, the one that tells the code.

Cause: the event and the error of the body became ready in one poll. The HTTP library drops what it has not written yet when a body fails.

Now an aborted body has nothing ready for one poll before it fails, so that the connection writes what was sent before.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -11,6 +11,7 @@
 use latchwheel_core::client_budget::NoRoom;
 use serde::Serialize;
 use std::sync::Arc;
+use std::task::{ready, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -87,7 +88,22 @@
 /// Creates a streamed body that buffers up to `pieces` unsent chunks.
 pub fn channel(pieces: usize) -> (BodySender, Body) {
     let (sender, mut receiver) = mpsc::channel(pieces);
-    let stream = futures::stream::poll_fn(move |context| receiver.poll_recv(context));
+    let mut error = None;
+    let stream = futures::stream::poll_fn(move |context| {
+        if let Some(error) = error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(receiver.poll_recv(context)) {
+            Some(Err(aborted)) => {
+                // What was sent before is written while the body has nothing ready: the
+                // connection drops what it has not written when its body fails.
+                error = Some(aborted);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            piece => Poll::Ready(piece),
+        }
+    });
     let frames = stream.map(|piece: Result<Bytes, BoxError>| piece.map(Frame::data));
     (BodySender(sender), StreamBody::new(frames).boxed_unsync())
 }
