Give batch items back that are granted while a node begins to leave

Found by reading, not shown by a run: items of a lease answer that was on its way when a planned stop began were queued after the queue had been taken back, at servers that were handed over: they waited until the end of the stop, and their leases lapsed.

Now an item that arrives at a leaving node goes back at once, like those that wait.

--- a/crates/node/src/batch/item_run.rs
+++ b/crates/node/src/batch/item_run.rs
@@ -41,6 +41,10 @@
 impl ItemRun<'_> {
     pub(super) async fn run(mut self, work: Work) -> ItemEnd {
         let mut attempts = 0;
+        // Granted by an answer that was on its way when the stop began.
+        if self.runner.is_leaving() {
+            return ItemEnd::NotStarted;
+        }
         loop {
             let mut handle = self.runner.owner.submit(Work { id: self.runner.owner.new_work(), ..work.clone() });
             let assigned = loop {
--- a/crates/node/src/batch/mod.rs
+++ b/crates/node/src/batch/mod.rs
@@ -123,6 +123,10 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Whether all items have ended and their results are committed.
     pub(crate) fn is_done(&self) -> bool {
         self.held() == 0 && self.completions.is_empty() && !self.may_be_granted.load(Ordering::Relaxed)
@@ -194,7 +198,7 @@
     /// Room per service, of those whose rows have had items lately; the
     /// leader shares it among the rows.
     fn rooms(&self, empty: &HashMap<String, EmptyService>) -> Vec<ServiceRoom> {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             return Vec::new();
         }
         let services = self.owner.services();
