Answer every request that a node has taken before its planned stop ends

What callers saw: around a SIGTERM of a node, requests ended with a closed connection and no answer: those that waited for a slot when the stop began, also where an answer takes 20 ms; those whose body was still on its way; uploads; those that an engine worked on when the time for the stop was over. The stop took longer than `drain_seconds`.

Cause: a leaving node hands its servers over at once, so that what waits for a slot waits for nothing, until the process ends. Whether the node leaves was asked before the body was read only, and not at all for uploads and jobs. Nothing on the way of a request knew when the process ends; the end cut the connections that were left. The callers' and the operators' port and the other nodes' were waited for one after the other, each for all the time that was left. The end of a request with a key was not waited for where its caller was gone.

Now a stop has times (core::planned_stop, clock::planned_stop). As it begins, what was not started is tried at another owner, and otherwise refused as not run (3004); so are new uploads and jobs, and requests whose body is on its way. An upload goes on until the answers are due, and is refused then if its file is not sealed. What has no answer 0.6 s before the end of the stop gets one: 4000 where an engine or another node works on it, 4001 as the last event of a stream; any other body is broken off, so that a reader sees that it isn't whole. Forwarded requests are told no more time than the process has; 4000 from an owner lets a repeatable request go to another one, as a closed connection did. Answers of a leaving node close their connections. The ends of requests with keys are stored before the node counts as drained. One end holds for all parts of the stop.

A request that may have run at one server is no longer refused as not run after that.

Evidence: cli/tests/planned_stop.rs, a node as a process, 16 clients that go on until it is gone, 6 slots, 4 s for the stop. Not shown by a run: the end of a request with a key whose caller is gone, files that are read at the end.

--- a/crates/cli/tests/client_crowds.rs
+++ b/crates/cli/tests/client_crowds.rs
@@ -1,21 +1,19 @@
 //! Crowds of clients that keep to no limits, against `latchwheel node` as a process: it lives,
 //! its memory and its descriptors stay bounded, and an ordinary request is answered.
 
+mod support;
+
 use bytes::Bytes;
 use futures::StreamExt;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::StreamBody;
 use hyper::body::Frame;
-use hyper::{Method, Request};
-use latchwheel_core::table::{Class, Limits, RetryPolicy, Row};
 use latchwheel_emulator::crowd::{Crowd, Form, Target};
 use latchwheel_emulator::engine::EngineSettings;
-use latchwheel_emulator::site::{ServiceSettings, Site, SiteSettings};
-use latchwheel_http::{boxed, full, Body, BoxError, Client};
-use latchwheel_node::Addresses;
-use std::io::BufRead;
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
-use tokio::sync::{watch, Mutex};
+use latchwheel_emulator::site::{ServiceSettings, SiteSettings};
+use latchwheel_http::{boxed, Body, BoxError, Client};
+use std::time::Duration;
+use support::node_process::{request, NodeProcess, RunningSite, SERVICE};
+use tokio::sync::Mutex;
 
 /// Memory that the process may take.
 const MEMORY_BYTES: usize = 128 << 20;
@@ -29,104 +27,27 @@
 /// Limits of clients in the settings: a part of the memory, and of the descriptors.
 const CLIENT_SETTINGS: &str = "memory_bytes = 25165824\nconnections = 128\n";
 
-const SERVICE: &str = "service";
-const LIMIT: Duration = Duration::from_secs(120);
-const CALL_TIME: Duration = Duration::from_secs(5);
-const PAUSE: Duration = Duration::from_millis(100);
 /// Time after which what was sent counts as read.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-/// A node's process with a site in this one.
-struct NodeProcess {
-    child: Child,
-    addresses: Addresses,
-    _stop: watch::Sender<bool>,
-    _folder: tempfile::TempDir,
+/// A node's process with a site.
+struct CrowdedNode {
+    process: NodeProcess,
+    _site: RunningSite,
 }
 
-impl NodeProcess {
+impl CrowdedNode {
     async fn start() -> Self {
-        let (stop, stopped) = watch::channel(false);
-        let site = Site::start(&site_settings(), &stopped).await.unwrap();
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("node.toml");
-        let data = folder.path().join("data");
-        let text = format!(
-            "[node]\nname = \"node\"\nregion = \"r\"\nzone = \"z\"\ndata_dir = \"{}\"\ndrain_seconds = 5\n[listen]\n\
-             callers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n[platform]\n\
-             key_value = \"{}\"\nmachines = \"{}\"\nweights = \"{}\"\n[store]\nreplicas = 1\n[callers]\n\
-             keys = \"open\"\nbody_limit_bytes = {BODY_BYTES}\n{CLIENT_SETTINGS}",
-            data.display(),
-            site.addresses.key_value,
-            site.addresses.machines,
-            site.addresses.weights
-        );
-        std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_latchwheel"))
-            .args(["node", "--settings", path.to_str().unwrap()])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(std::fs::File::create(folder.path().join("log.txt")).unwrap())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        std::io::BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let addresses: Addresses = serde_json::from_str(&line).unwrap();
-        let node = Self { child, addresses, _stop: stop, _folder: folder };
-        node.put_row().await;
-        node.assert_serves().await;
-        node
-    }
-
-    async fn put_row(&self) {
-        let row = Row {
-            name: "chat".into(),
-            class: Class::Online,
-            weight: 1.0,
-            service: SERVICE.into(),
-            model: String::new(),
-            limits: Limits::default(),
-            retry: RetryPolicy::default(),
-            deadline_milliseconds: 0,
-            retention_seconds: 0,
-        };
-        let client = Client::http1();
-        let end = Instant::now() + LIMIT;
-        while client
-            .json::<serde_json::Value>(Method::PUT, &self.addresses.admin, "/admin/v1/table/rows/chat", &row, CALL_TIME)
-            .await
-            .is_err()
-        {
-            assert!(Instant::now() < end, "the row can't be written");
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
-    /// Checks that an ordinary client is answered that comes back when it is refused.
-    async fn assert_serves(&self) {
-        let end = Instant::now() + LIMIT;
-        loop {
-            let body = format!("{{\"model\":\"{SERVICE}\",\"prompt\":\"Hello\",\"max_tokens\":2}}");
-            let request = request(&self.addresses.callers, "/v1/completions", full(Bytes::from(body)));
-            let status = match tokio::time::timeout(LIMIT, Client::http1().send(request)).await {
-                Ok(Ok(response)) => {
-                    let status = response.status().as_u16();
-                    response.into_body().collect().await.map_or(0, |_| status)
-                }
-                _ => 0,
-            };
-            if status == 200 {
-                return;
-            }
-            assert!(Instant::now() < end, "the last answer had status {status}");
-            tokio::time::sleep(PAUSE).await;
-        }
+        let site = RunningSite::start(&site_settings()).await;
+        let limits = format!("body_limit_bytes = {BODY_BYTES}\n{CLIENT_SETTINGS}");
+        let process = NodeProcess::start(&site.site, "node", "drain_seconds = 5\n", &limits).await;
+        Self { process, _site: site }
     }
 
     fn assert_within_limits(&self, when: &str) {
-        let process = format!("/proc/{}", self.child.id());
+        let process = format!("/proc/{}", self.process.child.id());
         let status = std::fs::read_to_string(format!("{process}/status")).unwrap();
         let line = status.lines().find(|line| line.starts_with("VmHWM:"));
         let line = line.unwrap_or_else(|| panic!("{when}: the process has ended"));
@@ -149,13 +70,6 @@
     }
 }
 
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn site_settings() -> SiteSettings {
     SiteSettings {
         region: "r".into(),
@@ -171,15 +85,6 @@
     }
 }
 
-fn request(address: &str, path: &str, body: Body) -> Request<Body> {
-    Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://{address}{path}"))
-        .header("content-type", "application/json")
-        .body(body)
-        .unwrap()
-}
-
 enum Port {
     Callers,
     Operators,
@@ -187,18 +92,18 @@
 
 async fn check(port: Port, path: &str, clients: usize, bytes: usize, form: Form) {
     let _alone = ONE_AT_A_TIME.lock().await;
-    let node = NodeProcess::start().await;
+    let node = CrowdedNode::start().await;
     let (address, method) = match port {
-        Port::Callers => (&node.addresses.callers, "POST"),
-        Port::Operators => (&node.addresses.admin, "PUT"),
+        Port::Callers => (&node.process.addresses.callers, "POST"),
+        Port::Operators => (&node.process.addresses.admin, "PUT"),
     };
     let crowd = Crowd::open(&node.target(address, method, path, bytes), clients, form).await;
     tokio::time::sleep(SETTLE_TIME).await;
     node.assert_within_limits("the crowd is open");
-    node.assert_serves().await;
+    node.process.assert_serves().await;
     node.assert_within_limits("an ordinary request was served beside the crowd");
     drop(crowd);
-    node.assert_serves().await;
+    node.process.assert_serves().await;
     node.assert_within_limits("the crowd is gone");
 }
 
@@ -254,20 +159,20 @@
 async fn crowd_of_http2_streams() {
     const CONNECTIONS: usize = 8;
     let _alone = ONE_AT_A_TIME.lock().await;
-    let node = NodeProcess::start().await;
+    let node = CrowdedNode::start().await;
     let mut streams = tokio::task::JoinSet::new();
     for connection in 0..CONNECTIONS {
         let client = Client::http2(None);
         for _ in connection..connection + BODY_CLIENTS / CONNECTIONS {
-            let (client, peers) = (client.clone(), node.addresses.peers.clone());
+            let (client, peers) = (client.clone(), node.process.addresses.peers.clone());
             streams.spawn(async move { client.send(request(&peers, "/peer/forward", endless_body())).await.is_ok() });
         }
     }
     tokio::time::sleep(SETTLE_TIME).await;
     node.assert_within_limits("the streams are open");
-    node.assert_serves().await;
+    node.process.assert_serves().await;
     drop(streams);
-    node.assert_serves().await;
+    node.process.assert_serves().await;
     node.assert_within_limits("the streams are gone");
 }
 
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,6 +1,7 @@
 //! The clocks of a process, in the time that the state machines of
 //! `latchwheel-core` take as a value.
 
+pub mod planned_stop;
 pub mod process;
 
 use latchwheel_core::time::{Instant, WallTime};
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -67,6 +67,12 @@
     /// Whether the node is leaving.
     fn is_leaving(&self) -> bool;
 
+    /// Completes when the node is leaving.
+    fn left(&self) -> impl Future<Output = ()> + Send;
+
+    /// Completes when everything in progress has to be answered because the process ends.
+    fn answers_due(&self) -> impl Future<Output = ()> + Send;
+
     /// The table in force.
     fn table(&self) -> Arc<Table>;
 
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -26,8 +26,8 @@
 
 impl<B: Backend> Gateway<B> {
     pub(crate) async fn create_batch(&self, request: Request<Incoming>, tenant: String) -> Response<Body> {
-        if !self.backend.is_ready() {
-            return refuse(ResultCode::NotReady, "");
+        if let Some(refusal) = self.refuse_new_work() {
+            return refusal;
         }
         let (head, body) = request.into_parts();
         let body = match self.read_body(&head, body).await {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -47,11 +47,8 @@
     }
 
     async fn online(&self, request: Request<Incoming>, path: &str, tenant: String) -> Response<Body> {
-        if self.backend.is_leaving() {
-            return refuse(ResultCode::Leaving, "");
-        }
-        if !self.backend.is_ready() {
-            return refuse(ResultCode::NotReady, "");
+        if let Some(refusal) = self.refuse_new_work() {
+            return refusal;
         }
         let (head, body) = request.into_parts();
         let body = match self.read_body(&head, body).await {
--- a/crates/gateway/src/files.rs
+++ b/crates/gateway/src/files.rs
@@ -47,6 +47,9 @@
 
 impl<B: Backend> Gateway<B> {
     pub(crate) async fn upload_file(&self, request: Request<Incoming>, tenant: String) -> Response<Body> {
+        if self.backend.is_leaving() {
+            return refuse(ResultCode::Leaving, "");
+        }
         let content_type = request.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let Some(boundary) = content_type.and_then(|value| multer::parse_boundary(value).ok()) else {
             return refuse(ResultCode::BadHeader, "content-type is not multipart/form-data with a boundary");
@@ -64,22 +67,27 @@
         let stream = buffer.bound(body.into_data_stream(), hold.clone());
         let form = Form { parts: multer::Multipart::new(stream, boundary), buffer };
         let taken = tokio::select! {
-            taken = self.take_form(form, tenant, key) => taken,
+            taken = self.take_form(form, &tenant, key) => taken,
             // The file is not sealed yet, so that nothing of it is ever run.
             () = evicted(hold) => Err(Box::new(refuse(ResultCode::NoMemory, ""))),
+            () = self.backend.answers_due() => Err(Box::new(refuse(ResultCode::Leaving, ""))),
+        };
+        let record = match taken {
+            Ok(record) => record,
+            Err(refusal) => return *refusal,
         };
-        match taken {
-            Ok(record) => json(200, &file_object(&record)),
+        match self.seal_file(&tenant, &record).await {
+            Ok(()) => json(200, &file_object(&record)),
             Err(refusal) => *refusal,
         }
     }
 
-    async fn take_form(&self, mut form: Form<'_>, tenant: String, key: Option<String>) -> Result<FileRecord, Refusal> {
+    async fn take_form(&self, mut form: Form<'_>, tenant: &str, key: Option<String>) -> Result<FileRecord, Refusal> {
         let mut taken = None;
         while let Some(field) = form.next_field().await? {
             match field.name() {
                 Some("file") if taken.is_none() => {
-                    taken = Some(self.take_file(field, &form.buffer, &tenant, key.as_deref()).await?)
+                    taken = Some(self.take_file(field, &form.buffer, tenant, key.as_deref()).await?)
                 }
                 Some("file") => return Err(Box::new(refuse(ResultCode::DuplicateField, "file"))),
                 Some("purpose") => {
@@ -91,12 +99,14 @@
                 _ => {}
             }
         }
-        let record = taken.ok_or_else(|| bad("the form has no file"))?;
-        // Only now is the form known to be whole.
+        taken.ok_or_else(|| bad("the form has no file"))
+    }
+
+    /// Seals a file whose form is known to be whole.
+    async fn seal_file(&self, tenant: &str, record: &FileRecord) -> Result<(), Refusal> {
         let seal =
             SealFile { file: record.file.clone(), items: record.items, size: record.size, content: record.content };
-        self.commit(&tenant, CommandBody::SealFile(seal)).await?;
-        Ok(record)
+        self.commit(tenant, CommandBody::SealFile(seal)).await
     }
 
     async fn take_file(
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -86,13 +86,15 @@
     }
 
     fn readiness(&self) -> Response<Body> {
+        self.refuse_new_work().unwrap_or_else(|| plain(200, "ready\n"))
+    }
+
+    /// The refusal of a node that takes no new work.
+    pub(crate) fn refuse_new_work(&self) -> Option<Response<Body>> {
         if self.backend.is_leaving() {
-            return refuse(ResultCode::Leaving, "");
-        }
-        if !self.backend.is_ready() {
-            return refuse(ResultCode::NotReady, "");
+            return Some(refuse(ResultCode::Leaving, ""));
         }
-        plain(200, "ready\n")
+        (!self.backend.is_ready()).then(|| refuse(ResultCode::NotReady, ""))
     }
 
     fn authenticate(&self, request: &Request<Incoming>) -> Option<String> {
@@ -107,7 +109,12 @@
     /// # Errors
     /// The refusal to send.
     pub(crate) async fn read_body(&self, head: &Parts, body: Incoming) -> Result<ReadBody, Box<Response<Body>>> {
-        let read = read_client_body(&head.extensions, body, self.settings.body_limit, self.settings.body_time).await;
+        let read = read_client_body(&head.extensions, body, self.settings.body_limit, self.settings.body_time);
+        let read = tokio::select! {
+            biased;
+            read = read => read,
+            () = self.backend.left() => return Err(Box::new(refuse(ResultCode::Leaving, ""))),
+        };
         let bytes = read.map_err(|fault| Box::new(refuse(body_code(fault), "")))?;
         let needed = parsed_bytes(&bytes) + BODY_COPIES * bytes.len();
         let memory = reserve(&head.extensions, needed).map_err(|code| Box::new(refuse(code, "")))?;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -10,10 +10,13 @@
 use crate::store_calls::StoreCalls;
 use crate::stores::Stores;
 use hyper::Response;
+use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::configuration::Record;
 use latchwheel_core::table::{Edit, Table};
-use latchwheel_gateway::{refuse_after, Backend, EditResult, NodeView, OnlineRequest, ServerReport, CODE_HEADER};
+use latchwheel_gateway::{
+    refuse, refuse_after, Backend, EditResult, NodeView, OnlineRequest, ServerReport, CODE_HEADER,
+};
 use latchwheel_http::Body;
 use latchwheel_protocol::v1::{Command, MemberRecord, MemberStatus, Outcome, ReadAnswer, ReadRequest};
 use std::collections::HashMap;
@@ -32,6 +35,7 @@
     pub(crate) stores: Arc<Stores>,
     pub(crate) batches: Arc<Vec<Arc<BatchRunner>>>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stop: Arc<PlannedStop>,
 }
 
 impl NodeBackend {
@@ -60,7 +64,15 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.members.view().me.status() == MemberStatus::Leaving
+        self.stop.has_begun() || self.members.view().me.status() == MemberStatus::Leaving
+    }
+
+    async fn left(&self) {
+        self.stop.begun().await;
+    }
+
+    async fn answers_due(&self) {
+        self.stop.answers_due().await;
     }
 
     fn table(&self) -> Arc<Table> {
@@ -81,6 +93,11 @@
             self.metrics.note_answer(&row.name, ResultCode::RateLimited.number());
             return refuse_after(ResultCode::RateLimited, "", after);
         }
+        // The stop may have begun while its body arrived.
+        if self.is_leaving() {
+            self.metrics.note_answer(&row.name, ResultCode::Leaving.number());
+            return refuse(ResultCode::Leaving, "");
+        }
         let response = match request.idempotency_key.clone() {
             Some(key) => self.registrar.serve(request, &key).await,
             None => {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -59,20 +59,34 @@
         let mut ended = Some(ended);
         let mut tried = BTreeSet::new();
         let mut last = ResultCode::NoServer;
+        let mut may_have_run = false;
         for _ in 0..OWNER_ATTEMPTS {
             let Some(owner) = self.choose(request, &tried) else { break };
             self.note_affinity(request, owner);
             if owner.0 == self.members.view().me.node {
-                return match ended.take() {
-                    Some(ended) => self.online.serve(request, ended).await,
-                    None => refuse(ResultCode::OutcomeUnknown, ""),
-                };
+                let Some(ended) = ended.take() else { return refuse(ResultCode::OutcomeUnknown, "") };
+                let response = self.online.serve(request, ended).await;
+                if code_of(&response) != Some(ResultCode::Leaving) {
+                    return response;
+                }
+                // It was not started here: another owner may take it.
+                tried.insert(owner);
+                if !may_have_run {
+                    last = ResultCode::Leaving;
+                }
+                continue;
             }
-            match self.forward(request, owner).await {
+            let forwarded = tokio::select! {
+                biased;
+                forwarded = self.forward(request, owner) => forwarded,
+                () = self.online.stop.answers_due() => return refuse(ResultCode::OutcomeUnknown, ""),
+            };
+            match forwarded {
                 Forwarded::Answer(response) => return response,
-                Forwarded::NotRun(code) => last = code,
+                Forwarded::NotRun(code) if !may_have_run => last = code,
+                Forwarded::NotRun(_) => {}
                 Forwarded::Unknown if !request.repeatable => return refuse(ResultCode::OutcomeUnknown, ""),
-                Forwarded::Unknown => last = ResultCode::StreamCut,
+                Forwarded::Unknown => (last, may_have_run) = (ResultCode::StreamCut, true),
             }
             tried.insert(owner);
         }
@@ -120,7 +134,11 @@
             return Forwarded::NotRun(ResultCode::NoServer);
         };
         self.metrics.note_forward();
-        let time = request.deadline.unwrap_or(DEFAULT_TIME);
+        let stop = &self.online.stop;
+        let time = stop.time_left(request.deadline.unwrap_or(DEFAULT_TIME));
+        if time.is_zero() {
+            return Forwarded::NotRun(ResultCode::Leaving);
+        }
         let message = forward_message(request, time, self.members.view().me.node);
         let opened = tokio::time::timeout(time, self.peers.open(&address, PeerCall::Forward, &message)).await;
         let response = match opened {
@@ -128,11 +146,13 @@
             Ok(Err(CallFault::NotSent)) => return Forwarded::NotRun(ResultCode::NoServer),
             Ok(Err(_)) | Err(_) => return Forwarded::Unknown,
         };
-        let header = response.headers().get(CODE_HEADER).and_then(|value| value.to_str().ok());
-        let code = header.and_then(|text| text.parse().ok()).and_then(ResultCode::from_number);
+        let code = code_of(&response);
         if let Some(code @ (ResultCode::Leaving | ResultCode::NoServer | ResultCode::NotReady)) = code {
             return Forwarded::NotRun(code);
         }
+        if code == Some(ResultCode::OutcomeUnknown) {
+            return Forwarded::Unknown;
+        }
         let (head, body) = response.into_parts();
         let body = if request.streamed && code.is_none() {
             boxed(body)
@@ -188,6 +208,12 @@
     }
 }
 
+/// Result code that an answer tells.
+fn code_of<T>(response: &Response<T>) -> Option<ResultCode> {
+    let header = response.headers().get(CODE_HEADER)?.to_str().ok()?;
+    ResultCode::from_number(header.parse().ok()?)
+}
+
 fn forward_message(request: &OnlineRequest, time: Duration, origin: u64) -> ForwardRequest {
     ForwardRequest {
         identity: request.identity.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod online;
 mod owner;
 mod peers;
+mod planned_stop;
 mod register;
 mod servers;
 mod store_calls;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 use crate::online::OnlineServer;
 use crate::owner::Owner;
 use crate::peers::{answer, PeerCall, PeerClient};
+use crate::planned_stop::{answer_by_end, stop_time, stop_times, HAND_OVER_TIME, LAST_ANSWER_TIME, LEAVE_NOTICE};
 use crate::register::Registrar;
 use crate::servers::Servers;
 use crate::settings::Settings;
@@ -19,6 +20,7 @@
 use eyre::{Result, WrapErr};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_clock::Clock;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::NodeId;
@@ -46,10 +48,6 @@
 const PEER_BODY_TIME: Duration = Duration::from_secs(30);
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
-/// After a planned stop is announced, others need this long to send
-/// elsewhere; until then their requests are still served.
-const LEAVE_NOTICE: Duration = Duration::from_millis(1500);
-const HAND_OVER_TIME: Duration = Duration::from_millis(300);
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 /// Tries for a port that is free for both TCP and UDP.
 const PORT_TRIES: usize = 20;
@@ -121,6 +119,7 @@
         let (stop_callers, callers_stop) = watch::channel(false);
         let (stop_peers, peers_stop) = watch::channel(false);
         let operators = gateway.clone();
+        let (caller_stop, operator_stop) = (backend.stop.clone(), backend.stop.clone());
         let ports = ClientPorts::new(&settings);
         let (caller_port, operator_port) = (ports.callers.clone(), ports.callers);
         let callers = vec![
@@ -129,26 +128,36 @@
                 Version::Http1,
                 callers_stop.clone(),
                 caller_port,
-                move |request| gateway.clone().answer_caller(request),
+                move |request| {
+                    let version = request.version();
+                    answer_by_end(caller_stop.clone(), version, gateway.clone().answer_caller(request))
+                },
             )),
             tokio::spawn(serve_clients(listeners.admin, Version::Http1, callers_stop, operator_port, move |request| {
-                operators.clone().answer_operator(request)
+                let version = request.version();
+                answer_by_end(operator_stop.clone(), version, operators.clone().answer_operator(request))
             })),
         ];
         let peer_backend = backend.clone();
         let peers =
             tokio::spawn(serve_clients(listeners.peers, Version::Http2, peers_stop, ports.peers, move |request| {
-                answer_peer(peer_backend.clone(), request)
+                let version = request.version();
+                answer_by_end(peer_backend.stop.clone(), version, answer_peer(peer_backend.clone(), request))
             }));
         let drain_time = settings.drain_time;
         Ok(Node { addresses, backend, drain_time, stop_callers, stop_peers, callers, peers, tasks })
     }
 
     /// Stops as planned: announces it, hands over, takes no new work, and
-    /// finishes what is in progress.
+    /// finishes what is in progress. What can't be finished before the process
+    /// ends is answered as such.
     pub async fn stop(self) {
         log::info!(target: "E1001", "a planned stop begins");
         let begun = Instant::now();
+        let now = self.backend.router.online.owner.now();
+        let times = stop_times(now, self.drain_time);
+        let (last_answer, end) = (begun + times.last_answer.since(now), begun + stop_time(self.drain_time));
+        self.backend.stop.begin(times);
         for runner in self.backend.batches.iter() {
             runner.leave();
         }
@@ -157,17 +166,16 @@
         self.backend.stores.hand_over();
         tokio::time::sleep(LEAVE_NOTICE).await;
         self.stop_callers.send_replace(true);
-        while begun.elapsed() < self.drain_time && !self.is_drained() {
+        while Instant::now() < last_answer && !self.is_drained() {
             tokio::time::sleep(DRAIN_CHECK).await;
         }
-        let left = self.drain_time.saturating_sub(begun.elapsed()).max(DRAIN_CHECK);
         for task in self.callers {
-            let _ = tokio::time::timeout(left, task).await;
+            let _ = tokio::time::timeout_at(last_answer + LAST_ANSWER_TIME, task).await;
         }
         self.backend.stores.hand_over();
         tokio::time::sleep(HAND_OVER_TIME).await;
         self.stop_peers.send_replace(true);
-        let _ = tokio::time::timeout(left, self.peers).await;
+        let _ = tokio::time::timeout_at(end, self.peers).await;
         self.backend.stores.stop();
         for task in self.tasks {
             task.abort();
@@ -177,6 +185,7 @@
 
     fn is_drained(&self) -> bool {
         self.backend.router.online.owner.online_in_progress() == 0
+            && self.backend.registrar.in_progress() == 0
             && self.backend.batches.iter().all(|runner| runner.is_done())
     }
 
@@ -226,6 +235,7 @@
     let metrics = Arc::new(Metrics::new());
     let engines = EngineClient::default();
     let owner = Owner::new(settings.batch_policy, settings.cache_aware, clock);
+    let stop = PlannedStop::new(clock);
     let configuration = Configuration::new(service.clone(), members.clone(), peers.clone());
     let store_settings =
         StoreSettings { groups: settings.groups, replicas: settings.replicas, replication: settings.replication };
@@ -237,6 +247,7 @@
         engines: engines.clone(),
         retries: Arc::default(),
         metrics: metrics.clone(),
+        stop: stop.clone(),
     };
     let router = Router {
         online,
@@ -247,7 +258,8 @@
         turn: Arc::default(),
         metrics: metrics.clone(),
     };
-    let registrar = Registrar { router: router.clone(), store: store.clone(), members: members.clone() };
+    let registrar =
+        Registrar { router: router.clone(), store: store.clone(), members: members.clone(), running: Arc::default() };
     let node = members.view().me.node;
     let batches = (0..settings.groups)
         .map(|group| {
@@ -272,6 +284,7 @@
         stores,
         batches: Arc::new(batches),
         metrics,
+        stop,
     }
 }
 
--- a/crates/node/src/online.rs
+++ b/crates/node/src/online.rs
@@ -5,6 +5,7 @@
 use crate::stream::{respond, StartedStream, StreamEnd};
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::Response;
+use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::identity::ServerId;
 use latchwheel_core::retry::RetryBudgets;
@@ -29,11 +30,14 @@
     pub(crate) engines: EngineClient,
     pub(crate) retries: Arc<Mutex<RetryBudgets>>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stop: Arc<PlannedStop>,
 }
 
 /// What one attempt came to.
 enum Attempt {
     Answer(Response<Body>),
+    /// It was not started, and comes again after this time.
+    Refused(ResultCode, Duration),
     /// The engine did not run the request.
     NotRun(ServerId, ResultCode),
     /// The engine may have run the request, and no part of the answer was
@@ -41,6 +45,15 @@
     Broken(ServerId),
 }
 
+/// A streamed answer that an engine has begun.
+struct SentStream {
+    stream: AnswerStream,
+    server: ServerId,
+    handle: WorkHandle,
+    left: Duration,
+    sent: Instant,
+}
+
 impl OnlineServer {
     /// Serves a request; `ended` tells in the end whether a streamed answer
     /// was whole.
@@ -51,14 +64,20 @@
         let mut avoid = None;
         let mut ended = Some(ended);
         let mut number = 1;
+        let mut may_have_run = false;
         loop {
             let left = time.saturating_sub(begun.elapsed());
             let handle = self.owner.submit(self.work(request, left, avoid));
             let attempt = self.attempt(request, handle, left, &mut ended).await;
             let (server, code) = match attempt {
                 Attempt::Answer(response) => return response,
+                Attempt::Refused(_, after) if may_have_run => return refuse_after(broken_code(request), "", after),
+                Attempt::Refused(code, after) => return refuse_after(code, "", after),
                 Attempt::NotRun(server, code) => (server, code),
-                Attempt::Broken(server) => (server, broken_code(request)),
+                Attempt::Broken(server) => {
+                    may_have_run = true;
+                    (server, broken_code(request))
+                }
             };
             self.owner.server_failed(server);
             avoid = Some(server);
@@ -99,9 +118,15 @@
         left: Duration,
         ended: &mut Option<oneshot::Sender<StreamEnd>>,
     ) -> Attempt {
-        let assigned = match handle.next().await {
+        let order = tokio::select! {
+            biased;
+            // The servers are handed over as the stop begins.
+            _ = self.stop.begun() => Order::Refuse(ResultCode::Leaving, DEFAULT_RETRY_AFTER),
+            order = handle.next() => order,
+        };
+        let assigned = match order {
             Order::Start(assigned) => assigned,
-            Order::Refuse(code, after) => return Attempt::Answer(refuse_after(code, "", after)),
+            Order::Refuse(code, after) => return Attempt::Refused(code, after),
             Order::Preempt => return Attempt::Answer(refuse(ResultCode::OutcomeUnknown, "")),
         };
         let Assigned { server, address } = assigned;
@@ -114,14 +139,22 @@
             resume: false,
             timeout: left,
         };
-        match self.engines.send(&address, message).await {
+        let answer = tokio::select! {
+            biased;
+            answer = self.engines.send(&address, message) => answer,
+            () = self.stop.answers_due() => return Attempt::Answer(refuse(ResultCode::OutcomeUnknown, "")),
+        };
+        match answer {
             Ok(EngineAnswer::Whole(bytes)) => {
                 handle.finish();
                 let mut response = Response::new(full(bytes));
                 response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 Attempt::Answer(response)
             }
-            Ok(EngineAnswer::Stream(stream)) => self.begin_stream(stream, server, handle, left, sent, ended).await,
+            Ok(EngineAnswer::Stream(stream)) => {
+                let stream = SentStream { stream, server, handle, left, sent };
+                self.begin_stream(stream, ended).await
+            }
             Err(EngineFault::Unreachable | EngineFault::Refused) => {
                 Attempt::NotRun(server, ResultCode::EngineUnreachable)
             }
@@ -135,21 +168,19 @@
     }
 
     /// Waits for the first token: until then another server can be tried.
-    async fn begin_stream(
-        &self,
-        mut stream: AnswerStream,
-        server: ServerId,
-        handle: WorkHandle,
-        left: Duration,
-        sent: Instant,
-        ended: &mut Option<oneshot::Sender<StreamEnd>>,
-    ) -> Attempt {
-        let first = tokio::time::timeout(left, stream.next()).await;
+    async fn begin_stream(&self, stream: SentStream, ended: &mut Option<oneshot::Sender<StreamEnd>>) -> Attempt {
+        let SentStream { mut stream, server, handle, left, sent } = stream;
+        let first = tokio::select! {
+            biased;
+            first = tokio::time::timeout(left, stream.next()) => first,
+            () = self.stop.answers_due() => return Attempt::Answer(refuse(ResultCode::OutcomeUnknown, "")),
+        };
         match (first, ended.take()) {
             (Ok(StreamEvent::Data(first)), Some(ended)) => {
                 self.metrics.note_first_token(sent.elapsed());
                 let time = left.saturating_sub(sent.elapsed());
-                let started = StartedStream { first, rest: stream, handle, owner: self.owner.clone(), time };
+                let (owner, stop) = (self.owner.clone(), self.stop.clone());
+                let started = StartedStream { first, rest: stream, handle, owner, stop, time };
                 Attempt::Answer(respond(started, ended))
             }
             (_, kept) => {
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -13,6 +13,7 @@
 use latchwheel_http::{full, read_bounded, Body};
 use latchwheel_protocol::v1::command::Body as CommandBody;
 use latchwheel_protocol::v1::{Command, FinishRequest, Outcome, ReadRequest, RegisterRequest};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -27,6 +28,24 @@
     pub(crate) router: Router,
     pub(crate) store: Arc<StoreCalls>,
     pub(crate) members: Arc<Members>,
+    /// Runs whose end is not stored yet, also those whose callers are gone.
+    pub(crate) running: Arc<AtomicUsize>,
+}
+
+/// A run that counts until it is dropped.
+struct CountedRun(Arc<AtomicUsize>);
+
+impl CountedRun {
+    fn new(running: Arc<AtomicUsize>) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(running)
+    }
+}
+
+impl Drop for CountedRun {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Registrar {
@@ -55,6 +74,11 @@
         }
     }
 
+    /// Runs whose end is not stored yet.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
     async fn commit(&self, tenant: &str, body: CommandBody) -> Result<Outcome, ResultCode> {
         self.store.propose(tenant, Command { body: Some(body) }).await
     }
@@ -63,7 +87,11 @@
     /// run goes on where the caller goes away, so that a resend finds it.
     async fn run(&self, request: OnlineRequest, key: String) -> Response<Body> {
         let this = self.clone();
-        let running = tokio::spawn(async move { this.run_to_end(request, key).await });
+        let counted = CountedRun::new(self.running.clone());
+        let running = tokio::spawn(async move {
+            let _counted = counted;
+            this.run_to_end(request, key).await
+        });
         running.await.unwrap_or_else(|_| refuse(ResultCode::OutcomeUnknown, ""))
     }
 
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -4,11 +4,13 @@
 use crate::owner::{Owner, WorkHandle};
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::Response;
+use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_core::code::ResultCode;
 use latchwheel_core::scheduler::Event;
 use latchwheel_engine::{AnswerStream, StreamEvent};
 use latchwheel_gateway::error_body;
 use latchwheel_http::{channel, Body};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -30,6 +32,7 @@
     pub(crate) rest: AnswerStream,
     pub(crate) handle: WorkHandle,
     pub(crate) owner: Owner,
+    pub(crate) stop: Arc<PlannedStop>,
     /// Time that the whole answer may take.
     pub(crate) time: Duration,
 }
@@ -38,7 +41,7 @@
 pub(crate) fn respond(stream: StartedStream, ended: oneshot::Sender<StreamEnd>) -> Response<Body> {
     let (sender, body) = channel(PIECES);
     tokio::spawn(async move {
-        let StartedStream { first, mut rest, handle, owner, time } = stream;
+        let StartedStream { first, mut rest, handle, owner, stop, time } = stream;
         let mut gaps = GapMeter::new(owner, handle.id());
         let pump = async {
             if !sender.send(event_text(&first)).await {
@@ -64,7 +67,11 @@
                 }
             }
         };
-        let end = tokio::time::timeout(time, pump).await.unwrap_or(StreamEnd::Cut);
+        let end = tokio::select! {
+            biased;
+            end = tokio::time::timeout(time, pump) => end.unwrap_or(StreamEnd::Cut),
+            () = stop.answers_due() => StreamEnd::Cut,
+        };
         // Freed first: whoever sees the end may ask again at once.
         handle.finish();
         drop(rest);
