Keep a node's planned stop whole when further signals come

What callers saw: a SIGHUP ended `latchwheel node` at once, also during a planned stop, and what was in progress got no answer. A SIGTERM after the node served and before its signals were taken over ended it in the same way.

Cause: SIGHUP had its default action, and the signals were taken over after the start.

Now SIGTERM, SIGINT and SIGHUP are taken over before the node serves; each begins a planned stop, and further ones do nothing.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -2,7 +2,7 @@
 
 use crate::arguments::Arguments;
 use crate::exit::Failure;
-use crate::node::wait_for_stop;
+use crate::node::StopSignals;
 use hyper::Method;
 use latchwheel_core::table::{Class, Limits, RetryPolicy, Row};
 use latchwheel_emulator::engine::EngineSettings;
@@ -20,6 +20,7 @@
 
 /// Runs stand-ins, two engines and a node on loopback until told to stop.
 pub(crate) async fn run(arguments: &Arguments) -> Result<(), Failure> {
+    let mut signals = StopSignals::new()?;
     let (stop, stopped) = watch::channel(false);
     let site = Site::start(&site_settings(), &stopped).await.map_err(|fault| Failure::Run(format!("{fault:#}")))?;
     let folder = tempfile::tempdir().map_err(|fault| Failure::Run(fault.to_string()))?;
@@ -32,7 +33,7 @@
     let callers = &node.addresses.callers;
     println!("callers: http://{callers}  operators: http://{}", node.addresses.admin);
     println!("try: curl http://{callers}/v1/completions -d '{{\"model\":\"{SERVICE}\",\"prompt\":\"Hello\"}}'");
-    wait_for_stop().await;
+    signals.wait().await;
     node.stop().await;
     stop.send_replace(true);
     Ok(())
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -4,7 +4,7 @@
 use crate::exit::Failure;
 use latchwheel_node::settings::{Settings, SettingsFault};
 use latchwheel_node::{logging, Node};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Runs a node until it is told to stop.
 pub(crate) async fn run(arguments: &Arguments) -> Result<(), Failure> {
@@ -12,10 +12,12 @@
     let settings = Settings::parse(&text).map_err(|faults| describe(&path, &faults))?;
     logging::start(&settings.name, settings.log_level, &settings.log_file)
         .map_err(|fault| Failure::Run(format!("the log can't be written: {fault}")))?;
+    // Taken over before the node serves: from then on a signal cuts off nothing.
+    let mut signals = StopSignals::new()?;
     let node = Node::start(settings).await.map_err(|fault| Failure::Run(format!("{fault:#}")))?;
     // Whoever started the node reads its addresses from this line.
     println!("{}", serde_json::to_string(&node.addresses).unwrap_or_default());
-    wait_for_stop().await;
+    signals.wait().await;
     node.stop().await;
     Ok(())
 }
@@ -38,11 +40,31 @@
     Failure::Settings(lines.join("\n"))
 }
 
-/// Completes at SIGTERM or SIGINT.
-pub(crate) async fn wait_for_stop() {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+/// The signals that stop a program as planned. Further ones, also during the stop, do nothing.
+#[derive(Debug)]
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl StopSignals {
+    /// Takes the signals over.
+    pub(crate) fn new() -> Result<Self, Failure> {
+        let take = |kind| signal(kind).map_err(|fault| Failure::Run(format!("signals can't be taken over: {fault}")));
+        Ok(Self {
+            terminate: take(SignalKind::terminate())?,
+            interrupt: take(SignalKind::interrupt())?,
+            hang_up: take(SignalKind::hangup())?,
+        })
+    }
+
+    /// Completes at SIGTERM, SIGINT or SIGHUP.
+    pub(crate) async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            _ = self.hang_up.recv() => {}
+        }
     }
 }
--- a/crates/cli/tests/planned_stop.rs
+++ b/crates/cli/tests/planned_stop.rs
@@ -15,10 +15,12 @@
 use latchwheel_emulator::site::{ServiceSettings, SiteSettings};
 use latchwheel_http::{boxed, full, Body, BoxError, Client};
 use std::collections::HashMap;
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::node_process::{request, NodeProcess, RunningSite, SERVICE};
+use support::node_process::{request, signal, spawn, NodeProcess, RunningSite, SERVICE};
 
 const CLIENTS: usize = 16;
 /// Requests that an engine runs at once; the other clients' requests wait.
@@ -323,3 +325,35 @@
     let form = format!("--b\r\ncontent-disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\n{line}");
     assert_eq!(stop_beside("/v1/files", "multipart/form-data; boundary=b", endless_body(&form)).await, leaving());
 }
+
+/// A signal that comes again, or another one, doesn't end the process before its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn further_signals_do_not_cut_requests() {
+    let site = RunningSite::start(&site_settings(1)).await;
+    let mut node = NodeProcess::start(&site.site, "node", DRAIN_SETTINGS, "").await;
+    let caller = Caller { kind: Kind::Once, tokens: 100, address: node.addresses.callers.clone(), number: 0 };
+    let sending = tokio::spawn(async move { caller.send(&Client::http1(), "a").await });
+    tokio::time::sleep(UNREAD_TIME).await;
+    node.signal("TERM");
+    for name in ["HUP", "TERM", "INT", "HUP"] {
+        node.signal(name);
+        tokio::time::sleep(UNREAD_TIME).await;
+    }
+    assert_eq!(sending.await.unwrap(), Seen::Whole);
+    assert!(node.ended().await.success());
+}
+
+/// Whenever a process that starts is told to stop, it ends as planned or before it serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_that_is_cut_short_ends_as_planned() {
+    let site = RunningSite::start(&site_settings(1)).await;
+    let folder = tempfile::tempdir().unwrap();
+    let mut child = spawn(&site.site, &folder, "node", DRAIN_SETTINGS, "");
+    let log = folder.path().join("log.txt");
+    while !std::fs::read_to_string(&log).unwrap().contains("E1000") {
+        tokio::task::yield_now().await;
+    }
+    signal(&child, "TERM");
+    let status: ExitStatus = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
+    assert_eq!((status.code(), status.signal()), (Some(0), None));
+}
