Bound the memory that answers of servers make a process keep

What callers saw: servers that sent without end, in a head, a body or an event, made the front keep what came for every request at them until it ran out of memory; the requests of all other clients there ended with it.

Cause: one answer was bounded, the sum was not: some 400 KiB of a head, 1 MiB of an answer that is read whole, 1 MiB of an event that is not complete, and read buffers that grow to 400 KiB with a fast server. Answers counted in the budget for clients only once they were complete.

Heads that are read, answers and events that are not whole, and their bytes until the caller took them, hold a part beyond 16 KiB each. Without room a head is given up (502, as one over its limit), an answer is passed on as it comes, and an attempt at a stream or at an item is given up and may go on elsewhere. A read of a server brings 16 KiB at most, so that buffers of connections stay small.

Why it works: whatever the number of requests, what is kept of answers beyond a fixed small part a connection comes out of one counter.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -56,7 +56,7 @@
 
     /// Drops the buffered partial event.
     pub fn reset(&mut self) {
-        self.pending.clear();
+        self.pending = BytesMut::new();
         self.searched_bytes = 0;
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers, engines, the platform and operators are connected over HTTP/1.1; the processes
 //! of the system use HTTP/2 with prior knowledge among themselves.
 
+mod answer_budget;
 mod body;
 mod client;
 mod client_guard;
@@ -12,6 +13,7 @@
 mod reset_stream;
 mod server;
 
+pub use answer_budget::{AnswerBudget, AnswerShare};
 pub use body::{
     boxed, channel, empty, full, json, read_bounded, read_client_body, read_with_timeouts, Body, BodyFault, BodySender,
     BoxError,
--- a/crates/http/src/reset_stream.rs
+++ b/crates/http/src/reset_stream.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
@@ -33,9 +33,11 @@
 /// A TCP stream that is reset when it is closed if its flag is set by then.
 #[derive(Debug)]
 pub struct ResetStream {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     reset: ResetFlag,
-    allowance: ReadAllowance,
+    allowance: Option<ReadAllowance>,
+    /// Most bytes of one read.
+    read_limit: u64,
     write_timeout: Option<Duration>,
     /// Ends when the peer has taken no bytes for the write timeout; `None` unless a write waits.
     write_deadline: Option<Pin<Box<Sleep>>>,
@@ -44,12 +46,20 @@
 impl ResetStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
-        Self { stream, reset, allowance: ReadAllowance::default(), write_timeout: None, write_deadline: None }
+        let (stream, read_limit) = (stream.take(u64::MAX), u64::MAX);
+        Self { stream, reset, allowance: None, read_limit, write_timeout: None, write_deadline: None }
     }
 
     /// Has reads fail beyond this allowance.
     pub fn with_allowance(mut self, allowance: ReadAllowance) -> Self {
-        self.allowance = allowance;
+        self.allowance = Some(allowance);
+        self
+    }
+
+    /// Has a read bring at most so many bytes, whatever its buffer can take: the buffer of a
+    /// reader that grows with what it gets stays small.
+    pub fn with_read_limit(mut self, bytes: usize) -> Self {
+        self.read_limit = bytes as u64;
         self
     }
 
@@ -60,7 +70,7 @@
     }
 
     fn inner(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
-        Pin::new(&mut self.get_mut().stream)
+        Pin::new(self.get_mut().stream.get_mut())
     }
 
     /// The outcome of a write, which fails if it has waited for too long.
@@ -82,7 +92,7 @@
     fn drop(&mut self) {
         if self.reset.is_set() {
             // Without it the stream is closed as any other.
-            let _ = self.stream.set_zero_linger();
+            let _ = self.stream.get_ref().set_zero_linger();
         }
     }
 }
@@ -91,17 +101,17 @@
     fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let stream = self.get_mut();
         let before = buffer.filled().len();
-        match Pin::new(&mut stream.stream).poll_read(context, buffer) {
-            Poll::Ready(Ok(())) => Poll::Ready(stream.allowance.take(buffer.filled().len() - before)),
-            other => other,
-        }
+        stream.stream.set_limit(stream.read_limit);
+        let read = Pin::new(&mut stream.stream).poll_read(context, buffer);
+        let Some(allowance) = &stream.allowance else { return read };
+        read.map(|read| read.and_then(|()| allowance.take(buffer.filled().len() - before)))
     }
 }
 
 impl AsyncWrite for ResetStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
         let stream = self.get_mut();
-        let written = Pin::new(&mut stream.stream).poll_write(context, bytes);
+        let written = Pin::new(stream.stream.get_mut()).poll_write(context, bytes);
         stream.bounded(context, written)
     }
 
@@ -111,12 +121,12 @@
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         let stream = self.get_mut();
-        let written = Pin::new(&mut stream.stream).poll_write_vectored(context, parts);
+        let written = Pin::new(stream.stream.get_mut()).poll_write_vectored(context, parts);
         stream.bounded(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/jobs/src/item_run.rs
+++ b/crates/jobs/src/item_run.rs
@@ -133,6 +133,7 @@
     let mut incoming = response.into_body();
     let mut framer = EventFramer::default();
     let mut progress = StreamProgress::new(exchange.framing());
+    let mut share = exchange.answer_share();
     let mut received = 0;
     loop {
         let Ok(frame) = tokio::time::timeout(SILENCE, incoming.frame()).await else {
@@ -151,6 +152,10 @@
         exchange.note_piece();
         progress.push(&data);
         received += data.len();
+        if share.hold(framer.remainder().len() + data.len()).is_err() {
+            exchange.fail(Ending::Withdrawn);
+            return (RunEnd::Interrupted, "no_memory");
+        }
         let Ok(events) = framer.push(&data) else {
             exchange.fail(Ending::Broken);
             return (RunEnd::Unusable, "event_too_long");
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -17,7 +17,7 @@
 use latchwheel_core::fingerprint::RequestContent;
 use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
-use latchwheel_http::{full, read_bounded};
+use latchwheel_http::{full, read_bounded, AnswerShare};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -243,6 +243,11 @@
         AttemptEnd { failure, reason, connection: self.connection_use }
     }
 
+    /// What is held of the memory for answers, nothing yet.
+    pub fn answer_share(&self) -> AnswerShare {
+        self.shared.answers.share()
+    }
+
     /// Load that is believed of its server.
     pub fn load(&self) -> f64 {
         self.placement.load
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper_util::rt::TokioIo;
-use latchwheel_http::{Body, ReadAllowance, ResetFlag, ResetStream};
+use latchwheel_http::{AnswerBudget, Body, ReadAllowance, ResetFlag, ResetStream};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -27,6 +27,9 @@
 /// Bytes that a server may send before the head of its answer is complete, interim answers
 /// included. A head alone may have a little less.
 const HEAD_BYTES: usize = 512 << 10;
+/// Most bytes that are read of a server at a time: what a connection keeps of an answer that is
+/// passed on is a few times that.
+const READ_BYTES: usize = 16 << 10;
 /// Connections kept idle for each server.
 const IDLE_LIMIT: usize = 32;
 /// Requests that were refused or have failed on a connection, after which it is not kept.
@@ -108,19 +111,25 @@
 }
 
 /// Idle connections by the identity of their server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
+    answers: AnswerBudget,
     idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
 }
 
 impl Pool {
+    /// A pool without connections, whose heads of answers are held in this budget.
+    pub(crate) fn new(answers: AnswerBudget) -> Self {
+        Self { answers, idle: Mutex::default() }
+    }
+
     /// An idle connection to the server for a request of this identity, or a new one to the
     /// server's address; `None` if none comes up in time.
     pub(crate) async fn take(&self, server: &str, address: &str, request: &HeaderValue) -> Option<Connection> {
         let idle = self.take_idle(server, request);
         let mut connection = match idle {
             Some(connection) => Connection { used: ConnectionUse::Kept, ..connection },
-            None => tokio::time::timeout(CONNECT_TIME, connect(address)).await.ok()??,
+            None => tokio::time::timeout(CONNECT_TIME, connect(address, &self.answers)).await.ok()??,
         };
         connection.driver.carries_request = true;
         connection.allowance.limit(HEAD_BYTES);
@@ -131,6 +140,7 @@
     /// headers allow.
     pub(crate) fn put(&self, server: &Arc<str>, mut connection: Connection, keep: Option<Duration>) {
         connection.driver.carries_request = false;
+        connection.allowance.release();
         if connection.sender.is_closed() || connection.unserved.len() >= UNSERVED_LIMIT {
             return;
         }
@@ -177,12 +187,12 @@
     }
 }
 
-async fn connect(address: &str) -> Option<Connection> {
+async fn connect(address: &str, answers: &AnswerBudget) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     let _ = stream.set_nodelay(true);
     let reset = ResetFlag::default();
-    let allowance = ReadAllowance::default();
-    let stream = ResetStream::new(stream, reset.clone()).with_allowance(allowance.clone());
+    let allowance = ReadAllowance::new(answers.share());
+    let stream = ResetStream::new(stream, reset.clone()).with_allowance(allowance.clone()).with_read_limit(READ_BYTES);
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     // Its end shows in the requests that it carries.
     let task = tokio::spawn(async move {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -24,6 +24,7 @@
 use latchwheel_core::routes::{ClientLimits, Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
 use latchwheel_core::time::Instant;
+use latchwheel_http::AnswerBudget;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -41,6 +42,8 @@
     /// The clock.
     pub clock: Clock,
     pub(crate) pool: Pool,
+    /// Memory that answers of servers may take.
+    pub answers: AnswerBudget,
     /// Permits of tenants whose requests are limited.
     pub permits: Permits,
     /// Calls to the keepers of servers.
@@ -92,6 +95,7 @@
 
     /// The same where limits of tenants may be exceeded by a margin.
     pub fn with_margin(dialect: D, clock: Clock, margin: LimitMargin) -> Arc<Self> {
+        let answers = AnswerBudget::default();
         Arc::new(Self {
             dialect,
             permits: Permits::new(clock, margin),
@@ -103,7 +107,8 @@
             machine_room: MachineRoom::default(),
             load_changed: Notify::new(),
             clock,
-            pool: Pool::default(),
+            pool: Pool::new(answers.clone()),
+            answers,
             dispatcher: Mutex::default(),
             table: Mutex::default(),
             client_limits: watch::Sender::default(),
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -24,7 +24,7 @@
 use latchwheel_core::routes::RequestKind;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_http::Body;
+use latchwheel_http::{AnswerShare, Body};
 use std::time::Duration;
 
 /// A resumable stream continues elsewhere after a pause of this many of the longest pauses that
@@ -35,6 +35,8 @@
 
 /// What is logged of an event that is beyond the framer's limit.
 const EVENT_TOO_LONG: &str = "event_too_long";
+/// The same of one that there is no memory for.
+const NO_MEMORY: &str = "no_memory";
 
 /// A stream that is being passed on.
 #[derive(Debug)]
@@ -49,6 +51,8 @@
     status: u16,
     resumable: bool,
     framer: EventFramer,
+    /// What is held for the event that is not passed on yet.
+    share: AnswerShare,
     last_event: Option<u64>,
     first_piece: Option<Instant>,
     /// Whether events were passed on.
@@ -76,6 +80,7 @@
         guard: InProgress<D>,
     ) -> Self {
         let answers_due = AnswersDue::new(context.shared.clone());
+        let share = context.shared.answers.share();
         Self {
             context,
             framing: exchange.framing(),
@@ -85,6 +90,7 @@
             status,
             resumable,
             framer: EventFramer::default(),
+            share,
             last_event: None,
             first_piece: None,
             passed_events: false,
@@ -144,14 +150,20 @@
         if !self.resumable {
             return Step::Pass(data);
         }
+        let pending = self.framer.remainder().len() + data.len();
+        if self.share.hold(pending.next_power_of_two()).is_err() {
+            return Step::Broken(NO_MEMORY, Ending::Withdrawn);
+        }
         let Ok(events) = self.framer.push(&data) else { return Step::Broken(EVENT_TOO_LONG, Ending::Broken) };
         self.last_event = events.iter().filter_map(|event| event.id).next_back().or(self.last_event);
         self.note_events(!events.is_empty());
-        match events.as_slice() {
-            [] => Step::Wait,
-            [only] => Step::Pass(only.bytes.clone()),
-            several => Step::Pass(several.iter().flat_map(|event| event.bytes.clone()).collect()),
-        }
+        let bytes = match events.as_slice() {
+            [] => return Step::Wait,
+            [only] => only.bytes.clone(),
+            several => several.iter().flat_map(|event| event.bytes.clone()).collect(),
+        };
+        let share = std::mem::replace(&mut self.share, self.context.shared.answers.share());
+        Step::Pass(share.into_bytes(bytes))
     }
 
     /// What follows where the request or the process has no time left.
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -6,7 +6,7 @@
 use crate::forward::Context;
 use crate::planned_stop::{AnswersDue, PROCESS_ENDS};
 use crate::shared::Shared;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -16,7 +16,7 @@
 use latchwheel_core::attempts::AttemptFailure;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::time::Instant;
-use latchwheel_http::{full, Body, BoxError};
+use latchwheel_http::{full, AnswerShare, Body, BoxError};
 use std::sync::Arc;
 
 /// Why an answer is broken off whose request has no time left.
@@ -39,7 +39,7 @@
         let sent_at = self.shared.clock.now();
         let framing = exchange.framing();
         let mut progress = exchange.stream_progress(false);
-        let mut whole = BytesMut::new();
+        let mut whole = Kept::new(self.shared.answers.share());
         let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole, &mut progress)).await;
         let read = match read {
             Ok(WholeRead::Whole) if exchange.cut_reason(progress).await.is_some() => Ok(WholeRead::Broken),
@@ -50,9 +50,9 @@
                 exchange.note_served(&self.outgoing);
                 exchange.finish();
                 self.log_answered(head.status.as_u16(), first_piece_ms, framing);
-                Ok(Response::from_parts(head, full(Bytes::from(whole))))
+                Ok(Response::from_parts(head, full(whole.into_bytes())))
             }
-            Ok(WholeRead::TooLong) => {
+            Ok(WholeRead::NotKept) => {
                 self.log_answered(head.status.as_u16(), first_piece_ms, framing);
                 if progress.is_some() {
                     head.headers.remove(CONTENT_LENGTH);
@@ -60,7 +60,7 @@
                 let (shared, outgoing, until) = (self.shared.clone(), self.outgoing.clone(), self.until);
                 let answers_due = AnswersDue::new(shared.clone());
                 let rest = LongAnswer { outgoing, exchange, progress, shared, until, answers_due };
-                Ok(Response::from_parts(head, rest.body(Bytes::from(whole), incoming)))
+                Ok(Response::from_parts(head, rest.body(whole.into_bytes(), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
                 let mut failure = AttemptFailure::MayHaveRun;
@@ -79,21 +79,51 @@
 
 enum WholeRead {
     Whole,
-    TooLong,
+    /// It is too long to be kept whole, or there is no room for it.
+    NotKept,
     Broken,
 }
 
-async fn read_whole(incoming: &mut Incoming, whole: &mut BytesMut, progress: &mut Option<StreamProgress>) -> WholeRead {
+/// What is kept of an answer until it is whole, within the budget of the process.
+struct Kept {
+    bytes: Vec<u8>,
+    share: AnswerShare,
+}
+
+impl Kept {
+    fn new(share: AnswerShare) -> Self {
+        Self { bytes: Vec::new(), share }
+    }
+
+    /// Keeps what came; `false` if no more can be kept.
+    fn push(&mut self, data: &[u8]) -> bool {
+        let length = self.bytes.len() + data.len();
+        let mut has_room = true;
+        if length > self.bytes.capacity() {
+            let capacity = length.max((2 * self.bytes.capacity()).min(WHOLE_ANSWER_LIMIT));
+            has_room = self.share.hold(capacity).is_ok();
+            let capacity = if has_room { capacity } else { length };
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        has_room && length <= WHOLE_ANSWER_LIMIT
+    }
+
+    fn into_bytes(self) -> Bytes {
+        self.share.into_bytes(self.bytes.into())
+    }
+}
+
+async fn read_whole(incoming: &mut Incoming, whole: &mut Kept, progress: &mut Option<StreamProgress>) -> WholeRead {
     while let Some(frame) = incoming.frame().await {
         let Ok(frame) = frame else { return WholeRead::Broken };
         if let Ok(data) = frame.into_data() {
             if let Some(progress) = progress {
                 progress.push(&data);
             }
-            whole.extend_from_slice(&data);
-        }
-        if whole.len() > WHOLE_ANSWER_LIMIT {
-            return WholeRead::TooLong;
+            if !whole.push(&data) {
+                return WholeRead::NotKept;
+            }
         }
     }
     WholeRead::Whole
