Bound what the client of engines keeps of their answers

What callers saw: an engine that sent one event without end was read for as long as it sent, and each whole answer without end took 16 MiB.

Cause: the parser of events keeps an event until it ends, without a bound, and scans it again with each piece; whole answers had a bound each and none on their sum.

Without room the answer counts as interrupted, as one that breaks off.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -2,9 +2,11 @@
 
 use crate::report::{CacheEvents, CachedBlocks, LoadReport};
 use crate::stream::AnswerStream;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::{Method, Request};
-use latchwheel_http::{full, read_bounded, CallFault, Client};
+use latchwheel_http::{full, AnswerBudget, AnswerShare, CallFault, Client};
 use serde::de::IgnoredAny;
 use serde::Serialize;
 use std::time::Duration;
@@ -61,15 +63,16 @@
     value: &'a str,
 }
 
-/// Client of all engines, with one connection pool.
+/// Client of all engines, with one connection pool and one budget for their answers.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     client: Client,
+    answers: AnswerBudget,
 }
 
 impl Default for EngineClient {
     fn default() -> Self {
-        Self { client: Client::http1() }
+        Self { client: Client::http1(), answers: AnswerBudget::default() }
     }
 }
 
@@ -96,10 +99,10 @@
             })?;
             let status = response.status().as_u16();
             if streamed && status == 200 {
-                return Ok(EngineAnswer::Stream(AnswerStream::new(response.into_body())));
+                return Ok(EngineAnswer::Stream(AnswerStream::within(self.answers.share(), response.into_body())));
             }
-            let bytes = read_bounded(response.into_body(), MAX_ANSWER_BYTES, time).await;
-            let bytes = bytes.map_err(|_| EngineFault::Interrupted)?;
+            let whole = read_whole(response.into_body(), self.answers.share()).await;
+            let bytes = whole.ok_or(EngineFault::Interrupted)?;
             match status {
                 200 if is_complete_json(&bytes) => Ok(EngineAnswer::Whole(bytes)),
                 200 => Err(EngineFault::Interrupted),
@@ -160,6 +163,21 @@
     }
 }
 
+/// Reads an answer whole; `None` if it broke off, is too long or has no room in the budget.
+async fn read_whole(mut body: Incoming, mut share: AnswerShare) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let length = whole.len() + data.len();
+        if length > MAX_ANSWER_BYTES {
+            return None;
+        }
+        share.hold(length).ok()?;
+        whole.extend_from_slice(&data);
+    }
+    Some(share.into_bytes(whole.freeze()))
+}
+
 /// Whether an answer is a complete JSON document: one with neither a length nor chunks ends
 /// with its connection, also when its engine crashes.
 fn is_complete_json(bytes: &[u8]) -> bool {
