Continue a stream without a record only where two nodes observed one version

What callers saw: streams that they took up again after all fronts had lost their power, with two versions in service or just after the servers of the old one had left, were answered with 200 and went on at the other version.

Cause: the records of a stream are soft state and can be lost with their nodes. Such a stream went on at "the only version that served", and a node that had just started and knew nothing counted as one that agrees: after the loss of all fronts the observation of one other node decided. That node may have been cut off, and its observation counted from the first server that it saw, be that from a list kept before its start, and over any time without contact; a version that came and left within one batch of changes was not counted. The window was the route's time and 5 s, while records are kept for 30 s since clients come again.

Now at least two nodes must have observed one and the same version, with no reply that saw another; a node that knows nothing contradicts none and confirms nothing. An observation begins with a list that the store confirmed, begins anew after 5 s without a confirmation, and covers the time for which a record would be kept. If replicas just started, the other nodes near the key are asked, so that streams go on where nodes are left that can tell. Else the stream is refused at once, as before, with 3009.

Evidence: proxy/tests/software_versions.rs.

What it costs: streams without a record are refused until two nodes have observed for the route's time and 30 s (5 s before), after the start of a fleet and after the store was away, with one version in service as well. Streams with a record are as before.

Two tests changed. One held that a single observer beside two nodes that know nothing decides: that is the fault; its case expects a refusal now, and cases with two observers were added. Tests of the history confirm its list each second, as an unconfirmed one shows nothing now; their expectations are the same.

--- a/crates/core/src/software.rs
+++ b/crates/core/src/software.rs
@@ -11,6 +11,9 @@
 
 /// Time for which versions that left are recorded.
 const MAX_WINDOW: Duration = Duration::from_secs(600);
+/// Longest time between two confirmations of the list of servers. A version may have come and
+/// left unseen in a longer one.
+const MAX_UNCONFIRMED: Duration = Duration::from_secs(5);
 
 /// Key of one version of a service's software; never zero, the same on all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,12 +44,14 @@
     One(SoftwareKey),
     /// Several.
     Several,
-    /// Unknown: the node has not observed the services for so long, or saw no server.
+    /// Unknown: the node has not observed the services for so long without a gap, or saw no
+    /// server.
     Unknown,
 }
 
 impl VersionsSeen {
-    /// Combines the observations of two nodes.
+    /// Combines the observations of two nodes. A node that knows nothing contradicts none, but
+    /// doesn't confirm either.
     pub fn and(self, other: Self) -> Self {
         match (self, other) {
             (Self::Unknown, seen) | (seen, Self::Unknown) => seen,
@@ -59,8 +64,11 @@
 /// Versions of each service that accepted requests lately, as this node observed them.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
-    /// Services by the hash of their names, with the time of the first observation.
+    /// Services by the hash of their names, with the time since which they are observed without
+    /// a gap.
     observed_since: HashMap<u64, Instant>,
+    /// All changes until this time are known.
+    complete_as_of: Option<Instant>,
     /// Versions with the hash of their service and the time at which the last of their servers
     /// left; `None` while one accepts requests.
     versions: HashMap<SoftwareKey, (u64, Option<Instant>)>,
@@ -82,6 +90,16 @@
         self.versions.retain(|_, (_, left_at)| left_at.is_none_or(|at| now.since(at) < MAX_WINDOW));
     }
 
+    /// All changes until this time have been observed. The observation begins anew where too
+    /// much time has passed since the last such time.
+    pub fn note_complete(&mut self, as_of: Instant) {
+        let is_gap = self.complete_as_of.is_none_or(|known| as_of.since(known) > MAX_UNCONFIRMED);
+        if is_gap {
+            self.observed_since.values_mut().for_each(|since| *since = as_of.max(*since));
+        }
+        self.complete_as_of = self.complete_as_of.max(Some(as_of));
+    }
+
     /// Versions that accepted requests of any of these services, given by the hashes of their
     /// names, within the window before `now`.
     pub fn seen(&self, now: Instant, services: &[u64], window: Duration) -> VersionsSeen {
@@ -94,7 +112,8 @@
         }
         let observed = services.iter().filter_map(|service| self.observed_since.get(service));
         let is_long_enough = observed.max().is_some_and(|since| now.since(*since) >= window);
-        if is_long_enough && window < MAX_WINDOW {
+        let is_confirmed = self.complete_as_of.is_some_and(|known| now.since(known) <= MAX_UNCONFIRMED);
+        if is_long_enough && is_confirmed && window < MAX_WINDOW {
             VersionsSeen::One(*first)
         } else {
             VersionsSeen::Unknown
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -5,9 +5,10 @@
 //! nodes, the *replicas* of the record. Rendezvous hashing of the stream's key selects them, so that every node
 //! finds them without a directory, and each node keeps an equal share of the records.
 //!
-//! Records are soft state. A stream without one is continued only if a single version of the
-//! software has served for longer than any stream lasts; otherwise it is refused, because its
-//! events would be mixed with those of another version.
+//! Records are soft state. A stream without one is continued only if two nodes observed, for
+//! longer than any stream lasts, that a single version of the software served; otherwise it is
+//! refused, because its events would be mixed with those of another version. Nodes that just
+//! started have observed nothing: where most nodes lost their power at once, few can tell.
 
 use crate::identity::{stable_hash, stable_pair_hash, HashKeyMap, NodeId};
 use crate::software::{SoftwareKey, VersionsSeen};
@@ -19,6 +20,9 @@
 pub const REPLICAS: usize = 3;
 /// Nodes that follow a stream's key in ring order, among which its replicas are selected.
 const NEAR_KEY: usize = 16;
+/// Nodes that must have observed the same single version. One may have been cut off from the
+/// others without knowing it.
+const OBSERVERS: usize = 2;
 /// Maximum number of records that a node keeps.
 const MAX_RECORDS: usize = 1 << 17;
 /// Longest time for which a record is kept.
@@ -99,11 +103,22 @@
 
     /// The replicas of a stream's record. What it costs doesn't grow with the nodes.
     pub fn replicas(&self, stream: StreamKey) -> Vec<NodeId> {
+        let mut near = self.near(stream);
+        near.truncate(REPLICAS);
+        near
+    }
+
+    /// The other nodes near the key, which may know what served where replicas just started.
+    pub fn other_observers(&self, stream: StreamKey) -> Vec<NodeId> {
+        self.near(stream).into_iter().skip(REPLICAS).collect()
+    }
+
+    /// Nodes near the key, those that keep the record first.
+    fn near(&self, stream: StreamKey) -> Vec<NodeId> {
         let start = self.nodes.partition_point(|(hash, _)| *hash < stream.0);
         let following = self.nodes[start..].iter().chain(&self.nodes[..start]).take(NEAR_KEY);
         let mut near: Vec<NodeId> = following.map(|(_, node)| *node).collect();
         near.sort_unstable_by_key(|node| std::cmp::Reverse(stable_pair_hash(node.0, stream.0)));
-        near.truncate(REPLICAS);
         near
     }
 }
@@ -141,43 +156,83 @@
     AnyReplica,
 }
 
-/// Search for the software of a stream: collects the replies of its replicas.
+/// Search for the software of a stream: collects the replies of its replicas, and then, if these
+/// have neither a record nor observed for long enough, of other nodes.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
     quorum: Quorum,
     has_reply: bool,
-    waiting: Vec<NodeId>,
+    /// Replicas that have not replied.
+    replicas: Vec<NodeId>,
+    /// Other nodes that have not replied.
+    others: Vec<NodeId>,
     recorded: Option<SoftwareKey>,
     seen: VersionsSeen,
+    /// Nodes that observed a single version.
+    observers: usize,
+    required_observers: usize,
 }
 
 impl OriginSearch {
-    /// Starts with what this node itself knows, and the other replicas that were queried.
-    pub fn new(quorum: Quorum, own: OriginReply, queried: Vec<NodeId>) -> Self {
-        Self { quorum, has_reply: false, waiting: queried, recorded: own.software, seen: own.seen }
+    /// Starts with what this node itself knows, the other replicas, and the nodes to query after
+    /// them.
+    pub fn new(quorum: Quorum, own: OriginReply, replicas: Vec<NodeId>, others: Vec<NodeId>) -> Self {
+        let nodes = 1 + replicas.len() + others.len();
+        let mut search = Self {
+            quorum,
+            has_reply: false,
+            replicas,
+            others,
+            recorded: None,
+            seen: VersionsSeen::Unknown,
+            observers: 0,
+            required_observers: OBSERVERS.min(nodes),
+        };
+        search.add(own);
+        search
     }
 
-    /// Records the reply of a replica.
+    /// Records the reply of a node.
     pub fn note_reply(&mut self, from: NodeId, reply: OriginReply) {
-        self.waiting.retain(|node| *node != from);
-        self.has_reply = true;
-        self.recorded = self.recorded.or(reply.software);
-        self.seen = self.seen.and(reply.seen);
+        let waiting = self.replicas.len() + self.others.len();
+        self.replicas.retain(|node| *node != from);
+        self.others.retain(|node| *node != from);
+        if self.replicas.len() + self.others.len() < waiting {
+            self.has_reply = true;
+            self.add(reply);
+        }
     }
 
-    /// Replicas that have not replied.
+    fn add(&mut self, known: OriginReply) {
+        self.recorded = self.recorded.or(known.software);
+        self.seen = self.seen.and(known.seen);
+        self.observers += usize::from(matches!(known.seen, VersionsSeen::One(_)));
+    }
+
+    /// Nodes to query that have not replied: the replicas first.
     pub fn waiting(&self) -> &[NodeId] {
-        &self.waiting
+        if self.replicas.is_empty() {
+            &self.others
+        } else {
+            &self.replicas
+        }
+    }
+
+    /// Whether all replicas have replied.
+    pub fn has_all_replicas(&self) -> bool {
+        self.replicas.is_empty()
     }
 
     /// The result so far.
     pub fn origin(&self) -> Origin {
-        let all_replied = self.waiting.is_empty();
-        let has_quorum = all_replied || (self.quorum == Quorum::AnyReplica && self.has_reply);
+        let has_quorum = self.has_all_replicas() || (self.quorum == Quorum::AnyReplica && self.has_reply);
+        let is_observed = self.observers >= self.required_observers;
         match (self.recorded, self.seen) {
             (Some(software), _) => Origin::Recorded(software),
-            (None, VersionsSeen::One(software)) if has_quorum => Origin::OnlyVersion(software),
-            (None, _) if !all_replied => Origin::Pending,
+            (None, VersionsSeen::One(software)) if has_quorum && is_observed => Origin::OnlyVersion(software),
+            (None, _) if !self.has_all_replicas() => Origin::Pending,
+            (None, VersionsSeen::Several) => Origin::Unknown,
+            (None, _) if !self.others.is_empty() => Origin::Pending,
             (None, _) => Origin::Unknown,
         }
     }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -102,31 +102,43 @@
     }
 }
 
+/// A reply without a record.
+fn saw(seen: VersionsSeen) -> OriginReply {
+    OriginReply { software: None, seen }
+}
+
+fn one() -> VersionsSeen {
+    VersionsSeen::One(software("1"))
+}
+
 #[test]
 fn a_recorded_stream_needs_one_replica() {
     let replicas: Vec<NodeId> = nodes(2).collect();
-    let nothing = OriginReply { software: None, seen: VersionsSeen::Several };
-    let mut search = OriginSearch::new(Quorum::AllReplicas, nothing, replicas.clone());
+    let nothing = saw(VersionsSeen::Several);
+    let mut search = OriginSearch::new(Quorum::AllReplicas, nothing, replicas.clone(), Vec::new());
     assert_eq!(search.origin(), Origin::Pending);
     search.note_reply(replicas[1], OriginReply { software: Some(software("1")), ..nothing });
     assert_eq!(search.origin(), Origin::Recorded(software("1")));
     assert_eq!(search.waiting(), &replicas[..1]);
 }
 
+/// Nodes that just started know nothing of the versions before, which is no agreement.
 #[test]
-fn a_stream_without_a_record_continues_only_where_one_version_served() {
+fn a_stream_without_a_record_continues_only_where_two_nodes_saw_one_version() {
     let replicas: Vec<NodeId> = nodes(2).collect();
-    let saw = |seen| OriginReply { software: None, seen };
-    let one = VersionsSeen::One(software("1"));
+    let (one, unknown) = (one(), VersionsSeen::Unknown);
     let cases = [
         (one, one, one, Origin::OnlyVersion(software("1"))),
-        (VersionsSeen::Unknown, one, VersionsSeen::Unknown, Origin::OnlyVersion(software("1"))),
-        (VersionsSeen::Unknown, VersionsSeen::Unknown, VersionsSeen::Unknown, Origin::Unknown),
+        (unknown, one, one, Origin::OnlyVersion(software("1"))),
+        (one, unknown, one, Origin::OnlyVersion(software("1"))),
+        (unknown, one, unknown, Origin::Unknown),
+        (one, unknown, unknown, Origin::Unknown),
+        (unknown, unknown, unknown, Origin::Unknown),
         (one, VersionsSeen::Several, one, Origin::Unknown),
         (one, VersionsSeen::One(software("2")), one, Origin::Unknown),
     ];
     for (own, first, second, origin) in cases {
-        let mut search = OriginSearch::new(Quorum::AllReplicas, saw(own), replicas.clone());
+        let mut search = OriginSearch::new(Quorum::AllReplicas, saw(own), replicas.clone(), Vec::new());
         search.note_reply(replicas[0], saw(first));
         assert_eq!(search.origin(), Origin::Pending, "a silent replica may have the record");
         search.note_reply(replicas[1], saw(second));
@@ -134,39 +146,114 @@
     }
 }
 
+#[test]
+fn nodes_beside_the_replicas_tell_which_versions_served() {
+    let nodes: Vec<NodeId> = nodes(4).collect();
+    let (replicas, others) = (nodes[..2].to_vec(), nodes[2..].to_vec());
+    let unknown = saw(VersionsSeen::Unknown);
+    let seen_elsewhere = [
+        ([one(), one()], Origin::OnlyVersion(software("1"))),
+        ([one(), VersionsSeen::Unknown], Origin::Unknown),
+        ([one(), VersionsSeen::Several], Origin::Unknown),
+    ];
+    for (seen, origin) in seen_elsewhere {
+        let mut search = OriginSearch::new(Quorum::AllReplicas, unknown, replicas.clone(), others.clone());
+        assert_eq!(search.waiting(), replicas);
+        replicas.iter().for_each(|replica| search.note_reply(*replica, unknown));
+        assert_eq!((search.origin(), search.waiting()), (Origin::Pending, &others[..]));
+        others.iter().zip(seen).for_each(|(other, seen)| search.note_reply(*other, saw(seen)));
+        assert_eq!(search.origin(), origin, "{seen:?}");
+    }
+}
+
+#[test]
+fn a_node_that_replies_twice_counts_once() {
+    let replicas: Vec<NodeId> = nodes(2).collect();
+    let unknown = saw(VersionsSeen::Unknown);
+    let mut search = OriginSearch::new(Quorum::AllReplicas, unknown, replicas.clone(), Vec::new());
+    search.note_reply(replicas[0], saw(one()));
+    search.note_reply(replicas[0], saw(one()));
+    search.note_reply(replicas[1], unknown);
+    assert_eq!(search.origin(), Origin::Unknown);
+}
+
 /// A node that is cut off may see fewer versions than there are.
 #[test]
 fn a_client_that_names_no_stream_needs_one_reply() {
     let replicas: Vec<NodeId> = nodes(2).collect();
-    let saw = |seen| OriginReply { software: None, seen };
-    let one = VersionsSeen::One(software("1"));
-    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one), replicas.clone());
+    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one()), replicas.clone(), Vec::new());
     assert_eq!(search.origin(), Origin::Pending);
-    search.note_reply(replicas[0], saw(one));
+    search.note_reply(replicas[0], saw(one()));
     assert_eq!(search.origin(), Origin::OnlyVersion(software("1")));
-    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one), replicas.clone());
+    let mut search = OriginSearch::new(Quorum::AnyReplica, saw(one()), replicas.clone(), Vec::new());
     search.note_reply(replicas[0], saw(VersionsSeen::Several));
     assert_eq!(search.origin(), Origin::Pending);
-    search.note_reply(replicas[1], saw(one));
+    search.note_reply(replicas[1], saw(one()));
     assert_eq!(search.origin(), Origin::Unknown);
-    let alone = OriginSearch::new(Quorum::AnyReplica, saw(one), Vec::new());
+    let alone = OriginSearch::new(Quorum::AnyReplica, saw(one()), Vec::new(), Vec::new());
     assert_eq!(alone.origin(), Origin::OnlyVersion(software("1")));
 }
 
+/// Observes these versions of one service, in a list that is complete at that time.
+fn observe(history: &mut SoftwareHistory, now: Instant, versions: &[&str]) {
+    let service = stable_hash(b"service");
+    let present: Vec<_> = versions.iter().map(|version| (service, software(version))).collect();
+    history.observe(now, &present);
+    history.note_complete(now);
+}
+
+/// Confirms at short intervals that nothing changed.
+fn confirm(history: &mut SoftwareHistory, seconds: std::ops::RangeInclusive<u64>) {
+    seconds.for_each(|second| history.note_complete(at(second)));
+}
+
+#[test]
+fn a_node_that_was_cut_off_knows_no_versions_of_that_time() {
+    let service = stable_hash(b"service");
+    let mut history = SoftwareHistory::default();
+    observe(&mut history, at(0), &["1"]);
+    confirm(&mut history, 1..=20);
+    assert_eq!(history.seen(at(20), &[service], WINDOW), VersionsSeen::One(software("1")));
+    assert_eq!(history.seen(at(30), &[service], WINDOW), VersionsSeen::Unknown, "not confirmed");
+    confirm(&mut history, 31..=40);
+    assert_eq!(history.seen(at(40), &[service], WINDOW), VersionsSeen::Unknown, "another may have come and left");
+    confirm(&mut history, 41..=41);
+    assert_eq!(history.seen(at(41), &[service], WINDOW), VersionsSeen::One(software("1")));
+}
+
+/// What a node kept before its start shows nothing of the time until the list is confirmed.
+#[test]
+fn observation_begins_with_a_complete_list() {
+    let service = stable_hash(b"service");
+    let mut history = SoftwareHistory::default();
+    history.observe(at(0), &[(service, software("1"))]);
+    assert_eq!(history.seen(at(20), &[service], WINDOW), VersionsSeen::Unknown);
+    confirm(&mut history, 20..=29);
+    assert_eq!(history.seen(at(29), &[service], WINDOW), VersionsSeen::Unknown);
+    confirm(&mut history, 30..=30);
+    assert_eq!(history.seen(at(30), &[service], WINDOW), VersionsSeen::One(software("1")));
+}
+
 #[test]
 fn a_version_that_left_counts_for_the_window() {
     let service = stable_hash(b"service");
     let mut history = SoftwareHistory::default();
     assert_eq!(history.seen(at(0), &[service], WINDOW), VersionsSeen::Unknown);
-    history.observe(at(0), &[(service, software("1"))]);
+    observe(&mut history, at(0), &["1"]);
+    confirm(&mut history, 1..=10);
     assert_eq!(history.seen(at(9), &[service], WINDOW), VersionsSeen::Unknown, "too short");
     assert_eq!(history.seen(at(10), &[service], WINDOW), VersionsSeen::One(software("1")));
-    history.observe(at(20), &[(service, software("1")), (service, software("2"))]);
+    confirm(&mut history, 11..=19);
+    observe(&mut history, at(20), &["1", "2"]);
     assert_eq!(history.seen(at(20), &[service], WINDOW), VersionsSeen::Several);
-    history.observe(at(30), &[(service, software("2"))]);
+    confirm(&mut history, 21..=29);
+    observe(&mut history, at(30), &["2"]);
+    confirm(&mut history, 31..=41);
     assert_eq!(history.seen(at(40), &[service], WINDOW), VersionsSeen::Several);
     assert_eq!(history.seen(at(41), &[service], WINDOW), VersionsSeen::One(software("2")));
-    history.observe(at(50), &[]);
+    confirm(&mut history, 42..=49);
+    observe(&mut history, at(50), &[]);
+    confirm(&mut history, 51..=70);
     assert_eq!(history.seen(at(70), &[service], WINDOW), VersionsSeen::Unknown);
 }
 
@@ -176,6 +263,7 @@
     let mut history = SoftwareHistory::default();
     let versions = [(first, SoftwareKey::of("first", "1")), (second, SoftwareKey::of("second", "1"))];
     history.observe(at(0), &versions);
+    confirm(&mut history, 0..=20);
     assert_eq!(history.seen(at(20), &[first], WINDOW), VersionsSeen::One(versions[0].1));
     assert_eq!(history.seen(at(20), &[first, second], WINDOW), VersionsSeen::Several);
 }
--- a/crates/proxy/src/continued.rs
+++ b/crates/proxy/src/continued.rs
@@ -15,10 +15,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time for which the record of a stream is kept after the deadline of its request.
+/// Time for which the record of a stream is kept after the deadline of its request: clients take
+/// the stream up within it.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(30);
-/// Added to the longest time of a stream, for changes that nodes see at different times.
-const WINDOW_MARGIN: Duration = Duration::from_secs(5);
 /// Retry time while no server of a stream's version accepts requests.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -45,7 +44,7 @@
         let continued = continued_stream(&self.outgoing.headers, names, &self.id).filter(|_| self.is_stream());
         let Some((stream, quorum)) = continued else { return Ok(()) };
         let services = self.route.targets.iter().map(|target| stable_hash(target.service.as_bytes())).collect();
-        let query = OriginQuery { stream, quorum, services, window: self.route.timeout + WINDOW_MARGIN };
+        let query = OriginQuery { stream, quorum, services, window: self.route.timeout + KEEP_AFTER_DEADLINE };
         let origin = self.shared.stream_origins.find(&self.shared, &query).await;
         let (software, recorded) = match origin {
             Origin::Recorded(software) => (software, true),
--- a/crates/proxy/src/peers/origins.rs
+++ b/crates/proxy/src/peers/origins.rs
@@ -2,7 +2,7 @@
 
 use super::{PeerExchange, Peers, SHARE_LIMIT};
 use crate::dialect::Dialect;
-use crate::stream_origins::{NewRecord, ReplicaQuery};
+use crate::stream_origins::{NewRecord, NodeQuery};
 use latchwheel_core::identity::NodeId;
 use latchwheel_protocol::v1;
 use std::collections::HashMap;
@@ -46,9 +46,9 @@
         }
     }
 
-    pub(super) fn send_origin_query(&mut self, query: ReplicaQuery, peers: &Peers) {
+    pub(super) fn send_origin_query(&mut self, query: NodeQuery, peers: &Peers) {
         self.update_members(peers);
-        let Some(address) = self.members.get(&query.replica) else { return };
+        let Some(address) = self.members.get(&query.node) else { return };
         let stream_origin_query = Some(query.query);
         self.send(&v1::ServerShares { from: self.own.0, stream_origin_query, ..Default::default() }, *address);
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -18,11 +18,13 @@
 use latchwheel_core::directory::DirectoryChange;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
 use latchwheel_core::holding::HoldOutcomes;
+use latchwheel_core::identity::stable_hash;
 use latchwheel_core::key_acceptance::KeyAcceptance;
 use latchwheel_core::permits::LimitMargin;
 use latchwheel_core::planned_stop::StopTimes;
 use latchwheel_core::routes::{ClientLimits, Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
+use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -208,6 +210,9 @@
     /// release goes on.
     pub fn note_servers(&self, changes: &[DirectoryChange]) {
         let mut dispatcher = self.dispatcher();
+        // A version may come and leave within these changes.
+        let mut served = dispatcher.ready_software();
+        served.extend(changes.iter().filter_map(software_of));
         for change in changes {
             match change {
                 DirectoryChange::Ready(record) => dispatcher.set_one_ready(record),
@@ -219,7 +224,9 @@
                 DirectoryChange::Unconfirmed(_) => {}
             }
         }
-        self.stream_origins.observe(self.clock.now(), &dispatcher.ready_software());
+        let now = self.clock.now();
+        self.stream_origins.observe(now, &served);
+        self.stream_origins.observe(now, &dispatcher.ready_software());
         self.pool.retain(|server| dispatcher.is_ready(server));
     }
 
@@ -298,3 +305,9 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// The software of a server that accepts requests by this change, with the hash of its service.
+fn software_of(change: &DirectoryChange) -> Option<(u64, SoftwareKey)> {
+    let DirectoryChange::Ready(record) = change else { return None };
+    Some((stable_hash(record.service.as_bytes()), SoftwareKey::of(&record.service, &record.version)))
+}
--- a/crates/proxy/src/stream_origins.rs
+++ b/crates/proxy/src/stream_origins.rs
@@ -21,7 +21,7 @@
 
 /// Time in which the origin of a stream must be found.
 const SEARCH_TIME: Duration = Duration::from_millis(150);
-/// Time after which replicas that did not reply are queried again.
+/// Time after which nodes that did not reply are queried again.
 const RESEND_AFTER: Duration = Duration::from_millis(25);
 /// Pause between two checks for other nodes while none is known.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(10);
@@ -44,10 +44,10 @@
     }
 }
 
-/// A query to a replica.
+/// A query to another node.
 #[derive(Clone, Debug)]
-pub(crate) struct ReplicaQuery {
-    pub(crate) replica: NodeId,
+pub(crate) struct NodeQuery {
+    pub(crate) node: NodeId,
     pub(crate) query: v1::StreamOriginQuery,
 }
 
@@ -79,7 +79,7 @@
 pub struct StreamOrigins {
     state: Mutex<State>,
     pub(crate) new_records: Handoff<NewRecord>,
-    pub(crate) queries: Handoff<ReplicaQuery>,
+    pub(crate) queries: Handoff<NodeQuery>,
 }
 
 impl StreamOrigins {
@@ -88,6 +88,11 @@
         self.lock().history.observe(now, present);
     }
 
+    /// All changes of the servers until this time have been recorded.
+    pub fn note_complete(&self, as_of: CoreInstant) {
+        self.lock().history.note_complete(as_of);
+    }
+
     /// Sets the nodes that keep records, this one among them.
     pub(crate) fn set_nodes(&self, own: NodeId, others: &[NodeId]) {
         let mut state = self.lock();
@@ -102,6 +107,12 @@
         state.ring.replicas(stream).into_iter().filter(|replica| *replica != state.own).collect()
     }
 
+    /// Nodes other than this one and the replicas that may know which versions served.
+    fn other_observers(&self, stream: StreamKey) -> Vec<NodeId> {
+        let state = self.lock();
+        state.ring.other_observers(stream).into_iter().filter(|node| *node != state.own).collect()
+    }
+
     /// A stream began at this node, or continues here: it is recorded here and at its replicas.
     pub(crate) fn note_begun(&self, now: CoreInstant, record: NewRecord) {
         self.lock().records.record(now, record.stream, record.software, record.keep);
@@ -134,7 +145,7 @@
         }
     }
 
-    /// Takes the reply of a replica.
+    /// Takes the reply of another node.
     pub(crate) fn take_reply(&self, from: NodeId, reply: &v1::StreamOriginReply) {
         let seen = match SoftwareKey::from_number(reply.only_software) {
             _ if reply.several => VersionsSeen::Several,
@@ -148,7 +159,8 @@
         }
     }
 
-    /// Searches for the software that began a stream, at this node and at the stream's replicas.
+    /// Searches for the software that began a stream, at this node, at the stream's replicas, and
+    /// at other nodes where these don't know.
     pub(crate) async fn find<D: Dialect>(&self, shared: &Shared<D>, query: &OriginQuery) -> Origin {
         let deadline = Instant::now() + SEARCH_TIME;
         if let Some(software) = self.lock().records.software(shared.clock.now(), query.stream) {
@@ -156,12 +168,14 @@
         }
         self.await_members(deadline).await;
         let own = self.lock().known(shared.clock.now(), query.stream, &query.services, query.window);
-        let mut search = OriginSearch::new(query.quorum, own, self.other_replicas(query.stream));
+        let (replicas, others) = (self.other_replicas(query.stream), self.other_observers(query.stream));
+        let mut search = OriginSearch::new(query.quorum, own, replicas, others);
         let mut replies = Replies::new(self);
         while search.origin() == Origin::Pending && Instant::now() < deadline {
-            self.query_replicas(query, replies.number, search.waiting());
+            self.query_nodes(query, replies.number, search.waiting());
             let resend_at = deadline.min(Instant::now() + RESEND_AFTER);
-            while search.origin() == Origin::Pending {
+            let had_all_replicas = search.has_all_replicas();
+            while search.origin() == Origin::Pending && search.has_all_replicas() == had_all_replicas {
                 let Ok(Some((from, reply))) = tokio::time::timeout_at(resend_at, replies.received.recv()).await else {
                     break;
                 };
@@ -178,15 +192,15 @@
         }
     }
 
-    fn query_replicas(&self, query: &OriginQuery, number: u64, replicas: &[NodeId]) {
-        for replica in replicas {
+    fn query_nodes(&self, query: &OriginQuery, number: u64, nodes: &[NodeId]) {
+        for node in nodes {
             let query = v1::StreamOriginQuery {
                 number,
                 stream: query.stream.0,
                 services: query.services.clone(),
                 window_ms: u32::try_from(query.window.as_millis()).unwrap_or(u32::MAX),
             };
-            self.queries.put(ReplicaQuery { replica: *replica, query });
+            self.queries.put(NodeQuery { node: *node, query });
         }
     }
 
--- a/crates/proxy/tests/software_versions.rs
+++ b/crates/proxy/tests/software_versions.rs
@@ -5,8 +5,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Method, Request, Response};
-use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::directory::{DirectoryChange, ServerRecord};
+use latchwheel_core::identity::stable_hash;
 use latchwheel_core::routes::RequestKind;
+use latchwheel_core::software::SoftwareKey;
+use latchwheel_core::time::Instant as CoreInstant;
 use latchwheel_http::{empty, Client};
 use latchwheel_proxy::{exchange_shares, Peer, PeerDuties, Peers, Shared};
 use std::sync::Arc;
@@ -20,6 +23,9 @@
 /// Streams of one test, so that a server of another version would be chosen for one of them.
 const STREAMS: usize = 12;
 const LIMIT: Duration = Duration::from_secs(20);
+/// Seconds of a node's clock up to which it is told that its list of servers is complete: later
+/// than any test ends.
+const COMPLETE_UNTIL: u64 = 3600;
 
 /// A node that serves clients and exchanges messages with the others.
 struct Node {
@@ -229,3 +235,50 @@
     let answer = send(&nodes[2], "third", Some(Continued { first_request: "id", last_event: 3 })).await;
     assert_eq!((answer.status, other.seen().len()), (200, 0));
 }
+
+/// Has a node know for longer than any stream lasts that only servers of this record's version
+/// served.
+fn observe_alone(node: &Node, record: &ServerRecord) {
+    let present = [(stable_hash(record.service.as_bytes()), SoftwareKey::of(&record.service, &record.version))];
+    let origins = &node.shared.stream_origins;
+    origins.observe(CoreInstant::default(), &present);
+    (0..=COMPLETE_UNTIL).for_each(|second| origins.note_complete(CoreInstant::default() + Duration::from_secs(second)));
+}
+
+#[tokio::test]
+async fn one_node_that_saw_one_version_does_not_speak_for_nodes_that_just_started() {
+    let other = server("other").await;
+    let nodes = start_nodes(3, &[other.record_at("2")]).await;
+    observe_alone(&nodes[2], &other.record_at("2"));
+    for number in 0..STREAMS {
+        let continued = Continued { first_request: &format!("lost-{number}"), last_event: 2 };
+        let answer = send(&nodes[number % 2], &format!("again-{number}"), Some(continued)).await;
+        assert_eq!((answer.status, answer.has_retry_time), (503, true));
+    }
+    assert!(other.seen().is_empty(), "{:?}", other.seen());
+}
+
+#[tokio::test]
+async fn a_stream_continues_where_two_nodes_saw_the_only_version() {
+    let same = server("same").await;
+    let nodes = start_nodes(8, &[same.record_at("1")]).await;
+    nodes[6..].iter().for_each(|node| observe_alone(node, &same.record_at("1")));
+    for number in 0..STREAMS {
+        let continued = Continued { first_request: &format!("lost-{number}"), last_event: 2 };
+        let answer = send(&nodes[number % 6], &format!("again-{number}"), Some(continued)).await;
+        assert_eq!((answer.status, answer.whole, answer.text), (200, true, events(3..=4)));
+    }
+}
+
+#[tokio::test]
+async fn a_version_that_came_and_left_at_once_may_have_begun_a_stream() {
+    let (short, other) = (server("short").await, server("other").await);
+    let nodes = start_nodes(3, &[other.record_at("2")]).await;
+    nodes.iter().for_each(|node| observe_alone(node, &other.record_at("2")));
+    let came_and_left =
+        [DirectoryChange::Ready(short.record_at("1")), DirectoryChange::Gone(short.record_at("1").id.clone())];
+    nodes[2].shared.note_servers(&came_and_left);
+    let answer = send(&nodes[0], "again", Some(Continued { first_request: "lost", last_event: 2 })).await;
+    assert_eq!((answer.status, answer.has_retry_time), (503, true));
+    assert_eq!((short.seen().len(), other.seen().len()), (0, 0));
+}
