Follow every answer to its end during a planned stop

What callers could see: an answer over 1 MiB was broken off at the end of a stop without a line in the log, its request was not counted as in progress, and its route looked faster than it is. A request whose first attempt may have run, while a second one was still connecting at the end, was told that it had not run. A resumable stream that went silent in a stop was cut although it could have gone on.

Cause: the end of an answer was logged, timed and counted in three places, one of them at its first MiB. What may have run was counted by the attempts in progress only. The limit of a stop held for further attempts of a request as for its first.

Now one record of an answer logs its end and notes its time, from the sending of the attempt that brought it. An attempt counts as one that may have run until it is certain that it did not. The limit holds for requests that can't have run yet; others go on elsewhere. A leaving process begins no second attempts, a stream between two servers ends with the process, and a server is not blamed for attempts that the end of the process breaks off.

--- a/crates/clock/src/planned_stop.rs
+++ b/crates/clock/src/planned_stop.rs
@@ -59,7 +59,8 @@
         }
     }
 
-    fn times(&self) -> Option<StopTimes> {
+    /// Its times, once it has begun.
+    pub fn times(&self) -> Option<StopTimes> {
         *self.times.borrow()
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -231,7 +231,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(fault)) => return Err(self.broken(&fault, outgoing)),
             Err(_) => {
-                self.ending = Ending::Unresponsive;
+                self.ending = self.ending_out_of_time(Ending::Unresponsive);
                 return Err(self.attempt_end(AttemptFailure::MayHaveRun, "no_answer"));
             }
         };
@@ -240,9 +240,26 @@
 
     /// The end of this attempt without an answer for the caller.
     pub(crate) fn attempt_end(&self, failure: AttemptFailure, reason: &'static str) -> AttemptEnd {
+        if let (Some(attempt), AttemptFailure::NotSent | AttemptFailure::NotRun) = (&self.in_flight, failure) {
+            attempt.note_not_run();
+        }
         AttemptEnd { failure, reason, connection: self.connection_use }
     }
 
+    /// How an attempt ends whose time is over: a server is not to blame for the end of the process.
+    pub(crate) fn ending_out_of_time(&self, of_server: Ending) -> Ending {
+        if self.shared.are_answers_due() {
+            Ending::Withdrawn
+        } else {
+            of_server
+        }
+    }
+
+    /// When its place at the server was reserved.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// What is held of the memory for answers, nothing yet.
     pub fn answer_share(&self) -> AnswerShare {
         self.shared.answers.share()
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::accept::{accept, OTHER_NODE_COME_BACK};
 use crate::answer::{error_answer, DEFAULT_RETRY_AFTER};
 use crate::answer_head::strip_connection;
+use crate::answer_log::AnswerLog;
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange, Outgoing};
 use crate::in_flight::{InFlight, LastSent};
@@ -15,10 +16,9 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, Response};
-use latchwheel_core::answer_end::Framing;
 use latchwheel_core::attempts::{AttemptFailure, Attempts, NextStep};
 use latchwheel_core::code::ResultCode;
-use latchwheel_core::dispatch::{Placement, RouteKey};
+use latchwheel_core::dispatch::Placement;
 use latchwheel_core::routes::{RequestKind, Route};
 use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::stream_origins::StreamKey;
@@ -90,7 +90,7 @@
         tokio::select! {
             biased;
             answer = &mut answering => Ok(answer),
-            () = shared.answers_due() => Err(in_flight.in_progress()),
+            () = shared.answers_due() => Err(in_flight.may_have_run()),
         }
     };
     departure.arrived();
@@ -194,7 +194,7 @@
         }
     }
 
-    /// The answer where the process ends before there is one; `attempt` is in progress.
+    /// The answer where the process ends before there is one; `attempt` may have run.
     fn end_unanswered(&mut self, attempt: Option<LastSent>) -> Response<Body> {
         if let Some(LastSent { server, at }) = attempt {
             let failure = AttemptFailure::MayHaveRun;
@@ -218,10 +218,11 @@
     /// Sends the request to one more server. `Err(None)` means that another
     /// attempt may follow, `Err(Some)` is the final answer.
     pub(crate) async fn attempt(&mut self, last_event: Option<u64>) -> Result<Started<D>, Option<Response<Body>>> {
-        let placement = match last_event {
-            None => self.place_before_too_late().await,
-            // It is better continued for a while than broken off at once.
-            Some(_) => self.place_unless_suspected().await,
+        // Where an attempt may have run, another one is better than the end of the answer.
+        let goes_on = last_event.is_some() || self.attempts.may_have_run();
+        let placement = match goes_on {
+            false => self.place_before_too_late().await,
+            true => self.place_unless_suspected().await,
         };
         let placement = placement.map_err(Some)?;
         let left = self.left();
@@ -311,16 +312,18 @@
         emit(&self.id, &event);
     }
 
-    pub(crate) fn log_answered(&self, status: u16, first_piece_ms: u64, framing: Framing) {
-        let now = self.shared.clock.now();
-        if let Some(sent_at) = self.outgoing.in_flight.last_sent_at() {
-            self.shared.stop.answer_times().note(now, RouteKey::of(&self.route.name), now.since(sent_at));
+    /// An answer of this exchange, as it is logged.
+    pub(crate) fn answer_log(&self, exchange: &Exchange<D>, status: u16, first_piece_ms: u64) -> AnswerLog {
+        AnswerLog {
+            id: self.id.clone(),
+            route: self.route.clone(),
+            received: self.received,
+            sent_at: exchange.sent_at(),
+            status,
+            first_piece_ms,
+            attempts: self.attempts.made() + 1,
+            framing: exchange.framing(),
         }
-        let total_ms = now.since(self.received).as_millis() as u64;
-        let attempts = self.attempts.made() + 1;
-        let (id, route) = (&self.id, &self.route.name);
-        let framing = framing.as_str();
-        emit(id, &Event::RequestAnswered { id, route, status, total_ms, first_piece_ms, attempts, framing });
     }
 }
 
--- a/crates/proxy/src/in_flight.rs
+++ b/crates/proxy/src/in_flight.rs
@@ -14,11 +14,14 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Attempts in progress.
     attempts: usize,
+    /// Attempts that were sent, but for those of which it is certain that they did not run.
+    may_have_run: usize,
     last: Option<LastSent>,
 }
 
-/// Counts the attempts of one request that were sent and have not ended.
+/// Counts the attempts of one request that were sent.
 #[derive(Clone, Debug, Default)]
 pub struct InFlight(Arc<Mutex<State>>);
 
@@ -27,6 +30,7 @@
     pub(crate) fn begin(&self, server: &Arc<str>, now: Instant) -> InFlightAttempt {
         let mut state = self.lock();
         state.attempts += 1;
+        state.may_have_run += 1;
         state.last = Some(LastSent { server: server.clone(), at: now });
         InFlightAttempt(self.clone())
     }
@@ -37,9 +41,10 @@
         state.last.clone().filter(|_| state.attempts > 0)
     }
 
-    /// When the request was sent last.
-    pub(crate) fn last_sent_at(&self) -> Option<Instant> {
-        self.lock().last.as_ref().map(|last| last.at)
+    /// The attempt that was sent last, if any of those that were sent may have run.
+    pub(crate) fn may_have_run(&self) -> Option<LastSent> {
+        let state = self.lock();
+        state.last.clone().filter(|_| state.may_have_run > 0)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -51,6 +56,13 @@
 #[derive(Debug)]
 pub(crate) struct InFlightAttempt(InFlight);
 
+impl InFlightAttempt {
+    /// It is certain that the attempt did not run. To be called once.
+    pub(crate) fn note_not_run(&self) {
+        self.0.lock().may_have_run -= 1;
+    }
+}
+
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
         self.0.lock().attempts -= 1;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod ambiguity;
 mod answer;
 mod answer_head;
+mod answer_log;
 mod caller;
 mod claims;
 mod continued;
--- a/crates/proxy/src/planned_stop.rs
+++ b/crates/proxy/src/planned_stop.rs
@@ -6,55 +6,28 @@
 use crate::dialect::Dialect;
 use crate::shared::Shared;
 use latchwheel_core::dispatch::RouteKey;
-use latchwheel_core::planned_stop::{AnswerTimes, SendLimit, StopTimes, StoppingRequest};
+use latchwheel_core::planned_stop::{AnswerTimes, SendLimit, StoppingRequest};
 use latchwheel_core::routes::Route;
 use latchwheel_core::time::Instant;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::watch;
 
 /// What is logged of an answer that is broken off because the process ends.
 pub(crate) const PROCESS_ENDS: &str = "process_ends";
 
-/// The planned stop of a process, once one has begun.
-#[derive(Debug, Default)]
-pub(crate) struct PlannedStop {
-    times: watch::Sender<Option<StopTimes>>,
-    answer_times: Mutex<AnswerTimes>,
-}
-
 /// The process could not answer the request before it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooLate;
 
-impl PlannedStop {
-    pub(crate) fn begin(&self, times: StopTimes) {
-        self.times.send_replace(Some(times));
-    }
-
+impl<D: Dialect> Shared<D> {
+    /// Times of the answers of the routes.
     pub(crate) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
         self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn times(&self) -> Option<StopTimes> {
-        *self.times.borrow()
-    }
-
-    /// Completes when a stop has begun.
-    async fn begun(&self) -> StopTimes {
-        let mut times = self.times.subscribe();
-        match times.wait_for(Option::is_some).await.map(|times| *times) {
-            Ok(Some(times)) => times,
-            // The sender lives as long as the process.
-            Ok(None) | Err(_) => std::future::pending().await,
-        }
-    }
-}
-
-impl<D: Dialect> Shared<D> {
     /// The end of the time that a request has, at a process that may stop before.
     pub(crate) fn answered_until(&self, until: Instant) -> Instant {
         self.stop.times().map_or(until, |times| until.min(times.last_answer))
@@ -81,7 +54,7 @@
     /// more because the process stops.
     async fn too_late(&self, route: &Route, until: Instant) {
         let times = self.stop.begun().await;
-        let longest_answer = self.stop.answer_times().longest(RouteKey::of(&route.name));
+        let longest_answer = self.answer_times().longest(RouteKey::of(&route.name));
         match times.send_limit(&StoppingRequest { kind: route.kind, until, longest_answer }) {
             SendLimit::OwnTime => std::future::pending().await,
             SendLimit::Until(time) => sleep(time.since(self.clock.now())).await,
@@ -114,8 +87,7 @@
 
     /// Completes when everything in progress has to be answered because the process ends.
     pub(crate) async fn answers_due(&self) {
-        let times = self.stop.begun().await;
-        sleep(times.last_answer.since(self.clock.now())).await;
+        self.stop.answers_due().await;
     }
 }
 
--- a/crates/proxy/src/second_attempt.rs
+++ b/crates/proxy/src/second_attempt.rs
@@ -298,10 +298,11 @@
     }
 
     /// Whether a second attempt is paid for and may run: not of a request whose shape is
-    /// suspected of ending servers, and not where slots are scarce.
+    /// suspected of ending servers, not where slots are scarce, and not at a process that leaves.
     fn may_send_second(&self) -> bool {
         let now = self.shared.clock.now();
-        self.shared.second_attempts().has_budget()
+        !self.shared.is_leaving()
+            && self.shared.second_attempts().has_budget()
             && !self.shared.is_suspected(&self.outgoing)
             && !self.shared.own_claims.has_claims(&self.service)
             && !self.shared.dispatcher().is_overloaded(now, &self.service)
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,12 +8,12 @@
 use crate::own_claims::OwnClaims;
 use crate::permits::Permits;
 use crate::placements::Placements;
-use crate::planned_stop::PlannedStop;
 use crate::pool::Pool;
 use crate::start::Start;
 use crate::stream_origins::StreamOrigins;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::Response;
+use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_clock::Clock;
 use latchwheel_core::directory::DirectoryChange;
 use latchwheel_core::dispatch::{Dispatcher, ServerKey};
@@ -21,7 +21,7 @@
 use latchwheel_core::identity::stable_hash;
 use latchwheel_core::key_acceptance::KeyAcceptance;
 use latchwheel_core::permits::LimitMargin;
-use latchwheel_core::planned_stop::StopTimes;
+use latchwheel_core::planned_stop::{AnswerTimes, StopTimes};
 use latchwheel_core::routes::{ClientLimits, Route, RoutingTable, WeightedRoundRobin};
 use latchwheel_core::second_attempt::SecondAttempts;
 use latchwheel_core::software::SoftwareKey;
@@ -76,7 +76,9 @@
     newest_table: AtomicU64,
     newer_table: Notify,
     leaving: AtomicBool,
-    pub(crate) stop: PlannedStop,
+    /// The planned stop of the process.
+    pub(crate) stop: Arc<PlannedStop>,
+    pub(crate) answer_times: Mutex<AnswerTimes>,
     ended: AtomicBool,
     in_progress: AtomicUsize,
     sent: AtomicU64,
@@ -122,7 +124,8 @@
             newest_table: AtomicU64::new(0),
             newer_table: Notify::new(),
             leaving: AtomicBool::new(false),
-            stop: PlannedStop::default(),
+            stop: PlannedStop::new(clock),
+            answer_times: Mutex::default(),
             ended: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sent: AtomicU64::new(0),
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -6,9 +6,10 @@
 //! software continues after the last event. The client receives one answer, with the head of
 //! the first server.
 
+use crate::answer_log::AnswerLog;
 use crate::dialect::Dialect;
 use crate::exchange::{AttemptEnd, Exchange};
-use crate::forward::{log_dropped, Context};
+use crate::forward::Context;
 use crate::planned_stop::{AnswersDue, PROCESS_ENDS};
 use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
@@ -23,7 +24,6 @@
 use latchwheel_core::event_stream::EventFramer;
 use latchwheel_core::routes::RequestKind;
 use latchwheel_core::time::Instant;
-use latchwheel_events::{emit, Event};
 use latchwheel_http::{AnswerShare, Body};
 use std::time::Duration;
 
@@ -48,7 +48,8 @@
     framing: Framing,
     /// What came of the events of the present attempt; `None` if its answer has none.
     progress: Option<StreamProgress>,
-    status: u16,
+    /// The answer as its first server began it.
+    log: AnswerLog,
     resumable: bool,
     framer: EventFramer,
     /// What is held for the event that is not passed on yet.
@@ -81,13 +82,14 @@
     ) -> Self {
         let answers_due = AnswersDue::new(context.shared.clone());
         let share = context.shared.answers.share();
+        let log = context.answer_log(&exchange, status, 0);
         Self {
             context,
             framing: exchange.framing(),
             progress: progress_of(&exchange, resumable),
             exchange: Some(exchange),
             incoming,
-            status,
+            log,
             resumable,
             framer: EventFramer::default(),
             share,
@@ -217,7 +219,9 @@
         }
         let first = self.first_piece.unwrap_or(self.context.received);
         let first_piece_ms = first.since(self.context.received).as_millis() as u64;
-        self.context.log_answered(self.status, first_piece_ms, self.framing);
+        let (attempts, framing) = (self.context.attempts.made() + 1, self.framing);
+        let log = AnswerLog { first_piece_ms, attempts, framing, ..self.log.clone() };
+        log.complete(&self.context.shared);
     }
 
     /// Continues at another server; `false` if the answer has to be broken off.
@@ -234,17 +238,20 @@
             exchange.fail(ending);
         }
         self.framer.reset();
-        if self.resumable && !self.context.left().is_zero() && self.ask_another(&server, &end).await {
+        if self.resumable && !self.context.left().is_zero() && self.ask_another_until_due(&server, &end).await {
             return true;
         }
         self.ended = true;
-        let after_ms = self.context.shared.clock.now().since(self.context.received).as_millis() as u64;
-        let framing = self.framing.as_str();
-        let event = Event::AnswerCut { id: &self.context.id, server: &server, reason, framing, after_ms };
-        emit(&self.context.id, &event);
+        let log = AnswerLog { framing: self.framing, ..self.log.clone() };
+        log.cut(&self.context.shared, &server, reason);
         false
     }
 
+    async fn ask_another_until_due(&mut self, server: &str, end: &AttemptEnd) -> bool {
+        let shared = self.context.shared.clone();
+        shared.before_answers_due(self.ask_another(server, end)).await.unwrap_or(false)
+    }
+
     async fn ask_another(&mut self, server: &str, end: &AttemptEnd) -> bool {
         let now = self.context.shared.clock.now();
         if self.context.failed(server, now, end).is_some() {
@@ -295,8 +302,7 @@
         if self.ended {
             return;
         }
-        let Context { shared, id, route, received, outgoing, .. } = &self.context;
-        log_dropped(shared, id, &route.name, *received, outgoing.in_flight.in_progress());
+        self.log.dropped(&self.context.shared, &self.context.outgoing.in_flight);
     }
 }
 
--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -1,11 +1,12 @@
 //! Answers that are read whole before their head is passed on.
 
 use crate::answer_head::strip_connection;
+use crate::answer_log::AnswerLog;
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Outgoing};
 use crate::forward::Context;
 use crate::planned_stop::{AnswersDue, PROCESS_ENDS};
-use crate::shared::Shared;
+use crate::shared::{InProgress, Shared};
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
@@ -21,6 +22,8 @@
 
 /// Why an answer is broken off whose request has no time left.
 pub(crate) const TIME_IS_OVER: &str = "time_is_over";
+/// What is logged of an answer whose server broke off.
+const ANSWER_BROKE: &str = "answer_broke";
 /// Answers up to this length are read whole before their head is passed on,
 /// so that a broken one can be asked for again.
 const WHOLE_ANSWER_LIMIT: usize = 1 << 20;
@@ -37,7 +40,6 @@
         exchange.note_piece();
         let first_piece_ms = self.shared.clock.now().since(self.received).as_millis() as u64;
         let sent_at = self.shared.clock.now();
-        let framing = exchange.framing();
         let mut progress = exchange.stream_progress(false);
         let mut whole = Kept::new(self.shared.answers.share());
         let read = tokio::time::timeout(self.left(), read_whole(&mut incoming, &mut whole, &mut progress)).await;
@@ -48,18 +50,28 @@
         match read {
             Ok(WholeRead::Whole) => {
                 exchange.note_served(&self.outgoing);
+                self.answer_log(&exchange, head.status.as_u16(), first_piece_ms).complete(&self.shared);
                 exchange.finish();
-                self.log_answered(head.status.as_u16(), first_piece_ms, framing);
                 Ok(Response::from_parts(head, full(whole.into_bytes())))
             }
             Ok(WholeRead::NotKept) => {
-                self.log_answered(head.status.as_u16(), first_piece_ms, framing);
+                let log = self.answer_log(&exchange, head.status.as_u16(), first_piece_ms);
                 if progress.is_some() {
                     head.headers.remove(CONTENT_LENGTH);
                 }
                 let (shared, outgoing, until) = (self.shared.clone(), self.outgoing.clone(), self.until);
-                let answers_due = AnswersDue::new(shared.clone());
-                let rest = LongAnswer { outgoing, exchange, progress, shared, until, answers_due };
+                let (answers_due, guard) = (AnswersDue::new(shared.clone()), shared.enter());
+                let rest = LongAnswer {
+                    outgoing,
+                    exchange,
+                    progress,
+                    shared,
+                    until,
+                    log,
+                    has_ended: false,
+                    answers_due,
+                    _guard: guard,
+                };
                 Ok(Response::from_parts(head, rest.body(whole.into_bytes(), incoming)))
             }
             Ok(WholeRead::Broken) | Err(_) => {
@@ -69,8 +81,9 @@
                     failure = AttemptFailure::Lost;
                 }
                 let server = exchange.server().clone();
-                let end = exchange.attempt_end(failure, "answer_broke");
-                exchange.fail(Ending::Broken);
+                let end = exchange.attempt_end(failure, ANSWER_BROKE);
+                let ending = if read.is_ok() { Ending::Broken } else { exchange.ending_out_of_time(Ending::Broken) };
+                exchange.fail(ending);
                 Err(self.failed(&server, sent_at, &end))
             }
         }
@@ -137,7 +150,19 @@
     shared: Arc<Shared<D>>,
     /// End of the time that the request has.
     until: Instant,
+    log: AnswerLog,
+    /// Its end was logged.
+    has_ended: bool,
     answers_due: AnswersDue,
+    _guard: InProgress<D>,
+}
+
+impl<D: Dialect> Drop for LongAnswer<D> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.log.dropped(&self.shared, &self.outgoing.in_flight);
+        }
+    }
 }
 
 impl<D: Dialect> LongAnswer<D> {
@@ -155,35 +180,49 @@
 
     /// The next frame; `None` at the end of a complete answer.
     async fn next(&mut self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, BoxError>> {
-        let left = self.shared.answered_until(self.until).since(self.shared.clock.now());
-        if left.is_zero() {
-            return Some(Err(TIME_IS_OVER.into()));
+        match self.next_piece(rest).await {
+            Ok(Some(frame)) => Some(Ok(frame)),
+            Ok(None) => {
+                self.has_ended = true;
+                self.log.complete(&self.shared);
+                None
+            }
+            Err(reason) => {
+                self.has_ended = true;
+                self.log.cut(&self.shared, self.exchange.server(), reason);
+                Some(Err(reason.into()))
+            }
         }
+    }
+
+    /// The same, or why the answer is broken off.
+    async fn next_piece(&mut self, rest: &mut Incoming) -> Result<Option<Frame<Bytes>>, &'static str> {
+        let left = self.shared.answered_until(self.until).since(self.shared.clock.now());
         let next = tokio::time::timeout(left, rest.frame());
         let next = tokio::select! {
             biased;
             next = next => next,
-            () = &mut self.answers_due => return Some(Err(PROCESS_ENDS.into())),
-        };
-        let Ok(frame) = next else {
-            return Some(Err(TIME_IS_OVER.into()));
+            () = &mut self.answers_due => return Err(PROCESS_ENDS),
         };
-        match frame {
+        let out_of_time = if self.shared.are_answers_due() { PROCESS_ENDS } else { TIME_IS_OVER };
+        match next.map_err(|_| out_of_time)? {
             Some(Ok(frame)) => {
                 if let (Some(progress), Some(data)) = (&mut self.progress, frame.data_ref()) {
                     progress.push(data);
                 }
-                Some(Ok(frame))
+                Ok(Some(frame))
             }
-            Some(Err(error)) => {
+            Some(Err(_)) => {
                 self.exchange.note_connection_lost(&self.outgoing);
-                Some(Err(error.into()))
-            }
-            None => {
-                let reason = self.exchange.cut_reason(self.progress).await?;
-                self.exchange.note_connection_lost(&self.outgoing);
-                Some(Err(reason.into()))
+                Err(ANSWER_BROKE)
             }
+            None => match self.exchange.cut_reason(self.progress).await {
+                None => Ok(None),
+                Some(reason) => {
+                    self.exchange.note_connection_lost(&self.outgoing);
+                    Err(reason)
+                }
+            },
         }
     }
 }
