Tests of planned stops: look at what was in progress, and ask for answers

The tests counted requests that were sent after SIGTERM only, and would have passed for a front that ends at once or refuses everything.

--- a/crates/proxy/tests/planned_stop.rs
+++ b/crates/proxy/tests/planned_stop.rs
@@ -9,6 +9,7 @@
 use latchwheel_proxy::Shared;
 use std::sync::Arc;
 use std::time::Duration;
+use support::endless::{Endless, EndlessServer};
 use support::{node, route, serve_node, stop_times, Act, TestDialect, TestServer, HOST};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -177,3 +178,26 @@
     assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("3004"), "{answer}");
     assert_eq!(node.server.seen().len(), 0);
 }
+
+/// An answer that is passed on before it is whole.
+#[tokio::test]
+async fn a_long_answer_is_in_progress_until_it_is_broken_off_at_the_end() {
+    let server = EndlessServer::start("server", Endless::Chunks).await;
+    let shared = node(route(RequestKind::Idempotent, 1), &[]);
+    shared.dispatcher().set_ready([&server.record()].into_iter());
+    let (address, _stop) = serve_node(&shared).await;
+    let mut caller = TcpStream::connect(&address).await.unwrap();
+    let head = format!("POST /path/a HTTP/1.1\r\nhost: {HOST}\r\nt-id: 1\r\ncontent-length: 0\r\n\r\n");
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let mut start = [0; 12];
+    caller.read_exact(&mut start).await.unwrap();
+    assert_eq!(&start, b"HTTP/1.1 200");
+    assert_eq!(shared.in_progress(), 1);
+    shared.leave(stop_times(&shared, NONE, NONE));
+    let mut rest = Vec::new();
+    let _ = caller.read_to_end(&mut rest).await;
+    assert!(!rest.ends_with(b"0\r\n\r\n"), "it looks complete");
+    while shared.in_progress() > 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
