Check the time of a long answer before its next piece is read

What callers saw: an answer without end, from a server that sends faster than its caller reads, went on beyond the time of its request and beyond the end of a planned stop.

Cause: the check of the time before each piece was taken out together with the move to the times of a planned stop. What stayed was a timeout around the next piece, and a timeout looks at its timer only while the piece isn't ready: a server that sends without a pause always has one ready.

--- a/crates/proxy/src/whole_answer.rs
+++ b/crates/proxy/src/whole_answer.rs
@@ -195,17 +195,29 @@
         }
     }
 
-    /// The same, or why the answer is broken off.
+    /// Why an answer is broken off that the request or the process has no time left for.
+    fn out_of_time(&self) -> &'static str {
+        if self.shared.are_answers_due() {
+            PROCESS_ENDS
+        } else {
+            TIME_IS_OVER
+        }
+    }
+
+    /// The next frame, or why the answer is broken off.
     async fn next_piece(&mut self, rest: &mut Incoming) -> Result<Option<Frame<Bytes>>, &'static str> {
         let left = self.shared.answered_until(self.until).since(self.shared.clock.now());
+        if left.is_zero() {
+            // A frame that is ready would go before the timeout.
+            return Err(self.out_of_time());
+        }
         let next = tokio::time::timeout(left, rest.frame());
         let next = tokio::select! {
             biased;
             next = next => next,
             () = &mut self.answers_due => return Err(PROCESS_ENDS),
         };
-        let out_of_time = if self.shared.are_answers_due() { PROCESS_ENDS } else { TIME_IS_OVER };
-        match next.map_err(|_| out_of_time)? {
+        match next.map_err(|_| self.out_of_time())? {
             Some(Ok(frame)) => {
                 if let (Some(progress), Some(data)) = (&mut self.progress, frame.data_ref()) {
                     progress.push(data);
