--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod expectation;
 mod failure_rate;
 mod heartbeats;
+mod own_reservations;
 mod peers;
 mod preferred_workers;
 mod queues;
--- a/crates/core/src/dispatch/peers.rs
+++ b/crates/core/src/dispatch/peers.rs
@@ -7,11 +7,12 @@
 //! In large clusters, nodes don't report to all others: they report to the aggregators, which
 //! return the sum over all nodes.
 
+use super::own_reservations::OwnReservations;
 use super::queues::{PeerQueues, RouteKey, RouteQueue};
 use super::slowdown::SpeedUpdate;
 use crate::identity::{stable_hash, HashKeyMap, NodeId};
 use crate::time::Instant;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Time after which a report is ignored.
@@ -201,21 +202,13 @@
     /// Sums over the reports, by server.
     totals: HashMap<ServerKey, Total>,
     last_at: Instant,
-    /// Servers that this node, as a tracker, reserved for requests of its own that it has not
-    /// sent yet.
-    own_reserved: VecDeque<OwnReservation>,
+    own_reservations: OwnReservations,
     expired_at: Instant,
     /// Parts of the last sum; empty if this node requests none.
     sum: Vec<Option<SumPart>>,
     queues: PeerQueues,
 }
 
-#[derive(Debug)]
-struct OwnReservation {
-    at: Instant,
-    share: ServerShare,
-}
-
 impl PeerReports {
     /// Records a report, unless a later one of the same node is present.
     pub(super) fn note(&mut self, now: Instant, from: NodeId, sequence: u64, reported: NodeShares) {
@@ -278,16 +271,14 @@
     pub(super) fn note_own_reserved(&mut self, now: Instant, own: NodeId, reserved: ServerShare) {
         self.last_at = now;
         self.totals.entry(reserved.server).or_default().add(own.0, now, &reserved);
-        self.own_reserved.push_back(OwnReservation { at: now, share: reserved });
+        self.own_reservations.add(now, reserved);
         self.expire_if_due(now);
     }
 
     /// This node sent a request to a server: from now on it counts among the node's own.
     pub(super) fn note_own_sent(&mut self, server: ServerKey) {
-        // The newest one: a reservation that is never used grows old and expires.
-        let sent = self.own_reserved.iter().rposition(|reservation| reservation.share.server == server);
-        if let Some(reservation) = sent.and_then(|position| self.own_reserved.remove(position)) {
-            self.release(&reservation.share);
+        if let Some(reserved) = self.own_reservations.take_newest(server) {
+            self.release(&reserved);
         }
     }
 
@@ -339,10 +330,8 @@
     /// Removes expired reports, and reservations of this node that it has not used.
     fn expire(&mut self, now: Instant) {
         self.expired_at = now;
-        while self.own_reserved.front().is_some_and(|reservation| now.since(reservation.at) >= REPORT_TTL) {
-            if let Some(reservation) = self.own_reserved.pop_front() {
-                self.release(&reservation.share);
-            }
+        while let Some(unused) = self.own_reservations.take_unused(now, REPORT_TTL) {
+            self.release(&unused);
         }
         let old = |report: &Report| now.since(report.at) >= REPORT_TTL;
         let nodes: Vec<u64> = self.reports.iter().filter(|(_, report)| old(report)).map(|(node, _)| *node).collect();
