Release a tracker's reservation only for a request that it was made for

What callers saw: a tracker took a server for free that was full for the moment, so that a request waited there although another server had a free slot.

Cause: whatever a tracker sent to a server ended a reservation there, also a request that was placed by the node's own estimates, while the request of the reservation was still to come.

A placement now tells whether a tracker reserved it, and only such a one ends a reservation.

Evidence: core/tests/trackers.rs, a_request_placed_by_estimates_does_not_use_up_the_reservation_of_another_one failed before (a third request got a place at a server with two slots); 15 of 15 pass.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -113,6 +113,8 @@
     pub deferrable: bool,
     /// Whether a deferrable run at the server has to be preempted for the request.
     pub preempts: bool,
+    /// Whether a tracker reserved the server for the request.
+    pub by_tracker: bool,
 }
 
 /// Outcome of an attempt to run a request at a server.
@@ -202,6 +204,7 @@
                     load: view.load(),
                     deferrable: query.deferrable,
                     preempts: !query.deferrable && view.preempts(),
+                    by_tracker: false,
                 };
                 best = Some((cost_seconds, order, placement));
             }
@@ -240,6 +243,7 @@
             deferrable,
             // The tracker has requested the preemption.
             preempts: false,
+            by_tracker: true,
         })
     }
 
@@ -248,7 +252,9 @@
         if let Some(server) = self.servers.get_mut(&placement.server) {
             server.note_sent(now, prompt, placement);
             self.tracked.note_change(server.key);
-            self.peers.note_own_sent(server.key);
+            if placement.by_tracker {
+                self.peers.note_own_sent(server.key);
+            }
         }
     }
 
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -154,6 +154,7 @@
             load: 0.0,
             deferrable: false,
             preempts: false,
+            by_tracker: false,
         };
         dispatcher.note_sent(at(0), &placement, &empty);
     }
@@ -223,6 +224,7 @@
         load: 0.0,
         deferrable: false,
         preempts: false,
+        by_tracker: false,
     };
     for ending in [Ending::Broken, Ending::Answered, Ending::Broken, Ending::Answered] {
         dispatcher.note_sent(at(0), &placement, &empty);
@@ -266,6 +268,7 @@
         load: 0.0,
         deferrable: false,
         preempts: false,
+        by_tracker: false,
     };
     dispatcher.note_sent(at(1), &placement, &empty);
     // The other server has the higher load.
--- a/crates/core/tests/trackers.rs
+++ b/crates/core/tests/trackers.rs
@@ -115,8 +115,13 @@
     assert_eq!(server_of(&tracker.reserve_server(at(3000), &query(&prompt))), server);
 }
 
-/// The place at the only server.
-fn only_place(tracker: &mut Dispatcher, now: Instant) -> Placement {
+/// The place at the only server, as a tracker reserved it.
+fn reserved_place(tracker: &Dispatcher, now: Instant) -> Placement {
+    tracker.place_at(now, ServerKey::of("server-0"), 0, Duration::ZERO, false).unwrap()
+}
+
+/// The place at the only server by the node's own estimates.
+fn estimated_place(tracker: &Dispatcher, now: Instant) -> Placement {
     let prompt = Prompt::default();
     let ask = PlacementQuery {
         service: SERVICE,
@@ -137,7 +142,7 @@
 fn requests_of_the_tracker_itself_count_once() {
     let mut tracker = tracker(1, 2);
     let prompt = Prompt::default();
-    let placement = only_place(&mut tracker, at(0));
+    let placement = reserved_place(&tracker, at(0));
     let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
     for time in 0..100 {
         for _ in 0..2 {
@@ -164,6 +169,18 @@
     assert!(matches!(tracker.reserve_server(at(1), &query(&prompt)), TrackerReply::Full(_)));
 }
 
+#[test]
+fn a_request_placed_by_estimates_does_not_use_up_the_reservation_of_another_one() {
+    let mut tracker = tracker(1, 2);
+    let prompt = Prompt::default();
+    let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
+    assert!(matches!(tracker.reserve_server(at(0), &own), TrackerReply::Send { .. }));
+    let estimated = estimated_place(&tracker, at(0));
+    tracker.note_sent(at(0), &estimated, &prompt);
+    let third = tracker.reserve_server(at(1), &own);
+    assert!(matches!(third, TrackerReply::Full(_)), "{third:?}");
+}
+
 /// A place that was given and never used, by the tracker itself or by a node that is gone, while
 /// the tracker goes on with requests of its own and nobody else reports.
 #[test]
@@ -171,7 +188,7 @@
     for from in [TRACKER, FRONT] {
         let mut tracker = tracker(1, 2);
         let prompt = Prompt::default();
-        let placement = only_place(&mut tracker, at(0));
+        let placement = reserved_place(&tracker, at(0));
         let own = TrackerQuery { from: TRACKER, ..query(&prompt) };
         let unused = tracker.reserve_server(at(0), &TrackerQuery { from, ..query(&prompt) });
         assert!(matches!(unused, TrackerReply::Send { .. }));
