Close clients' connections in stages, so that no answer is lost to a reset

What callers saw: during a planned stop, and after a change of the operator's limits, a client that sent its next request before it had taken an answer lost the rest of that answer: 12,142 of 1,000,000 bytes came, then a reset. The log told the request as answered.

Cause: a connection was closed as soon as the system had the whole answer. Whatever the client sends then meets a closed socket, and the system answers with a reset, which drops what the client has not taken (RFC 9112, section 9.6).

Only the writing is ended now; the connection is read on, and what comes is dropped, until the client closes or 5 s after the last bytes that were written. A stop that ends before bounds it, and such a connection can be evicted as any idle one.

--- a/crates/http/src/client_stream.rs
+++ b/crates/http/src/client_stream.rs
@@ -1,4 +1,5 @@
-//! A client's connection that is closed when a head does not end in time.
+//! A client's connection that is closed when a head does not end in time, and in stages after an
+//! answer.
 
 use crate::client_guard::ConnectionHold;
 use crate::reset_stream::ResetStream;
@@ -7,10 +8,17 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{sleep, Sleep};
+use tokio::time::{sleep, sleep_until, Instant, Sleep};
+
+/// Time after the last bytes of an answer for which a connection is read on before it is closed:
+/// the system resets a connection that is closed while bytes of the peer are unread or come
+/// later, and the peer loses what it has not taken of the answer (RFC 9112, section 9.6).
+const LINGER_TIME: Duration = Duration::from_secs(5);
+/// Bytes that are read and dropped at a time.
+const DROPPED_BYTES: usize = 1 << 10;
 
 /// Counts the reads of a connection, to tell requests that were sent ahead: those for which
 /// nothing was read since the one before.
@@ -43,11 +51,24 @@
     /// Requests that had begun when the head did: with one more, it has ended.
     requests_before: usize,
     reads: Reads,
+    /// When bytes were last written.
+    written_at: Option<Instant>,
+    /// End of the time for which a connection is read on after the end of its writing.
+    linger_deadline: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
     pub(crate) fn new(stream: ResetStream, hold: Arc<ConnectionHold>, head_timeout: Option<Duration>) -> Self {
-        Self { stream, hold, head_timeout, head_deadline: None, requests_before: 0, reads: Reads::default() }
+        Self {
+            stream,
+            hold,
+            head_timeout,
+            head_deadline: None,
+            requests_before: 0,
+            reads: Reads::default(),
+            written_at: None,
+            linger_deadline: None,
+        }
     }
 
     pub(crate) fn reads(&self) -> Reads {
@@ -58,6 +79,32 @@
         Pin::new(&mut self.get_mut().stream)
     }
 
+    fn note_written(&mut self, written: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.written_at = Some(Instant::now());
+        }
+        written
+    }
+
+    /// Drops what the peer sends until it closes the connection or has had time to take the
+    /// answer.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(written_at) = self.written_at else { return Poll::Ready(()) };
+        let deadline = self.linger_deadline.get_or_insert_with(|| Box::pin(sleep_until(written_at + LINGER_TIME)));
+        // Looked at first: a peer that sends without a pause would go before it.
+        if deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut dropped = [0; DROPPED_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut dropped);
+            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {}
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
     /// Whether the time for a head is over.
     fn is_head_late(&mut self, context: &mut Context<'_>) -> bool {
         let Some(deadline) = &mut self.head_deadline else { return false };
@@ -91,7 +138,9 @@
 
 impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        self.inner().poll_write(context, bytes)
+        let stream = self.get_mut();
+        let written = Pin::new(&mut stream.stream).poll_write(context, bytes);
+        stream.note_written(written)
     }
 
     fn poll_write_vectored(
@@ -99,7 +148,9 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.inner().poll_write_vectored(context, parts)
+        let stream = self.get_mut();
+        let written = Pin::new(&mut stream.stream).poll_write_vectored(context, parts);
+        stream.note_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -111,6 +162,8 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        self.inner().poll_shutdown(context)
+        let stream = self.get_mut();
+        ready!(Pin::new(&mut stream.stream).poll_shutdown(context))?;
+        stream.poll_linger(context).map(Ok)
     }
 }
