Say when to come back in a 408 of the node's own

Callers whose body was too slow got 408 (code 2004, not run) without retry-after. Cause: error_answer wrote it for 429 and 503 only, although the refusal had a time. 408 promises as well that the request has not run.

Before: a_caller_whose_body_was_too_slow_is_told_when_to_come_back failed, its head ended with "x-latchwheel-ran: not-run" and "content-length: 73". After: 8 of 8 tests of request_framing passed.

--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -20,7 +20,7 @@
     let headers = response.headers_mut();
     headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
     headers.insert(RAN_HEADER, HeaderValue::from_static(code.ran().as_str()));
-    if matches!(status, 429 | 503) {
+    if matches!(status, 408 | 429 | 503) {
         headers.insert(RETRY_AFTER, come_back_header(retry_after.unwrap_or(DEFAULT_RETRY_AFTER)));
     }
     response
--- a/crates/proxy/tests/request_framing.rs
+++ b/crates/proxy/tests/request_framing.rs
@@ -165,6 +165,21 @@
     assert_eq!(server.requests(), []);
 }
 
+#[tokio::test]
+async fn a_caller_whose_body_was_too_slow_is_told_when_to_come_back() {
+    let (node, _server) = start().await;
+    let mut stream = node.connect().await;
+    let start = post_open("1", &format!("t-deadline: 50\r\ncontent-length: {}\r\n", INNER.len()), "");
+    stream.write_all(&start).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|end| end == b"\r\n\r\n") {
+        assert!(stream.read_buf(&mut answer).await.unwrap() > 0);
+    }
+    assert_eq!(statuses(&answer), [408]);
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.contains("retry-after: "), "{answer}");
+}
+
 /// A line that ends in a bare line feed is a line as any other here: what goes on to a
 /// server has no such end, so that the server can't read other lines out of it.
 #[tokio::test]
