Hand the jobs that a stopping worker does not hold to other workers at once

What callers saw: jobs that were handed in while a worker wound up waited for its end, up to 6 s of an 8 s grace. A worker stays registered while it winds up, so that new jobs were assigned to it, and those that it had started nothing of stayed with it.

Cause: the only way to leave the division of jobs was to withdraw the registration, which also ends reads of what the worker still runs.

Change: a worker that winds up writes an announcement under a lease of its own (latchwheel/active/fleet/leaving/NODE) with the jobs whose items still run or are being listed, and again when these become fewer. All other jobs fall to other workers, also those that are assigned to it by a front that does not know yet. Fronts assign new jobs to workers that stay, ask these first where a job runs, and ask stopping workers last to keep a job on disk. The registration stays until the end, so that held jobs can be read there and are run by nobody else. An announcement is void once its node has registered again, and is written only on condition of the registration that it is for, so that a late execution does not concern the next process.

Remains: items of a held job that have not started wait until the running ones of that job have ended, or until the worker has.

--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -133,7 +133,7 @@
         body: JobBody,
         until: Instant,
     ) -> Result<Taken, DeskFault> {
-        let workers = self.nodes.worker_names();
+        let workers = self.nodes.workers_for_new_jobs();
         let assigned = assign(job, &workers, |worker| self.nodes.waiting_at(worker));
         let handed = Arc::new(Handed::new(submission, body, assigned.as_deref()));
         let cut_off = async {
--- a/crates/jobs/src/layout.rs
+++ b/crates/jobs/src/layout.rs
@@ -6,6 +6,7 @@
 //! | `latchwheel/closed/JOB` | [`JobRecord`] of a job that was removed |
 //! | `latchwheel/early-end/JOB` | `EarlyEnd` (`early_end`): who ended a job that was absent then, under a lease |
 //! | `latchwheel/active/fleet/node/NODE` | [`NodeRecord`] of a node that lives, under its lease |
+//! | `latchwheel/active/fleet/leaving/NODE` | [`LeavingRecord`] of a worker that winds up, under a lease of its own; void once NODE has registered again |
 //! | `latchwheel/active/fleet/quarantine/DIGEST` | [`QuarantineRecord`] of requests that end servers; an operator removes it to let them go |
 //! | `latchwheel/disk/NODE` | [`NodeRecord`] of a worker whose disk may hold jobs; it stays when the worker is down |
 //! | `latchwheel/body/JOB/N` | part N of the serialized [`JobBody`] |
@@ -24,7 +25,7 @@
 use latchwheel_core::quarantine::QuarantineEntry;
 use latchwheel_core::time::WallTime;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Prefix of what workers follow.
 pub const WORK_PREFIX: &str = "latchwheel/active/";
@@ -36,6 +37,8 @@
 pub const FLEET_PREFIX: &str = "latchwheel/active/fleet/";
 /// Prefix of the registrations of nodes.
 pub const NODE_PREFIX: &str = "latchwheel/active/fleet/node/";
+/// Prefix of the announcements of workers that wind up.
+const LEAVING_PREFIX: &str = "latchwheel/active/fleet/leaving/";
 /// Prefix of the verdicts on requests that end servers.
 pub const QUARANTINE_PREFIX: &str = "latchwheel/active/fleet/quarantine/";
 
@@ -74,6 +77,16 @@
     key.strip_prefix(NODE_PREFIX)
 }
 
+/// Key of the announcement of a worker that winds up.
+pub(crate) fn leaving_key(worker: &str) -> String {
+    format!("{LEAVING_PREFIX}{worker}")
+}
+
+/// The worker whose announcement has this key.
+pub(crate) fn leaving_of_key(key: &str) -> Option<&str> {
+    key.strip_prefix(LEAVING_PREFIX)
+}
+
 /// Key of the verdict on a request.
 pub fn quarantine_key(request: Fingerprint) -> String {
     format!("{QUARANTINE_PREFIX}{request}")
@@ -246,6 +259,25 @@
     }
 }
 
+/// Announcement of a worker that winds up: it runs no other jobs than these.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingRecord {
+    /// Jobs of which it still runs items, or lists results.
+    pub holds: BTreeSet<String>,
+}
+
+impl LeavingRecord {
+    /// Reads an announcement.
+    pub fn read(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+
+    /// The announcement as a value of the store.
+    pub fn write(&self) -> bytes::Bytes {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
+
 /// A verdict on a request that ends servers. It names nothing of its content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRecord {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`desk`]: taking, ending and reading jobs, at any node.
 //! - [`worker`]: running them.
 //! - [`nodes`]: which nodes there are.
+//! - `leaving_workers`: which of the workers wind up.
 //! - `quarantine_records`: verdicts on requests that end servers.
 //! - [`spool`]: keeping new jobs while the store is away.
 //! - [`queue_gate`]: keeping what waits within its limit.
@@ -43,6 +44,7 @@
 mod job_run;
 pub mod layout;
 mod leaving_runs;
+mod leaving_workers;
 mod making_room;
 pub mod nodes;
 mod owned_jobs;
--- a/crates/jobs/src/nodes.rs
+++ b/crates/jobs/src/nodes.rs
@@ -1,6 +1,7 @@
 //! Membership: a node registers itself under a lease and follows the others.
 
 use crate::layout::{node_key, node_of_key, NodeRecord, NodeRole, FLEET_PREFIX};
+use crate::leaving_workers::LeavingWorkers;
 use crate::quarantine_records::{remove_old_verdicts, take_verdicts, write_verdicts};
 use latchwheel_core::identity::{stable_hash, stable_pair_hash, NodeId};
 use latchwheel_events::{emit, Event};
@@ -8,7 +9,7 @@
 use latchwheel_records::{Change, Contact, Followed, Record, RecordStore, Registrar, Registration, WatchCache};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
@@ -34,6 +35,7 @@
 #[derive(Clone, Default)]
 pub struct Nodes {
     known: Arc<Mutex<BTreeMap<String, (NodeRole, SocketAddr)>>>,
+    leaving: Arc<Mutex<LeavingWorkers>>,
     hears: Option<Hears>,
 }
 
@@ -47,7 +49,7 @@
     /// Nodes of which `hears` tells how many runs wait there, if they were
     /// heard of lately.
     pub fn new(hears: impl Fn(&str) -> Option<u32> + Send + Sync + 'static) -> Self {
-        Self { known: Arc::default(), hears: Some(Arc::new(hears)) }
+        Self { hears: Some(Arc::new(hears)), ..Self::default() }
     }
 
     /// A node is registered; tells whether that is news.
@@ -56,20 +58,22 @@
     }
 
     /// Addresses of all workers in the order in which they are asked to keep a
-    /// job: those that were heard lately first, and different jobs at different
-    /// ones.
+    /// job: those that wind up last, those that were heard lately first, and different jobs
+    /// at different ones.
     pub fn workers_to_keep(&self, job: &str) -> Vec<SocketAddr> {
         let job = stable_hash(job.as_bytes());
         let known = self.lock();
+        let leaving = lock(&self.leaving);
         let workers = known.iter().filter(|(_, (role, _))| *role == NodeRole::Worker);
         let mut ordered: Vec<_> = workers
             .map(|(name, (_, address))| {
                 let silent = self.waiting_at(name).is_none();
-                (silent, stable_pair_hash(NodeId::of_name(name).0, job), *address)
+                let hash = stable_pair_hash(NodeId::of_name(name).0, job);
+                (leaving.contains(name), silent, hash, *address)
             })
             .collect();
         ordered.sort_unstable();
-        ordered.into_iter().map(|(_, _, address)| address).collect()
+        ordered.into_iter().map(|(_, _, _, address)| address).collect()
     }
 
     /// Addresses of all other fronts.
@@ -108,6 +112,18 @@
         workers.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Names of the workers that run new jobs: those that don't wind up, or all if all do.
+    pub(crate) fn workers_for_new_jobs(&self) -> BTreeSet<String> {
+        let workers = self.worker_names();
+        let leaving = lock(&self.leaving);
+        let staying: BTreeSet<String> = workers.iter().filter(|worker| !leaving.contains(worker)).cloned().collect();
+        if staying.is_empty() {
+            workers
+        } else {
+            staying
+        }
+    }
+
     /// Address of a node.
     pub fn address_of(&self, node: &str) -> Option<SocketAddr> {
         self.lock().get(node).map(|(_, address)| *address)
@@ -121,11 +137,15 @@
         self.lock().remove(node);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, (NodeRole, SocketAddr)>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, (NodeRole, SocketAddr)>> {
+        lock(&self.known)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// This node as it registers itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnNode {
@@ -263,8 +283,14 @@
     /// an outage of the store registers itself anew.
     fn take(&self, followed: Followed) {
         let seen: Vec<(String, SocketAddr)> = match followed {
-            Followed::All(listing) => listing.records.iter().filter_map(|record| self.note(record)).collect(),
+            Followed::All(listing) => {
+                lock(&self.nodes.leaving).note_all(&listing.records);
+                listing.records.iter().filter_map(|record| self.note(record)).collect()
+            }
             Followed::Changed(changes) => {
+                let mut leaving = lock(&self.nodes.leaving);
+                changes.changes.iter().for_each(|change| leaving.note_change(change));
+                drop(leaving);
                 changes.changes.iter().filter_map(|change| self.take_change(change)).collect()
             }
             Followed::Kept(_)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -13,6 +13,7 @@
 use crate::job_run::{run_job, JobOrder, LeaveReason};
 use crate::layout::{job_of_key, node_of_key, JobRecord, JobState, NodeRecord, NodeRole, WORK_PREFIX};
 use crate::leaving_runs::{LeavingRuns, Run};
+use crate::leaving_workers::{LeavingAnnouncer, LeavingWorkers};
 use crate::owned_jobs::OwnedJobs;
 use crate::worker_context::WorkerContext;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -21,6 +22,7 @@
 use latchwheel_proxy::{sleep_or_never, Dialect, Shared};
 use latchwheel_records::{Change, Followed, Record, RecordStore, WatchCache};
 use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
@@ -136,6 +138,8 @@
     name: String,
     workers: LiveWorkers,
     workers_changed: bool,
+    /// Workers that wind up.
+    leaving_workers: LeavingWorkers,
     jobs: HashMap<String, Job>,
     /// Runs that were told to leave, by job.
     leaving: LeavingRuns,
@@ -161,6 +165,7 @@
         name,
         workers: LiveWorkers::default(),
         workers_changed: false,
+        leaving_workers: LeavingWorkers::default(),
         jobs: HashMap::new(),
         leaving: LeavingRuns::default(),
         closed: ClosedJobs::default(),
@@ -213,8 +218,14 @@
         let answering_for = self.context.owned.contact().answering_for().filter(|_| !followed.is_loss());
         self.workers.note_store(self.now(), answering_for);
         match followed {
-            Followed::All(listing) => self.replace_all(listing.records),
-            Followed::Changed(changes) => changes.changes.into_iter().for_each(|change| self.take_change(change)),
+            Followed::All(listing) => {
+                self.leaving_workers.note_all(&listing.records);
+                self.replace_all(listing.records);
+            }
+            Followed::Changed(changes) => {
+                changes.changes.iter().for_each(|change| self.leaving_workers.note_change(change));
+                changes.changes.into_iter().for_each(|change| self.take_change(change));
+            }
             Followed::CompleteAsOf(at) => self.context.owned.note_known(at),
             Followed::Kept(_) | Followed::Lost(_) | Followed::StillLost | Followed::Regained(_) => {}
         }
@@ -309,7 +320,8 @@
         self.log_workers();
         let mut elsewhere = HashMap::new();
         for (name, job) in &mut self.jobs {
-            let owner = owner_of(name, &job.record.assigned, self.workers.names());
+            let (assigned, workers) = (&job.record.assigned, self.workers.names());
+            let owner = self.leaving_workers.owner_of(name, assigned, workers);
             let ours = owner == Some(self.name.as_str());
             if let Some(owner) = owner.filter(|_| !ours) {
                 elsewhere.insert(name.clone(), owner.to_owned());
@@ -330,32 +342,65 @@
         self.context.owned.set_elsewhere(elsewhere);
     }
 
-    /// Lets the runs end within the limit. What is left then lists what it has, in the last
-    /// part of that time: the process may end right after.
-    async fn wind_up(self, leaves: watch::Receiver<Option<Instant>>) {
-        let runs = self.jobs.into_values().filter_map(|job| job.run);
-        let (orders, mut runs): (Vec<_>, FuturesUnordered<_>) = runs.unzip();
-        runs.extend(self.leaving.into_runs());
-        for orders in &orders {
-            orders.send_replace(JobOrder::Wind);
+    /// Lets the runs end within the limit, and has others run all other jobs. What is left then
+    /// lists what it has, in the last part of that time: the process may end right after.
+    async fn wind_up(mut self, leaves: watch::Receiver<Option<Instant>>) {
+        let runs = std::mem::take(&mut self.jobs).into_iter().filter_map(|(job, known)| Some((job, known.run?)));
+        let (mut orders, mut ending, mut held) = (Vec::new(), FuturesUnordered::new(), BTreeSet::new());
+        for (job, (order, run)) in runs {
+            order.send_replace(JobOrder::Wind);
+            orders.push(order);
+            held.insert(job.clone());
+            ending.push(ended_run(run, Some(job)));
         }
+        let (held, holds) = watch::channel(held);
+        let announcing = self.announce_leaving(&leaves, holds);
+        ending.extend(self.leaving.into_runs().map(|run| ended_run(run, None)));
         let leaving_time = LEAVING_TIME + LEAVING_MARGIN;
         tokio::select! {
-            () = all_ended(&mut runs) => return,
+            () = all_ended(&mut ending, &held) => return announcing.abort(),
             () = has_to_leave(leaves, leaving_time) => {}
         }
-        for orders in &orders {
-            orders.send_replace(JobOrder::Leave(LeaveReason::WorkerLeaves));
+        for order in &orders {
+            order.send_replace(JobOrder::Leave(LeaveReason::WorkerLeaves));
         }
-        if tokio::time::timeout(leaving_time, all_ended(&mut runs)).await.is_err() {
-            emit("", &Event::JobsNotLeft { jobs: runs.len() });
+        if tokio::time::timeout(leaving_time, all_ended(&mut ending, &held)).await.is_err() {
+            emit("", &Event::JobsNotLeft { jobs: ending.len() });
         }
+        announcing.abort();
+    }
+
+    /// Has other workers run the jobs that this one doesn't hold any more.
+    fn announce_leaving(
+        &self,
+        leaves: &watch::Receiver<Option<Instant>>,
+        holds: watch::Receiver<BTreeSet<String>>,
+    ) -> JoinHandle<()> {
+        let (context, worker) = (self.context.clone(), self.name.clone());
+        let registration = self.leaving_workers.registration_of(&worker);
+        let time = leaves.borrow().map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()));
+        tokio::spawn(async move {
+            // Without a registration no job falls to this worker.
+            let Some(registration) = registration else { return };
+            LeavingAnnouncer { worker, registration, time }.announce(&*context.store, holds).await;
+        })
     }
 }
 
-/// Completes when all runs have ended.
-async fn all_ended(runs: &mut FuturesUnordered<JoinHandle<()>>) {
-    while runs.next().await.is_some() {}
+/// Completes when a run has ended; gives back the job, if it was held until then.
+async fn ended_run(run: JoinHandle<()>, held: Option<String>) -> Option<String> {
+    let _ = run.await;
+    held
+}
+
+/// Completes when all runs have ended; the job of one that has is held no longer.
+async fn all_ended<R: Future<Output = Option<String>>>(
+    runs: &mut FuturesUnordered<R>,
+    held: &watch::Sender<BTreeSet<String>>,
+) {
+    while let Some(job) = runs.next().await {
+        held.send_if_modified(|held| job.is_some_and(|job| held.remove(&job)));
+    }
 }
 
 /// Completes when only the time for leaving the jobs is left. The end may be moved forward
--- a/crates/jobs/src/worker_calls.rs
+++ b/crates/jobs/src/worker_calls.rs
@@ -162,7 +162,8 @@
     /// Address of the worker that should run the job, unless it was silent
     /// just now.
     fn worker_of(&self, job: &str) -> Option<SocketAddr> {
-        let names = self.nodes.worker_names();
+        // One that stays knows which one runs the job; one that winds up hears of no new jobs.
+        let names = self.nodes.workers_for_new_jobs();
         let remembered = lock(&self.owners).get(job).cloned();
         let owner = remembered.or_else(|| rendezvous(job, &names).map(str::to_owned))?;
         let address = self.nodes.address_of(&owner)?;
