Look at the end of a stop before the next piece of a body is read

What callers saw: at the end of a planned stop, a stream that another node serves, and that comes faster than its caller reads it, was cut without the event that tells why.

Cause: a body was broken off by a select that polls the body first and the timer only while the body isn't ready. The body of a forwarded stream is ready each time the connection has room for it. Besides, the body failed right after its last event, and a connection drops what it has not written when its body fails.

Change: the timer is polled first, and a broken-off body fails only when the node's calls end, so that what was passed on is written until then.

--- a/crates/cli/tests/support/node_process.rs
+++ b/crates/cli/tests/support/node_process.rs
@@ -76,6 +76,15 @@
         std::fs::read_to_string(self.folder.path().join("log.txt")).unwrap()
     }
 
+    /// Value of a metric of this name without labels.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let get = Request::get(format!("http://{}/metrics", self.addresses.admin)).body(full("")).unwrap();
+        let answer = Client::http1().send(get).await.unwrap().into_body().collect().await.unwrap().to_bytes();
+        let text = String::from_utf8_lossy(&answer);
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("no metric {name}")).parse().unwrap()
+    }
+
     async fn put_rows(&self) {
         for (name, class) in [("chat", Class::Online), ("lot", Class::Batch)] {
             let row = Row {
--- a/crates/node/src/planned_stop.rs
+++ b/crates/node/src/planned_stop.rs
@@ -26,6 +26,8 @@
 pub(crate) const HAND_OVER_TIME: Duration = Duration::from_millis(300);
 /// Time for the end of the other nodes' calls.
 const LAST_CALL_TIME: Duration = Duration::from_millis(100);
+/// Time after the last answer in which what was passed on of a broken-off body is written.
+const LAST_WRITE_TIME: Duration = LAST_ANSWER_TIME.saturating_add(HAND_OVER_TIME);
 /// Time between the last answer and the end of the process.
 const END_TIME: Duration = LAST_ANSWER_TIME.saturating_add(HAND_OVER_TIME).saturating_add(LAST_CALL_TIME);
 
@@ -64,20 +66,25 @@
     if body.size_hint().exact().is_some() {
         return body;
     }
-    let due = Box::pin(async move { stop.after_answers_due(LAST_COMMIT_TIME).await });
-    let frames = futures::stream::unfold(Part::Open(body, due), move |part| async move {
-        match part {
-            Part::Open(mut body, mut due) => tokio::select! {
-                biased;
-                frame = body.frame() => frame.map(|frame| (frame, Part::Open(body, due))),
-                () = &mut due => Some((Ok(Frame::data(last_event(is_stream))), Part::BrokenOff)),
-            },
-            Part::BrokenOff => {
-                // What was passed on is written while nothing is ready.
-                tokio::task::yield_now().await;
-                Some((Err::<_, BoxError>("the process ends".into()), Part::Ended))
+    let until = stop.clone();
+    let due = Box::pin(async move { until.after_answers_due(LAST_COMMIT_TIME).await });
+    let frames = futures::stream::unfold(Part::Open(body, due), move |part| {
+        let stop = stop.clone();
+        async move {
+            match part {
+                Part::Open(mut body, mut due) => tokio::select! {
+                    biased;
+                    // A body that is always ready would go before the timer.
+                    () = &mut due => Some((Ok(Frame::data(last_event(is_stream))), Part::BrokenOff)),
+                    frame = body.frame() => frame.map(|frame| (frame, Part::Open(body, due))),
+                },
+                Part::BrokenOff => {
+                    // The connection drops what it has not written when its body fails.
+                    stop.after_answers_due(LAST_WRITE_TIME).await;
+                    Some((Err::<_, BoxError>("the process ends".into()), Part::Ended))
+                }
+                Part::Ended => None,
             }
-            Part::Ended => None,
         }
     });
     boxed(StreamBody::new(Box::pin(frames)))
