End the event that was begun before a broken-off stream tells why

What callers saw: at the end of a planned stop, a stream that another node serves could end with an event whose data was cut in the middle, followed by the event that tells why.

Cause: pieces between two nodes are not cut at events. The last event of a body that is broken off began with an empty line, which made an event of whatever had been passed on before it.

Change: a broken-off stream is passed on to the end of the event that was begun, and the last event follows. If the rest doesn't come before the node's calls end, the body fails inside the event, which readers of event streams drop.

That the rest of an event never comes has no test.

--- a/crates/cli/tests/endless_streams.rs
+++ b/crates/cli/tests/endless_streams.rs
@@ -140,11 +140,13 @@
     is_complete: bool,
     /// Code in the last event.
     code: Option<u64>,
+    /// Events whose data was not whole.
+    half_events: usize,
 }
 
 /// What a stream that is broken off has to look like.
 fn broken_off() -> End {
-    End { is_complete: false, code: Some(ResultCode::StreamCut.number().into()) }
+    End { is_complete: false, code: Some(ResultCode::StreamCut.number().into()), half_events: 0 }
 }
 
 /// Events without end, of which only the last one is kept.
@@ -152,6 +154,7 @@
 struct Reader {
     pending: Vec<u8>,
     last: String,
+    half_events: usize,
 }
 
 impl Reader {
@@ -160,13 +163,14 @@
         while let Some(end) = self.pending.windows(2).position(|pair| pair == b"\n\n") {
             let event = String::from_utf8(self.pending.drain(..end + 2).collect()).unwrap();
             let Some(data) = event.trim().strip_prefix("data: ") else { continue };
+            self.half_events += usize::from(serde_json::from_str::<serde_json::Value>(data).is_err());
             self.last = data.to_owned();
         }
     }
 
     fn end(self, is_complete: bool) -> End {
         let last: serde_json::Value = serde_json::from_str(&self.last).unwrap_or_default();
-        End { is_complete, code: last["error"]["code"].as_u64() }
+        End { is_complete, code: last["error"]["code"].as_u64(), half_events: self.half_events }
     }
 }
 
--- a/crates/node/src/planned_stop.rs
+++ b/crates/node/src/planned_stop.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, Version};
 use latchwheel_clock::planned_stop::PlannedStop;
 use latchwheel_core::code::ResultCode;
+use latchwheel_core::event_stream::EventBoundary;
 use latchwheel_core::planned_stop::StopTimes;
 use latchwheel_core::time::Instant;
 use latchwheel_gateway::{error_body, refuse};
@@ -31,6 +32,9 @@
 /// Time between the last answer and the end of the process.
 const END_TIME: Duration = LAST_ANSWER_TIME.saturating_add(HAND_OVER_TIME).saturating_add(LAST_CALL_TIME);
 
+/// Error of a body that is broken off.
+const PROCESS_ENDS: &str = "the process ends";
+
 /// Longest time of a stop.
 pub(crate) fn stop_time(drain_time: Duration) -> Duration {
     drain_time.max(LEAVE_NOTICE + END_TIME)
@@ -66,41 +70,110 @@
     if body.size_hint().exact().is_some() {
         return body;
     }
-    let until = stop.clone();
-    let due = Box::pin(async move { until.after_answers_due(LAST_COMMIT_TIME).await });
-    let frames = futures::stream::unfold(Part::Open(body, due), move |part| {
-        let stop = stop.clone();
-        async move {
-            match part {
-                Part::Open(mut body, mut due) => tokio::select! {
-                    biased;
-                    // A body that is always ready would go before the timer.
-                    () = &mut due => Some((Ok(Frame::data(last_event(is_stream))), Part::BrokenOff)),
-                    frame = body.frame() => frame.map(|frame| (frame, Part::Open(body, due))),
-                },
-                Part::BrokenOff => {
-                    // The connection drops what it has not written when its body fails.
-                    stop.after_answers_due(LAST_WRITE_TIME).await;
-                    Some((Err::<_, BoxError>("the process ends".into()), Part::Ended))
+    let open = OpenBody { body, boundary: is_stream.then(EventBoundary::default) };
+    let due = Box::pin(after_answers_due(stop.clone(), LAST_COMMIT_TIME));
+    let failed = Box::pin(after_answers_due(stop, LAST_WRITE_TIME));
+    let frames = futures::stream::unfold((Part::Open(open, due), failed), |(part, mut failed)| async move {
+        let (frame, next) = next_frame(part, &mut failed).await?;
+        Some((frame, (next, failed)))
+    });
+    boxed(StreamBody::new(Box::pin(frames)))
+}
+
+async fn after_answers_due(stop: Arc<PlannedStop>, time: Duration) {
+    stop.after_answers_due(time).await;
+}
+
+/// The next frame of a body that ends with the process, and where the body is then.
+async fn next_frame<D>(part: Part<D>, failed: &mut D) -> Option<(BodyFrame, Part<D>)>
+where
+    D: Future<Output = ()> + Unpin,
+{
+    match part {
+        Part::Open(mut open, mut due) => tokio::select! {
+            biased;
+            // A body that is always ready would go before the timer.
+            () = &mut due => Some(if open.is_inside_event() {
+                (Ok(Frame::data(Bytes::new())), Part::InsideEvent(open))
+            } else {
+                (Ok(Frame::data(open.last_event())), Part::BrokenOff)
+            }),
+            frame = open.next() => frame.map(|frame| (frame, Part::Open(open, due))),
+        },
+        Part::InsideEvent(mut open) => {
+            let rest = tokio::select! {
+                biased;
+                () = &mut *failed => None,
+                rest = open.rest_of_event() => rest,
+            };
+            match rest {
+                Some(rest) if open.is_inside_event() => Some((Ok(Frame::data(rest)), Part::InsideEvent(open))),
+                Some(rest) => {
+                    let last = [rest, open.last_event()].concat();
+                    Some((Ok(Frame::data(last.into())), Part::BrokenOff))
                 }
-                Part::Ended => None,
+                // An event after the half one would complete it.
+                None => Some((Err(PROCESS_ENDS.into()), Part::Ended)),
             }
         }
-    });
-    boxed(StreamBody::new(Box::pin(frames)))
+        Part::BrokenOff => {
+            // The connection drops what it has not written when its body fails.
+            failed.await;
+            Some((Err(PROCESS_ENDS.into()), Part::Ended))
+        }
+        Part::Ended => None,
+    }
 }
 
+/// A frame of a body, or why it breaks off.
+type BodyFrame = Result<Frame<Bytes>, BoxError>;
+
 /// Where a body is that ends with the process.
 enum Part<D> {
-    Open(Body, D),
+    Open(OpenBody, D),
+    /// The process ends, and the event that was begun is passed on to its end.
+    InsideEvent(OpenBody),
     BrokenOff,
     Ended,
 }
 
-/// What ends a body that is broken off: an event that tells it, in a stream.
-fn last_event(is_stream: bool) -> Bytes {
-    if !is_stream {
-        return Bytes::new();
+/// A body that is passed on.
+struct OpenBody {
+    body: Body,
+    /// Where a stream is relative to its events.
+    boundary: Option<EventBoundary>,
+}
+
+impl OpenBody {
+    async fn next(&mut self) -> Option<BodyFrame> {
+        let frame = self.body.frame().await?;
+        if let (Some(boundary), Ok(Some(data))) = (&mut self.boundary, frame.as_ref().map(Frame::data_ref)) {
+            boundary.push(data);
+        }
+        Some(frame)
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.boundary.is_some_and(|boundary| boundary.is_inside_event())
+    }
+
+    /// The next piece, up to the end of the event that was begun; `None` if there is none.
+    async fn rest_of_event(&mut self) -> Option<Bytes> {
+        let boundary = self.boundary.as_mut()?;
+        let mut data = self.body.frame().await?.ok()?.into_data().unwrap_or_default();
+        let end = data.iter().position(|byte| {
+            boundary.push(&[*byte]);
+            !boundary.is_inside_event()
+        });
+        data.truncate(end.map_or(data.len(), |end| end + 1));
+        Some(data)
+    }
+
+    /// What ends a body that is broken off: an event that tells it, in a stream.
+    fn last_event(&self) -> Bytes {
+        if self.boundary.is_none() {
+            return Bytes::new();
+        }
+        format!("data: {}\n\n", error_body(ResultCode::StreamCut, "")).into()
     }
-    format!("\n\ndata: {}\n\n", error_body(ResultCode::StreamCut, "")).into()
 }
