Leave the silent server of a resumable stream only once another one has taken over

Callers saw a resumable stream cut although its server was alive: without an event for twice the route's longest pause its attempt was ended first, and then another server was looked for. Where all others were full, refused the stream or failed at it, the answer was broken off, also during a planned stop.

Cause: `Streaming::step` treated silence as the end of the attempt.

Now the attempt stays open while a place is looked for (`proxy::takeover`). A request suspected of ending servers runs at one at a time, as before. The search neither logs nor counts a refusal (`Context::find_place`).

Not covered: the wait for the head of an answer (`Context::patience`), for the first piece beside a second attempt, and for the head of a continuation after its overlap still end an attempt.

--- a/crates/proxy/src/continued.rs
+++ b/crates/proxy/src/continued.rs
@@ -19,7 +19,7 @@
 /// the stream up within it.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(30);
 /// Retry time while no server of a stream's version accepts requests.
-const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The stream that a request continues, and the replies that show that it is not recorded;
 /// `None` if the request begins a stream.
@@ -69,7 +69,7 @@
     }
 
     /// Refuses a stream whose version has no server that accepts requests.
-    pub(crate) fn refuse_version_away(&self) -> Response<Body> {
+    fn refuse_version_away(&self) -> Response<Body> {
         self.refuse(ResultCode::StreamVersionAway, Some(VERSION_RETRY_AFTER))
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -36,6 +36,7 @@
 mod started;
 mod stream_origins;
 mod streaming;
+mod takeover;
 mod turn;
 mod waiting;
 mod whole_answer;
--- a/crates/proxy/src/place.rs
+++ b/crates/proxy/src/place.rs
@@ -1,5 +1,6 @@
 //! A place at a server for a request: advised by a keeper, or chosen by this node.
 
+use crate::continued::VERSION_RETRY_AFTER;
 use crate::dialect::Dialect;
 use crate::forward::Context;
 use crate::placements::PlaceAsk;
@@ -20,27 +21,48 @@
 /// many times what a message between nodes takes.
 const RELEASE_SPREAD: Duration = Duration::from_millis(100);
 
+/// Why a request gets no place at a server, and when it may come back.
+pub(crate) struct NoPlace {
+    pub(crate) code: ResultCode,
+    pub(crate) retry_after: Option<Duration>,
+}
+
 impl<D: Dialect> Context<D> {
     /// A place at a server for a request that may be sent now.
     pub(crate) async fn place_unless_suspected(&mut self) -> Result<Placement, Response<Body>> {
+        match self.find_place().await {
+            Ok(placement) => Ok(placement),
+            Err(NoPlace { code, retry_after }) => {
+                if matches!(code, ResultCode::CrowdedOut | ResultCode::WaitTooLong) {
+                    self.shared.dispatcher().note_refused(self.shared.clock.now(), &self.service);
+                }
+                Err(self.refuse(code, retry_after))
+            }
+        }
+    }
+
+    /// The same for a request that isn't refused where there is none.
+    pub(crate) async fn find_place(&mut self) -> Result<Placement, NoPlace> {
         loop {
             self.await_verdict().await?;
             if self.left().is_zero() {
-                return Err(self.refuse(ResultCode::DeadlinePassed, None));
+                return Err(NoPlace { code: ResultCode::DeadlinePassed, retry_after: None });
             }
             let placement = match self.place().await {
                 Choice::Send(placement) => placement,
                 Choice::Full(retry_after) => {
-                    self.shared.dispatcher().note_refused(self.shared.clock.now(), &self.service);
                     let code = if self.takes_turns() { ResultCode::CrowdedOut } else { ResultCode::WaitTooLong };
-                    return Err(self.refuse(code, Some(retry_after)));
+                    return Err(NoPlace { code, retry_after: Some(retry_after) });
+                }
+                Choice::NoServer if self.software.is_some() => {
+                    let (code, retry_after) = (ResultCode::StreamVersionAway, Some(VERSION_RETRY_AFTER));
+                    return Err(NoPlace { code, retry_after });
                 }
-                Choice::NoServer if self.software.is_some() => return Err(self.refuse_version_away()),
-                Choice::NoServer => return Err(self.refuse(ResultCode::NoServer, None)),
+                Choice::NoServer => return Err(NoPlace { code: ResultCode::NoServer, retry_after: None }),
             };
             // It may have been held, and servers may have ended under it meanwhile.
             if let Some(rest) = self.shared.quarantined_for(&self.outgoing) {
-                return Err(self.refuse(ResultCode::Quarantined, Some(rest)));
+                return Err(NoPlace { code: ResultCode::Quarantined, retry_after: Some(rest) });
             }
             if self.shared.begin_run(&self.outgoing).is_none() {
                 return Ok(placement);
@@ -50,15 +72,16 @@
 
     /// Waits until it is decided whether servers ended under the request. One that has no
     /// time for that is refused at once.
-    async fn await_verdict(&self) -> Result<(), Response<Body>> {
+    async fn await_verdict(&self) -> Result<(), NoPlace> {
+        let quarantined = |rest| NoPlace { code: ResultCode::Quarantined, retry_after: Some(rest) };
         while let Some(pause) = self.shared.hold_remaining(&self.outgoing) {
             if pause >= self.left() {
-                return Err(self.refuse(ResultCode::Quarantined, Some(pause)));
+                return Err(quarantined(pause));
             }
             // Copies at other nodes wait for the same moment; the first one holds the rest.
             tokio::time::sleep(pause + RELEASE_SPREAD.mul_f64(rand::random())).await;
             if let Some(rest) = self.shared.quarantined_for(&self.outgoing) {
-                return Err(self.refuse(ResultCode::Quarantined, Some(rest)));
+                return Err(quarantined(rest));
             }
         }
         Ok(())
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -2,9 +2,9 @@
 //!
 //! A body that ends inside an event, or whose server crashed at its end, is broken off at the
 //! client too. Only complete events of a resumable stream are forwarded. When its server breaks
-//! off or becomes unresponsive, the connection to it is closed, and another server of the same
-//! software continues after the last event. The client receives one answer, with the head of
-//! the first server.
+//! off, or another one takes over while it is silent, the connection to it is closed, and another
+//! server of the same software continues after the last event. The client receives one answer,
+//! with the head of the first server.
 
 use crate::answer_log::AnswerLog;
 use crate::dialect::Dialect;
@@ -14,6 +14,7 @@
 use crate::pool::ConnectionUse;
 use crate::shared::InProgress;
 use crate::started::Pieces;
+use crate::takeover::Takeover;
 use crate::whole_answer::TIME_IS_OVER;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
@@ -27,8 +28,8 @@
 use latchwheel_http::{AnswerShare, Body};
 use std::time::Duration;
 
-/// A resumable stream continues elsewhere after a pause of this many of the longest pauses that
-/// are in time.
+/// Another server is looked for to continue a resumable stream after a pause of this many of the
+/// longest pauses that are in time.
 const PAUSE_TARGETS: u32 = 2;
 /// The longest pause in time where the route states none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
@@ -41,9 +42,9 @@
 /// A stream that is being passed on.
 #[derive(Debug)]
 pub(crate) struct Streaming<D: Dialect> {
-    context: Context<D>,
-    exchange: Option<Exchange<D>>,
-    incoming: Pieces,
+    pub(crate) context: Context<D>,
+    pub(crate) exchange: Option<Exchange<D>>,
+    pub(crate) incoming: Pieces,
     /// How the server of the present attempt marks the end of its answer.
     framing: Framing,
     /// What came of the events of the present attempt; `None` if its answer has none.
@@ -54,21 +55,24 @@
     framer: EventFramer,
     /// What is held for the event that is not passed on yet.
     share: AnswerShare,
-    last_event: Option<u64>,
+    pub(crate) last_event: Option<u64>,
     first_piece: Option<Instant>,
     /// Whether events were passed on.
     passed_events: bool,
     ended: bool,
-    answers_due: AnswersDue,
+    /// Too many servers have refused to take over while the present one was silent.
+    pub(crate) stays_at_server: bool,
+    pub(crate) answers_due: AnswersDue,
     _guard: InProgress<D>,
 }
 
 /// What to do after a piece.
-enum Step {
+pub(crate) enum Step<D: Dialect> {
     Pass(Bytes),
     Wait,
     End,
-    Broken(&'static str, Ending),
+    /// The present attempt ends, perhaps because another server takes the stream over.
+    Broken(&'static str, Ending, Option<Takeover<D>>),
 }
 
 impl<D: Dialect> Streaming<D> {
@@ -97,6 +101,7 @@
             first_piece: None,
             passed_events: false,
             ended: false,
+            stays_at_server: false,
             answers_due,
             _guard: guard,
         }
@@ -113,8 +118,8 @@
                     self.end();
                     return None;
                 }
-                Step::Broken(reason, ending) => {
-                    if !self.continue_elsewhere(reason, ending).await {
+                Step::Broken(reason, ending, takeover) => {
+                    if !self.continue_elsewhere(reason, ending, takeover).await {
                         return Some(Err(reason));
                     }
                 }
@@ -122,11 +127,12 @@
         }
     }
 
-    async fn step(&mut self) -> Step {
+    async fn step(&mut self) -> Step<D> {
         if self.context.left().is_zero() {
             return self.out_of_time();
         }
-        let limit = if self.resumable { self.context.pause_limit(0) } else { self.context.left() };
+        let may_move = self.resumable && !self.stays_at_server;
+        let limit = if may_move { self.context.pause_limit(0) } else { self.context.left() };
         let is_noted = self.incoming.first.is_some();
         let next = tokio::time::timeout(limit, self.incoming.next());
         let next = tokio::select! {
@@ -135,14 +141,14 @@
             () = &mut self.answers_due => return self.out_of_time(),
         };
         let Ok(frame) = next else {
-            if self.context.left().is_zero() {
+            if !may_move || !self.context.attempts.may_repeat() || self.context.left().is_zero() {
                 return self.out_of_time();
             }
-            return Step::Broken("no_event", Ending::Unresponsive);
+            return self.while_silent().await;
         };
         let data = match frame {
             None => return self.at_end_of_body().await,
-            Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken),
+            Some(Err(_)) => return Step::Broken("stream_broke", Ending::Broken, None),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         self.note_piece(is_noted);
@@ -154,9 +160,9 @@
         }
         let pending = self.framer.remainder().len() + data.len();
         if self.share.hold(pending.next_power_of_two()).is_err() {
-            return Step::Broken(NO_MEMORY, Ending::Withdrawn);
+            return Step::Broken(NO_MEMORY, Ending::Withdrawn, None);
         }
-        let Ok(events) = self.framer.push(&data) else { return Step::Broken(EVENT_TOO_LONG, Ending::Broken) };
+        let Ok(events) = self.framer.push(&data) else { return Step::Broken(EVENT_TOO_LONG, Ending::Broken, None) };
         self.last_event = events.iter().filter_map(|event| event.id).next_back().or(self.last_event);
         self.note_events(!events.is_empty());
         let bytes = match events.as_slice() {
@@ -169,19 +175,19 @@
     }
 
     /// What follows where the request or the process has no time left.
-    fn out_of_time(&self) -> Step {
+    pub(crate) fn out_of_time(&self) -> Step<D> {
         if self.context.shared.are_answers_due() {
-            return Step::Broken(PROCESS_ENDS, Ending::Withdrawn);
+            return Step::Broken(PROCESS_ENDS, Ending::Withdrawn, None);
         }
-        Step::Broken(TIME_IS_OVER, Ending::Unresponsive)
+        Step::Broken(TIME_IS_OVER, Ending::Unresponsive, None)
     }
 
     /// What follows where the body of the present attempt ends without an error: a server that
     /// crashes ends a body that its connection delimits, too.
-    async fn at_end_of_body(&mut self) -> Step {
+    async fn at_end_of_body(&mut self) -> Step<D> {
         if let Some(exchange) = &mut self.exchange {
             if let Some(reason) = exchange.cut_reason(self.progress).await {
-                return Step::Broken(reason, Ending::Broken);
+                return Step::Broken(reason, Ending::Broken, None);
             }
         }
         let remainder = Bytes::copy_from_slice(self.framer.remainder());
@@ -225,7 +231,12 @@
     }
 
     /// Continues at another server; `false` if the answer has to be broken off.
-    async fn continue_elsewhere(&mut self, reason: &'static str, ending: Ending) -> bool {
+    async fn continue_elsewhere(
+        &mut self,
+        reason: &'static str,
+        ending: Ending,
+        takeover: Option<Takeover<D>>,
+    ) -> bool {
         let server = self.exchange.as_ref().map(|exchange| exchange.server().clone()).unwrap_or_default();
         let lost = ending == Ending::Broken && reason != EVENT_TOO_LONG;
         let failure = if lost { AttemptFailure::Lost } else { AttemptFailure::MayHaveRun };
@@ -238,7 +249,8 @@
             exchange.fail(ending);
         }
         self.framer.reset();
-        if self.resumable && !self.context.left().is_zero() && self.ask_another_until_due(&server, &end).await {
+        let may_continue = self.resumable && !self.context.left().is_zero();
+        if may_continue && self.ask_another_until_due(&server, &end, takeover).await {
             return true;
         }
         self.ended = true;
@@ -247,19 +259,26 @@
         false
     }
 
-    async fn ask_another_until_due(&mut self, server: &str, end: &AttemptEnd) -> bool {
+    async fn ask_another_until_due(&mut self, server: &str, end: &AttemptEnd, takeover: Option<Takeover<D>>) -> bool {
         let shared = self.context.shared.clone();
-        shared.before_answers_due(self.ask_another(server, end)).await.unwrap_or(false)
+        shared.before_answers_due(self.ask_another(server, end, takeover)).await.unwrap_or(false)
     }
 
-    async fn ask_another(&mut self, server: &str, end: &AttemptEnd) -> bool {
+    async fn ask_another(&mut self, server: &str, end: &AttemptEnd, mut takeover: Option<Takeover<D>>) -> bool {
         let now = self.context.shared.clock.now();
         if self.context.failed(server, now, end).is_some() {
             return false;
         }
         loop {
-            match self.context.attempt(self.last_event).await {
+            let attempted = match takeover.take() {
+                Some(Takeover { server, sent_at, answer }) => {
+                    answer.await.map_err(|end| self.context.failed(&server, sent_at, &end))
+                }
+                None => self.context.attempt(self.last_event).await,
+            };
+            match attempted {
                 Ok(started) if started.response.status().is_success() => {
+                    self.stays_at_server = false;
                     self.framing = started.exchange.framing();
                     self.progress = progress_of(&started.exchange, self.resumable);
                     self.exchange = Some(started.exchange);
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -81,6 +81,9 @@
     StreamTo(u64),
     /// Sends one event, then nothing.
     StallAfterFirst,
+    /// Sends the events that follow the last one of the asker, up to the first number; once it
+    /// is told to, those up to the second one, and ends the stream.
+    PauseAfter(u64, Arc<Notify>, u64),
     /// Sends the head of a stream, then nothing.
     StallAfterHead,
     /// Sends this body with neither a length nor chunks, and closes.
@@ -200,6 +203,16 @@
                 return false;
             }
             Act::Await(..) => return false,
+            Act::PauseAfter(paused, told, last) => {
+                let after = seen.header("t-last-event").and_then(|event| event.parse().ok()).unwrap_or(0);
+                let chunks = |from, to| (from..=to).map(|event| chunk(&event_text(event))).collect::<String>();
+                let _ = stream.write_all((stream_head(&id) + &chunks(after + 1, paused)).as_bytes()).await;
+                tokio::select! {
+                    () = told.notified() => {}
+                    kept = self.wait_for_close(stream) => return kept,
+                }
+                chunks(after.max(paused) + 1, last) + "0\r\n\r\n"
+            }
             Act::StallAfterHead => {
                 let _ = stream.write_all(stream_head(&id).as_bytes()).await;
                 return self.wait_for_close(stream).await;
