Reject answers whose head can't be used

What callers saw: a 200 with `content-length: 3` and the whole body behind it, so that the rest is read as the next answer of the connection; the sizes and ends of chunks as part of the body (`transfer-encoding: chunke`); coded bytes without their coding (`gzip`, `gzip, chunked`, `chunked, chunked`); statuses 101, 600 and 999; a list of lengths. Where a server sent its answer under an interim status, or with a coding that marks no end, and left its connection open, callers got nothing before the deadline.

Cause: hyper rejects what it can't parse, and the proxy took everything else for a head. It took any Transfer-Encoding for chunks, removed it with the other headers of the connection and left Content-Length. hyper skips the heads of interim answers also where they state a body.

Change: `latchwheel_http::check_head` is the one place that decides whether a head can be used, and how the body ends. Each attempt, of requests and of batch items, asks it before anything else of the head is read. The only coding is `chunked`, once, and never beside a length; lengths are numbers and equal, and stand in the head once afterwards; statuses are 200 to 599; a 204 states no body. An attempt with another head ends as one that may have run, its connection is closed, and its server counts as broken: another attempt where the kind allows it, otherwise 502 (4000) at once.

Evidence: proxy/tests/unusable_heads.rs plays 117 heads on connections that close and that stay open, on a route of each kind, alone and beside a sound server, and reads the client's bytes strictly. Heads that are cut after any of their bytes, lines that are no field, names with blanks or control bytes and status 000 were held before; their tests stay. All other tests of the proxy pass.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! of the system use HTTP/2 with prior knowledge among themselves.
 
 mod answer_budget;
+mod answer_head;
 mod body;
 mod client;
 mod client_guard;
@@ -14,6 +15,7 @@
 mod server;
 
 pub use answer_budget::{AnswerBudget, AnswerShare};
+pub use answer_head::{check_head, HeadFault, InterimHeads};
 pub use body::{
     boxed, channel, empty, full, json, read_bounded, read_client_body, read_with_timeouts, Body, BodyFault, BodySender,
     BoxError,
--- a/crates/proxy/src/answer_head.rs
+++ b/crates/proxy/src/answer_head.rs
@@ -2,25 +2,12 @@
 
 use crate::dialect::HeaderNames;
 use crate::exchange::Outgoing;
-use hyper::header::{HeaderMap, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, CONTENT_TYPE};
 use hyper::http::response::Parts;
-use hyper::{Method, StatusCode, Version};
-use latchwheel_core::answer_end::Framing;
+use hyper::Version;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// How a server marks the end of an answer with this head.
-pub(crate) fn framing_of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Framing {
-    let has_no_body = *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if headers.contains_key(TRANSFER_ENCODING) {
-        Framing::Chunks
-    } else if has_no_body || headers.contains_key(CONTENT_LENGTH) {
-        Framing::Length
-    } else {
-        Framing::Connection
-    }
-}
-
 /// Whether a body is an event stream; `None` if its type is not stated.
 pub(crate) fn states_event_stream(headers: &HeaderMap) -> Option<bool> {
     let content_type = headers.get(CONTENT_TYPE)?.to_str().ok()?;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at a server, up to the head of its answer.
 
-use crate::answer_head::{framing_of, states_event_stream};
+use crate::answer_head::states_event_stream;
 use crate::crashes::has_just_ended;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::in_flight::{InFlight, InFlightAttempt};
@@ -17,7 +17,7 @@
 use latchwheel_core::fingerprint::RequestContent;
 use latchwheel_core::software::SoftwareKey;
 use latchwheel_core::time::Instant;
-use latchwheel_http::{full, read_bounded, AnswerShare};
+use latchwheel_http::{check_head, full, read_bounded, AnswerShare, HeadFault, InterimHeads};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -224,9 +224,16 @@
         let now = self.shared.clock.now();
         let waited = now.since(self.sent_at);
         self.in_flight = Some(outgoing.in_flight.begin(&self.placement.server, now));
-        let request = self.request(outgoing, left.saturating_sub(waited), last_event);
-        let answer = tokio::time::timeout(patience, connection.sender.send_request(request)).await;
+        let mut request = self.request(outgoing, left.saturating_sub(waited), last_event);
+        let interim_heads = InterimHeads::of(&mut request);
+        let answer = tokio::time::timeout(patience, connection.sender.send_request(request));
+        let answer = tokio::select! {
+            biased;
+            answer = answer => Ok(answer),
+            fault = interim_heads.fault() => Err(fault),
+        };
         self.connection = Some(connection);
+        let answer = answer.map_err(|fault| self.unusable_head(fault))?;
         let response = match answer {
             Ok(Ok(response)) => response,
             Ok(Err(fault)) => return Err(self.broken(&fault, outgoing)),
@@ -418,14 +425,21 @@
         self.attempt_end(AttemptFailure::Lost, "connection_broke")
     }
 
+    /// The head of the answer can't be used. The request may have run.
+    fn unusable_head(&mut self, fault: HeadFault) -> AttemptEnd {
+        self.ending = Ending::Broken;
+        self.attempt_end(AttemptFailure::MayHaveRun, fault.as_str())
+    }
+
     async fn check(
         mut self,
-        response: Response<Incoming>,
+        mut response: Response<Incoming>,
         outgoing: &Outgoing,
     ) -> Result<(Self, Response<Incoming>), AttemptEnd> {
         if let Some(connection) = &self.connection {
             connection.note_head();
         }
+        self.framing = check_head(&outgoing.method, &mut response).map_err(|fault| self.unusable_head(fault))?;
         let names = self.shared.dialect.names().clone();
         let headers = response.headers();
         if headers.get(&names.request_id) != Some(&outgoing.id) {
@@ -440,7 +454,6 @@
         self.keep = keep_time(headers);
         // At the deadline a sound server answers so too.
         let status = response.status();
-        self.framing = framing_of(&outgoing.method, status, headers);
         self.is_event_stream = states_event_stream(headers);
         self.is_success = status.is_success();
         self.has_verified_end = self.framing != Framing::Connection;
--- a/crates/proxy/tests/support/raw.rs
+++ b/crates/proxy/tests/support/raw.rs
@@ -425,3 +425,64 @@
     }
     (statuses(&answers), server.requests())
 }
+
+/// An answer as a client with a strict reading takes it.
+#[derive(Clone, Debug)]
+pub struct StrictAnswer {
+    pub status: u16,
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Vec<u8>,
+}
+
+impl StrictAnswer {
+    /// Values of the header in their order.
+    pub fn values(&self, name: &str) -> Vec<String> {
+        let named = self.headers.iter().filter(|(key, _)| key == name);
+        named.map(|(_, value)| String::from_utf8_lossy(value).into_owned()).collect()
+    }
+}
+
+/// The one answer that these bytes of a connection are, with nothing before or after it.
+pub fn strict_answer(method: &str, bytes: &[u8]) -> StrictAnswer {
+    let shown = String::from_utf8_lossy(bytes);
+    let (head, start) = head_of(bytes).unwrap_or_else(|| panic!("no whole head: {shown:?}"));
+    let line = String::from_utf8(head.line.clone()).unwrap();
+    let status = line.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3)?.parse().ok());
+    let status: u16 = status.unwrap_or_else(|| panic!("no status line: {shown:?}"));
+    assert!((200..600).contains(&status), "{shown:?}");
+    for (name, _) in &head.headers {
+        let is_token = !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-');
+        assert!(is_token, "{shown:?}");
+    }
+    let (lengths, codings) = (head.values("content-length"), head.values("transfer-encoding"));
+    assert!(lengths.len() + codings.len() <= 1 || method == "HEAD", "{shown:?}");
+    let rest = &bytes[start..];
+    let (body, after) = if method == "HEAD" || matches!(status, 204 | 304) {
+        (Vec::new(), rest)
+    } else if let [length] = lengths.as_slice() {
+        let length: usize = std::str::from_utf8(length).unwrap().parse().unwrap();
+        assert!(rest.len() >= length, "the body is cut: {shown:?}");
+        (rest[..length].to_vec(), &rest[length..])
+    } else {
+        assert_eq!(codings, [b"chunked"], "no end is marked: {shown:?}");
+        chunked_body(rest).unwrap_or_else(|| panic!("the body is cut: {shown:?}"))
+    };
+    assert_eq!(after, b"", "bytes after the answer: {shown:?}");
+    StrictAnswer { status, headers: head.headers, body }
+}
+
+/// A body in chunks and the bytes after it; `None` if it is not whole.
+fn chunked_body(bytes: &[u8]) -> Option<(Vec<u8>, &[u8])> {
+    let (mut body, mut rest) = (Vec::new(), bytes);
+    loop {
+        let end = rest.windows(2).position(|window| window == b"\r\n")?;
+        let size = usize::from_str_radix(std::str::from_utf8(&rest[..end]).ok()?, 16).ok()?;
+        let chunk = rest.get(end + 2..end + 2 + size)?;
+        let after = rest[end + 2 + size..].strip_prefix(b"\r\n")?;
+        if size == 0 {
+            return Some((body, after));
+        }
+        body.extend_from_slice(chunk);
+        rest = after;
+    }
+}
