Answer a stream that breaks off before its first piece with a status

What callers saw: a server whose head was sound and whose first chunk could not be read (its size is `zz`), or that closed before the first piece, ended the caller's connection with no byte of an answer, not even a status.

Cause: the head of a stream was handed to the HTTP library as soon as it came. The library writes a head together with the first piece of the body, and closes the connection if the body fails before.

Change: the head of a stream is passed on with its first bytes. A stream that breaks off before goes to another server where its kind allows it, as before, and otherwise gets 502 (4000, it may have run) at once. `AnswerCut` is logged only for answers that have begun; the others are logged as refused.

A stream whose later chunk can't be read was broken off before and is now.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -25,7 +25,7 @@
 use latchwheel_core::tenants::Tenant;
 use latchwheel_core::time::Instant;
 use latchwheel_events::{emit, Event};
-use latchwheel_http::Body;
+use latchwheel_http::{empty, Body};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,12 +96,14 @@
     departure.arrived();
     match answer {
         Ok(Answer::Whole(answer)) => answer,
-        Ok(Answer::Stream(started)) => stream_answer(context, *started, guard),
+        Ok(Answer::Stream(started)) => stream_answer(context, *started, guard).await,
         Err(attempt) => context.end_unanswered(attempt),
     }
 }
 
-fn stream_answer<D: Dialect>(
+/// Passes the head of a stream on with its first piece. A stream that breaks off before is
+/// answered with a status of the node's own.
+async fn stream_answer<D: Dialect>(
     context: Context<D>,
     started: Started<D>,
     guard: crate::shared::InProgress<D>,
@@ -116,8 +118,12 @@
         head.headers.remove(CONTENT_LENGTH);
     }
     let incoming = Pieces { first: first_frame, rest: incoming };
-    let streaming = Streaming::new(context, exchange, incoming, head.status.as_u16(), resumable, guard);
-    Response::from_parts(head, stream_body(streaming))
+    let mut streaming = Streaming::new(context, exchange, incoming, head.status.as_u16(), resumable, guard);
+    match streaming.begin().await {
+        Ok(Some(first)) => Response::from_parts(head, stream_body(first, streaming)),
+        Ok(None) => Response::from_parts(head, empty()),
+        Err(refusal) => refusal,
+    }
 }
 
 /// Logs that the client left or that the process ended, unless the attempt comes to an end before.
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -17,10 +17,13 @@
 use crate::takeover::Takeover;
 use crate::whole_answer::TIME_IS_OVER;
 use bytes::Bytes;
+use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::Response;
 use latchwheel_core::answer_end::{Framing, StreamProgress};
 use latchwheel_core::attempts::AttemptFailure;
+use latchwheel_core::code::ResultCode;
 use latchwheel_core::dispatch::Ending;
 use latchwheel_core::event_stream::EventFramer;
 use latchwheel_core::routes::RequestKind;
@@ -59,6 +62,10 @@
     first_piece: Option<Instant>,
     /// Whether events were passed on.
     passed_events: bool,
+    /// Whether the head and the first bytes were passed on.
+    has_begun: bool,
+    /// The answer if the stream ends before it has begun and its last attempt gave one.
+    refusal: Option<Response<Body>>,
     ended: bool,
     /// Too many servers have refused to take over while the present one was silent.
     pub(crate) stays_at_server: bool,
@@ -100,6 +107,8 @@
             last_event: None,
             first_piece: None,
             passed_events: false,
+            has_begun: false,
+            refusal: None,
             ended: false,
             stays_at_server: false,
             answers_due,
@@ -107,6 +116,20 @@
         }
     }
 
+    /// The first bytes for the client, before which its head is not passed on; `None` if the
+    /// stream is complete without any.
+    ///
+    /// # Errors
+    /// The answer to the request where no server brought any bytes.
+    pub(crate) async fn begin(&mut self) -> Result<Option<Bytes>, Response<Body>> {
+        let first = self.next().await.transpose();
+        self.has_begun = first.is_ok();
+        first.map_err(|_| {
+            let refusal = self.refusal.take();
+            refusal.unwrap_or_else(|| self.context.refuse(ResultCode::EngineUnreachable, None))
+        })
+    }
+
     /// The next bytes for the client; `None` at the end, an error if the
     /// answer has to be broken off.
     async fn next(&mut self) -> Option<Result<Bytes, &'static str>> {
@@ -249,25 +272,43 @@
             exchange.fail(ending);
         }
         self.framer.reset();
-        let may_continue = self.resumable && !self.context.left().is_zero();
-        if may_continue && self.ask_another_until_due(&server, &end, takeover).await {
-            return true;
+        if self.resumable && !self.context.left().is_zero() {
+            match self.ask_another_until_due(&server, &end, takeover).await {
+                Ok(()) => return true,
+                Err(refusal) => self.refusal = refusal,
+            }
+        } else if !self.has_begun {
+            let now = self.context.shared.clock.now();
+            self.context.note_failed(&server, now, &end);
         }
         self.ended = true;
-        let log = AnswerLog { framing: self.framing, ..self.log.clone() };
-        log.cut(&self.context.shared, &server, reason);
+        if self.has_begun {
+            let log = AnswerLog { framing: self.framing, ..self.log.clone() };
+            log.cut(&self.context.shared, &server, reason);
+        }
         false
     }
 
-    async fn ask_another_until_due(&mut self, server: &str, end: &AttemptEnd, takeover: Option<Takeover<D>>) -> bool {
+    async fn ask_another_until_due(
+        &mut self,
+        server: &str,
+        end: &AttemptEnd,
+        takeover: Option<Takeover<D>>,
+    ) -> Result<(), Option<Response<Body>>> {
         let shared = self.context.shared.clone();
-        shared.before_answers_due(self.ask_another(server, end, takeover)).await.unwrap_or(false)
+        shared.before_answers_due(self.ask_another(server, end, takeover)).await.unwrap_or(Err(None))
     }
 
-    async fn ask_another(&mut self, server: &str, end: &AttemptEnd, mut takeover: Option<Takeover<D>>) -> bool {
+    /// Has another server continue. The error is the final answer of an attempt, if it gave one.
+    async fn ask_another(
+        &mut self,
+        server: &str,
+        end: &AttemptEnd,
+        mut takeover: Option<Takeover<D>>,
+    ) -> Result<(), Option<Response<Body>>> {
         let now = self.context.shared.clock.now();
-        if self.context.failed(server, now, end).is_some() {
-            return false;
+        if let Some(refusal) = self.context.failed(server, now, end) {
+            return Err(Some(refusal));
         }
         loop {
             let attempted = match takeover.take() {
@@ -283,14 +324,14 @@
                     self.progress = progress_of(&started.exchange, self.resumable);
                     self.exchange = Some(started.exchange);
                     self.incoming = Pieces { first: started.first_frame, rest: started.response.into_body() };
-                    return true;
+                    return Ok(());
                 }
                 Ok(started) => {
                     started.exchange.fail(Ending::Rejected);
-                    return false;
+                    return Err(None);
                 }
                 Err(None) => {}
-                Err(Some(_)) => return false,
+                Err(refusal) => return Err(refusal),
             }
         }
     }
@@ -325,15 +366,16 @@
     }
 }
 
-/// The body of a stream that is being passed on. Dropping it closes the
-/// connection to the server.
-pub(crate) fn stream_body<D: Dialect>(streaming: Streaming<D>) -> Body {
-    let pieces = futures::stream::unfold(Some(streaming), |streaming| async move {
+/// The body of a stream that began with these bytes. Dropping it closes the connection to the
+/// server.
+pub(crate) fn stream_body<D: Dialect>(first: Bytes, streaming: Streaming<D>) -> Body {
+    let first = futures::stream::iter([Ok(Frame::data(first))]);
+    let rest = futures::stream::unfold(Some(streaming), |streaming| async move {
         let mut streaming = streaming?;
         match streaming.next().await? {
             Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(streaming))),
             Err(reason) => Some((Err(reason.into()), None)),
         }
     });
-    StreamBody::new(pieces).boxed_unsync()
+    StreamBody::new(first.chain(rest)).boxed_unsync()
 }
--- a/crates/proxy/tests/unusable_heads.rs
+++ b/crates/proxy/tests/unusable_heads.rs
@@ -163,6 +163,15 @@
 
 const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 
+/// Answers with a sound head whose first chunk can't be read.
+fn unreadable_first_chunks() -> Vec<(String, String)> {
+    let chunks = ["zz\r\n", "-1\r\n", "\r\n", " \r\nab", "ffffffffffffffffff\r\n", "0x5\r\n"];
+    chunks
+        .iter()
+        .map(|chunk| (format!("chunk {chunk:?}"), answer("200 OK", CHUNKED, &format!("{chunk}{}", body()))))
+        .collect()
+}
+
 fn request(method: &str) -> Vec<u8> {
     // The deadline is far beyond what a test waits for an answer.
     format!("{method} /path/a HTTP/1.1\r\nhost: {HOST}\r\nt-id: 1\r\nt-deadline: 3600000\r\nconnection: close\r\ncontent-length: 0\r\n\r\n")
@@ -220,6 +229,45 @@
     play(unusable()).await;
 }
 
+#[tokio::test]
+async fn an_answer_whose_first_chunk_cannot_be_read_is_answered_with_a_status() {
+    play(unreadable_first_chunks()).await;
+}
+
+/// Guards against a closed connection in place of an answer.
+#[tokio::test]
+async fn a_stream_that_ends_before_its_first_piece_is_answered_with_a_status() {
+    let event_stream = "content-type: text/event-stream\r\n";
+    let cuts = [
+        ("an open end", answer("200 OK", event_stream, "")),
+        ("chunks without one", answer("200 OK", CHUNKED, "")),
+        ("a cut size", answer("200 OK", CHUNKED, "1")),
+        ("a length", answer("200 OK", "content-length: 5\r\n", "")),
+    ];
+    for (case, bytes) in cuts {
+        for kind in [STREAM, RESUMABLE] {
+            let case = format!("{case}, {kind:?}");
+            play_one(&case, kind, Afterwards::Closes, &bytes).await;
+        }
+    }
+}
+
+/// Guards against a stream that is delivered as complete after a chunk that can't be read.
+#[tokio::test]
+async fn a_stream_whose_later_chunk_cannot_be_read_is_broken_off() {
+    let bytes = answer("200 OK", CHUNKED, &format!("{:x}\r\n{SOUND}\r\nzz\r\n", SOUND.len()));
+    for kind in [STREAM, RESUMABLE] {
+        for afterwards in AFTERWARDS {
+            let server = RawServer::start("server", vec![afterwards.act(&bytes)]).await;
+            let node = RawNode::start(kind, 1, &[&server]).await;
+            let answer = node.write_and_read(&request("POST")).await;
+            let text = String::from_utf8_lossy(&answer);
+            assert!(text.starts_with("HTTP/1.1 200 OK") && text.contains("sound"), "{kind:?} {text:?}");
+            assert!(!text.contains("\r\n0\r\n"), "{kind:?} {text:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn an_answer_whose_head_is_cut_reaches_no_client() {
     for sound in [with_length("200 OK"), with_coding(CHUNKED), with_lines("")] {
