--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// Whether an address has a host and a port to connect to.
+pub fn is_host_and_port(address: &str) -> bool {
+    let Some((host, port)) = address.rsplit_once(':') else { return false };
+    let is_host = host.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._:[]".contains(&byte));
+    let is_port = port.bytes().all(|byte| byte.is_ascii_digit()) && port.parse::<u16>().is_ok_and(|port| port > 0);
+    !host.is_empty() && is_host && is_port
+}
+
 /// Position of a registration among all of its name: each start counts its renewals anew.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Heartbeat {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -318,8 +318,8 @@
     }
 
     /// Returns the number of slots of all ready servers of a service.
-    pub fn slots_of(&self, service: &str) -> u32 {
-        self.of_service(service).map(|(_, server)| server.slots()).sum()
+    pub fn slots_of(&self, service: &str) -> f64 {
+        self.of_service(service).map(|(_, server)| f64::from(server.slots())).sum()
     }
 
     /// Returns the report that this node sends to other nodes.
--- a/crates/core/src/dispatch/server.rs
+++ b/crates/core/src/dispatch/server.rs
@@ -142,7 +142,7 @@
         let Some((at, load)) = self.state.reported_load else { return counted_requests };
         let age = self.now.since(at).as_secs_f64();
         let weight = (1.0 - age / LOAD_REPORT_TTL.as_secs_f64()).max(0.0);
-        let reported = f64::from(load.running + load.waiting) + self.state.own_since_report as f64;
+        let reported = f64::from(load.running) + f64::from(load.waiting) + self.state.own_since_report as f64;
         (reported * weight + counted_requests * (1.0 - weight)).max(counted_requests)
     }
 
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -1,6 +1,6 @@
 //! Selection of servers by nodes that all send to all servers.
 
-use latchwheel_core::directory::ServerRecord;
+use latchwheel_core::directory::{is_host_and_port, ServerRecord};
 use latchwheel_core::dispatch::{
     preferred_workers, Choice, Dispatcher, Ending, NodeShares, Placement, PlacementQuery, Prompt, PromptPart,
     ServerKey, ServerLoad, ServerShare, REPORT_TTL,
@@ -527,3 +527,39 @@
     dispatcher.note_peer(at(3), NodeId(1), 2, report(vec![of_first]));
     assert_eq!(placed(dispatcher.choose(at(3), &query(&empty, 0))).load, 0.0);
 }
+
+/// Guards against an overflow of numbers that a server or another writer states.
+#[test]
+fn extreme_numbers_of_slots_and_load_are_taken() {
+    let mut dispatcher = dispatcher(&["a", "b"]);
+    let load = ServerLoad { running: u32::MAX, waiting: u32::MAX, slots: u32::MAX, slowdown: Some(u32::MAX) };
+    dispatcher.note_load(at(0), "a", load);
+    dispatcher.note_load(at(0), "b", ServerLoad { running: 0, waiting: 0, slots: u32::MAX, slowdown: None });
+    assert_eq!(dispatcher.slots_of("s"), 2.0 * f64::from(u32::MAX));
+    assert_eq!(&*placed(dispatcher.choose(at(0), &query(&Prompt::default(), 0))).server, "b");
+}
+
+#[test]
+fn an_address_has_a_host_and_a_port() {
+    for address in ["10.0.0.1:80", "host.example:65535", "[::1]:8144", "a:1"] {
+        assert!(is_host_and_port(address), "{address}");
+    }
+    for address in [
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:+1",
+        "10.0.0.1:-1",
+        "10.0.0.1:",
+        "10.0.0.1",
+        ":80",
+        "",
+        "a b:80",
+        "a/b:80",
+        "user@a:80",
+        "a:80/b",
+        "a\n:80",
+        "99999",
+    ] {
+        assert!(!is_host_and_port(address), "{address:?}");
+    }
+}
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -61,7 +61,7 @@
             by_lists.set_ready(present.values());
             assert_eq!(ready_of(&by_changes), ready_of(&by_lists), "seed {seed}");
             assert_eq!(by_changes.ready_count(SERVICE), present.len(), "seed {seed}");
-            assert_eq!(by_changes.slots_of(SERVICE), SLOTS * present.len() as u32, "seed {seed}");
+            assert_eq!(by_changes.slots_of(SERVICE), f64::from(SLOTS) * present.len() as f64, "seed {seed}");
         }
     }
 }
--- a/crates/jobs/src/making_room.rs
+++ b/crates/jobs/src/making_room.rs
@@ -50,7 +50,7 @@
 
     /// Runs that this worker may keep while online requests are refused.
     fn pressed_limit(&self, service: &str) -> usize {
-        let slots = f64::from(self.context.shared.dispatcher().slots_of(service));
+        let slots = self.context.shared.dispatcher().slots_of(service);
         let workers = self.context.worker_count().max(1) as f64;
         ((slots * PRESSED_SHARE / workers) as usize).max(1)
     }
