Read each entry of the machine list by itself

What callers saw, in plays of our own: `latchwheel node` found no server, or went on with those that it knew, while one entry of the machine list was odd: of another type, with an unknown kind, deeply nested, or with a number too large.

Cause: the list was read as one document, so that one entry made all of it unreadable.

Change: each entry is read by itself; one that can't be read, or whose address has no valid port, is left out and logged (E4003).

--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -2,8 +2,10 @@
 //! its first members.
 
 use hyper::Method;
+use latchwheel_core::directory::is_host_and_port;
 use latchwheel_http::{CallFault, Client};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use std::time::Duration;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -58,10 +60,33 @@
     pub version: u64,
     /// Zones of the region that have machines.
     pub zones: Vec<String>,
-    /// All nodes of the region, and the engines of the requested zones.
+    /// All nodes of the region, and the engines of the requested zones. Entries that name no
+    /// machine to use are left out.
+    #[serde(deserialize_with = "usable_machines")]
     pub machines: Vec<Machine>,
 }
 
+/// Reads each entry by itself: one that can't be read must not hide the others.
+fn usable_machines<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Machine>, D::Error> {
+    let entries: Vec<Box<RawValue>> = Vec::deserialize(deserializer)?;
+    Ok(entries.iter().filter_map(|entry| usable_machine(entry)).collect())
+}
+
+fn usable_machine(entry: &RawValue) -> Option<Machine> {
+    let machine: Result<Machine, serde_json::Error> = serde_json::from_str(entry.get());
+    match machine {
+        Ok(machine) if is_host_and_port(&machine.address) => Some(machine),
+        Ok(machine) => {
+            log::warn!(target: "E4003", "machine {} has no valid address and is left out", machine.name);
+            None
+        }
+        Err(fault) => {
+            log::warn!(target: "E4003", "an entry of the machine list is left out: {fault}");
+            None
+        }
+    }
+}
+
 /// Client of the machine list.
 #[derive(Clone, Debug)]
 pub struct MachineListClient {
