Sum the slots that engines report without overflow

What callers saw, in a play of our own in a debug build: no answer from `latchwheel node` before two engines whose load report has 4,294,967,295 slots each. In a release build the sum wrapped.

Cause: the scheduler added the slots of the open servers as 32-bit numbers.

Change: the sums saturate.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -178,12 +178,8 @@
     /// Number of further batch items of a service that could start now or soon,
     /// not counting those that already wait here.
     pub fn batch_capacity(&self, now: Instant, service: &str) -> u32 {
-        let target: u32 = self
-            .servers
-            .values()
-            .filter(|server| server.is_open(now) && *server.profile.service == *service)
-            .map(|server| server.batch_target())
-            .sum();
+        let open = self.servers.values().filter(|server| server.is_open(now) && *server.profile.service == *service);
+        let target = open.fold(0_u32, |target, server| target.saturating_add(server.batch_target()));
         let waiting = self.batch.get(service).map_or(0, RowQueues::waiting);
         target.saturating_sub(waiting)
     }
@@ -265,7 +261,8 @@
         let open = self.servers.values().filter(|server| server.is_open(now) && *server.profile.service == *service);
         open.fold((0, 0), |(slots, free), server| {
             let server_slots = server.profile.slots;
-            (slots + server_slots, free + server_slots.saturating_sub(server.online))
+            let server_free = server_slots.saturating_sub(server.online);
+            (slots.saturating_add(server_slots), free.saturating_add(server_free))
         })
     }
 
--- a/crates/core/src/scheduler/server.rs
+++ b/crates/core/src/scheduler/server.rs
@@ -162,7 +162,7 @@
     pub(super) fn batch_target(&self) -> u32 {
         let free = self.profile.slots.saturating_sub(self.online + self.batch);
         let allowed = self.batch_limit.allowed().saturating_sub(self.batch);
-        free.min(allowed) + self.profile.slots.saturating_sub(self.online).div_ceil(2)
+        free.min(allowed).saturating_add(self.profile.slots.saturating_sub(self.online).div_ceil(2))
     }
 
     pub(super) fn online_cost(&self, matched: usize) -> i64 {
