Test streams at a node that missed a release

Other operators saw streams go on at servers of another version where they were taken up at a node that was out of step while servers of a new version joined. Two tests: a node that knows no server of the new version, with all others in reach and cut off from them. Nothing reached a server of the old version.

--- a/crates/proxy/tests/software_versions.rs
+++ b/crates/proxy/tests/software_versions.rs
@@ -283,3 +283,69 @@
     assert_eq!((answer.status, answer.has_retry_time), (503, true));
     assert_eq!((short.seen().len(), other.seen().len()), (0, 0));
 }
+
+/// Begins a stream at servers of version 2, which the second of these nodes knows nothing of: it
+/// knows for longer than any stream lasts that only this other server, of version 1, served.
+async fn begin_at_unknown_version(nodes: &[Node], known: &TestServer, id: &str) {
+    let cut = TestServer::start(&format!("new-{id}"), vec![Act::CutStream(vec![1, 2])]).await;
+    nodes[0].add(&[cut.record_at("2")]);
+    let answer = send(&nodes[0], id, None).await;
+    assert_eq!((answer.whole, answer.text), (false, events(1..=2)));
+    nodes[0].shared.dispatcher().set_draining(&cut.name);
+    nodes[1].add(&[known.record_at("1")]);
+    observe_alone(&nodes[1], &known.record_at("1"));
+}
+
+/// Waits until a node has told another one of a request at a server that both know.
+async fn until_heard(node: &Node, by: &Node) {
+    let end_request = Arc::new(Notify::new());
+    let act = Act::Await(end_request.clone(), Box::new(Act::StreamTo(1)));
+    let busy = TestServer::start("busy", vec![act]).await;
+    [node, by].iter().for_each(|node| node.add(&[busy.record_at("1")]));
+    let heard = async {
+        let end = Instant::now() + LIMIT;
+        while by.shared.dispatcher().reports(by.shared.clock.now()).iter().all(|report| report.load < 1.0) {
+            assert!(Instant::now() < end, "the node is not heard");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        end_request.notify_one();
+    };
+    tokio::join!(send(node, "busy", None), heard);
+    [node, by].iter().for_each(|node| node.shared.dispatcher().set_draining(&busy.name));
+}
+
+/// A client takes a stream up at a node that knows no server of its version yet.
+#[tokio::test]
+async fn a_node_that_missed_a_release_refuses_its_streams() {
+    let old = server("old").await;
+    let nodes = start_nodes(4, &[]).await;
+    for number in 0..STREAMS {
+        let id = format!("id-{number}");
+        begin_at_unknown_version(&nodes, &old, &id).await;
+        for last_event in [2, 1] {
+            let continued = Continued { first_request: &id, last_event };
+            let answer = send(&nodes[1], &format!("{id}-again-{last_event}"), Some(continued)).await;
+            assert_eq!((answer.status, answer.has_retry_time), (503, true));
+        }
+    }
+    assert!(old.seen().is_empty(), "{:?}", old.seen());
+}
+
+/// The same at a node that no other one reaches, by clients that name the stream and by others.
+#[tokio::test]
+async fn a_node_that_is_cut_off_during_a_release_refuses_its_streams() {
+    let old = server("old").await;
+    let nodes = start_nodes(4, &[]).await;
+    until_heard(&nodes[1], &nodes[0]).await;
+    nodes[1].exchange.abort();
+    for number in 0..STREAMS {
+        let id = format!("id-{number}");
+        begin_at_unknown_version(&nodes, &old, &id).await;
+        for first_request in [id.as_str(), ""] {
+            let continued = Continued { first_request, last_event: 2 };
+            let answer = send(&nodes[1], &format!("{id}-again-{first_request}"), Some(continued)).await;
+            assert_eq!((answer.status, answer.has_retry_time), (503, true), "{id} {first_request:?} {answer:?}");
+        }
+    }
+    assert!(old.seen().is_empty(), "{:?}", old.seen());
+}
